--- /dev/null
+++ b/include/sapphirespool/Consensus/replicatedlog.h
@@ -0,0 +1,68 @@
+// replicatedlog.h: the control group's log as its users see it; lives on the control thread.
+#pragma once
+
+#include "sapphirespool/Consensus/statemachine.h"
+#include "sapphirespool/Support/types.h"
+
+#include <functional>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace sapphirespool::consensus
+{
+
+/// Why a proposal or a read got no result.
+enum class ProposalFailure {
+    /// This VM does not lead; another one may.
+    NotLeader,
+    /// Leadership was lost while the proposal was on its way: it may or may not take effect.
+    OutcomeUnknown,
+    /// The log cannot be written, for example because the disk is full.
+    StorageFailed,
+    /// A change of the control group is under way.
+    ChangeInProgress,
+};
+
+/// Result of StateMachine::apply(), or why there is none.
+using ProposalOutcome = std::variant<Bytes, ProposalFailure>;
+
+/// A VM of the control group and the part it plays in quorums.
+struct ControlMember
+{
+    VmId vm;
+    Endpoint endpoint;
+    /// A learner receives the log and counts in no quorum.
+    bool voter = false;
+};
+
+/// The replicated log on one control VM.
+class ReplicatedLog
+{
+public:
+    ReplicatedLog() = default;
+    ReplicatedLog(const ReplicatedLog &) = delete;
+    auto operator=(const ReplicatedLog &) -> ReplicatedLog & = delete;
+    virtual ~ReplicatedLog() = default;
+
+    /// Appends \p command and calls \p done once it is applied here, or known to have failed.
+    virtual auto propose(Bytes command, std::function<void(ProposalOutcome)> done) -> void = 0;
+
+    /// Calls \p done once the local state holds all that was committed before the call; with a failure if this VM does not lead.
+    virtual auto confirmRead(std::function<void(std::optional<ProposalFailure>)> done) -> void = 0;
+
+    /// \return whether this VM leads and a quorum confirmed so recently that no other VM can lead at \p now
+    [[nodiscard]] virtual auto holdsLeaderLease(TimePoint now) const -> bool = 0;
+
+    /// \return the VM that is believed to lead
+    [[nodiscard]] virtual auto leader() const -> std::optional<VmId> = 0;
+
+    /// Adds \p member as a learner, or turns it into a voter once it has caught up, or removes it. One change at a time.
+    virtual auto addLearner(ControlMember member, std::function<void(ProposalOutcome)> done) -> void = 0;
+    virtual auto promoteLearner(VmId vm, std::function<void(ProposalOutcome)> done) -> void = 0;
+    virtual auto removeMember(VmId vm, std::function<void(ProposalOutcome)> done) -> void = 0;
+
+    [[nodiscard]] virtual auto members() const -> std::vector<ControlMember> = 0;
+};
+
+} // namespace sapphirespool::consensus
--- /dev/null
+++ b/include/sapphirespool/Membership/clusterview.h
@@ -0,0 +1,124 @@
+// clusterview.h: what the traffic path knows of the system, as one immutable value.
+//
+// The control thread builds a new view for each revision; traffic threads hold it by a shared pointer to const and never see
+// half of a change.
+#pragma once
+
+#include "sapphirespool/Support/types.h"
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+namespace sapphirespool::membership
+{
+
+/// One member of a database group, as it last announced itself.
+struct UpstreamView
+{
+    UpstreamId id;
+    Endpoint endpoint;
+    ZoneId zone;
+    Incarnation incarnation;
+    /// Statements that it runs at a time.
+    std::uint32_t slots = 1;
+    /// Connections that it accepts from all proxies together.
+    std::uint32_t connectionLimit = 1;
+    /// No new work goes to a leaving upstream.
+    bool leaving = false;
+};
+
+/// Where a term of a group began.
+struct TermStart
+{
+    Term term;
+    /// Last position of the earlier terms that the new primary kept; what lies above it in an earlier term is void.
+    LogPosition keptUpTo;
+};
+
+/// A database group: one primary and the replicas that follow it.
+struct GroupView
+{
+    GroupId id;
+    Term term;
+    /// Absent while a promotion is under way.
+    std::optional<UpstreamId> primary;
+    /// Ended and current terms, ascending; decides whether a session's position still stands.
+    std::vector<TermStart> history;
+    std::vector<UpstreamView> members;
+
+    [[nodiscard]] auto findMember(const UpstreamId &member) const -> const UpstreamView *;
+    [[nodiscard]] auto primaryMember() const -> const UpstreamView *;
+};
+
+/// A service of the operators' text, with defaults filled in.
+struct ServiceView
+{
+    ServiceId id;
+    GroupId group;
+    std::vector<ServiceId> dependsOn;
+    /// Age that its reads accept unless the caller says otherwise; zero: only what is current.
+    std::chrono::milliseconds readAge{0};
+    /// Time that a request may take unless the caller says otherwise.
+    std::chrono::milliseconds timeout{2000};
+    /// Requests of this service that may wait in one proxy.
+    std::uint32_t queueLimit = 256;
+    /// Retries that one first attempt earns, 0 to 1.
+    double retryRatio = 0.1;
+};
+
+/// A VM that runs the proxy role.
+struct ProxyView
+{
+    VmId id;
+    ZoneId zone;
+    Incarnation incarnation;
+    /// Where it accepts callers.
+    Endpoint callers;
+    /// Where it accepts other proxies.
+    Endpoint peers;
+    bool leaving = false;
+};
+
+/// The whole view at one revision.
+struct ClusterView
+{
+    Revision revision;
+    /// Revision of the operators' text that is in this view.
+    Revision configuration;
+    std::vector<ServiceView> services;
+    std::vector<GroupView> groups;
+    std::vector<ProxyView> proxies;
+
+    [[nodiscard]] auto findService(const ServiceId &service) const -> const ServiceView *;
+    [[nodiscard]] auto findGroup(const GroupId &group) const -> const GroupView *;
+    [[nodiscard]] auto findProxy(const VmId &vm) const -> const ProxyView *;
+};
+
+/// Hands the newest view from the control thread to the traffic threads, with the lease under which it may be used.
+class ViewHolder
+{
+public:
+    /// Replaces the view. A view of a lower revision than the present one is ignored: a view never goes back.
+    /// \return false if it was ignored
+    auto publish(std::shared_ptr<const ClusterView> view) -> bool;
+
+    /// Extends the lease to \p expiry; an earlier expiry than the present one is ignored.
+    auto extendLease(TimePoint expiry) -> void;
+
+    /// \return the newest view; never null
+    [[nodiscard]] auto current() const -> std::shared_ptr<const ClusterView>;
+
+    /// \return whether control confirmed this view recently enough for an acknowledgement at \p now
+    [[nodiscard]] auto leaseLive(TimePoint now) const -> bool;
+
+private:
+    mutable std::mutex mutex;
+    std::shared_ptr<const ClusterView> view = std::make_shared<const ClusterView>();
+    TimePoint leaseExpiry{};
+};
+
+} // namespace sapphirespool::membership
--- /dev/null
+++ b/include/sapphirespool/Platform/groupoperator.h
@@ -0,0 +1,30 @@
+// groupoperator.h: what the control group tells the members of a database group.
+#pragma once
+
+#include "sapphirespool/Platform/messages.h"
+#include "sapphirespool/Support/types.h"
+
+#include <functional>
+#include <optional>
+
+namespace sapphirespool::platform
+{
+
+/// Answer of a member, or nothing if none came in time; then the call may or may not have taken effect, and is repeated.
+using ReportCallback = std::function<void(std::optional<PositionReport>)>;
+
+/// Calls members by their address. Each call may be repeated without harm.
+class GroupOperator
+{
+public:
+    GroupOperator() = default;
+    GroupOperator(const GroupOperator &) = delete;
+    auto operator=(const GroupOperator &) -> GroupOperator & = delete;
+    virtual ~GroupOperator() = default;
+
+    virtual auto fence(const Endpoint &member, FenceRequest request, ReportCallback done) -> void = 0;
+    virtual auto promote(const Endpoint &member, PromoteRequest request, ReportCallback done) -> void = 0;
+    virtual auto follow(const Endpoint &member, FollowRequest request, ReportCallback done) -> void = 0;
+};
+
+} // namespace sapphirespool::platform
--- /dev/null
+++ b/include/sapphirespool/Support/events.h
@@ -0,0 +1,45 @@
+// events.h: the catalogue of log events; docs/EVENTS.md explains each to operators.
+#pragma once
+
+#include <span>
+#include <string_view>
+
+namespace sapphirespool::support
+{
+
+/// How much an event matters to an operator.
+enum class Severity {
+    Info,
+    Warning,
+    Error,
+};
+
+/// Each event by its number. Hundreds: 10 process, 11 callers, 12 upstreams, 13 sessions and keys, 14 peers,
+/// 20 consensus, 21 storage, 22 configuration, 23 membership, 24 promotion, 30 stand-in.
+enum class Event {
+    ProcessStarted = 1001,
+    ProcessDraining = 1002,
+    ProcessStopped = 1003,
+    SettingsRejected = 1004,
+    ListenFailed = 1005,
+    CallerRequestRefused = 1101,
+    UpstreamConnectionClosed = 1201,
+    StandinStarted = 3001,
+};
+
+/// Catalogue entry of one event.
+struct EventDescription
+{
+    Event event;
+    Severity severity;
+    /// Words that follow the number in the log line.
+    std::string_view text;
+};
+
+/// \return the catalogue, ordered by number
+[[nodiscard]] auto eventDescriptions() -> std::span<const EventDescription>;
+
+/// \return the catalogue entry of \p event
+[[nodiscard]] auto describe(Event event) -> const EventDescription &;
+
+} // namespace sapphirespool::support
--- /dev/null
+++ b/lib/Membership/clusterview.cpp
@@ -0,0 +1,78 @@
+#include "sapphirespool/Membership/clusterview.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace sapphirespool::membership
+{
+
+namespace
+{
+
+template <typename Element, typename Id>
+auto findById(const std::vector<Element> &elements, const Id &id) -> const Element *
+{
+    const auto found = std::find_if(elements.begin(), elements.end(), [&id](const Element &element) {
+        return element.id == id;
+    });
+    return found == elements.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+auto GroupView::findMember(const UpstreamId &member) const -> const UpstreamView *
+{
+    return findById(this->members, member);
+}
+
+auto GroupView::primaryMember() const -> const UpstreamView *
+{
+    return this->primary ? this->findMember(*this->primary) : nullptr;
+}
+
+auto ClusterView::findService(const ServiceId &service) const -> const ServiceView *
+{
+    return findById(this->services, service);
+}
+
+auto ClusterView::findGroup(const GroupId &group) const -> const GroupView *
+{
+    return findById(this->groups, group);
+}
+
+auto ClusterView::findProxy(const VmId &vm) const -> const ProxyView *
+{
+    return findById(this->proxies, vm);
+}
+
+auto ViewHolder::publish(std::shared_ptr<const ClusterView> view) -> bool
+{
+    assert(view != nullptr && "a view to publish");
+    const auto guard = std::lock_guard(this->mutex);
+    if (view->revision < this->view->revision) {
+        return false;
+    }
+    this->view = std::move(view);
+    return true;
+}
+
+auto ViewHolder::extendLease(TimePoint expiry) -> void
+{
+    const auto guard = std::lock_guard(this->mutex);
+    this->leaseExpiry = std::max(this->leaseExpiry, expiry);
+}
+
+auto ViewHolder::current() const -> std::shared_ptr<const ClusterView>
+{
+    const auto guard = std::lock_guard(this->mutex);
+    return this->view;
+}
+
+auto ViewHolder::leaseLive(TimePoint now) const -> bool
+{
+    const auto guard = std::lock_guard(this->mutex);
+    return now < this->leaseExpiry;
+}
+
+} // namespace sapphirespool::membership
--- /dev/null
+++ b/lib/Support/events.cpp
@@ -0,0 +1,40 @@
+#include "sapphirespool/Support/events.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+
+namespace sapphirespool::support
+{
+
+namespace
+{
+
+constexpr auto descriptions = std::to_array<EventDescription>({
+    {Event::ProcessStarted, Severity::Info, "process started"},
+    {Event::ProcessDraining, Severity::Info, "process draining"},
+    {Event::ProcessStopped, Severity::Info, "process stopped"},
+    {Event::SettingsRejected, Severity::Error, "settings rejected"},
+    {Event::ListenFailed, Severity::Error, "listen failed"},
+    {Event::CallerRequestRefused, Severity::Warning, "caller request refused"},
+    {Event::UpstreamConnectionClosed, Severity::Warning, "upstream connection closed"},
+    {Event::StandinStarted, Severity::Info, "stand-in started"},
+});
+
+} // namespace
+
+auto eventDescriptions() -> std::span<const EventDescription>
+{
+    return descriptions;
+}
+
+auto describe(Event event) -> const EventDescription &
+{
+    const auto *const found = std::find_if(descriptions.begin(), descriptions.end(), [event](const EventDescription &entry) {
+        return entry.event == event;
+    });
+    assert(found != descriptions.end() && "each event stands in the catalogue");
+    return *found;
+}
+
+} // namespace sapphirespool::support
--- /dev/null
+++ b/tools/sapphirespool/commands.h
@@ -0,0 +1,27 @@
+// commands.h: the subcommands of the binary.
+#pragma once
+
+#include <span>
+
+namespace sapphirespool::tool
+{
+
+/// Exit codes of the binary; the README documents them.
+enum class ExitCode {
+    Success = 0,
+    /// The work was tried and failed.
+    Failed = 1,
+    /// The command line, the settings or the text are wrong; nothing was tried.
+    Usage = 2,
+};
+
+/// Arguments of a subcommand; the first is its name, as getopt_long wants it.
+using Arguments = std::span<char *>;
+
+/// Serves a whole system in one process, to try it out.
+auto runDemo(Arguments arguments) -> ExitCode;
+
+/// Prints the version.
+auto runVersion(Arguments arguments) -> ExitCode;
+
+} // namespace sapphirespool::tool
--- /dev/null
+++ b/unittests/catchmain.cpp
@@ -0,0 +1,3 @@
+// Entry point shared by the test programs.
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
