--- a/unittests/Sessions/properties.h
+++ b/unittests/Sessions/properties.h
@@ -16,7 +16,8 @@
 {
     // rapidcheck reads its parameters once, before the first check.
     ::setenv("RC_PARAMS", "seed=20 max_success=1500 max_size=400", 1);
-    CHECK(rc::check(std::move(property)));
+    const auto passed = rc::check(std::move(property));
+    CHECK(passed);
 }
 
 } // namespace sapphirespool::testing
