Headers of the control RPC and of the consensus replica

ControlMember gains the identity of its data folder, so that a VM that lost its disk is another member.

--- a/include/sapphirespool/Consensus/replicatedlog.h
+++ b/include/sapphirespool/Consensus/replicatedlog.h
@@ -4,6 +4,7 @@
 #include "sapphirespool/Consensus/statemachine.h"
 #include "sapphirespool/Support/types.h"
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <variant>
@@ -27,6 +28,10 @@
 /// Result of StateMachine::apply(), or why there is none.
 using ProposalOutcome = std::variant<Bytes, ProposalFailure>;
 
+/// Identity of one data folder, drawn when the folder is created. A VM that lost its disk comes back as another replica, so that
+/// its earlier votes and acknowledgements, which it no longer knows, cannot be taken for those of the empty folder.
+using ReplicaId = support::StrongType<struct ReplicaIdTag, std::uint64_t>;
+
 /// A VM of the control group and the part it plays in quorums.
 struct ControlMember
 {
@@ -34,6 +39,10 @@
     Endpoint endpoint;
     /// A learner receives the log and counts in no quorum.
     bool voter = false;
+    /// Absent (0) in settings: the data folder with which the VM last asked to join.
+    ReplicaId replica{};
+
+    auto operator<=>(const ControlMember &) const = default;
 };
 
 /// The replicated log on one control VM.
--- /dev/null
+++ b/include/sapphirespool/Control/proxylink.h
@@ -0,0 +1,31 @@
+// proxylink.h: a proxy's link to the control group over Cap'n Proto RPC.
+#pragma once
+
+#include "sapphirespool/Membership/clusterview.h"
+#include "sapphirespool/Membership/controllink.h"
+#include "sapphirespool/Rpc/loopthread.h"
+#include "sapphirespool/Support/types.h"
+
+#include <memory>
+#include <vector>
+
+namespace sapphirespool::control
+{
+
+/// What a proxy says of itself, and where the control VMs listen.
+struct ProxyLinkSettings
+{
+    VmId vm;
+    ZoneId zone;
+    Incarnation incarnation;
+    Endpoint callers;
+    Endpoint peers;
+    std::vector<Endpoint> controlVms;
+    /// The services that the proxy serves; empty for all.
+    std::vector<ServiceId> services;
+};
+
+/// Connects on \p loop and keeps \p holder up to date until destroyed. Both must outlive the link.
+[[nodiscard]] auto makeProxyLink(rpc::LoopThread &loop, ProxyLinkSettings settings, membership::ViewHolder &holder) -> std::shared_ptr<membership::ControlLink>;
+
+} // namespace sapphirespool::control
