Http: a handler of its own for each connection

Cause: the transactions of a stand-in live on a connection and end with it; a handler could not tell connections apart. Change: Handler::forConnection() may return a handler for one connection, destroyed with it, and is handed a way to close it. An answer that brings its own Content-Length keeps it, so that a stand-in can send half an answer. Conclusion: handlers that do not override it behave as before.

--- a/include/sapphirespool/Http/server.h
+++ b/include/sapphirespool/Http/server.h
@@ -16,6 +16,9 @@
 namespace sapphirespool::http
 {
 
+/// Closes the connection of a handler; no further byte is sent on it. To be called on the connection's executor.
+using CloseConnection = std::function<void()>;
+
 /// Answers requests. A handler may be called for many connections at a time.
 class Handler
 {
@@ -30,6 +33,10 @@
 
     /// \return the answer to bytes that are no request, or too many of them
     virtual auto reject(Status status, std::string_view detail) -> Response = 0;
+
+    /// Called once for each connection, for handlers that keep state by connection.
+    /// \return a handler for this connection alone, which is destroyed when the connection ends; null to use this one
+    virtual auto forConnection(CloseConnection close) -> std::shared_ptr<Handler>;
 };
 
 /// Bounds on what one connection may cost.
--- a/lib/Http/server.cpp
+++ b/lib/Http/server.cpp
@@ -62,6 +62,13 @@
 
     auto start() -> void
     {
+        auto close = [weak = this->weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->shut();
+            }
+        };
+        auto own = this->shared->handler->forConnection(std::move(close));
+        this->handler = own != nullptr ? std::move(own) : this->shared->handler;
         asio::co_spawn(this->stream.get_executor(), serve(this->shared_from_this()), asio::detached);
     }
 
@@ -132,7 +139,7 @@
         this->stream.expires_never();
         const auto version = request.version();
         const auto wantsKeepAlive = request.keep_alive();
-        auto response = co_await this->shared->handler->handle(std::move(request));
+        auto response = co_await this->handler->handle(std::move(request));
         response.version(version);
         response.keep_alive(wantsKeepAlive && !this->shared->draining);
         const auto written = co_await this->write(std::move(response));
@@ -142,7 +149,9 @@
 
     auto write(Response response) -> asio::awaitable<bool>
     {
-        response.prepare_payload();
+        if (!response.has_content_length()) {
+            response.prepare_payload();
+        }
         const auto keepAlive = response.keep_alive();
         this->stream.expires_after(this->shared->limits.receiveTimeout);
         const auto [error, size] = co_await beast::http::async_write(this->stream, response, awaitTuple);
@@ -155,7 +164,7 @@
         if (!status) {
             co_return;
         }
-        auto response = this->shared->handler->reject(*status, error.message());
+        auto response = this->handler->reject(*status, error.message());
         response.version(11);
         response.keep_alive(false);
         co_await this->write(std::move(response));
@@ -188,6 +197,7 @@
 
     beast::tcp_stream stream;
     std::shared_ptr<Shared> shared;
+    std::shared_ptr<Handler> handler;
     beast::flat_buffer buffer;
     bool idle = false;
 };
@@ -323,6 +333,11 @@
 
 } // namespace
 
+auto Handler::forConnection(CloseConnection) -> std::shared_ptr<Handler>
+{
+    return nullptr;
+}
+
 auto makeServer(const boost::asio::any_io_executor &acceptor, ExecutorSource sessions, ServerLimits limits, std::shared_ptr<Handler> handler)
     -> std::shared_ptr<Server>
 {
