--- a/include/sapphirespool/Proxy/executor.h
+++ b/include/sapphirespool/Proxy/executor.h
@@ -14,16 +14,6 @@
 #include <string>
 #include <variant>
 
-namespace sapphirespool::membership
-{
-class ViewHolder;
-}
-
-namespace sapphirespool::upstreams
-{
-class Connector;
-}
-
 namespace sapphirespool::proxy
 {
 
@@ -32,21 +22,21 @@
 {
     ServiceId service;
     upstreams::Statement statement;
-    /// Token that the caller brought; empty for a new session.
+    /// Token that the caller brought, or the session id alone; empty for a new session.
     std::string sessionToken;
     std::optional<IdempotencyKey> key;
     /// Age that the caller accepts; absent: the service's own.
     std::optional<std::chrono::milliseconds> maxAge;
     /// Time that the caller allows; absent: the service's own.
     std::optional<std::chrono::milliseconds> timeout;
+    /// Whose work it is, for fairness; empty: the session's.
+    std::string caller;
 };
 
 /// A whole answer to the caller's own request.
 struct Answer
 {
     upstreams::StatementResult result;
-    /// Token that the caller brings next time.
-    std::string sessionToken;
     UpstreamId servedBy;
     platform::Role servedRole = platform::Role::Primary;
 };
@@ -54,7 +44,58 @@
 /// How a request ends.
 using Outcome = std::variant<Answer, NotRun, OutcomeUnknown, StatementError>;
 
-/// Runs statements. The callers' package sees only this.
+/// How a request ends, and what the caller's session has seen by then.
+struct Reply
+{
+    Outcome outcome;
+    /// Token that the caller brings next time, after errors too: reading after an unknown outcome must not miss the write.
+    std::string sessionToken;
+};
+
+/// What is done to an open transaction.
+enum class TransactionStep {
+    Statement,
+    Commit,
+    Rollback,
+};
+
+/// Opens a transaction.
+struct BeginRequest
+{
+    ServiceId service;
+    std::string sessionToken;
+    std::optional<std::chrono::milliseconds> timeout;
+    std::string caller;
+};
+
+/// The transaction is open.
+struct TransactionBegun
+{
+    TransactionId id;
+    UpstreamId servedBy;
+};
+
+using BeginOutcome = std::variant<TransactionBegun, NotRun, StatementError>;
+
+struct BeginReply
+{
+    BeginOutcome outcome;
+    std::string sessionToken;
+};
+
+/// One step of an open transaction.
+struct TransactionRequest
+{
+    ServiceId service;
+    TransactionId id;
+    TransactionStep step = TransactionStep::Statement;
+    /// Empty for a commit or rollback.
+    upstreams::Statement statement;
+    std::string sessionToken;
+    std::optional<std::chrono::milliseconds> timeout;
+};
+
+/// Runs statements and transactions. The callers' package sees only this; it may be called from any executor.
 class Executor
 {
 public:
@@ -63,10 +104,9 @@
     auto operator=(const Executor &) -> Executor & = delete;
     virtual ~Executor() = default;
 
-    virtual auto execute(StatementRequest request) -> boost::asio::awaitable<Outcome> = 0;
+    virtual auto execute(StatementRequest request) -> boost::asio::awaitable<Reply> = 0;
+    virtual auto begin(BeginRequest request) -> boost::asio::awaitable<BeginReply> = 0;
+    virtual auto run(TransactionRequest request) -> boost::asio::awaitable<Reply> = 0;
 };
 
-/// \return the executor of the traffic path
-[[nodiscard]] auto makeExecutor(std::shared_ptr<membership::ViewHolder> views, std::shared_ptr<upstreams::Connector> connector) -> std::shared_ptr<Executor>;
-
 } // namespace sapphirespool::proxy
--- a/include/sapphirespool/Sessions/holderhistory.h
+++ b/include/sapphirespool/Sessions/holderhistory.h
@@ -34,6 +34,9 @@
     /// \return whether this proxy was a holder of \p name as long as a record of it may have been made
     [[nodiscard]] auto vouches(std::string_view name, std::size_t copies, TimePoint now) const -> bool;
 
+    /// \return whether this proxy, as far as it saw views, was a holder of \p name throughout the life of a record
+    [[nodiscard]] auto heldThroughout(std::string_view name, std::size_t copies, TimePoint now) const -> bool;
+
     /// \return how many proxies there were within the life of a record
     [[nodiscard]] auto proxiesSeen(TimePoint now) const -> std::size_t;
 
--- a/lib/Callers/handler.cpp
+++ b/lib/Callers/handler.cpp
@@ -1,9 +1,12 @@
 #include "sapphirespool/Callers/handler.h"
 
+#include "sapphirespool/Callers/answers.h"
+#include "sapphirespool/Callers/requestparser.h"
 #include "sapphirespool/Proxy/executor.h"
+#include "sapphirespool/Support/log.h"
 
-#include <boost/json/parse.hpp>
-
+#include <array>
+#include <exception>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -17,131 +20,120 @@
 
 namespace asio = boost::asio;
 
-constexpr auto servicesPrefix = std::string_view("/v1/services/");
-constexpr auto statementsSuffix = std::string_view("/statements");
+/// Headers of which a second one would leave open which counts.
+constexpr auto singleHeaders
+    = std::to_array<std::string_view>({"Sapphirespool-Session", "Sapphirespool-Max-Age", "Sapphirespool-Timeout", "Idempotency-Key", "Cookie"});
 
-auto problem(RefusalReason reason, Executed executed, std::string_view detail) -> http::Response
+auto header(const http::Request &request, std::string_view name) -> std::optional<std::string_view>
 {
-    const auto &description = describe(reason);
-    auto body = boost::json::object();
-    body["title"] = description.label;
-    body["status"] = description.status;
-    body["reason"] = description.label;
-    body["detail"] = detail;
-    body["executed"] = name(executed);
-    body["remedy"] = description.remedy;
-    auto response = http::jsonResponse(static_cast<http::Status>(description.status), body);
-    response.set(boost::beast::http::field::content_type, "application/problem+json");
-    return response;
+    const auto found = request.find(name);
+    if (found == request.end()) {
+        return std::nullopt;
+    }
+    return std::string_view(found->value());
 }
 
-/// Turns each way in which a request ends into its HTTP answer.
-struct OutcomeRenderer
+auto toRaw(const http::Request &request) -> RawRequest
 {
-    auto operator()(const proxy::Answer &answer) const -> http::Response
-    {
-        auto body = boost::json::object();
-        auto columns = boost::json::array();
-        for (const auto &column : answer.result.columns) {
-            columns.emplace_back(column);
+    auto raw = RawRequest();
+    raw.method = request.method_string();
+    raw.target = request.target();
+    raw.session = header(request, "Sapphirespool-Session");
+    raw.cookie = header(request, "Cookie");
+    raw.key = header(request, "Idempotency-Key");
+    raw.maxAge = header(request, "Sapphirespool-Max-Age");
+    raw.timeout = header(request, "Sapphirespool-Timeout");
+    raw.body = request.body();
+    for (const auto name : singleHeaders) {
+        if (request.count(name) > 1) {
+            raw.repeatedHeader = name;
         }
-        body["columns"] = std::move(columns);
-        body["rows"] = answer.result.rows;
-        body["changes"] = answer.result.changes;
-        auto response = http::jsonResponse(http::Status::ok, body);
-        response.set("Sapphirespool-Served-By", answer.servedBy.value());
-        return response;
     }
+    return raw;
+}
 
-    auto operator()(const NotRun &refusal) const -> http::Response
+class CallerHandler : public http::Handler
+{
+public:
+    explicit CallerHandler(std::shared_ptr<proxy::Executor> executor)
+        : executor(std::move(executor))
     {
-        auto response = problem(refusal.reason, Executed::No, refusal.detail);
-        if (refusal.retryAfter) {
-            const auto seconds = std::chrono::ceil<std::chrono::seconds>(*refusal.retryAfter);
-            response.set(boost::beast::http::field::retry_after, std::to_string(seconds.count()));
-        }
-        return response;
     }
 
-    auto operator()(const OutcomeUnknown &unknown) const -> http::Response
+    auto handle(http::Request request) -> asio::awaitable<http::Response> override
     {
-        return problem(unknown.reason, Executed::Unknown, unknown.detail);
+        auto failure = std::string();
+        try {
+            auto response = co_await this->run(std::move(request));
+            co_return response;
+        } catch (const std::exception &error) {
+            failure = error.what();
+        }
+        // An exception that left the connection's coroutine would end the process and with it every other caller's request.
+        support::log(support::Event::CallerRequestRefused, {{"reason", "internal"}, {"detail", failure}});
+        co_return problem(RefusalReason::Internal, Executed::Unknown, "the proxy failed while it worked on the request");
     }
 
-    auto operator()(const StatementError &error) const -> http::Response
+    auto reject(http::Status status, std::string_view detail) -> http::Response override
     {
-        return problem(error.reason, error.executed, error.detail);
+        const auto tooLarge = status == http::Status::payload_too_large || status == http::Status::request_header_fields_too_large;
+        auto response = problem(tooLarge ? RefusalReason::RequestTooLarge : RefusalReason::MalformedRequest, Executed::No, detail);
+        response.result(status);
+        return response;
     }
-};
 
-/// \return the service that \p target names, or nothing if it is no statements path
-auto serviceOf(std::string_view target) -> std::optional<ServiceId>
-{
-    if (!target.starts_with(servicesPrefix) || !target.ends_with(statementsSuffix)) {
-        return std::nullopt;
+private:
+    auto run(http::Request request) -> asio::awaitable<http::Response>
+    {
+        auto parsed = parseStatementRequest(toRaw(request));
+        if (const auto *const bad = std::get_if<BadRequest>(&parsed)) {
+            co_return problem(bad->reason, Executed::No, bad->detail);
+        }
+        if (auto *const statement = std::get_if<proxy::StatementRequest>(&parsed)) {
+            const auto reply = co_await this->executor->execute(std::move(*statement));
+            co_return render(reply);
+        }
+        if (auto *const step = std::get_if<proxy::TransactionRequest>(&parsed)) {
+            const auto reply = co_await this->executor->run(std::move(*step));
+            co_return render(reply);
+        }
+        auto &begin = std::get<proxy::BeginRequest>(parsed);
+        const auto service = begin.service;
+        const auto reply = co_await this->executor->begin(std::move(begin));
+        co_return render(reply, service);
     }
-    target.remove_prefix(servicesPrefix.size());
-    target.remove_suffix(statementsSuffix.size());
-    return ServiceId(std::string(target));
-}
 
-auto parseStatement(std::string_view text) -> std::optional<upstreams::Statement>
-{
-    auto error = boost::json::error_code();
-    const auto value = boost::json::parse(text, error);
-    if (error || !value.is_object()) {
-        return std::nullopt;
-    }
-    const auto &object = value.as_object();
-    const auto *const sql = object.if_contains("sql");
-    const auto *const access = object.if_contains("access");
-    if (sql == nullptr || !sql->is_string() || access == nullptr || !access->is_string()) {
-        return std::nullopt;
-    }
-    auto statement = upstreams::Statement();
-    statement.sql = sql->as_string().c_str();
-    statement.access = access->as_string() == "write" ? Access::Write : Access::Read;
-    statement.repeatable = statement.access == Access::Read;
-    const auto *const params = object.if_contains("params");
-    if (params != nullptr && params->is_array()) {
-        statement.params = params->as_array();
-    }
-    return statement;
-}
+    std::shared_ptr<proxy::Executor> executor;
+};
 
-class CallerHandler : public http::Handler
+class HealthHandler : public http::Handler
 {
 public:
-    explicit CallerHandler(std::shared_ptr<proxy::Executor> executor)
-        : executor(std::move(executor))
+    explicit HealthHandler(std::shared_ptr<const Readiness> readiness)
+        : readiness(std::move(readiness))
     {
     }
 
     auto handle(http::Request request) -> asio::awaitable<http::Response> override
     {
-        const auto service = serviceOf(request.target());
-        if (!service) {
-            co_return problem(RefusalReason::UnknownPath, Executed::No, "no such path");
+        const auto target = std::string_view(request.target());
+        if (target == "/healthz") {
+            co_return http::textResponse(http::Status::ok, "live\n");
         }
-        auto statement = parseStatement(request.body());
-        if (!statement) {
-            co_return problem(RefusalReason::MalformedRequest, Executed::No, R"(the body is not {"sql": ..., "access": "read" or "write"})");
+        if (target != "/readyz") {
+            co_return problem(RefusalReason::UnknownPath, Executed::No, "no such path");
         }
-        auto statementRequest = proxy::StatementRequest();
-        statementRequest.service = *service;
-        statementRequest.statement = std::move(*statement);
-        const auto outcome = co_await this->executor->execute(std::move(statementRequest));
-        co_return std::visit(OutcomeRenderer(), outcome);
+        const auto ready = this->readiness->ready.load();
+        co_return http::textResponse(ready ? http::Status::ok : http::Status::service_unavailable, ready ? "ready\n" : "not ready\n");
     }
 
-    auto reject(http::Status status, std::string_view detail) -> http::Response override
+    auto reject(http::Status, std::string_view detail) -> http::Response override
     {
-        const auto tooLarge = status == http::Status::payload_too_large || status == http::Status::request_header_fields_too_large;
-        return problem(tooLarge ? RefusalReason::RequestTooLarge : RefusalReason::MalformedRequest, Executed::No, detail);
+        return problem(RefusalReason::MalformedRequest, Executed::No, detail);
     }
 
 private:
-    std::shared_ptr<proxy::Executor> executor;
+    std::shared_ptr<const Readiness> readiness;
 };
 
 } // namespace
@@ -151,4 +143,9 @@
     return std::make_shared<CallerHandler>(std::move(executor));
 }
 
+auto makeHealthHandler(std::shared_ptr<const Readiness> readiness) -> std::shared_ptr<http::Handler>
+{
+    return std::make_shared<HealthHandler>(std::move(readiness));
+}
+
 } // namespace sapphirespool::callers
--- a/lib/Http/server.cpp
+++ b/lib/Http/server.cpp
@@ -30,6 +30,7 @@
 using tcp = asio::ip::tcp;
 
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
+constexpr auto httpVersion = 11U;
 
 /// State that a server shares with its connections, which may outlive it.
 struct Shared
@@ -47,6 +48,7 @@
 public:
     Connection(tcp::socket socket, std::shared_ptr<Shared> shared)
         : stream(std::move(socket))
+        , watchdog(this->stream.get_executor())
         , shared(std::move(shared))
     {
         ++this->shared->connections;
@@ -76,7 +78,8 @@
     auto closeIfIdle() -> void
     {
         asio::post(this->stream.get_executor(), [self = this->shared_from_this()] {
-            if (self->idle) {
+            // A request that has arrived and was not yet read would be cut by a stop that promises to cut none.
+            if (self->idle && !self->hasBytes()) {
                 self->shut();
             }
         });
@@ -96,7 +99,7 @@
     static auto serve(std::shared_ptr<Connection> self) -> asio::awaitable<void>
     {
         auto keepAlive = true;
-        while (keepAlive && !self->shared->draining) {
+        while (keepAlive) {
             keepAlive = co_await self->serveOne();
         }
         self->shut();
@@ -110,8 +113,9 @@
         auto parser = Parser();
         parser.header_limit(this->shared->limits.headerBytes);
         parser.body_limit(this->shared->limits.bodyBytes);
-        this->stream.expires_after(this->shared->limits.receiveTimeout);
+        this->limitTime(this->shared->limits.receiveTimeout);
         const auto [error, size] = co_await beast::http::async_read(this->stream, this->buffer, parser, awaitTuple);
+        this->unlimitTime();
         if (error) {
             co_await this->rejectBytes(error);
             co_return false;
@@ -124,13 +128,46 @@
         if (this->buffer.size() > 0) {
             co_return true;
         }
+        if (this->shared->draining && !this->hasBytes()) {
+            co_return false;
+        }
         // The buffer of an idle connection is given back: thousands of callers stay connected and say nothing.
         this->buffer.shrink_to_fit();
         this->idle = true;
-        this->stream.expires_after(this->shared->limits.idleTimeout);
+        this->limitTime(this->shared->limits.idleTimeout);
         const auto [error] = co_await this->stream.socket().async_wait(tcp::socket::wait_read, awaitTuple);
+        this->unlimitTime();
         this->idle = false;
-        co_return !error && !this->shared->draining;
+        co_return !error;
+    }
+
+    [[nodiscard]] auto hasBytes() -> bool
+    {
+        auto error = beast::error_code();
+        return this->stream.socket().available(error) > 0 && !error;
+    }
+
+    /// Cancels what the socket waits for after \p time, and leaves it open, so that the peer can be told why.
+    auto limitTime(std::chrono::milliseconds time) -> void
+    {
+        this->timedOut = false;
+        this->watchdog.expires_after(time);
+        const auto round = ++this->watchdogRound;
+        this->watchdog.async_wait([weak = this->weak_from_this(), round](const beast::error_code &error) {
+            const auto self = weak.lock();
+            // The time may have run out in the same moment as the wait ended; the next wait must not be cancelled for it.
+            if (error || self == nullptr || round != self->watchdogRound) {
+                return;
+            }
+            self->timedOut = true;
+            self->stream.cancel();
+        });
+    }
+
+    auto unlimitTime() -> void
+    {
+        ++this->watchdogRound;
+        this->watchdog.cancel();
     }
 
     auto answer(Request request) -> asio::awaitable<bool>
@@ -164,25 +201,50 @@
         if (!status) {
             co_return;
         }
-        auto response = this->handler->reject(*status, error.message());
-        response.version(11);
+        const auto detail = this->timedOut ? std::string("the request did not arrive in time") : error.message();
+        auto response = this->handler->reject(*status, detail);
+        response.version(httpVersion);
         response.keep_alive(false);
-        co_await this->write(std::move(response));
+        const auto written = co_await this->write(std::move(response));
+        co_await this->discardRest(written);
+    }
+
+    /// A socket that is closed with unread bytes is reset, and the reset can overtake the answer on its way: the caller of a request
+    /// that is too large would see a broken connection and no reason. Reading on for a moment lets the answer arrive first.
+    auto discardRest(bool written) -> asio::awaitable<void>
+    {
+        constexpr auto longestDiscard = std::chrono::milliseconds(1000);
+        constexpr auto largestDiscard = std::size_t{4} * 1024 * 1024;
+        if (!written && this->timedOut) {
+            co_return;
+        }
+        auto ignored = beast::error_code();
+        this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        auto scratch = std::vector<char>(std::size_t{16} * 1024);
+        this->limitTime(longestDiscard);
+        for (auto discarded = std::size_t{0}; discarded < largestDiscard;) {
+            const auto [error, size] = co_await this->stream.socket().async_read_some(asio::buffer(scratch), awaitTuple);
+            if (error) {
+                break;
+            }
+            discarded += size;
+        }
+        this->unlimitTime();
     }
 
     /// \return the status for a failed read, or nothing where nobody is left to read an answer
-    static auto rejectionStatus(beast::error_code error) -> std::optional<Status>
+    [[nodiscard]] auto rejectionStatus(beast::error_code error) const -> std::optional<Status>
     {
+        if (this->timedOut) {
+            return Status::request_timeout;
+        }
         if (error == beast::http::error::header_limit) {
             return Status::request_header_fields_too_large;
         }
         if (error == beast::http::error::body_limit) {
             return Status::payload_too_large;
         }
-        if (error == beast::error::timeout) {
-            return std::nullopt;
-        }
-        if (error == beast::http::error::end_of_stream || error == asio::error::connection_reset) {
+        if (error == beast::http::error::end_of_stream || error == asio::error::connection_reset || error == asio::error::operation_aborted) {
             return std::nullopt;
         }
         return Status::bad_request;
@@ -190,16 +252,20 @@
 
     auto shut() -> void
     {
+        this->unlimitTime();
         auto ignored = beast::error_code();
         this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
         this->stream.close();
     }
 
     beast::tcp_stream stream;
+    asio::steady_timer watchdog;
+    std::uint64_t watchdogRound = 0;
     std::shared_ptr<Shared> shared;
     std::shared_ptr<Handler> handler;
     beast::flat_buffer buffer;
     bool idle = false;
+    bool timedOut = false;
 };
 
 class TcpServer : public Server, public std::enable_shared_from_this<TcpServer>
--- /dev/null
+++ b/lib/Proxy/upstreamaccess.cpp
@@ -0,0 +1,102 @@
+#include "upstreamaccess.h"
+
+#include <utility>
+
+namespace sapphirespool::proxy
+{
+
+namespace
+{
+
+/// When a view may be confirmed again: control's leader changes within about a second.
+constexpr auto staleViewRetry = std::chrono::milliseconds(1000);
+
+/// A primary must show the present; an old one cannot be told from it by its answers, so its age counts from the lease.
+auto acceptedAge(const decisions::Work &work) -> std::chrono::milliseconds
+{
+    return work.access == Access::Write ? std::chrono::milliseconds(0) : work.maxAge;
+}
+
+} // namespace
+
+auto staleView() -> NotRun
+{
+    return NotRun{RefusalReason::StaleView, "control has not confirmed this proxy's view of the group for too long", staleViewRetry};
+}
+
+UpstreamAccess::UpstreamAccess(std::shared_ptr<membership::ViewHolder> views,
+                               std::shared_ptr<membership::ControlLink> control,
+                               std::shared_ptr<Admission> admission,
+                               std::shared_ptr<upstreams::Pool> pool)
+    : views(std::move(views))
+    , control(std::move(control))
+    , admission(std::move(admission))
+    , pool(std::move(pool))
+{
+}
+
+auto UpstreamAccess::obtain(decisions::Work work, GroupId group) -> boost::asio::awaitable<GrantOutcome>
+{
+    if (!this->leaseCovers(acceptedAge(work))) {
+        co_return staleView();
+    }
+    auto admitted = co_await this->admission->admit(work);
+    if (const auto *const refusal = std::get_if<decisions::Refuse>(&admitted)) {
+        co_return NotRun{refusal->reason, "no upstream of group " + group.value() + " could take it", refusal->retryAfter};
+    }
+    auto &slot = std::get<Slot>(admitted);
+    const auto view = this->views->current();
+    const auto *const groupView = view->findGroup(group);
+    const auto *const member = groupView == nullptr ? nullptr : groupView->findMember(slot.upstream());
+    if (member == nullptr) {
+        auto refusal = NotRun{RefusalReason::NoUpstream, "upstream " + slot.upstream().value() + " left the group"};
+        co_return TryAgain{metrics::RetryReason::NotSent, std::move(refusal)};
+    }
+    const auto isPrimary = groupView->primary == slot.upstream();
+    if (work.access == Access::Write && !isPrimary) {
+        auto refusal = NotRun{RefusalReason::NoPrimary, "the primary of group " + group.value() + " changed"};
+        co_return TryAgain{metrics::RetryReason::NotSent, std::move(refusal)};
+    }
+    auto upstream = slot.upstream();
+    auto grant = Grant{std::move(slot), nullptr, std::move(upstream), std::move(group), groupView->term, isPrimary};
+    auto connected = co_await this->connect(std::move(grant), *member, std::move(work));
+    co_return connected;
+}
+
+auto UpstreamAccess::connect(Grant grant, membership::UpstreamView member, decisions::Work work) -> boost::asio::awaitable<GrantOutcome>
+{
+    grant.connection = co_await this->pool->acquire(std::move(member), work.deadline);
+    if (grant.connection == nullptr) {
+        this->suspect(grant);
+        grant.slot.finish(decisions::WorkOutcome::Failed);
+        auto refusal = NotRun{RefusalReason::ConnectFailed, "no connection to " + grant.upstream.value()};
+        co_return TryAgain{metrics::RetryReason::ConnectFailed, std::move(refusal)};
+    }
+    // The lease may have run out in the queue or while connecting. A write sent now could reach a primary that was replaced
+    // meanwhile; and while it runs nobody would learn of it.
+    if (!this->leaseCovers(acceptedAge(work))) {
+        co_return staleView();
+    }
+    co_return grant;
+}
+
+auto UpstreamAccess::leaseCovers(std::chrono::milliseconds age) const -> bool
+{
+    // A promotion begins only after the leases on the old term have run out. So what an upstream of the viewed term shows is at
+    // most as old as the lease is over, and a read that accepts this age may still be served.
+    return this->views->leaseLive(std::chrono::steady_clock::now() - age);
+}
+
+auto UpstreamAccess::suspect(const Grant &grant) -> void
+{
+    if (grant.isPrimary && this->control != nullptr) {
+        this->control->suspect({grant.group, grant.term, grant.upstream});
+    }
+}
+
+auto UpstreamAccess::view() const -> std::shared_ptr<const membership::ClusterView>
+{
+    return this->views->current();
+}
+
+} // namespace sapphirespool::proxy
--- /dev/null
+++ b/lib/Proxy/upstreamaccess.h
@@ -0,0 +1,78 @@
+// upstreamaccess.h: gets work to the point where it may be sent: admitted, under a live lease, with a connection.
+#pragma once
+
+#include "admission.h"
+
+#include "sapphirespool/Membership/clusterview.h"
+#include "sapphirespool/Membership/controllink.h"
+#include "sapphirespool/Metrics/metrics.h"
+#include "sapphirespool/Proxy/executor.h"
+#include "sapphirespool/Upstreams/pool.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <optional>
+#include <variant>
+
+namespace sapphirespool::proxy
+{
+
+/// A slot and a clean connection of an upstream. Nothing was sent yet.
+struct Grant
+{
+    Slot slot;
+    std::shared_ptr<upstreams::Connection> connection;
+    UpstreamId upstream;
+    GroupId group;
+    Term term;
+    bool isPrimary = false;
+};
+
+/// An attempt that may be repeated.
+struct TryAgain
+{
+    /// Counter of the retry; absent for a stale answer, which is no fault.
+    std::optional<metrics::RetryReason> reason;
+    /// How the request ends if there is no further attempt.
+    Outcome lastResort;
+    /// A byte may have reached an upstream; from now on "not run" would be untrue.
+    bool sent = false;
+    bool toPrimary = false;
+    bool afterPause = false;
+};
+
+using GrantOutcome = std::variant<Grant, NotRun, TryAgain>;
+
+class UpstreamAccess
+{
+public:
+    UpstreamAccess(std::shared_ptr<membership::ViewHolder> views,
+                   std::shared_ptr<membership::ControlLink> control,
+                   std::shared_ptr<Admission> admission,
+                   std::shared_ptr<upstreams::Pool> pool);
+
+    /// \param group of the service that the work is for
+    auto obtain(decisions::Work work, GroupId group) -> boost::asio::awaitable<GrantOutcome>;
+
+    /// \return whether what was asked under \p grant may still count as current, \p age ago at the worst
+    [[nodiscard]] auto leaseCovers(std::chrono::milliseconds age) const -> bool;
+
+    /// Tells control that a primary did not answer.
+    auto suspect(const Grant &grant) -> void;
+
+    [[nodiscard]] auto view() const -> std::shared_ptr<const membership::ClusterView>;
+
+private:
+    auto connect(Grant grant, membership::UpstreamView member, decisions::Work work) -> boost::asio::awaitable<GrantOutcome>;
+
+    std::shared_ptr<membership::ViewHolder> views;
+    std::shared_ptr<membership::ControlLink> control;
+    std::shared_ptr<Admission> admission;
+    std::shared_ptr<upstreams::Pool> pool;
+};
+
+/// \return the refusal of work under a view that control has not confirmed for too long
+[[nodiscard]] auto staleView() -> NotRun;
+
+} // namespace sapphirespool::proxy
--- a/lib/Sessions/holderhistory.cpp
+++ b/lib/Sessions/holderhistory.cpp
@@ -45,7 +45,12 @@
 
 auto HolderHistory::vouches(std::string_view name, std::size_t copies, TimePoint now) const -> bool
 {
-    if (now < this->vouchFrom || !this->isPresent(this->self)) {
+    return now >= this->vouchFrom && this->heldThroughout(name, copies, now);
+}
+
+auto HolderHistory::heldThroughout(std::string_view name, std::size_t copies, TimePoint now) const -> bool
+{
+    if (!this->isPresent(this->self)) {
         return false;
     }
     return contains(chooseHolders(name, this->everyone(now), copies), this->self);
