Decide who is served: dispatcher with lanes, admission, fairness and health

Cause: the proxy sends each statement to the primary at once; nothing bounds, orders or places work. Change: the library Decisions behind the agreed interface. makeDispatcher() has every module, makeFifoDispatcher() is the same machine with all of them taken out (order of arrival, bounded length, deadlines, static shares). A refusal reason for spent retry budgets is added to Support/refusal.h.

--- /dev/null
+++ b/include/sapphirespool/Decisions/fairqueue.h
@@ -0,0 +1,104 @@
+// fairqueue.h: orders waiting work across callers.
+#pragma once
+
+#include "sapphirespool/Decisions/dispatcher.h"
+#include "sapphirespool/Decisions/settings.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace sapphirespool::decisions
+{
+
+/// One waiting piece of work.
+struct QueueEntry
+{
+    WorkId id;
+    CallerId caller;
+};
+
+/// Queue over flows; a flow is a caller, or a level of attained service, or everything (order of arrival).
+///
+/// Load pattern: one caller sends ten times what the others send, or one caller's statements take a hundred times longer.
+/// Without it everybody waits behind that caller's backlog.
+/// Start-time fair queueing serves the flow with the lowest virtual time. Lengths are unknown beforehand, so a start is charged the
+/// mean and the difference to the true length follows when the work ends; a caller's debt is bounded by what it has running.
+class FairQueue
+{
+public:
+    explicit FairQueue(QueueSettings settings);
+
+    auto push(const QueueEntry &entry, TimePoint now) -> void;
+
+    /// Removes and returns the first entry in order that \p eligible accepts.
+    /// At most scanLimit flows are looked at, so that work nobody can serve now does not cost time on each call.
+    auto pop(const std::function<bool(WorkId)> &eligible, Duration expectedCost, TimePoint now) -> std::optional<QueueEntry>;
+
+    /// \return the entry that would come first; the queue must not be empty
+    [[nodiscard]] auto front() const -> const QueueEntry &;
+
+    /// Removes \p entry wherever it stands.
+    auto erase(const QueueEntry &entry) -> void;
+
+    /// Corrects the charge of work that was popped at \p expected and took \p actual.
+    auto charge(const CallerId &caller, Duration expected, Duration actual, TimePoint now) -> void;
+
+    [[nodiscard]] auto size() const -> std::size_t;
+
+    /// \return how many entries would be served before a new one of \p caller
+    [[nodiscard]] auto ahead(const CallerId &caller) const -> std::size_t;
+
+    /// \return entries of \p caller
+    [[nodiscard]] auto sizeOf(const CallerId &caller) const -> std::size_t;
+
+    /// \return the newest entry of the caller with the most entries, if it has more than \p limit
+    [[nodiscard]] auto newestOfLongest(std::size_t limit) const -> std::optional<QueueEntry>;
+
+    /// Flows looked at in one pop.
+    static constexpr std::size_t scanLimit = 32;
+
+private:
+    struct Flow
+    {
+        std::deque<QueueEntry> entries;
+        double virtualTime = 0;
+        double weight = 1;
+    };
+    struct Caller
+    {
+        std::size_t entries = 0;
+        double attained = 0;
+        TimePoint attainedAt{};
+    };
+    using FlowId = CallerId;
+    using Order = std::set<std::pair<double, FlowId>>;
+
+    [[nodiscard]] auto flowOf(const CallerId &caller, TimePoint now) const -> FlowId;
+    [[nodiscard]] auto levelOf(const CallerId &caller, TimePoint now) const -> std::uint32_t;
+    [[nodiscard]] auto attained(const Caller &caller, TimePoint now) const -> double;
+    auto activate(const FlowId &id, Flow &flow) -> void;
+    auto advance(const FlowId &id, Flow &flow, double amount) -> void;
+    auto removeAt(const FlowId &id, Flow &flow, std::size_t index) -> QueueEntry;
+    auto demote(const FlowId &id, Flow &flow, TimePoint now) -> bool;
+    auto forgetIdle(TimePoint now) -> void;
+    auto countEntry(const CallerId &caller) -> void;
+    auto uncountEntry(const CallerId &caller) -> void;
+
+    QueueSettings settings;
+    std::unordered_map<FlowId, Flow> flows;
+    std::unordered_map<CallerId, Caller> callers;
+    /// Flows with entries, by virtual time.
+    Order order;
+    /// Callers with entries, by their number.
+    std::set<std::pair<std::size_t, CallerId>> lengths;
+    double virtualNow = 0;
+    std::size_t count = 0;
+    std::size_t pushesSinceSweep = 0;
+};
+
+} // namespace sapphirespool::decisions
--- /dev/null
+++ b/include/sapphirespool/Decisions/groupscheduler.h
@@ -0,0 +1,166 @@
+// groupscheduler.h: queues, admits and places the work of one database group.
+#pragma once
+
+#include "sapphirespool/Decisions/brownout.h"
+#include "sapphirespool/Decisions/dispatcher.h"
+#include "sapphirespool/Decisions/fairqueue.h"
+#include "sapphirespool/Decisions/returnbook.h"
+#include "sapphirespool/Decisions/settings.h"
+#include "sapphirespool/Decisions/slotguard.h"
+#include "sapphirespool/Decisions/upstreamstate.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace sapphirespool::decisions
+{
+
+/// Takes what a scheduler decided.
+class DecisionSink
+{
+public:
+    DecisionSink() = default;
+    DecisionSink(const DecisionSink &) = delete;
+    auto operator=(const DecisionSink &) -> DecisionSink & = delete;
+    virtual ~DecisionSink() = default;
+
+    virtual auto start(const Work &work, const UpstreamId &upstream) -> void = 0;
+    virtual auto refuse(const Work &work, RefusalReason reason, std::optional<Duration> retryAfter) -> void = 0;
+};
+
+/// What work may use; the first two only the primary.
+enum class Lane : std::uint8_t {
+    Write,
+    CurrentRead,
+    TolerantRead,
+};
+
+constexpr std::size_t laneCount = 3;
+
+/// Scheduler of one group in one proxy.
+class GroupScheduler
+{
+public:
+    /// \param settings must outlive the scheduler
+    explicit GroupScheduler(const DispatcherSettings &settings);
+
+    auto groupChanged(const membership::GroupView &view, std::size_t proxies, TimePoint now, DecisionSink &sink) -> void;
+    auto submit(Work work, std::uint32_t queueLimit, TimePoint now, DecisionSink &sink) -> void;
+
+    /// \return false if the work is not running here
+    auto finished(WorkId id, WorkOutcome outcome, TimePoint now, DecisionSink &sink) -> bool;
+
+    /// \return false if the work does not wait here
+    auto cancel(WorkId id, TimePoint now, DecisionSink &sink) -> bool;
+
+    auto observe(const Observation &observation, TimePoint now, DecisionSink &sink) -> void;
+
+    /// \return false if the upstream is not of this group
+    auto shareChanged(const UpstreamId &upstream, Share share, TimePoint now, DecisionSink &sink) -> bool;
+
+    auto tick(TimePoint now, DecisionSink &sink) -> void;
+    [[nodiscard]] auto nextTick(TimePoint now) const -> std::optional<TimePoint>;
+
+    /// \return work that wants slots of \p upstream, running and waiting; the allocator's demand
+    [[nodiscard]] auto demand(const UpstreamId &upstream) const -> std::uint32_t;
+
+private:
+    struct Waiting
+    {
+        Work work;
+        Lane lane = Lane::Write;
+        TimePoint since;
+        TimePoint latestStart;
+        TimePoint patienceEnd;
+        /// Waits for the write on its key to end, outside the lanes' order.
+        bool parked = false;
+    };
+    struct Running
+    {
+        Work work;
+        Lane lane = Lane::Write;
+        UpstreamId upstream;
+        TimePoint since;
+        Duration expected{};
+    };
+    struct Estimate
+    {
+        Duration wait{};
+        /// Time in which the lane's servers take one more piece of work.
+        Duration spacing{};
+    };
+    using Timers = std::set<std::pair<TimePoint, WorkId>>;
+
+    // Placing: groupplacing.cpp
+    auto pump(TimePoint now, DecisionSink &sink) -> void;
+    auto fill(UpstreamState &upstream, TimePoint now, DecisionSink &sink) -> bool;
+    auto takeFor(UpstreamState &upstream, TimePoint now) -> std::optional<QueueEntry>;
+    auto takeFromLane(Lane lane, UpstreamState &upstream, TimePoint now) -> std::optional<QueueEntry>;
+    auto laneOrder() const -> std::vector<Lane>;
+    auto startOn(UpstreamState &upstream, WorkId id, TimePoint now, DecisionSink &sink) -> void;
+    [[nodiscard]] auto mayRun(const Waiting &waiting, const UpstreamState &upstream, TimePoint now) const -> bool;
+    [[nodiscard]] auto replicaServes(const Work &work, const UpstreamState &upstream, TimePoint now) const -> bool;
+    [[nodiscard]] auto primaryServesTolerant(const Waiting &waiting, const UpstreamState &primary, TimePoint now) const -> bool;
+    [[nodiscard]] auto anyReplicaServes(const Work &work, TimePoint now) const -> bool;
+    [[nodiscard]] auto isPrimary(const UpstreamState &upstream) const -> bool;
+    [[nodiscard]] auto expectedLatency(const UpstreamState &upstream) const -> double;
+    auto watchBrownout(TimePoint now) -> void;
+
+    // Admission: groupadmission.cpp
+    [[nodiscard]] auto estimate(const Work &work, Lane lane, TimePoint now) const -> Estimate;
+    [[nodiscard]] auto primaryAhead(const CallerId &caller, Lane lane) const -> std::size_t;
+    [[nodiscard]] auto admit(const Work &work, Lane lane, const Estimate &estimate, TimePoint now) -> bool;
+    [[nodiscard]] auto givesWay(const Work &work, TimePoint now) -> bool;
+    [[nodiscard]] auto readSlots(const Work &work, TimePoint now) const -> std::uint32_t;
+    auto makeRoom(const Work &work, Lane lane, std::uint32_t queueLimit, TimePoint now, DecisionSink &sink) -> bool;
+    auto retryAfter(const Work &work, Lane lane, TimePoint now) -> std::optional<Duration>;
+    auto refuse(const Work &work, Lane lane, RefusalReason reason, TimePoint now, DecisionSink &sink) -> void;
+    auto refuseWaiting(WorkId id, RefusalReason reason, TimePoint now, DecisionSink &sink) -> void;
+    auto expire(TimePoint now, DecisionSink &sink) -> void;
+    [[nodiscard]] auto expiryReason(const Waiting &waiting) const -> RefusalReason;
+
+    // Bookkeeping: groupscheduler.cpp
+    auto enqueue(Work work, Lane lane, TimePoint now) -> void;
+    auto forget(WorkId id) -> Waiting;
+    auto releaseKey(const std::string &key, TimePoint now) -> void;
+    auto findUpstream(const UpstreamId &upstream) -> UpstreamState *;
+    auto setDefaultShare(UpstreamState &upstream) const -> void;
+    auto judge(UpstreamState &upstream, WorkOutcome outcome, Duration took, TimePoint now) -> void;
+    [[nodiscard]] auto peerMean(const UpstreamState &upstream) const -> Duration;
+    auto endEjections(TimePoint now) -> void;
+    [[nodiscard]] auto queue(Lane lane) -> FairQueue &;
+    [[nodiscard]] auto queue(Lane lane) const -> const FairQueue &;
+
+    const DispatcherSettings &settings;
+    membership::GroupView group;
+    std::size_t proxies = 1;
+    std::vector<std::unique_ptr<UpstreamState>> members;
+    std::array<FairQueue, laneCount> queues;
+    std::array<double, laneCount> laneTimes{};
+    std::array<ServiceEstimate, laneCount> slotTimes;
+    std::unordered_map<WorkId, Waiting> waiting;
+    std::unordered_map<WorkId, Running> running;
+    std::unordered_map<ServiceId, std::uint32_t> waitingByService;
+    std::unordered_map<std::string, std::deque<WorkId>> parked;
+    Timers expiries;
+    Timers patience;
+    std::set<UpstreamId> ejected;
+    SlotGuard guard;
+    Brownout brownout;
+    std::array<ReturnBook, laneCount> returns;
+    std::optional<TimePoint> primaryLostAt;
+    std::size_t turn = 0;
+    std::uint64_t browned = 0;
+};
+
+/// \return the lane of \p work
+[[nodiscard]] auto laneOf(const Work &work) -> Lane;
+
+} // namespace sapphirespool::decisions
--- a/include/sapphirespool/Support/refusal.h
+++ b/include/sapphirespool/Support/refusal.h
@@ -44,6 +44,7 @@
     StatementFailed,
     PeerUnreachable,
     CallerOverQuota,
+    RetryBudgetSpent,
     ControlUnreachable,
     RevisionConflict,
     ConfigurationInvalid,
--- /dev/null
+++ b/lib/Decisions/freshness.cpp
@@ -0,0 +1,31 @@
+#include "sapphirespool/Decisions/freshness.h"
+
+#include <algorithm>
+
+namespace sapphirespool::decisions
+{
+
+auto standingPosition(const membership::GroupView &group, const NeededPosition &needed) -> LogPosition
+{
+    auto position = needed.position;
+    for (const auto &start : group.history) {
+        if (start.term > needed.term) {
+            position = std::min(position, start.keptUpTo);
+        }
+    }
+    return position;
+}
+
+auto covers(const membership::GroupView &group, Term term, LogPosition applied, const NeededPosition &needed) -> bool
+{
+    if (term < needed.term) {
+        return false;
+    }
+    // A term that the view does not know yet may have dropped entries that this member never held.
+    if (term > group.term) {
+        return false;
+    }
+    return applied >= standingPosition(group, needed);
+}
+
+} // namespace sapphirespool::decisions
--- /dev/null
+++ b/lib/Decisions/groupadmission.cpp
@@ -0,0 +1,183 @@
+#include "sapphirespool/Decisions/groupscheduler.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace sapphirespool::decisions
+{
+
+namespace
+{
+
+/// Wait told when nothing was measured yet.
+constexpr auto defaultRetryAfter = std::chrono::milliseconds(1000);
+/// A caller that holds so many times its equal part of a full queue makes room for others.
+constexpr std::size_t overQuotaFactor = 2;
+/// Higher lanes' work that is served before one piece of a lane's own, by the weights 8, 4 and 1.
+constexpr std::size_t writesBeforeRead = 2;
+/// One in so many reads passes in a brownout, so that no age of reads starves.
+constexpr std::uint64_t readsPassedInBrownout = 10;
+
+auto scaled(Duration duration, double factor) -> Duration
+{
+    return std::chrono::duration_cast<Duration>(duration * factor);
+}
+
+} // namespace
+
+auto GroupScheduler::primaryAhead(const CallerId &caller, Lane lane) const -> std::size_t
+{
+    const auto own = this->queue(lane).ahead(caller);
+    const auto writes = this->queue(Lane::Write).size();
+    const auto reads = this->queue(Lane::CurrentRead).size();
+    switch (lane) {
+    case Lane::Write:
+        return own + std::min(reads, (own + 1) / writesBeforeRead);
+    case Lane::CurrentRead:
+        return own + std::min(writes, (own + 1) * writesBeforeRead);
+    case Lane::TolerantRead:
+        return own + writes + reads;
+    }
+    return own;
+}
+
+auto GroupScheduler::readSlots(const Work &work, TimePoint now) const -> std::uint32_t
+{
+    auto slots = std::uint32_t{0};
+    for (const auto &member : this->members) {
+        if (!this->isPrimary(*member) && this->replicaServes(work, *member, now)) {
+            slots += member->usable(now);
+        }
+    }
+    return slots;
+}
+
+auto GroupScheduler::estimate(const Work &work, Lane lane, TimePoint now) const -> Estimate
+{
+    const auto service = this->slotTimes[static_cast<std::size_t>(lane)].mean();
+    const auto replicaSlots = lane == Lane::TolerantRead ? this->readSlots(work, now) : 0U;
+    if (replicaSlots > 0) {
+        const auto ahead = this->queue(lane).ahead(work.caller);
+        const auto spacing = service / replicaSlots;
+        const auto busy = std::any_of(this->members.begin(), this->members.end(), [now](const auto &member) {
+            return member->hasFree(now);
+        });
+        return {.wait = spacing * (ahead + (busy ? 0 : 1)), .spacing = spacing};
+    }
+    const auto *const primary = this->group.primaryMember();
+    if (primary == nullptr) {
+        const auto passed = this->primaryLostAt ? now - *this->primaryLostAt : Duration::zero();
+        // Past the expected time nothing is known; half of it again is the next guess.
+        const auto gap = std::max<Duration>(this->settings.admission.expectedGap - passed, this->settings.admission.expectedGap / 2);
+        return {.wait = gap + service * this->primaryAhead(work.caller, lane), .spacing = service};
+    }
+    const auto state = std::find_if(this->members.begin(), this->members.end(), [this](const auto &member) {
+        return this->isPrimary(*member);
+    });
+    const auto slots = std::max(1U, (*state)->usable(now));
+    const auto ahead = this->primaryAhead(work.caller, lane) + ((*state)->hasFree(now) ? 0 : 1);
+    const auto spacing = service / slots;
+    return {.wait = spacing * ahead, .spacing = spacing};
+}
+
+auto GroupScheduler::givesWay(const Work &work, TimePoint now) -> bool
+{
+    if (this->brownout.admits(work.maxAge) || this->anyReplicaServes(work, now)) {
+        return false;
+    }
+    ++this->browned;
+    return this->browned % readsPassedInBrownout != 0;
+}
+
+auto GroupScheduler::admit(const Work &work, Lane lane, const Estimate &estimate, TimePoint now) -> bool
+{
+    const auto &admission = this->settings.admission;
+    const auto allowed = work.deadline - now;
+    const auto service = this->slotTimes[static_cast<std::size_t>(lane)].mean();
+    if (service > allowed) {
+        return false;
+    }
+    if (lane == Lane::TolerantRead && this->givesWay(work, now)) {
+        return false;
+    }
+    const auto budget = std::min(scaled(allowed, admission.waitFraction), allowed - service);
+    auto &book = this->returns[static_cast<std::size_t>(lane)];
+    if (book.redeem(work.caller, now)) {
+        return estimate.wait + service <= allowed;
+    }
+    if (estimate.wait > budget) {
+        return false;
+    }
+    if (estimate.wait <= scaled(budget, admission.unreservedFraction)) {
+        return true;
+    }
+    return estimate.wait + estimate.spacing * book.due(now + budget) <= budget;
+}
+
+auto GroupScheduler::makeRoom(const Work &work, Lane lane, std::uint32_t queueLimit, TimePoint now, DecisionSink &sink) -> bool
+{
+    const auto found = this->waitingByService.find(work.service);
+    if (found == this->waitingByService.end() || found->second < queueLimit) {
+        return true;
+    }
+    const auto fair = this->settings.queue.discipline != QueueDiscipline::Fifo;
+    const auto own = this->queue(lane).sizeOf(work.caller);
+    const auto longest = fair ? this->queue(lane).newestOfLongest(std::max<std::size_t>(1, overQuotaFactor * (own + 1))) : std::nullopt;
+    if (!longest || this->waiting.at(longest->id).work.service != work.service) {
+        this->refuse(work, lane, RefusalReason::QueueFull, now, sink);
+        return false;
+    }
+    this->refuseWaiting(longest->id, RefusalReason::CallerOverQuota, now, sink);
+    return true;
+}
+
+auto GroupScheduler::retryAfter(const Work &work, Lane lane, TimePoint now) -> std::optional<Duration>
+{
+    if (!this->settings.admission.enabled) {
+        return defaultRetryAfter;
+    }
+    const auto estimate = this->estimate(work, lane, now);
+    const auto allowed = std::max(work.deadline - now, Duration::zero());
+    const auto budget = scaled(allowed, this->settings.admission.waitFraction);
+    const auto earliest = now + std::max(estimate.wait - budget, estimate.spacing);
+    const auto at = this->returns[static_cast<std::size_t>(lane)].promise(work.caller, earliest, estimate.spacing, now);
+    return at - now;
+}
+
+auto GroupScheduler::refuse(const Work &work, Lane lane, RefusalReason reason, TimePoint now, DecisionSink &sink) -> void
+{
+    sink.refuse(work, reason, this->retryAfter(work, lane, now));
+}
+
+auto GroupScheduler::refuseWaiting(WorkId id, RefusalReason reason, TimePoint now, DecisionSink &sink) -> void
+{
+    const auto &entry = this->waiting.at(id);
+    const auto work = entry.work;
+    const auto lane = entry.lane;
+    this->cancel(id, now, sink);
+    this->refuse(work, lane, reason, now, sink);
+}
+
+auto GroupScheduler::expiryReason(const Waiting &waiting) const -> RefusalReason
+{
+    if (waiting.work.needed && waiting.work.needed->term > this->group.term) {
+        return RefusalReason::StaleView;
+    }
+    if (this->members.empty()) {
+        return RefusalReason::NoUpstream;
+    }
+    if (!this->group.primary && waiting.lane != Lane::TolerantRead) {
+        return RefusalReason::NoPrimary;
+    }
+    return RefusalReason::DeadlineExceeded;
+}
+
+auto GroupScheduler::expire(TimePoint now, DecisionSink &sink) -> void
+{
+    while (!this->expiries.empty() && this->expiries.begin()->first <= now) {
+        const auto id = this->expiries.begin()->second;
+        this->refuseWaiting(id, this->expiryReason(this->waiting.at(id)), now, sink);
+    }
+}
+
+} // namespace sapphirespool::decisions
--- /dev/null
+++ b/lib/Decisions/groupscheduler.cpp
@@ -0,0 +1,372 @@
+#include "sapphirespool/Decisions/groupscheduler.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace sapphirespool::decisions
+{
+
+namespace
+{
+
+/// Slot times decide about admission for many callers at once; they follow more slowly than an upstream's own estimate.
+constexpr auto slotTimeWeight = 1.0 / 16;
+
+auto makeQueues(const QueueSettings &settings) -> std::array<FairQueue, laneCount>
+{
+    return {FairQueue(settings), FairQueue(settings), FairQueue(settings)};
+}
+
+auto makeReturns(const AdmissionSettings &settings) -> std::array<ReturnBook, laneCount>
+{
+    const auto book = ReturnBook(settings.longestRetryAfter, settings.returnGrace);
+    return {book, book, book};
+}
+
+} // namespace
+
+auto laneOf(const Work &work) -> Lane
+{
+    if (work.access == Access::Write) {
+        return Lane::Write;
+    }
+    return work.maxAge > std::chrono::milliseconds::zero() ? Lane::TolerantRead : Lane::CurrentRead;
+}
+
+GroupScheduler::GroupScheduler(const DispatcherSettings &settings)
+    : settings(settings)
+    , queues(makeQueues(settings.queue))
+    , slotTimes{ServiceEstimate(slotTimeWeight), ServiceEstimate(slotTimeWeight), ServiceEstimate(slotTimeWeight)}
+    , guard(settings.bulkhead)
+    , brownout(settings.brownout)
+    , returns(makeReturns(settings.admission))
+{
+}
+
+auto GroupScheduler::queue(Lane lane) -> FairQueue &
+{
+    return this->queues[static_cast<std::size_t>(lane)];
+}
+
+auto GroupScheduler::queue(Lane lane) const -> const FairQueue &
+{
+    return this->queues[static_cast<std::size_t>(lane)];
+}
+
+auto GroupScheduler::findUpstream(const UpstreamId &upstream) -> UpstreamState *
+{
+    const auto found = std::find_if(this->members.begin(), this->members.end(), [&upstream](const auto &member) {
+        return member->view.id == upstream;
+    });
+    return found == this->members.end() ? nullptr : found->get();
+}
+
+auto GroupScheduler::setDefaultShare(UpstreamState &upstream) const -> void
+{
+    if (upstream.granted || !this->settings.staticShares) {
+        return;
+    }
+    const auto divisor = static_cast<std::uint32_t>(std::max<std::size_t>(1, this->proxies));
+    upstream.share.slots = std::max(1U, upstream.view.slots / divisor);
+    upstream.share.connections = std::max(1U, upstream.view.connectionLimit / divisor);
+}
+
+auto GroupScheduler::groupChanged(const membership::GroupView &view, std::size_t proxies, TimePoint now, DecisionSink &sink) -> void
+{
+    const auto promoted = view.primary && (view.term != this->group.term || view.primary != this->group.primary);
+    const auto firstView = this->members.empty();
+    this->group = view;
+    this->proxies = proxies;
+    auto present = std::vector<std::unique_ptr<UpstreamState>>();
+    for (const auto &member : view.members) {
+        const auto old = std::find_if(this->members.begin(), this->members.end(), [&member](const auto &candidate) {
+            return candidate && candidate->view.id == member.id;
+        });
+        const auto restarted = old != this->members.end() && (*old)->view.incarnation != member.incarnation;
+        if (old != this->members.end() && !restarted) {
+            present.push_back(std::move(*old));
+            present.back()->view = member;
+        } else {
+            present.push_back(std::make_unique<UpstreamState>(this->settings, member));
+            if (restarted) {
+                // Work sent to the earlier process still has to be given back; its slot counts until then.
+                present.back()->running = (*old)->running;
+                present.back()->share = (*old)->share;
+                present.back()->granted = (*old)->granted;
+            }
+            if (!firstView) {
+                present.back()->slowStart.begin(now);
+            }
+        }
+        this->setDefaultShare(*present.back());
+        if (promoted && !firstView && view.primary == member.id) {
+            present.back()->slowStart.begin(now);
+        }
+    }
+    this->members = std::move(present);
+    if (view.primary) {
+        this->primaryLostAt.reset();
+    } else if (!this->primaryLostAt) {
+        this->primaryLostAt = now;
+    }
+    this->pump(now, sink);
+}
+
+auto GroupScheduler::submit(Work work, std::uint32_t queueLimit, TimePoint now, DecisionSink &sink) -> void
+{
+    assert(!this->waiting.contains(work.id) && !this->running.contains(work.id) && "each piece of work is submitted once");
+    this->expire(now, sink);
+    const auto lane = laneOf(work);
+    const auto estimate = this->estimate(work, lane, now);
+    if (work.deadline <= now) {
+        this->refuse(work, lane, RefusalReason::DeadlineExceeded, now, sink);
+        return;
+    }
+    if (this->settings.admission.enabled && !this->admit(work, lane, estimate, now)) {
+        const auto reason = this->group.primary || lane == Lane::TolerantRead ? RefusalReason::DeadlineUnreachable : RefusalReason::NoPrimary;
+        this->refuse(work, lane, reason, now, sink);
+        return;
+    }
+    if (!this->makeRoom(work, lane, queueLimit, now, sink)) {
+        return;
+    }
+    this->enqueue(std::move(work), lane, now);
+    this->pump(now, sink);
+}
+
+auto GroupScheduler::enqueue(Work work, Lane lane, TimePoint now) -> void
+{
+    auto entry = Waiting{.work = std::move(work), .lane = lane, .since = now};
+    const auto &held = entry.work;
+    const auto allowed = held.deadline - now;
+    const auto service = this->slotTimes[static_cast<std::size_t>(lane)].mean();
+    entry.latestStart = this->settings.admission.enabled && service < allowed ? held.deadline - service : held.deadline;
+    const auto patienceTime = std::chrono::duration_cast<Duration>(allowed * this->settings.routing.replicaPatience);
+    entry.patienceEnd = now + std::min<Duration>(patienceTime, this->settings.routing.longestPatience);
+    const auto id = held.id;
+    ++this->waitingByService[held.service];
+    this->expiries.emplace(entry.latestStart, id);
+    if (lane == Lane::TolerantRead) {
+        this->patience.emplace(entry.patienceEnd, id);
+    }
+    const auto queueEntry = QueueEntry{id, held.caller};
+    auto &lanePark = this->parked;
+    const auto waitsForKey = this->settings.bulkhead.enabled && !held.key.empty() && lane == Lane::Write;
+    if (waitsForKey && (this->guard.keyBusy(held) || lanePark.contains(held.key))) {
+        entry.parked = true;
+        lanePark[held.key].push_back(id);
+    } else {
+        if (waitsForKey) {
+            // Marks the key: the next write on it waits outside the lane, where it would be looked at in vain.
+            lanePark[held.key];
+        }
+        auto &laneQueue = this->queue(lane);
+        if (laneQueue.size() == 0) {
+            auto &own = this->laneTimes[static_cast<std::size_t>(lane)];
+            own = std::max(own, *std::min_element(this->laneTimes.begin(), this->laneTimes.end()));
+        }
+        laneQueue.push(queueEntry, now);
+    }
+    this->waiting.emplace(id, std::move(entry));
+}
+
+auto GroupScheduler::forget(WorkId id) -> Waiting
+{
+    auto node = this->waiting.extract(id);
+    assert(!node.empty() && "work that waits");
+    auto entry = std::move(node.mapped());
+    this->expiries.erase({entry.latestStart, id});
+    this->patience.erase({entry.patienceEnd, id});
+    const auto service = this->waitingByService.find(entry.work.service);
+    --service->second;
+    if (service->second == 0) {
+        this->waitingByService.erase(service);
+    }
+    return entry;
+}
+
+auto GroupScheduler::releaseKey(const std::string &key, TimePoint now) -> void
+{
+    const auto found = this->parked.find(key);
+    if (found == this->parked.end()) {
+        return;
+    }
+    if (found->second.empty()) {
+        this->parked.erase(found);
+        return;
+    }
+    const auto next = found->second.front();
+    found->second.pop_front();
+    auto &entry = this->waiting.at(next);
+    entry.parked = false;
+    this->queue(entry.lane).push({next, entry.work.caller}, now);
+}
+
+auto GroupScheduler::finished(WorkId id, WorkOutcome outcome, TimePoint now, DecisionSink &sink) -> bool
+{
+    auto node = this->running.extract(id);
+    if (node.empty()) {
+        return false;
+    }
+    const auto &ended = node.mapped();
+    const auto took = now - ended.since;
+    this->guard.ended(ended.work, ended.upstream, took, now);
+    this->queue(ended.lane).charge(ended.work.caller, ended.expected, took, now);
+    if (outcome == WorkOutcome::Answered || outcome == WorkOutcome::Rejected) {
+        this->slotTimes[static_cast<std::size_t>(ended.lane)].record(took);
+    }
+    auto *const upstream = this->findUpstream(ended.upstream);
+    if (upstream != nullptr) {
+        assert(upstream->running > 0 && "a slot to give back");
+        --upstream->running;
+        // A transaction's time is its caller's more than the upstream's.
+        if (!ended.work.transaction || outcome == WorkOutcome::Failed) {
+            this->judge(*upstream, outcome, took, now);
+        }
+    }
+    if (this->settings.bulkhead.enabled && ended.lane == Lane::Write && !ended.work.key.empty()) {
+        this->releaseKey(ended.work.key, now);
+    }
+    this->pump(now, sink);
+    return true;
+}
+
+auto GroupScheduler::cancel(WorkId id, TimePoint now, DecisionSink &sink) -> bool
+{
+    const auto found = this->waiting.find(id);
+    if (found == this->waiting.end()) {
+        return false;
+    }
+    const auto entry = this->forget(id);
+    if (entry.parked) {
+        std::erase(this->parked.at(entry.work.key), id);
+        return true;
+    }
+    this->queue(entry.lane).erase({id, entry.work.caller});
+    if (this->settings.bulkhead.enabled && entry.lane == Lane::Write && !entry.work.key.empty() && !this->guard.keyBusy(entry.work)) {
+        this->releaseKey(entry.work.key, now);
+        this->pump(now, sink);
+    }
+    return true;
+}
+
+auto GroupScheduler::observe(const Observation &observation, TimePoint now, DecisionSink &sink) -> void
+{
+    auto *const upstream = this->findUpstream(observation.upstream);
+    if (upstream == nullptr) {
+        return;
+    }
+    const auto &held = upstream->observation;
+    // Answers overtake each other; an older report must not make an upstream look older than it was seen to be.
+    const auto older = held && (observation.term < held->term || (observation.term == held->term && observation.applied < held->applied));
+    if (older) {
+        return;
+    }
+    upstream->observation = observation;
+    upstream->observedAt = now;
+    this->pump(now, sink);
+}
+
+auto GroupScheduler::shareChanged(const UpstreamId &upstream, Share share, TimePoint now, DecisionSink &sink) -> bool
+{
+    auto *const state = this->findUpstream(upstream);
+    if (state == nullptr) {
+        return false;
+    }
+    state->share = share;
+    state->granted = true;
+    this->pump(now, sink);
+    return true;
+}
+
+auto GroupScheduler::peerMean(const UpstreamState &upstream) const -> Duration
+{
+    auto means = std::vector<Duration>();
+    for (const auto &member : this->members) {
+        if (member.get() != &upstream && member->service.samples() >= this->settings.ejection.minimumSamples) {
+            means.push_back(member->service.mean());
+        }
+    }
+    if (means.empty()) {
+        return Duration::zero();
+    }
+    std::sort(means.begin(), means.end());
+    return means[(means.size() - 1) / 2];
+}
+
+auto GroupScheduler::judge(UpstreamState &upstream, WorkOutcome outcome, Duration took, TimePoint now) -> void
+{
+    if (outcome == WorkOutcome::Answered || outcome == WorkOutcome::Rejected) {
+        upstream.service.record(took);
+    }
+    upstream.concurrency.record(outcome, upstream.share.slots);
+    const auto wanted = upstream.ejection.record(outcome, upstream.service, this->peerMean(upstream));
+    // The floor: at least two members of the group stay in, whatever their times; else a common slowness, such as a full disk
+    // behind all of them, would take out one after the other and turn slow answers into none.
+    const auto staying = this->members.size() - this->ejected.size();
+    if (wanted && !this->isPrimary(upstream) && !upstream.ejection.ejected(now) && staying > 2) {
+        upstream.ejection.eject(now);
+        this->ejected.insert(upstream.view.id);
+    }
+}
+
+auto GroupScheduler::endEjections(TimePoint now) -> void
+{
+    for (const auto &member : this->members) {
+        if (!this->ejected.contains(member->view.id) || member->ejection.ejected(now)) {
+            continue;
+        }
+        this->ejected.erase(member->view.id);
+        member->service.reset();
+        member->slowStart.begin(now);
+    }
+}
+
+auto GroupScheduler::tick(TimePoint now, DecisionSink &sink) -> void
+{
+    this->expire(now, sink);
+    this->pump(now, sink);
+    while (!this->patience.empty() && this->patience.begin()->first <= now) {
+        this->patience.erase(this->patience.begin());
+    }
+}
+
+auto GroupScheduler::nextTick(TimePoint now) const -> std::optional<TimePoint>
+{
+    auto next = std::optional<TimePoint>();
+    const auto consider = [&next](std::optional<TimePoint> candidate) {
+        if (candidate && (!next || *candidate < *next)) {
+            next = candidate;
+        }
+    };
+    if (!this->expiries.empty()) {
+        consider(this->expiries.begin()->first);
+    }
+    if (!this->patience.empty()) {
+        consider(this->patience.begin()->first);
+    }
+    if (this->waiting.empty()) {
+        return next;
+    }
+    for (const auto &member : this->members) {
+        consider(member->ejection.returnsAt(now));
+        consider(member->slowStart.nextStep(member->share.slots, now));
+    }
+    return next;
+}
+
+auto GroupScheduler::demand(const UpstreamId &upstream) const -> std::uint32_t
+{
+    auto total = std::size_t{0};
+    for (const auto &member : this->members) {
+        if (member->view.id != upstream) {
+            continue;
+        }
+        total += member->running;
+        total += this->isPrimary(*member) ? this->waiting.size() - this->queue(Lane::TolerantRead).size() : this->queue(Lane::TolerantRead).size();
+    }
+    return static_cast<std::uint32_t>(total);
+}
+
+} // namespace sapphirespool::decisions
--- /dev/null
+++ b/lib/Decisions/loaddispatcher.cpp
@@ -0,0 +1,282 @@
+#include "sapphirespool/Decisions/dependencyguard.h"
+#include "sapphirespool/Decisions/factory.h"
+#include "sapphirespool/Decisions/groupscheduler.h"
+#include "sapphirespool/Decisions/retrybudget.h"
+
+#include <algorithm>
+#include <cassert>
+#include <unordered_map>
+#include <utility>
+
+namespace sapphirespool::decisions
+{
+
+namespace
+{
+
+/// Reasons that say that a service cannot do its work now; the others are the caller's own.
+auto isOverload(RefusalReason reason) -> bool
+{
+    switch (reason) {
+    case RefusalReason::QueueFull:
+    case RefusalReason::DeadlineUnreachable:
+    case RefusalReason::DeadlineExceeded:
+    case RefusalReason::NoPrimary:
+    case RefusalReason::NoUpstream:
+    case RefusalReason::DependencyRefusing:
+        return true;
+    default:
+        return false;
+    }
+}
+
+/// What is kept for one service.
+struct ServiceState
+{
+    ServiceState(const DispatcherSettings &settings, double retryRatio)
+        : guard(settings.dependency)
+        , budget(retryRatio)
+    {
+    }
+
+    DependencyGuard guard;
+    RetryBudget budget;
+};
+
+/// One scheduler for each database group, and what crosses services.
+class LoadDispatcher : public Dispatcher
+{
+public:
+    explicit LoadDispatcher(DispatcherSettings settings);
+
+    auto submit(Work work, TimePoint now) -> Actions override;
+    auto finished(WorkId id, WorkOutcome outcome, TimePoint now) -> Actions override;
+    auto cancel(WorkId id, TimePoint now) -> Actions override;
+    auto observe(const Observation &observation, TimePoint now) -> Actions override;
+    auto viewChanged(std::shared_ptr<const membership::ClusterView> view, TimePoint now) -> Actions override;
+    auto shareChanged(const UpstreamId &upstream, Share share, TimePoint now) -> Actions override;
+    auto tick(TimePoint now) -> Actions override;
+    [[nodiscard]] auto nextTick() const -> std::optional<TimePoint> override;
+
+private:
+    /// Turns a scheduler's decisions into actions and counts them for their services.
+    class Sink : public DecisionSink
+    {
+    public:
+        Sink(LoadDispatcher &owner, TimePoint now);
+
+        auto start(const Work &work, const UpstreamId &upstream) -> void override;
+        auto refuse(const Work &work, RefusalReason reason, std::optional<Duration> retryAfter) -> void override;
+
+        Actions actions;
+
+    private:
+        LoadDispatcher &owner;
+        TimePoint now;
+    };
+
+    auto serviceState(const ServiceId &service) -> ServiceState &;
+    [[nodiscard]] auto refusingDependency(const membership::ServiceView &service, TimePoint now) -> ServiceState *;
+
+    DispatcherSettings settings;
+    std::shared_ptr<const membership::ClusterView> view = std::make_shared<const membership::ClusterView>();
+    std::unordered_map<GroupId, std::unique_ptr<GroupScheduler>> groups;
+    std::unordered_map<ServiceId, ServiceState> services;
+    /// Group of each piece of work between its start and its end, or while it waits.
+    std::unordered_map<WorkId, GroupScheduler *> owners;
+    /// Latest time seen; nextTick() has none of its own.
+    TimePoint latest{};
+};
+
+LoadDispatcher::Sink::Sink(LoadDispatcher &owner, TimePoint now)
+    : owner(owner)
+    , now(now)
+{
+    owner.latest = std::max(owner.latest, now);
+}
+
+auto LoadDispatcher::Sink::start(const Work &work, const UpstreamId &upstream) -> void
+{
+    this->owner.serviceState(work.service).guard.recordAdmitted(this->now);
+    this->actions.emplace_back(Start{work.id, upstream});
+}
+
+auto LoadDispatcher::Sink::refuse(const Work &work, RefusalReason reason, std::optional<Duration> retryAfter) -> void
+{
+    this->owner.owners.erase(work.id);
+    if (isOverload(reason)) {
+        this->owner.serviceState(work.service).guard.recordRefused(this->now, retryAfter.value_or(Duration::zero()));
+    }
+    auto rounded = std::optional<std::chrono::milliseconds>();
+    if (retryAfter) {
+        // Up: a caller that came a part of a millisecond early would find its place not yet due.
+        rounded = std::chrono::ceil<std::chrono::milliseconds>(*retryAfter);
+    }
+    this->actions.emplace_back(Refuse{work.id, reason, rounded});
+}
+
+LoadDispatcher::LoadDispatcher(DispatcherSettings settings)
+    : settings(std::move(settings))
+{
+}
+
+auto LoadDispatcher::serviceState(const ServiceId &service) -> ServiceState &
+{
+    const auto found = this->services.find(service);
+    if (found != this->services.end()) {
+        return found->second;
+    }
+    const auto *const known = this->view->findService(service);
+    const auto ratio = known == nullptr ? 0.0 : known->retryRatio;
+    return this->services.emplace(service, ServiceState(this->settings, ratio)).first->second;
+}
+
+auto LoadDispatcher::refusingDependency(const membership::ServiceView &service, TimePoint now) -> ServiceState *
+{
+    for (const auto &dependency : service.dependsOn) {
+        auto &state = this->serviceState(dependency);
+        if (state.guard.refusing(now) && !state.guard.probe()) {
+            return &state;
+        }
+    }
+    return nullptr;
+}
+
+auto LoadDispatcher::submit(Work work, TimePoint now) -> Actions
+{
+    auto sink = Sink(*this, now);
+    const auto *const service = this->view->findService(work.service);
+    if (service == nullptr) {
+        sink.refuse(work, RefusalReason::UnknownService, std::nullopt);
+        return std::move(sink.actions);
+    }
+    const auto group = this->groups.find(service->group);
+    if (group == this->groups.end()) {
+        sink.refuse(work, RefusalReason::NoUpstream, std::nullopt);
+        return std::move(sink.actions);
+    }
+    if (const auto *const refusing = this->refusingDependency(*service, now)) {
+        sink.refuse(work, RefusalReason::DependencyRefusing, refusing->guard.retryAfter());
+        return std::move(sink.actions);
+    }
+    auto &state = this->serviceState(work.service);
+    if (work.attempt == 0) {
+        state.budget.recordFirstAttempt();
+    } else if (this->settings.retryBudget && !state.budget.trySpend()) {
+        sink.refuse(work, RefusalReason::RetryBudgetSpent, std::nullopt);
+        return std::move(sink.actions);
+    }
+    this->owners.emplace(work.id, group->second.get());
+    group->second->submit(std::move(work), service->queueLimit, now, sink);
+    return std::move(sink.actions);
+}
+
+auto LoadDispatcher::finished(WorkId id, WorkOutcome outcome, TimePoint now) -> Actions
+{
+    auto sink = Sink(*this, now);
+    const auto owner = this->owners.find(id);
+    assert(owner != this->owners.end() && "only started work ends");
+    auto *const group = owner->second;
+    this->owners.erase(owner);
+    const auto known = group->finished(id, outcome, now, sink);
+    assert(known && "only started work ends");
+    static_cast<void>(known);
+    return std::move(sink.actions);
+}
+
+auto LoadDispatcher::cancel(WorkId id, TimePoint now) -> Actions
+{
+    auto sink = Sink(*this, now);
+    const auto owner = this->owners.find(id);
+    // Work that was refused or started in the meantime has nothing to forget.
+    if (owner != this->owners.end() && owner->second->cancel(id, now, sink)) {
+        this->owners.erase(id);
+    }
+    return std::move(sink.actions);
+}
+
+auto LoadDispatcher::observe(const Observation &observation, TimePoint now) -> Actions
+{
+    auto sink = Sink(*this, now);
+    const auto group = this->groups.find(observation.group);
+    if (group != this->groups.end()) {
+        group->second->observe(observation, now, sink);
+    }
+    return std::move(sink.actions);
+}
+
+auto LoadDispatcher::viewChanged(std::shared_ptr<const membership::ClusterView> view, TimePoint now) -> Actions
+{
+    assert(view != nullptr && "a view");
+    auto sink = Sink(*this, now);
+    this->view = std::move(view);
+    for (const auto &service : this->view->services) {
+        this->serviceState(service.id).budget.setRatio(service.retryRatio);
+    }
+    const auto proxies = static_cast<std::size_t>(std::count_if(this->view->proxies.begin(), this->view->proxies.end(), [](const auto &proxy) {
+        return !proxy.leaving;
+    }));
+    for (const auto &group : this->view->groups) {
+        auto &scheduler = this->groups[group.id];
+        if (scheduler == nullptr) {
+            scheduler = std::make_unique<GroupScheduler>(this->settings);
+        }
+        scheduler->groupChanged(group, proxies, now, sink);
+    }
+    for (const auto &[id, scheduler] : this->groups) {
+        if (this->view->findGroup(id) == nullptr) {
+            // The scheduler stays until its running work ends; without members it starts nothing.
+            scheduler->groupChanged(membership::GroupView{.id = id}, proxies, now, sink);
+        }
+    }
+    return std::move(sink.actions);
+}
+
+auto LoadDispatcher::shareChanged(const UpstreamId &upstream, Share share, TimePoint now) -> Actions
+{
+    auto sink = Sink(*this, now);
+    for (const auto &[id, scheduler] : this->groups) {
+        if (scheduler->shareChanged(upstream, share, now, sink)) {
+            break;
+        }
+    }
+    return std::move(sink.actions);
+}
+
+auto LoadDispatcher::tick(TimePoint now) -> Actions
+{
+    auto sink = Sink(*this, now);
+    for (const auto &[id, scheduler] : this->groups) {
+        scheduler->tick(now, sink);
+    }
+    return std::move(sink.actions);
+}
+
+auto LoadDispatcher::nextTick() const -> std::optional<TimePoint>
+{
+    auto next = std::optional<TimePoint>();
+    for (const auto &[id, scheduler] : this->groups) {
+        const auto candidate = scheduler->nextTick(this->latest);
+        if (candidate && (!next || *candidate < *next)) {
+            next = candidate;
+        }
+    }
+    return next;
+}
+
+} // namespace
+
+auto makeDispatcher(DispatcherSettings settings) -> std::unique_ptr<Dispatcher>
+{
+    return std::make_unique<LoadDispatcher>(std::move(settings));
+}
+
+auto makeFifoDispatcher(VmId vm, ZoneId zone) -> std::unique_ptr<Dispatcher>
+{
+    auto settings = fifoSettings();
+    settings.vm = std::move(vm);
+    settings.zone = std::move(zone);
+    return makeDispatcher(std::move(settings));
+}
+
+} // namespace sapphirespool::decisions
--- /dev/null
+++ b/lib/Decisions/slotguard.cpp
@@ -0,0 +1,131 @@
+#include "sapphirespool/Decisions/slotguard.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace sapphirespool::decisions
+{
+
+namespace
+{
+
+/// A kind of work that was not seen for so long needs no slot kept for it.
+constexpr auto remembered = std::chrono::seconds(1);
+/// Callers whose lengths are kept; beyond it all are forgotten and learned anew, which costs each one long statement.
+constexpr std::size_t callersKept = 16'384;
+
+} // namespace
+
+SlotGuard::SlotGuard(BulkheadSettings settings)
+    : settings(settings)
+{
+}
+
+auto SlotGuard::isLong(const CallerId &caller) const -> bool
+{
+    const auto found = this->callers.find(caller);
+    if (found == this->callers.end() || this->shortService.samples() == 0) {
+        return false;
+    }
+    return found->second.mean() > this->shortService.mean() * this->settings.longFactor;
+}
+
+auto SlotGuard::otherServicesActive(const ServiceId &service, TimePoint now) const -> std::uint32_t
+{
+    auto others = std::uint32_t{0};
+    for (const auto &[other, seen] : this->serviceSeen) {
+        if (other != service && now - seen < remembered) {
+            ++others;
+        }
+    }
+    return others;
+}
+
+auto SlotGuard::keyBusy(const Work &work) const -> bool
+{
+    if (!this->settings.enabled || work.key.empty() || work.access != Access::Write) {
+        return false;
+    }
+    const auto found = this->keys.find(work.key);
+    return found != this->keys.end() && found->second >= this->settings.writesPerKey;
+}
+
+auto SlotGuard::admits(const Work &work, const UpstreamId &upstream, std::uint32_t usable, TimePoint now) const -> bool
+{
+    if (!this->settings.enabled) {
+        return true;
+    }
+    const auto found = this->upstreams.find(upstream);
+    if (found == this->upstreams.end()) {
+        return true;
+    }
+    const auto &use = found->second;
+    const auto shortWorkAround = this->shortSeen && now - *this->shortSeen < remembered;
+    if (shortWorkAround && this->isLong(work.caller)) {
+        const auto allowed = std::max(1U, static_cast<std::uint32_t>(usable * this->settings.longFraction));
+        if (use.longRunning >= allowed) {
+            return false;
+        }
+    }
+    const auto service = use.byService.find(work.service);
+    if (service == use.byService.end()) {
+        return true;
+    }
+    const auto others = this->otherServicesActive(work.service, now);
+    const auto allowed = usable > others ? usable - others : 1U;
+    return service->second < allowed;
+}
+
+auto SlotGuard::started(const Work &work, const UpstreamId &upstream, TimePoint now) -> void
+{
+    auto &use = this->upstreams[upstream];
+    ++use.byService[work.service];
+    this->serviceSeen[work.service] = now;
+    if (this->isLong(work.caller)) {
+        ++use.longRunning;
+        this->longWork.insert(work.id);
+    }
+    if (!work.key.empty() && work.access == Access::Write) {
+        ++this->keys[work.key];
+    }
+}
+
+auto SlotGuard::ended(const Work &work, const UpstreamId &upstream, Duration took, TimePoint now) -> void
+{
+    auto &use = this->upstreams[upstream];
+    auto &serviceCount = use.byService[work.service];
+    assert(serviceCount > 0 && "work that ends was started");
+    --serviceCount;
+    if (serviceCount == 0) {
+        use.byService.erase(work.service);
+    }
+    if (this->longWork.erase(work.id) > 0) {
+        --use.longRunning;
+    }
+    if (!work.key.empty() && work.access == Access::Write) {
+        const auto key = this->keys.find(work.key);
+        assert(key != this->keys.end() && "a key that was counted");
+        --key->second;
+        if (key->second == 0) {
+            this->keys.erase(key);
+        }
+    }
+    this->forgetCallers();
+    this->callers[work.caller].record(took);
+    // The reference is the short work's time; with the long work in it, nothing would be long beside the mean.
+    if (!this->isLong(work.caller)) {
+        this->shortService.record(took);
+        this->shortSeen = now;
+    } else if (took < this->shortService.mean()) {
+        this->shortService.record(took);
+    }
+}
+
+auto SlotGuard::forgetCallers() -> void
+{
+    if (this->callers.size() > callersKept) {
+        this->callers.clear();
+    }
+}
+
+} // namespace sapphirespool::decisions
--- a/lib/Support/refusal.cpp
+++ b/lib/Support/refusal.cpp
@@ -36,6 +36,7 @@
     {RefusalReason::StatementFailed, "statement_failed", 422, "correct the statement as the detail says"},
     {RefusalReason::PeerUnreachable, "peer_unreachable", 503, "send it again"},
     {RefusalReason::CallerOverQuota, "caller_over_quota", 429, "send less or wait for the time in Retry-After"},
+    {RefusalReason::RetryBudgetSpent, "retry_budget_spent", 503, "wait before sending it again; too many of the service's requests are retries"},
     {RefusalReason::ControlUnreachable, "control_unreachable", 503, "send it again with the same change id; check the control VMs if it persists"},
     {RefusalReason::RevisionConflict, "revision_conflict", 412, "read the current configuration, apply the change to it and send it on its revision"},
     {RefusalReason::ConfigurationInvalid, "configuration_invalid", 422, "correct the text as the detail says"},
