Peers: calls between proxies over Cap'n Proto RPC on a loop of their own

Cause: keys, homes and forwarded transaction steps need the other proxies, and must not queue behind heartbeats.

--- /dev/null
+++ b/lib/Peers/peerserver.h
@@ -0,0 +1,39 @@
+// peerserver.h: answers the calls of other proxies.
+#pragma once
+
+#include "peers.capnp.h"
+
+#include "sapphirespool/Proxy/peerlink.h"
+#include "sapphirespool/Support/types.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <memory>
+
+namespace sapphirespool::peers
+{
+
+/// Lives on the loop and hands each call to the service on the dispatch executor.
+class PeerServer final : public schema::Peer::Server
+{
+public:
+    PeerServer(Incarnation self, boost::asio::any_io_executor dispatch, std::weak_ptr<proxy::PeerService> service);
+
+protected:
+    auto startKey(StartKeyContext context) -> kj::Promise<void> override;
+    auto finishKey(FinishKeyContext context) -> kj::Promise<void> override;
+    auto abandonKey(AbandonKeyContext context) -> kj::Promise<void> override;
+    auto updateHome(UpdateHomeContext context) -> kj::Promise<void> override;
+    auto findHome(FindHomeContext context) -> kj::Promise<void> override;
+    auto forward(ForwardContext context) -> kj::Promise<void> override;
+
+private:
+    template <typename Result, typename Work>
+    auto onDispatch(Work work) -> kj::Promise<Result>;
+
+    Incarnation self;
+    boost::asio::any_io_executor dispatch;
+    std::weak_ptr<proxy::PeerService> service;
+};
+
+} // namespace sapphirespool::peers
--- a/lib/Proxy/admission.cpp
+++ b/lib/Proxy/admission.cpp
@@ -1,6 +1,6 @@
 #include "admission.h"
 
-#include "wakeup.h"
+#include "sapphirespool/Proxy/wakeup.h"
 
 #include <cassert>
 #include <utility>
--- a/lib/Proxy/gathering.h
+++ b/lib/Proxy/gathering.h
@@ -1,7 +1,7 @@
 // gathering.h: waits for several answers that arrive in any order.
 #pragma once
 
-#include "wakeup.h"
+#include "sapphirespool/Proxy/wakeup.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
