Standin: the emulator of the served systems; Platform: operator of groups and intake of announcements

Cause: tests, the demo and measurements need members with terms, a log, lag, limits and failures; the thin path had a bare SQLite.

--- a/lib/Http/server.cpp
+++ b/lib/Http/server.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -140,8 +141,9 @@
         const auto version = request.version();
         const auto wantsKeepAlive = request.keep_alive();
         auto response = co_await this->handler->handle(std::move(request));
+        const auto handlerKeepsAlive = response.keep_alive();
         response.version(version);
-        response.keep_alive(wantsKeepAlive && !this->shared->draining);
+        response.keep_alive(wantsKeepAlive && handlerKeepsAlive && !this->shared->draining);
         const auto written = co_await this->write(std::move(response));
         --this->shared->running;
         co_return written;
@@ -306,7 +308,8 @@
 
     auto stopAccepting() -> void
     {
-        asio::post(this->acceptor.get_executor(), [self = this->shared_from_this()] {
+        // At once where it can be, so that a server that is closed and opened again finds its port free.
+        asio::dispatch(this->acceptor.get_executor(), [self = this->shared_from_this()] {
             auto ignored = boost::system::error_code();
             self->acceptor.close(ignored);
         });
--- /dev/null
+++ b/lib/Platform/httpgroupoperator.cpp
@@ -0,0 +1,94 @@
+#include "sapphirespool/Platform/httpgroupoperator.h"
+
+#include "sapphirespool/Http/client.h"
+#include "sapphirespool/Platform/codec.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <string_view>
+#include <utility>
+
+namespace sapphirespool::platform
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+/// One call, from its connection to its callback.
+struct Call
+{
+    Endpoint member;
+    http::Request message;
+    std::chrono::milliseconds timeout;
+    ReportCallback done;
+};
+
+/// \return the report, or nothing if none came; a refusal by a member of a higher term is nothing as well
+auto ask(asio::any_io_executor executor, Endpoint member, http::Request message, TimePoint deadline) -> asio::awaitable<std::optional<PositionReport>>
+{
+    const auto client = http::makeClientConnection(std::move(executor));
+    const auto error = co_await client->connect(std::move(member), deadline);
+    if (error) {
+        co_return std::nullopt;
+    }
+    auto result = co_await client->exchange(std::move(message), deadline);
+    client->close();
+    if (result.error || result.response.result() != http::Status::ok) {
+        co_return std::nullopt;
+    }
+    co_return fromJson<PositionReport>(result.response.body());
+}
+
+auto run(asio::any_io_executor executor, Call call) -> asio::awaitable<void>
+{
+    const auto deadline = std::chrono::steady_clock::now() + call.timeout;
+    auto report = co_await ask(std::move(executor), std::move(call.member), std::move(call.message), deadline);
+    call.done(std::move(report));
+}
+
+class HttpGroupOperator : public GroupOperator
+{
+public:
+    HttpGroupOperator(asio::any_io_executor executor, std::chrono::milliseconds timeout)
+        : executor(std::move(executor))
+        , timeout(timeout)
+    {
+    }
+
+    auto fence(const Endpoint &member, FenceRequest request, ReportCallback done) -> void override
+    {
+        this->call(member, "/v1/fence", toJson(request), std::move(done));
+    }
+
+    auto promote(const Endpoint &member, PromoteRequest request, ReportCallback done) -> void override
+    {
+        this->call(member, "/v1/promote", toJson(request), std::move(done));
+    }
+
+    auto follow(const Endpoint &member, FollowRequest request, ReportCallback done) -> void override
+    {
+        this->call(member, "/v1/follow", toJson(request), std::move(done));
+    }
+
+private:
+    auto call(const Endpoint &member, std::string_view path, const boost::json::object &body, ReportCallback done) -> void
+    {
+        auto message = http::jsonRequest(http::Verb::post, path, body);
+        asio::co_spawn(this->executor, run(this->executor, Call{member, std::move(message), this->timeout, std::move(done)}), asio::detached);
+    }
+
+    asio::any_io_executor executor;
+    std::chrono::milliseconds timeout;
+};
+
+} // namespace
+
+auto makeHttpGroupOperator(asio::any_io_executor executor, std::chrono::milliseconds timeout) -> std::shared_ptr<GroupOperator>
+{
+    return std::make_shared<HttpGroupOperator>(std::move(executor), timeout);
+}
+
+} // namespace sapphirespool::platform
--- a/lib/Standin/database.cpp
+++ b/lib/Standin/database.cpp
@@ -65,17 +65,39 @@
     }
 }
 
+/// Statements that a caller may not send: they would end or nest the transactions that the stand-in itself opens.
+auto authorize(void *internal, int action, const char *, const char *, const char *, const char *) -> int
+{
+    if (*static_cast<const bool *>(internal)) {
+        return SQLITE_OK;
+    }
+    switch (action) {
+    case SQLITE_TRANSACTION:
+    case SQLITE_SAVEPOINT:
+    case SQLITE_ATTACH:
+    case SQLITE_DETACH:
+    case SQLITE_PRAGMA:
+        return SQLITE_DENY;
+    default:
+        return SQLITE_OK;
+    }
+}
+
+auto requestFor(const LoggedStatement &statement) -> platform::ExecuteRequest
+{
+    auto request = platform::ExecuteRequest();
+    request.write = true;
+    request.sql = statement.sql;
+    request.params = statement.params;
+    return request;
+}
+
 class SqliteDatabase : public Database
 {
 public:
     SqliteDatabase()
     {
-        auto *opened = static_cast<sqlite3 *>(nullptr);
-        const auto status = sqlite3_open(":memory:", &opened);
-        this->connection.reset(opened);
-        if (status != SQLITE_OK) {
-            throw std::runtime_error("cannot open a database in memory");
-        }
+        this->open();
     }
 
     auto run(const platform::ExecuteRequest &request) -> platform::ExecuteReply override
@@ -89,6 +111,12 @@
         if (status != SQLITE_OK || statement == nullptr) {
             return this->failed(std::move(reply));
         }
+        if (!request.write && sqlite3_stmt_readonly(statement.get()) == 0) {
+            // On a replica it would change data that its primary does not have.
+            reply.status = platform::ExecuteStatus::Failed;
+            reply.detail = "the statement writes; send it with access write";
+            return reply;
+        }
         auto index = 0;
         for (const auto &param : request.params) {
             bind(statement.get(), ++index, param);
@@ -96,13 +124,86 @@
         return this->collect(statement.get(), std::move(reply));
     }
 
+    auto runAfter(std::span<const LoggedStatement> earlier, const platform::ExecuteRequest &request) -> platform::ExecuteReply override
+    {
+        this->control("begin");
+        auto reply = platform::ExecuteReply();
+        if (const auto error = this->replay(earlier)) {
+            reply.request = request.request;
+            reply.status = platform::ExecuteStatus::Failed;
+            reply.detail = *error;
+        } else {
+            reply = this->run(request);
+        }
+        this->control("rollback");
+        return reply;
+    }
+
+    auto commit(std::span<const LoggedStatement> statements) -> std::optional<std::string> override
+    {
+        this->control("begin");
+        auto error = this->replay(statements);
+        this->control(error ? "rollback" : "commit");
+        return error;
+    }
+
+    auto apply(const LogEntry &entry) -> void override
+    {
+        this->control("begin");
+        for (const auto &statement : entry.statements) {
+            this->run(requestFor(statement));
+        }
+        this->control("commit");
+    }
+
+    auto clear() -> void override
+    {
+        this->open();
+    }
+
 private:
+    auto open() -> void
+    {
+        auto *opened = static_cast<sqlite3 *>(nullptr);
+        const auto status = sqlite3_open(":memory:", &opened);
+        this->connection.reset(opened);
+        if (status != SQLITE_OK) {
+            throw std::runtime_error("cannot open a database in memory");
+        }
+        sqlite3_set_authorizer(opened, authorize, &this->internal);
+    }
+
+    auto control(const char *sql) -> void
+    {
+        this->internal = true;
+        // A failure that SQLite answers by rolling back leaves no transaction to end.
+        sqlite3_exec(this->connection.get(), sql, nullptr, nullptr, nullptr);
+        this->internal = false;
+    }
+
+    /// A statement that now changes other rows than its caller was told shows that another transaction came between; the
+    /// caller would otherwise hold an answer that is not what was committed.
+    auto replay(std::span<const LoggedStatement> statements) -> std::optional<std::string>
+    {
+        for (const auto &statement : statements) {
+            const auto reply = this->run(requestFor(statement));
+            if (reply.status != platform::ExecuteStatus::Done) {
+                return reply.detail;
+            }
+            if (reply.changes != statement.changes) {
+                return "another transaction changed the same rows; repeat the transaction";
+            }
+        }
+        return std::nullopt;
+    }
+
     auto collect(sqlite3_stmt *statement, platform::ExecuteReply reply) -> platform::ExecuteReply
     {
         const auto columns = sqlite3_column_count(statement);
         for (auto column = 0; column < columns; ++column) {
             reply.columns.emplace_back(sqlite3_column_name(statement, column));
         }
+        const auto before = sqlite3_total_changes(this->connection.get());
         auto status = sqlite3_step(statement);
         for (; status == SQLITE_ROW; status = sqlite3_step(statement)) {
             auto row = boost::json::array();
@@ -114,9 +215,7 @@
         if (status != SQLITE_DONE) {
             return this->failed(std::move(reply));
         }
-        if (sqlite3_stmt_readonly(statement) == 0) {
-            reply.changes = static_cast<std::uint64_t>(sqlite3_changes(this->connection.get()));
-        }
+        reply.changes = static_cast<std::uint64_t>(sqlite3_total_changes(this->connection.get()) - before);
         return reply;
     }
 
@@ -129,6 +228,7 @@
         return reply;
     }
 
+    bool internal = false;
     ConnectionPointer connection;
 };
 
