--- a/include/sapphirespool/Upstreams/pool.h
+++ b/include/sapphirespool/Upstreams/pool.h
@@ -48,6 +48,7 @@
 };
 
 /// \return a pool that opens its connections by \p connector
-[[nodiscard]] auto makePool(std::shared_ptr<Connector> connector) -> std::shared_ptr<Pool>;
+/// \param warming executor on which warm() opens connections; without one they are opened on demand only
+[[nodiscard]] auto makePool(std::shared_ptr<Connector> connector, boost::asio::any_io_executor warming = {}) -> std::shared_ptr<Pool>;
 
 } // namespace sapphirespool::upstreams
--- a/include/sapphirespool/Upstreams/positionwatch.h
+++ b/include/sapphirespool/Upstreams/positionwatch.h
@@ -8,8 +8,10 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace sapphirespool::upstreams
 {
@@ -44,6 +46,25 @@
     virtual auto observe(std::function<void(const GroupId &, const platform::PositionReport &)> observer) -> void = 0;
 };
 
+/// Asks one member for its position; the seam at which tests put their own members.
+class PositionSource
+{
+public:
+    PositionSource() = default;
+    PositionSource(const PositionSource &) = delete;
+    auto operator=(const PositionSource &) -> PositionSource & = delete;
+    virtual ~PositionSource() = default;
+
+    /// \return the report, as soon as the member's term differs from \p term or its position is above \p above, or after
+    /// \p wait; nothing if none came
+    virtual auto poll(Term term, LogPosition above, std::chrono::milliseconds wait) -> boost::asio::awaitable<std::optional<platform::PositionReport>> = 0;
+};
+
+using PositionSourceMaker = std::function<std::shared_ptr<PositionSource>(const Endpoint &)>;
+
+/// \return a watch that asks members by what \p makeSource gives
+[[nodiscard]] auto makePositionWatch(boost::asio::any_io_executor executor, PositionSourceMaker makeSource) -> std::shared_ptr<PositionWatch>;
+
 /// \return a watch that asks members over HTTP by long polls
 [[nodiscard]] auto makeHttpPositionWatch(boost::asio::any_io_executor executor) -> std::shared_ptr<PositionWatch>;
 
