--- a/lib/Upstreams/pool.cpp
+++ b/lib/Upstreams/pool.cpp
@@ -165,8 +165,8 @@
 class UpstreamPool::Waiter
 {
 public:
-    Waiter(std::shared_ptr<UpstreamPool> pool, asio::any_io_executor executor, TimePoint deadline)
-        : timer(std::move(executor), deadline)
+    Waiter(std::shared_ptr<UpstreamPool> pool, const asio::any_io_executor &executor, TimePoint deadline)
+        : timer(executor, deadline)
         , pool(std::move(pool))
     {
         this->pool->waiting.push_back(this);
@@ -211,7 +211,7 @@
     auto executor = co_await asio::this_coro::executor;
     auto place = std::unique_ptr<Place>();
     {
-        auto waiter = Waiter(self, std::move(executor), deadline);
+        auto waiter = Waiter(self, executor, deadline);
         co_await waiter.timer.async_wait(asio::as_tuple(asio::use_awaitable));
         if (waiter.granted != nullptr) {
             co_return std::move(waiter.granted);
