--- a/fuzz/platformmessage.cpp
+++ b/fuzz/platformmessage.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-template<typename Message>
+template <typename Message>
 auto readAndWrite(std::string_view text) -> void
 {
     const auto message = platform::fromJson<Message>(text);
