Consensus core as a state machine without I/O, with random schedules

The control group needs a replicated log of its own. Nothing counts before its sync is reported. The schedules found three faults that are mended here: a new learner that nothing was sent to while no entry was appended, a learner whose admission was cut and that no longer asked to join, and a peer whose last common entry lies before the leader's log and that was tried from its base forever.

--- /dev/null
+++ b/include/sapphirespool/Consensus/core.h
@@ -0,0 +1,187 @@
+// core.h: the consensus protocol as a state machine without I/O: handle(event, now) -> actions.
+#pragma once
+
+#include "sapphirespool/Consensus/coretypes.h"
+#include "sapphirespool/Consensus/logwindow.h"
+#include "sapphirespool/Consensus/messages.h"
+#include "sapphirespool/Consensus/progress.h"
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <variant>
+#include <vector>
+
+namespace sapphirespool::consensus
+{
+
+/// One replica's part in the protocol.
+///
+/// The owner carries out the actions in their order, reports each finished Persist and SaveSnapshot by DiskSynced, and sends
+/// Timer when deadline() has come. Nothing of a Persist counts, here or at a peer, before its DiskSynced.
+class Core
+{
+public:
+    /// \param now start of the process: the replica refuses votes for one minimum election timeout, since it no longer knows
+    ///            which leader it heard just before
+    Core(ReplicaId self, CoreSettings settings, Recovered recovered, std::uint64_t seed, TimePoint now);
+
+    [[nodiscard]] auto handle(const CoreEvent &event, TimePoint now) -> Actions;
+
+    /// \return when the owner must send Timer
+    [[nodiscard]] auto deadline() const -> TimePoint;
+
+    /// \return whether this replica leads and no other can lead at \p now
+    [[nodiscard]] auto holdsLeaderLease(TimePoint now) const -> bool;
+
+    [[nodiscard]] auto role() const -> CoreRole;
+    [[nodiscard]] auto term() const -> ElectionTerm;
+    [[nodiscard]] auto leader() const -> std::optional<ReplicaId>;
+    [[nodiscard]] auto commitIndex() const -> LogIndex;
+    [[nodiscard]] auto log() const -> const LogWindow &;
+    [[nodiscard]] auto members() const -> const Members &;
+    /// \return whether this replica finds itself in the group; else it must ask to join. It may find itself in it, and no longer once
+    ///         a leader that did not commit its admission was replaced.
+    [[nodiscard]] auto isMember() const -> bool;
+    /// \return whether \p learner holds all that is committed; meaningful on the leader only
+    [[nodiscard]] auto caughtUp(ReplicaId learner) const -> bool;
+    /// \return whether a change of the group could be proposed now
+    [[nodiscard]] auto acceptsMemberChange() const -> bool;
+
+private:
+    /// A message that speaks of something that is not yet on the disk.
+    struct HeldSend
+    {
+        PersistToken token;
+        ElectionTerm term;
+        ReplicaId to;
+        Message message;
+    };
+
+    // core.cpp
+    auto dispatch(const CoreEvent &event) -> void;
+    auto onReceived(const Received &received) -> void;
+    auto onTimer() -> void;
+    auto onSynced(const DiskSynced &synced) -> void;
+    auto onDiskFailed() -> void;
+    auto send(ReplicaId to, Message message) -> void;
+    auto sendWhenSynced(ReplicaId to, Message message) -> void;
+    auto persistHardState() -> void;
+    auto nextToken() -> PersistToken;
+    auto isCurrent(const HeldSend &held) const -> bool;
+    auto isVoter(ReplicaId replica) const -> bool;
+    auto voterCount() const -> std::size_t;
+    auto quorum() const -> std::size_t;
+
+    // election.cpp
+    auto electionTimeout() -> Duration;
+    auto failPending() -> void;
+    auto onVoteRequest(ReplicaId from, const VoteRequest &request) -> void;
+    auto onVoteReply(ReplicaId from, const VoteReply &reply) -> void;
+    auto campaign(bool preVote) -> void;
+    auto countVotes() -> void;
+    auto askForVotes(bool preVote, ElectionTerm term) -> void;
+    auto becomeLeader() -> void;
+    auto becomeFollower(ElectionTerm term, std::optional<ReplicaId> leader) -> void;
+    auto heardLeaderLately() const -> bool;
+    auto logCovers(const VoteRequest &request) const -> bool;
+    auto resetElectionDeadline() -> void;
+    auto followLeader(ReplicaId from, ElectionTerm term) -> bool;
+
+    // heartbeat.cpp
+    auto sendHeartbeats() -> void;
+    auto onHeartbeat(ReplicaId from, const Heartbeat &heartbeat) -> void;
+    auto onHeartbeatReply(ReplicaId from, const HeartbeatReply &reply) -> void;
+    auto confirmedRound() const -> Round;
+    auto quorumHeardSince(TimePoint since) const -> bool;
+    auto onRead(const ReadRequested &read) -> void;
+    auto releaseReads() -> void;
+
+    // replication.cpp
+    auto onPropose(const Proposed &proposed) -> void;
+    auto appendOwn(std::variant<NoOp, Command, Members> content, std::optional<RequestNumber> number) -> void;
+    auto replicate(ReplicaId to) -> void;
+    auto replicateToAll() -> void;
+    auto resendStalled() -> void;
+    auto onAppendRequest(ReplicaId from, const AppendRequest &request) -> void;
+    auto onAppendReply(ReplicaId from, const AppendReply &reply) -> void;
+    [[nodiscard]] auto nextAfterRefusal(const AppendReply &reply) const -> LogIndex;
+    auto refuseAppend(ReplicaId from, const AppendRequest &request) -> void;
+    auto takeEntries(const AppendRequest &request) -> void;
+    auto noteWritten(PersistToken token) -> void;
+    auto forgetWritten(LogIndex kept) -> void;
+    auto commitByQuorum() -> void;
+    auto advanceCommit(LogIndex target) -> void;
+
+    // membership.cpp
+    auto onMembersProposed(const MembersProposed &proposed) -> void;
+    auto reloadMembers() -> void;
+    auto reloadProgress() -> void;
+    auto mayBecome(const Members &next) const -> bool;
+
+    // snapshots.cpp
+    auto onSnapshotTaken(const SnapshotTaken &taken) -> void;
+    auto sendChunk(ReplicaId to, std::uint64_t offset) -> void;
+    auto onSnapshotChunk(ReplicaId from, const SnapshotChunk &chunk) -> void;
+    auto onSnapshotReply(ReplicaId from, const SnapshotReply &reply) -> void;
+    auto installSnapshot(ReplicaId from) -> void;
+    auto saveSnapshot() -> void;
+
+    struct WrittenTo
+    {
+        PersistToken token;
+        LogIndex index;
+    };
+    struct WaitingRead
+    {
+        RequestNumber number;
+        LogIndex index;
+        Round round;
+    };
+
+    ReplicaId self;
+    CoreSettings settings;
+    std::mt19937_64 random;
+    TimePoint now;
+    Actions actions;
+
+    HardState hard;
+    LogWindow window;
+    LogIndex commit;
+    /// Newest group in the log, committed or not; it counts from the moment at which it is appended.
+    Members group;
+    LogIndex groupIndex;
+    Members committedGroup;
+    LogIndex committedGroupIndex;
+
+    CoreRole currentRole = CoreRole::Follower;
+    std::optional<ReplicaId> knownLeader;
+    TimePoint heardLeader;
+    TimePoint electionDeadline;
+    std::map<ReplicaId, bool> votes;
+
+    PersistToken lastToken;
+    PersistToken syncedToken;
+    bool diskFailed = false;
+    std::deque<HeldSend> heldSends;
+    std::deque<WrittenTo> written;
+    LogIndex syncedIndex;
+
+    // Of the leader.
+    std::map<ReplicaId, Progress> progress;
+    std::map<LogIndex, RequestNumber> proposals;
+    Round round;
+    std::map<Round, TimePoint> roundSent;
+    TimePoint nextHeartbeat;
+    LogIndex termStart;
+    std::vector<WaitingRead> reads;
+
+    // Of a replica that gets a snapshot.
+    std::optional<IncomingSnapshot> incoming;
+    std::shared_ptr<const Snapshot> snapshot;
+};
+
+} // namespace sapphirespool::consensus
--- /dev/null
+++ b/include/sapphirespool/Consensus/logwindow.h
@@ -0,0 +1,67 @@
+// logwindow.h: the part of the replicated log that is held in memory.
+#pragma once
+
+#include "sapphirespool/Consensus/messages.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace sapphirespool::consensus
+{
+
+/// \return the index \p count entries after \p index
+[[nodiscard]] auto after(LogIndex index, std::uint64_t count = 1) -> LogIndex;
+
+/// \return the index before \p index, which must not be 0
+[[nodiscard]] auto before(LogIndex index) -> LogIndex;
+
+/// Entries after a base that a snapshot covers. Invariant: indexes have no gaps, terms never fall.
+class LogWindow
+{
+public:
+    LogWindow() = default;
+
+    /// An empty window after the entry at \p index of \p term.
+    LogWindow(LogIndex index, ElectionTerm term);
+
+    [[nodiscard]] auto baseIndex() const -> LogIndex;
+    [[nodiscard]] auto lastIndex() const -> LogIndex;
+    [[nodiscard]] auto lastTerm() const -> ElectionTerm;
+
+    /// \return the term of the entry at \p index; nothing outside of the window and its base
+    [[nodiscard]] auto termAt(LogIndex index) const -> std::optional<ElectionTerm>;
+
+    /// \return the entry at \p index, which must be in the window
+    [[nodiscard]] auto at(LogIndex index) const -> const Entry &;
+
+    /// \return entries from \p from on, the first one always, more while their sum stays below \p bytes
+    [[nodiscard]] auto slice(LogIndex from, std::size_t bytes) const -> std::vector<Entry>;
+
+    /// \return all entries from \p from on
+    [[nodiscard]] auto tail(LogIndex from) const -> std::vector<Entry>;
+
+    /// Appends the entry that follows the last.
+    auto append(Entry entry) -> void;
+
+    /// Drops the entries from \p from on.
+    auto cutFrom(LogIndex from) -> void;
+
+    /// Drops the entries up to \p index, which becomes the base.
+    auto compactTo(LogIndex index) -> void;
+
+    /// \return the last index at or below \p index whose term is at most \p term
+    [[nodiscard]] auto lastWithTermUpTo(LogIndex index, ElectionTerm term) const -> LogIndex;
+
+private:
+    LogIndex base;
+    ElectionTerm baseTerm;
+    std::deque<Entry> entries;
+};
+
+/// \return about how many bytes \p entry takes in a message
+[[nodiscard]] auto entryBytes(const Entry &entry) -> std::size_t;
+
+} // namespace sapphirespool::consensus
--- /dev/null
+++ b/lib/Consensus/core.cpp
@@ -0,0 +1,270 @@
+#include "sapphirespool/Consensus/core.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace sapphirespool::consensus
+{
+
+namespace
+{
+
+template <typename... Functions>
+struct Overloaded : Functions...
+{
+    using Functions::operator()...;
+};
+
+} // namespace
+
+auto CoreSettings::leaseLength() const -> Duration
+{
+    const auto length = static_cast<double>(this->minimumElectionTimeout.count()) * (1.0 - this->clockDriftBound);
+    return Duration(static_cast<Duration::rep>(length));
+}
+
+Core::Core(ReplicaId self, CoreSettings settings, Recovered recovered, std::uint64_t seed, TimePoint now)
+    : self(self)
+    , settings(settings)
+    , random(seed)
+    , now(now)
+    , hard(recovered.hard)
+    , heardLeader(now)
+    , snapshot(std::move(recovered.snapshot))
+{
+    if (this->snapshot != nullptr) {
+        this->window = LogWindow(this->snapshot->index, this->snapshot->term);
+        this->commit = this->snapshot->index;
+        this->committedGroup = this->snapshot->members;
+        this->committedGroupIndex = this->snapshot->index;
+    }
+    for (auto &entry : recovered.entries) {
+        this->window.append(std::move(entry));
+    }
+    this->syncedIndex = this->window.lastIndex();
+    this->reloadMembers();
+    this->resetElectionDeadline();
+}
+
+auto Core::handle(const CoreEvent &event, TimePoint now) -> Actions
+{
+    this->now = now;
+    this->dispatch(event);
+    return std::exchange(this->actions, {});
+}
+
+auto Core::deadline() const -> TimePoint
+{
+    return this->currentRole == CoreRole::Leader ? this->nextHeartbeat : this->electionDeadline;
+}
+
+auto Core::role() const -> CoreRole
+{
+    return this->currentRole;
+}
+
+auto Core::term() const -> ElectionTerm
+{
+    return this->hard.term;
+}
+
+auto Core::leader() const -> std::optional<ReplicaId>
+{
+    return this->knownLeader;
+}
+
+auto Core::commitIndex() const -> LogIndex
+{
+    return this->commit;
+}
+
+auto Core::log() const -> const LogWindow &
+{
+    return this->window;
+}
+
+auto Core::members() const -> const Members &
+{
+    return this->group;
+}
+
+auto Core::dispatch(const CoreEvent &event) -> void
+{
+    std::visit(Overloaded{
+                   [this](const Received &received) {
+                       this->onReceived(received);
+                   },
+                   [this](const Timer &) {
+                       this->onTimer();
+                   },
+                   [this](const DiskSynced &synced) {
+                       this->onSynced(synced);
+                   },
+                   [this](const DiskFailed &) {
+                       this->onDiskFailed();
+                   },
+                   [this](const Proposed &proposed) {
+                       this->onPropose(proposed);
+                   },
+                   [this](const MembersProposed &proposed) {
+                       this->onMembersProposed(proposed);
+                   },
+                   [this](const ReadRequested &read) {
+                       this->onRead(read);
+                   },
+                   [this](const SnapshotTaken &taken) {
+                       this->onSnapshotTaken(taken);
+                   },
+               },
+               event);
+}
+
+auto Core::onReceived(const Received &received) -> void
+{
+    const auto from = received.from;
+    std::visit(Overloaded{
+                   [this, from](const VoteRequest &message) {
+                       this->onVoteRequest(from, message);
+                   },
+                   [this, from](const VoteReply &message) {
+                       this->onVoteReply(from, message);
+                   },
+                   [this, from](const Heartbeat &message) {
+                       this->onHeartbeat(from, message);
+                   },
+                   [this, from](const HeartbeatReply &message) {
+                       this->onHeartbeatReply(from, message);
+                   },
+                   [this, from](const AppendRequest &message) {
+                       this->onAppendRequest(from, message);
+                   },
+                   [this, from](const AppendReply &message) {
+                       this->onAppendReply(from, message);
+                   },
+                   [this, from](const SnapshotChunk &message) {
+                       this->onSnapshotChunk(from, message);
+                   },
+                   [this, from](const SnapshotReply &message) {
+                       this->onSnapshotReply(from, message);
+                   },
+               },
+               received.message);
+}
+
+auto Core::onTimer() -> void
+{
+    if (this->currentRole != CoreRole::Leader) {
+        if (this->now >= this->electionDeadline) {
+            this->campaign(true);
+        }
+        return;
+    }
+    // A leader that a partition cut off would keep its callers waiting for commits that cannot come. Without a quorum it
+    // steps down, and they hear at once that it does not lead.
+    if (!this->quorumHeardSince(this->now - this->settings.maximumElectionTimeout)) {
+        this->becomeFollower(this->hard.term, std::nullopt);
+        return;
+    }
+    if (this->now >= this->nextHeartbeat) {
+        this->sendHeartbeats();
+        this->resendStalled();
+    }
+}
+
+auto Core::onSynced(const DiskSynced &synced) -> void
+{
+    if (this->diskFailed) {
+        return;
+    }
+    this->syncedToken = std::max(this->syncedToken, synced.token);
+    while (!this->written.empty() && this->written.front().token <= this->syncedToken) {
+        this->syncedIndex = std::max(this->syncedIndex, this->written.front().index);
+        this->written.pop_front();
+    }
+    auto ready = std::vector<HeldSend>();
+    while (!this->heldSends.empty() && this->heldSends.front().token <= this->syncedToken) {
+        ready.push_back(std::move(this->heldSends.front()));
+        this->heldSends.pop_front();
+    }
+    for (auto &held : ready) {
+        if (this->isCurrent(held)) {
+            this->send(held.to, std::move(held.message));
+        }
+    }
+    if (this->currentRole == CoreRole::Leader) {
+        this->commitByQuorum();
+    }
+}
+
+auto Core::onDiskFailed() -> void
+{
+    // After a failed sync the operating system may have dropped the pages, and a second sync would report success without
+    // them: an acknowledged entry would be missing after a restart. So nothing is acknowledged until the process is started anew.
+    this->diskFailed = true;
+    this->heldSends.clear();
+    this->written.clear();
+    if (this->currentRole != CoreRole::Follower) {
+        this->becomeFollower(this->hard.term, std::nullopt);
+    }
+}
+
+auto Core::send(ReplicaId to, Message message) -> void
+{
+    if (to != this->self) {
+        this->actions.emplace_back(Send{to, std::move(message)});
+        return;
+    }
+    this->onReceived(Received{to, std::move(message)});
+}
+
+auto Core::sendWhenSynced(ReplicaId to, Message message) -> void
+{
+    if (this->diskFailed) {
+        return;
+    }
+    if (this->syncedToken >= this->lastToken) {
+        this->send(to, std::move(message));
+        return;
+    }
+    this->heldSends.push_back(HeldSend{this->lastToken, this->hard.term, to, std::move(message)});
+}
+
+auto Core::isCurrent(const HeldSend &held) const -> bool
+{
+    // An acknowledgement of an earlier term could count for entries that were cut since, and a lost entry would be taken
+    // as committed.
+    return held.term == this->hard.term;
+}
+
+auto Core::persistHardState() -> void
+{
+    this->actions.emplace_back(Persist{this->nextToken(), this->hard, std::nullopt, {}});
+}
+
+auto Core::nextToken() -> PersistToken
+{
+    this->lastToken = this->lastToken.next();
+    return this->lastToken;
+}
+
+auto Core::isVoter(ReplicaId replica) const -> bool
+{
+    return std::any_of(this->group.members.begin(), this->group.members.end(), [replica](const ControlMember &member) {
+        return member.replica == replica && member.voter;
+    });
+}
+
+auto Core::voterCount() const -> std::size_t
+{
+    return static_cast<std::size_t>(std::count_if(this->group.members.begin(), this->group.members.end(), [](const ControlMember &member) {
+        return member.voter;
+    }));
+}
+
+auto Core::quorum() const -> std::size_t
+{
+    return this->voterCount() / 2 + 1;
+}
+
+} // namespace sapphirespool::consensus
--- /dev/null
+++ b/lib/Consensus/election.cpp
@@ -0,0 +1,201 @@
+#include "sapphirespool/Consensus/core.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace sapphirespool::consensus
+{
+
+auto Core::electionTimeout() -> Duration
+{
+    // Randomised, so that two candidates rarely split the votes again and again.
+    auto spread = std::uniform_int_distribution<Duration::rep>(this->settings.minimumElectionTimeout.count(), this->settings.maximumElectionTimeout.count());
+    return Duration(spread(this->random));
+}
+
+auto Core::resetElectionDeadline() -> void
+{
+    this->electionDeadline = this->now + this->electionTimeout();
+}
+
+auto Core::heardLeaderLately() const -> bool
+{
+    // A leader counts on its lease for as long as a quorum keeps its votes. A voter that gave its vote earlier would let a
+    // second leader arise while the first still answers, and a caller could read or get acknowledged by the old one.
+    if (this->currentRole == CoreRole::Leader) {
+        return true;
+    }
+    return this->now - this->heardLeader < this->settings.minimumElectionTimeout;
+}
+
+auto Core::logCovers(const VoteRequest &request) const -> bool
+{
+    // A candidate without an entry that this replica acknowledged could overwrite it. The quorum that acknowledged it meets
+    // each quorum of votes, so one such refusal is enough.
+    if (request.lastTerm != this->window.lastTerm()) {
+        return request.lastTerm > this->window.lastTerm();
+    }
+    return request.lastIndex >= this->window.lastIndex();
+}
+
+auto Core::onVoteRequest(ReplicaId from, const VoteRequest &request) -> void
+{
+    if (request.term < this->hard.term) {
+        this->send(from, VoteReply{this->hard.term, request.preVote, false});
+        return;
+    }
+    const auto willing = !this->diskFailed && !this->heardLeaderLately() && this->logCovers(request);
+    if (request.preVote) {
+        // Without this round a replica that was cut off would come back with a raised term and depose a leader that all others hear.
+        const auto granted = willing && request.term > this->hard.term;
+        this->send(from, VoteReply{granted ? request.term : this->hard.term, true, granted});
+        return;
+    }
+    if (this->heardLeaderLately()) {
+        return;
+    }
+    if (request.term > this->hard.term) {
+        this->becomeFollower(request.term, std::nullopt);
+    }
+    const auto free = this->hard.vote == ReplicaId() || this->hard.vote == from;
+    if (!willing || !free) {
+        this->send(from, VoteReply{this->hard.term, false, false});
+        return;
+    }
+    if (this->hard.vote != from) {
+        this->hard.vote = from;
+        this->persistHardState();
+    }
+    this->resetElectionDeadline();
+    // Sent before the sync, the vote could be forgotten in a crash and given to another candidate of the same term.
+    this->sendWhenSynced(from, VoteReply{this->hard.term, false, true});
+}
+
+auto Core::onVoteReply(ReplicaId from, const VoteReply &reply) -> void
+{
+    if (!reply.granted) {
+        if (reply.term > this->hard.term) {
+            this->becomeFollower(reply.term, std::nullopt);
+        }
+        return;
+    }
+    const auto expected = reply.preVote ? CoreRole::PreCandidate : CoreRole::Candidate;
+    const auto asked = reply.preVote ? this->hard.term.next() : this->hard.term;
+    if (this->currentRole != expected || reply.term != asked) {
+        return;
+    }
+    this->votes[from] = true;
+    this->countVotes();
+}
+
+auto Core::countVotes() -> void
+{
+    const auto granted = std::count_if(this->votes.begin(), this->votes.end(), [this](const auto &vote) {
+        return vote.second && this->isVoter(vote.first);
+    });
+    if (static_cast<std::size_t>(granted) < this->quorum()) {
+        return;
+    }
+    if (this->currentRole == CoreRole::PreCandidate) {
+        this->campaign(false);
+        return;
+    }
+    this->becomeLeader();
+}
+
+auto Core::campaign(bool preVote) -> void
+{
+    this->resetElectionDeadline();
+    if (!this->isVoter(this->self) || this->diskFailed) {
+        return;
+    }
+    this->knownLeader.reset();
+    this->votes.clear();
+    if (preVote) {
+        this->currentRole = CoreRole::PreCandidate;
+        this->askForVotes(true, this->hard.term.next());
+        this->votes[this->self] = true;
+        this->countVotes();
+        return;
+    }
+    this->currentRole = CoreRole::Candidate;
+    this->hard = HardState{this->hard.term.next(), this->self};
+    this->persistHardState();
+    this->askForVotes(false, this->hard.term);
+    this->sendWhenSynced(this->self, VoteReply{this->hard.term, false, true});
+}
+
+auto Core::askForVotes(bool preVote, ElectionTerm term) -> void
+{
+    const auto request = VoteRequest{term, preVote, this->window.lastIndex(), this->window.lastTerm()};
+    for (const auto &member : this->group.members) {
+        if (!member.voter || member.replica == this->self) {
+            continue;
+        }
+        if (preVote) {
+            this->send(member.replica, request);
+        } else {
+            this->sendWhenSynced(member.replica, request);
+        }
+    }
+}
+
+auto Core::becomeLeader() -> void
+{
+    assert(this->currentRole == CoreRole::Candidate && "only an elected candidate leads");
+    this->currentRole = CoreRole::Leader;
+    this->knownLeader = this->self;
+    this->progress.clear();
+    this->roundSent.clear();
+    this->round = Round();
+    this->reloadProgress();
+    // Entries of earlier terms cannot be committed by counting replicas: a later leader could still overwrite them. The first
+    // entry of the own term commits them along with itself.
+    this->appendOwn(NoOp(), std::nullopt);
+    this->termStart = this->window.lastIndex();
+    this->sendHeartbeats();
+}
+
+auto Core::becomeFollower(ElectionTerm term, std::optional<ReplicaId> leader) -> void
+{
+    if (term > this->hard.term) {
+        this->hard = HardState{term, ReplicaId()};
+        this->persistHardState();
+    }
+    if (this->currentRole == CoreRole::Leader) {
+        this->failPending();
+    }
+    this->currentRole = CoreRole::Follower;
+    this->knownLeader = leader;
+    this->resetElectionDeadline();
+}
+
+auto Core::failPending() -> void
+{
+    for (const auto &[index, number] : this->proposals) {
+        this->actions.emplace_back(Failed{number, ProposalFailure::OutcomeUnknown});
+    }
+    for (const auto &read : this->reads) {
+        this->actions.emplace_back(Failed{read.number, ProposalFailure::NotLeader});
+    }
+    this->proposals.clear();
+    this->reads.clear();
+    this->progress.clear();
+}
+
+auto Core::followLeader(ReplicaId from, ElectionTerm term) -> bool
+{
+    if (term < this->hard.term) {
+        return false;
+    }
+    assert((term > this->hard.term || this->currentRole != CoreRole::Leader) && "one leader per term");
+    if (term > this->hard.term || this->currentRole != CoreRole::Follower || this->knownLeader != from) {
+        this->becomeFollower(term, from);
+    }
+    this->heardLeader = this->now;
+    this->resetElectionDeadline();
+    return true;
+}
+
+} // namespace sapphirespool::consensus
--- /dev/null
+++ b/lib/Consensus/membership.cpp
@@ -0,0 +1,132 @@
+#include "sapphirespool/Consensus/core.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace sapphirespool::consensus
+{
+
+namespace
+{
+
+auto find(const Members &group, ReplicaId replica) -> const ControlMember *
+{
+    const auto found = std::find_if(group.members.begin(), group.members.end(), [replica](const ControlMember &member) {
+        return member.replica == replica;
+    });
+    return found == group.members.end() ? nullptr : &*found;
+}
+
+auto isVoterOf(const Members &group, ReplicaId replica) -> bool
+{
+    const auto *const member = find(group, replica);
+    return member != nullptr && member->voter;
+}
+
+} // namespace
+
+auto Core::isMember() const -> bool
+{
+    return find(this->group, this->self) != nullptr;
+}
+
+auto Core::acceptsMemberChange() const -> bool
+{
+    // Two changes under way at once could have quorums that do not meet. A change of an earlier term that is not committed
+    // could come back beside a new one; an own entry committed settles it.
+    return this->currentRole == CoreRole::Leader && this->commit >= this->groupIndex && this->commit >= this->termStart;
+}
+
+auto Core::caughtUp(ReplicaId learner) const -> bool
+{
+    const auto found = this->progress.find(learner);
+    if (found == this->progress.end()) {
+        return false;
+    }
+    const auto &peer = found->second;
+    const auto lately = this->now - peer.heardAt < this->settings.minimumElectionTimeout;
+    return lately && peer.match >= this->commit && peer.match >= this->termStart;
+}
+
+auto Core::mayBecome(const Members &next) const -> bool
+{
+    auto changes = std::size_t(0);
+    for (const auto &member : this->group.members) {
+        if (member.voter && !isVoterOf(next, member.replica)) {
+            ++changes;
+        }
+    }
+    for (const auto &member : next.members) {
+        if (!member.voter || isVoterOf(this->group, member.replica)) {
+            continue;
+        }
+        // An empty voter raises the quorum without holding anything: the loss of one more VM would stop all commits.
+        if (find(this->group, member.replica) == nullptr || !this->caughtUp(member.replica)) {
+            return false;
+        }
+        ++changes;
+    }
+    return changes <= 1;
+}
+
+auto Core::onMembersProposed(const MembersProposed &proposed) -> void
+{
+    if (this->diskFailed) {
+        this->actions.emplace_back(Failed{proposed.number, ProposalFailure::StorageFailed});
+        return;
+    }
+    if (this->currentRole != CoreRole::Leader) {
+        this->actions.emplace_back(Failed{proposed.number, ProposalFailure::NotLeader});
+        return;
+    }
+    auto next = Members{proposed.members, this->group.formed};
+    if (!this->acceptsMemberChange() || !this->mayBecome(next)) {
+        this->actions.emplace_back(Failed{proposed.number, ProposalFailure::ChangeInProgress});
+        return;
+    }
+    const auto voters = std::count_if(next.members.begin(), next.members.end(), [](const ControlMember &member) {
+        return member.voter;
+    });
+    next.formed = next.formed || static_cast<std::size_t>(voters) >= this->settings.foundingVoters;
+    this->appendOwn(std::move(next), proposed.number);
+}
+
+auto Core::reloadMembers() -> void
+{
+    this->group = this->committedGroup;
+    this->groupIndex = this->committedGroupIndex;
+    for (auto index = this->window.lastIndex(); index > this->window.baseIndex(); index = before(index)) {
+        if (index <= this->committedGroupIndex) {
+            break;
+        }
+        if (const auto *const members = std::get_if<Members>(&this->window.at(index).content)) {
+            this->group = *members;
+            this->groupIndex = index;
+            break;
+        }
+    }
+    this->reloadProgress();
+}
+
+auto Core::reloadProgress() -> void
+{
+    if (this->currentRole != CoreRole::Leader) {
+        return;
+    }
+    std::erase_if(this->progress, [this](const auto &peer) {
+        return find(this->group, peer.first) == nullptr;
+    });
+    for (const auto &member : this->group.members) {
+        if (member.replica == this->self || this->progress.contains(member.replica)) {
+            continue;
+        }
+        auto peer = Progress();
+        // A new replica is sent the last entry at once: its refusal tells where it stands, also if nothing more is ever appended.
+        peer.next = std::max(this->window.lastIndex(), this->window.baseIndex().next());
+        peer.heardAt = this->now;
+        this->progress.emplace(member.replica, std::move(peer));
+    }
+}
+
+} // namespace sapphirespool::consensus
--- /dev/null
+++ b/lib/Consensus/repair.cpp
@@ -0,0 +1,84 @@
+#include "sapphirespool/Consensus/repair.h"
+
+#include <algorithm>
+
+namespace sapphirespool::consensus
+{
+
+namespace
+{
+
+using MemberList = std::vector<ControlMember>;
+
+auto without(const MemberList &members, ReplicaId replica) -> MemberList
+{
+    auto rest = members;
+    std::erase_if(rest, [replica](const ControlMember &member) {
+        return member.replica == replica;
+    });
+    return rest;
+}
+
+/// \return another replica of the VM of \p member, left from before its disk was lost
+auto formerReplica(const MemberList &members, const ControlMember &member) -> const ControlMember *
+{
+    const auto found = std::find_if(members.begin(), members.end(), [&member](const ControlMember &other) {
+        return other.vm == member.vm && other.replica != member.replica;
+    });
+    return found == members.end() ? nullptr : &*found;
+}
+
+auto promoted(const MemberList &members, ReplicaId replica) -> MemberList
+{
+    auto next = members;
+    for (auto &member : next) {
+        member.voter = member.voter || member.replica == replica;
+    }
+    return next;
+}
+
+auto contains(const MemberList &members, ReplicaId replica) -> bool
+{
+    return std::any_of(members.begin(), members.end(), [replica](const ControlMember &member) {
+        return member.replica == replica;
+    });
+}
+
+auto changeForLearner(const MemberList &members, const std::function<bool(ReplicaId)> &caughtUp) -> std::optional<MemberList>
+{
+    for (const auto &member : members) {
+        if (member.voter || !caughtUp(member.replica)) {
+            continue;
+        }
+        if (const auto *const former = formerReplica(members, member)) {
+            return without(members, former->replica);
+        }
+        return promoted(members, member.replica);
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+auto nextMemberChange(const Members &group, std::span<const JoinRequest> requests, const std::function<bool(ReplicaId)> &caughtUp)
+    -> std::optional<std::vector<ControlMember>>
+{
+    if (auto change = changeForLearner(group.members, caughtUp)) {
+        return change;
+    }
+    for (const auto &request : requests) {
+        if (contains(group.members, request.replica)) {
+            continue;
+        }
+        auto next = group.members;
+        // A learner of the same VM is of a disk that was lost before it became a voter.
+        std::erase_if(next, [&request](const ControlMember &member) {
+            return member.vm == request.vm && !member.voter;
+        });
+        next.push_back(ControlMember{request.vm, request.endpoint, false, request.replica});
+        return next;
+    }
+    return std::nullopt;
+}
+
+} // namespace sapphirespool::consensus
--- /dev/null
+++ b/unittests/Consensus/fakegroup.cpp
@@ -0,0 +1,492 @@
+#include "Consensus/fakegroup.h"
+
+#include <algorithm>
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+namespace sapphirespool::consensus
+{
+
+namespace
+{
+
+/// Few entries are kept and messages are small, so that short schedules reach snapshots in several parts.
+auto smallSettings(std::size_t size) -> CoreSettings
+{
+    auto settings = CoreSettings();
+    settings.entriesKept = 3;
+    settings.appendBytes = 150;
+    settings.appendsInFlight = 2;
+    settings.chunkBytes = 40;
+    settings.foundingVoters = size;
+    return settings;
+}
+
+auto require(bool holds, const std::string &promise) -> void
+{
+    if (!holds) {
+        throw std::runtime_error("broken: " + promise);
+    }
+}
+
+auto encodeState(const std::vector<std::pair<LogIndex, Bytes>> &applied) -> Bytes
+{
+    auto state = Bytes();
+    for (const auto &[index, command] : applied) {
+        state.push_back(static_cast<std::byte>(index.value() & 0xff));
+        state.push_back(static_cast<std::byte>(index.value() >> 8));
+        state.push_back(command.at(0));
+    }
+    return state;
+}
+
+auto decodeState(const Bytes &state) -> std::vector<std::pair<LogIndex, Bytes>>
+{
+    auto applied = std::vector<std::pair<LogIndex, Bytes>>();
+    for (auto at = std::size_t(0); at + 2 < state.size(); at += 3) {
+        const auto index = std::to_integer<std::uint64_t>(state[at]) | (std::to_integer<std::uint64_t>(state[at + 1]) << 8);
+        applied.emplace_back(LogIndex(index), Bytes{state[at + 2]});
+    }
+    return applied;
+}
+
+auto isVoterIn(const Members &group, ReplicaId replica) -> bool
+{
+    return std::any_of(group.members.begin(), group.members.end(), [replica](const ControlMember &member) {
+        return member.replica == replica && member.voter;
+    });
+}
+
+} // namespace
+
+FakeGroup::FakeGroup(std::size_t size, std::uint64_t seed)
+    : settings(smallSettings(size))
+    , random(seed)
+{
+    // Within the drift bound of 10 % between any two.
+    auto rates = std::uniform_real_distribution<double>(0.96, 1.04);
+    for (auto index = std::size_t(0); index < size; ++index) {
+        auto vm = FakeVm();
+        vm.vm = VmId("vm" + std::to_string(index));
+        vm.replica = ReplicaId(this->nextReplica++);
+        vm.clockRate = rates(this->random);
+        this->vms.push_back(std::move(vm));
+    }
+    const auto first = this->founding();
+    for (auto &vm : this->vms) {
+        vm.synced.hard.term = ElectionTerm(1);
+        vm.synced.entries.push_back(first);
+        this->start(vm);
+    }
+}
+
+auto FakeGroup::founding() const -> Entry
+{
+    auto group = Members{{}, true};
+    for (const auto &vm : this->vms) {
+        group.members.push_back(ControlMember{vm.vm, Endpoint(), true, vm.replica});
+    }
+    return Entry{LogIndex(1), ElectionTerm(1), std::move(group)};
+}
+
+auto FakeGroup::start(FakeVm &vm) -> void
+{
+    vm.applied.clear();
+    vm.appliedIndex = LogIndex();
+    if (vm.synced.snapshot != nullptr) {
+        this->restore(vm, *vm.synced.snapshot);
+    }
+    const auto recovered = Recovered{vm.synced.hard, vm.synced.snapshot, vm.synced.entries};
+    vm.core = std::make_unique<Core>(vm.replica, this->settings, recovered, this->random(), this->localTime(vm));
+}
+
+auto FakeGroup::size() const -> std::size_t
+{
+    return this->vms.size();
+}
+
+auto FakeGroup::vm(std::size_t index) -> FakeVm &
+{
+    return this->vms[index % this->vms.size()];
+}
+
+auto FakeGroup::committedCount() const -> std::size_t
+{
+    return this->committed.size();
+}
+
+auto FakeGroup::localTime(const FakeVm &vm) const -> TimePoint
+{
+    const auto local = static_cast<double>(this->time.count()) * vm.clockRate;
+    // Each clock starts elsewhere.
+    const auto offset = std::chrono::hours(vm.vm.value().back() - '0' + 1);
+    return TimePoint(offset + std::chrono::nanoseconds(static_cast<std::int64_t>(local)));
+}
+
+auto FakeGroup::leaderIndex() const -> std::optional<std::size_t>
+{
+    auto best = std::optional<std::size_t>();
+    for (auto index = std::size_t(0); index < this->vms.size(); ++index) {
+        const auto &core = this->vms[index].core;
+        if (core == nullptr || core->role() != CoreRole::Leader) {
+            continue;
+        }
+        if (!best || this->vms[*best].core->term() < core->term()) {
+            best = index;
+        }
+    }
+    return best;
+}
+
+auto FakeGroup::find(ReplicaId replica) -> FakeVm *
+{
+    const auto found = std::find_if(this->vms.begin(), this->vms.end(), [replica](const FakeVm &vm) {
+        return vm.replica == replica;
+    });
+    return found == this->vms.end() ? nullptr : &*found;
+}
+
+auto FakeGroup::handle(FakeVm &vm, const CoreEvent &event) -> void
+{
+    if (vm.core == nullptr) {
+        return;
+    }
+    for (auto &action : vm.core->handle(event, this->localTime(vm))) {
+        this->perform(vm, std::move(action));
+    }
+    require(vm.appliedIndex == vm.core->commitIndex(), "what is committed is applied at once");
+    this->checkLeaders();
+}
+
+auto FakeGroup::perform(FakeVm &vm, Action action) -> void
+{
+    if (const auto *const send = std::get_if<Send>(&action)) {
+        this->network.push_back(InFlight{vm.replica, send->to, send->message});
+    } else if (const auto *const applied = std::get_if<Apply>(&action)) {
+        this->apply(vm, *applied);
+    } else if (const auto *const restored = std::get_if<Restore>(&action)) {
+        this->restore(vm, *restored->snapshot);
+    } else if (const auto *const ready = std::get_if<ReadReady>(&action)) {
+        this->readReady(vm, ready->number);
+    } else if (const auto *const failed = std::get_if<Failed>(&action)) {
+        this->reads.erase(failed->number);
+    } else {
+        vm.unsynced.push_back(std::move(action));
+    }
+}
+
+auto FakeGroup::apply(FakeVm &vm, const Apply &apply) -> void
+{
+    const auto &entry = apply.entry;
+    require(entry.index == vm.appliedIndex.next(), "entries are applied in order");
+    vm.appliedIndex = entry.index;
+    const auto [known, added] = this->committed.emplace(entry.index, entry);
+    require(added || known->second == entry, "a committed entry is never lost or changed, index " + std::to_string(entry.index.value()));
+    if (const auto *const command = std::get_if<Command>(&entry.content)) {
+        vm.applied.emplace_back(entry.index, command->bytes);
+    }
+}
+
+auto FakeGroup::restore(FakeVm &vm, const Snapshot &snapshot) -> void
+{
+    vm.applied = decodeState(snapshot.state);
+    vm.appliedIndex = snapshot.index;
+    auto expected = std::vector<std::pair<LogIndex, Bytes>>();
+    for (const auto &[index, entry] : this->committed) {
+        const auto *const command = std::get_if<Command>(&entry.content);
+        if (index <= snapshot.index && command != nullptr) {
+            expected.emplace_back(index, command->bytes);
+        }
+    }
+    require(vm.applied == expected, "a snapshot holds what was committed up to its index");
+}
+
+auto FakeGroup::readReady(const FakeVm &vm, RequestNumber number) -> void
+{
+    const auto found = this->reads.find(number);
+    if (found == this->reads.end()) {
+        return;
+    }
+    require(vm.appliedIndex >= found->second.required, "a linearizable read is never stale");
+    this->reads.erase(found);
+}
+
+auto FakeGroup::write(FakeVm &vm, const Action &action) -> void
+{
+    auto &disk = vm.synced;
+    if (const auto *const persist = std::get_if<Persist>(&action)) {
+        if (persist->hard) {
+            disk.hard = *persist->hard;
+        }
+        if (persist->cutFrom) {
+            std::erase_if(disk.entries, [&persist](const Entry &entry) {
+                return entry.index >= *persist->cutFrom;
+            });
+        }
+        disk.entries.insert(disk.entries.end(), persist->entries.begin(), persist->entries.end());
+        return;
+    }
+    const auto &save = std::get<SaveSnapshot>(action);
+    disk = FakeDisk{save.hard, save.snapshot, save.entries};
+}
+
+auto FakeGroup::syncDisk(std::size_t index) -> void
+{
+    auto &vm = this->vm(index);
+    if (vm.core == nullptr || vm.unsynced.empty()) {
+        return;
+    }
+    auto token = PersistToken();
+    for (const auto &action : vm.unsynced) {
+        this->write(vm, action);
+        const auto *const persist = std::get_if<Persist>(&action);
+        token = persist != nullptr ? persist->token : std::get<SaveSnapshot>(action).token;
+    }
+    vm.unsynced.clear();
+    this->handle(vm, DiskSynced{token});
+}
+
+auto FakeGroup::fireTimers() -> void
+{
+    for (auto &vm : this->vms) {
+        if (vm.core != nullptr && this->localTime(vm) >= vm.core->deadline()) {
+            this->handle(vm, Timer());
+        }
+    }
+}
+
+auto FakeGroup::advance(std::chrono::milliseconds step) -> void
+{
+    this->time += step;
+    this->fireTimers();
+    this->checkLeaders();
+}
+
+auto FakeGroup::deliver(std::size_t pick) -> void
+{
+    if (this->network.empty()) {
+        return;
+    }
+    const auto at = this->network.begin() + static_cast<std::ptrdiff_t>(pick % this->network.size());
+    const auto message = std::move(*at);
+    this->network.erase(at);
+    auto *const to = this->find(message.to);
+    const auto *const from = this->find(message.from);
+    if (to == nullptr || to->core == nullptr || to->isolated || (from != nullptr && from->isolated)) {
+        return;
+    }
+    this->handle(*to, Received{message.from, message.message});
+}
+
+auto FakeGroup::deliverFirst() -> bool
+{
+    this->deliver(0);
+    return !this->network.empty();
+}
+
+auto FakeGroup::drop(std::size_t pick) -> void
+{
+    if (!this->network.empty()) {
+        this->network.erase(this->network.begin() + static_cast<std::ptrdiff_t>(pick % this->network.size()));
+    }
+}
+
+auto FakeGroup::duplicate(std::size_t pick) -> void
+{
+    if (!this->network.empty()) {
+        this->network.push_back(this->network[pick % this->network.size()]);
+    }
+}
+
+auto FakeGroup::propose(std::size_t index, std::uint8_t value) -> void
+{
+    this->handle(this->vm(index), Proposed{RequestNumber(this->nextNumber++), Bytes{static_cast<std::byte>(value)}});
+}
+
+auto FakeGroup::read(std::size_t index) -> void
+{
+    if (this->vm(index).core == nullptr) {
+        return;
+    }
+    const auto number = RequestNumber(this->nextNumber++);
+    const auto newest = this->committed.empty() ? LogIndex() : this->committed.rbegin()->first;
+    this->reads[number] = PendingRead{index % this->vms.size(), newest};
+    this->handle(this->vm(index), ReadRequested{number});
+}
+
+auto FakeGroup::crash(std::size_t index, std::size_t kept) -> void
+{
+    auto &vm = this->vm(index);
+    if (vm.core == nullptr) {
+        return;
+    }
+    const auto reached = std::min(kept, vm.unsynced.size());
+    for (auto at = std::size_t(0); at < reached; ++at) {
+        this->write(vm, vm.unsynced[at]);
+    }
+    vm.unsynced.clear();
+    vm.core.reset();
+    std::erase_if(this->reads, [this, index](const auto &read) {
+        return read.second.vm == index % this->vms.size();
+    });
+}
+
+auto FakeGroup::restart(std::size_t index) -> void
+{
+    auto &vm = this->vm(index);
+    if (vm.core == nullptr) {
+        this->start(vm);
+    }
+}
+
+auto FakeGroup::isolate(std::size_t index) -> void
+{
+    this->vm(index).isolated = true;
+}
+
+auto FakeGroup::heal(std::size_t index) -> void
+{
+    this->vm(index).isolated = false;
+}
+
+auto FakeGroup::survivesLossOf(const FakeVm &vm) const -> bool
+{
+    auto gone = this->lost;
+    gone.insert(vm.replica);
+    const auto survives = [&gone](const Members &group) {
+        const auto voters = std::count_if(group.members.begin(), group.members.end(), [](const ControlMember &member) {
+            return member.voter;
+        });
+        const auto left = std::count_if(group.members.begin(), group.members.end(), [&gone](const ControlMember &member) {
+            return member.voter && !gone.contains(member.replica);
+        });
+        return left >= voters / 2 + 1;
+    };
+    return std::all_of(this->vms.begin(), this->vms.end(), [&survives](const FakeVm &other) {
+        if (other.core == nullptr) {
+            return false;
+        }
+        return other.core->members().members.empty() || survives(other.core->members());
+    });
+}
+
+auto FakeGroup::loseDisk(std::size_t index) -> void
+{
+    auto &vm = this->vm(index);
+    if (!this->survivesLossOf(vm)) {
+        return;
+    }
+    this->crash(index, 0);
+    this->lost.insert(vm.replica);
+    vm.replica = ReplicaId(this->nextReplica++);
+    vm.synced = FakeDisk();
+    this->start(vm);
+}
+
+auto FakeGroup::joinRequests() const -> std::vector<JoinRequest>
+{
+    auto requests = std::vector<JoinRequest>();
+    for (const auto &vm : this->vms) {
+        if (vm.core != nullptr && !vm.core->isMember()) {
+            requests.push_back(JoinRequest{vm.vm, Endpoint(), vm.replica});
+        }
+    }
+    return requests;
+}
+
+auto FakeGroup::repair() -> void
+{
+    for (auto &vm : this->vms) {
+        if (vm.core == nullptr || !vm.core->acceptsMemberChange()) {
+            continue;
+        }
+        const auto change = nextMemberChange(vm.core->members(), this->joinRequests(), [&vm](ReplicaId replica) {
+            return vm.core->caughtUp(replica);
+        });
+        if (change) {
+            this->handle(vm, MembersProposed{RequestNumber(this->nextNumber++), *change});
+        }
+    }
+}
+
+auto FakeGroup::takeSnapshot(std::size_t index) -> void
+{
+    auto &vm = this->vm(index);
+    if (vm.core == nullptr || vm.appliedIndex == LogIndex()) {
+        return;
+    }
+    this->handle(vm, SnapshotTaken{vm.appliedIndex, encodeState(vm.applied)});
+}
+
+auto FakeGroup::runCalmly(std::chrono::milliseconds span) -> void
+{
+    constexpr auto step = std::chrono::milliseconds(10);
+    for (auto passed = std::chrono::milliseconds(0); passed < span; passed += step) {
+        const auto waiting = this->network.size();
+        for (auto message = std::size_t(0); message < waiting; ++message) {
+            this->deliverFirst();
+        }
+        for (auto index = std::size_t(0); index < this->vms.size(); ++index) {
+            this->syncDisk(index);
+        }
+        this->advance(step);
+    }
+}
+
+auto FakeGroup::settle() -> void
+{
+    for (auto index = std::size_t(0); index < this->vms.size(); ++index) {
+        this->heal(index);
+        this->restart(index);
+    }
+    constexpr auto rounds = 30;
+    for (auto round = 0; round < rounds; ++round) {
+        this->runCalmly(std::chrono::milliseconds(200));
+        this->repair();
+    }
+    const auto leader = this->leaderIndex();
+    require(leader.has_value(), "a healed group has a leader");
+    this->propose(*leader, 0xff);
+    this->read(*leader);
+    this->runCalmly(std::chrono::milliseconds(1000));
+    for (const auto &vm : this->vms) {
+        require(vm.appliedIndex == this->committed.rbegin()->first, "all of a healed group apply all that is committed");
+        require(isVoterIn(vm.core->members(), vm.replica), "all of a healed group are voters");
+        require(vm.core->members().members.size() == this->vms.size(), "replicas of lost disks leave the group");
+    }
+    require(this->reads.empty(), "a healed group answers reads");
+    this->checkLogs();
+}
+
+auto FakeGroup::checkLeaders() -> void
+{
+    const FakeVm *holder = nullptr;
+    for (const auto &vm : this->vms) {
+        if (vm.core == nullptr || vm.core->role() != CoreRole::Leader) {
+            continue;
+        }
+        const auto [known, added] = this->leaders.emplace(vm.core->term(), vm.replica);
+        require(added || known->second == vm.replica, "one leader per term");
+        if (vm.core->holdsLeaderLease(this->localTime(vm))) {
+            require(holder == nullptr, "one VM holds the leader lease");
+            holder = &vm;
+        }
+    }
+    for (const auto &vm : this->vms) {
+        const auto leads = vm.core != nullptr && vm.core->role() == CoreRole::Leader;
+        require(holder == nullptr || !leads || vm.core->term() <= holder->core->term(), "nobody is elected while another VM holds the leader lease");
+    }
+}
+
+auto FakeGroup::checkLogs() const -> void
+{
+    for (const auto &vm : this->vms) {
+        const auto &log = vm.core->log();
+        for (auto index = log.baseIndex().next(); index <= vm.core->commitIndex(); index = index.next()) {
+            require(this->committed.at(index) == log.at(index), "logs match");
+        }
+    }
+}
+
+} // namespace sapphirespool::consensus
--- /dev/null
+++ b/unittests/Consensus/randomscheduletest.cpp
@@ -0,0 +1,192 @@
+#include "Consensus/fakegroup.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <chrono>
+#include <cstdint>
+#include <iostream>
+#include <string>
+#include <vector>
+
+namespace sapphirespool::consensus
+{
+
+namespace
+{
+
+/// How likely the steps of a schedule are, in percent; the rest delivers messages.
+struct Weights
+{
+    std::uint32_t drop = 4;
+    std::uint32_t duplicate = 4;
+    std::uint32_t reorder = 10;
+    std::uint32_t crash = 2;
+    std::uint32_t restart = 3;
+    std::uint32_t isolate = 1;
+    std::uint32_t heal = 2;
+    std::uint32_t loseDisk = 1;
+    std::uint32_t repair = 4;
+    std::uint32_t snapshot = 3;
+    std::uint32_t advance = 12;
+    std::uint32_t sync = 16;
+    std::uint32_t propose = 8;
+    std::uint32_t read = 5;
+};
+
+/// Picks the step that \p number stands for; each call takes its weight off the rest.
+class Chooser
+{
+public:
+    explicit Chooser(std::uint32_t number)
+        : left(number % 100)
+        , argument(number / 100)
+    {
+    }
+
+    auto take(std::uint32_t weight) -> bool
+    {
+        if (this->taken || this->left >= weight) {
+            this->left -= this->taken ? 0 : weight;
+            return false;
+        }
+        this->taken = true;
+        return true;
+    }
+
+    [[nodiscard]] auto rest() const -> bool
+    {
+        return !this->taken;
+    }
+
+    [[nodiscard]] auto pick() const -> std::uint32_t
+    {
+        return this->argument;
+    }
+
+private:
+    std::uint32_t left;
+    std::uint32_t argument;
+    bool taken = false;
+};
+
+auto runFault(FakeGroup &group, Chooser &chooser, const Weights &weights) -> void
+{
+    const auto pick = chooser.pick();
+    if (chooser.take(weights.drop)) {
+        group.drop(pick);
+    }
+    if (chooser.take(weights.duplicate)) {
+        group.duplicate(pick);
+    }
+    if (chooser.take(weights.crash)) {
+        group.crash(pick, pick / 8 % 4);
+    }
+    if (chooser.take(weights.isolate)) {
+        group.isolate(pick);
+    }
+    if (chooser.take(weights.loseDisk)) {
+        group.loseDisk(pick);
+    }
+}
+
+auto runStep(FakeGroup &group, std::uint32_t number, const Weights &weights) -> void
+{
+    auto chooser = Chooser(number);
+    const auto pick = chooser.pick();
+    runFault(group, chooser, weights);
+    if (chooser.take(weights.reorder)) {
+        group.deliver(pick);
+    }
+    if (chooser.take(weights.restart)) {
+        group.restart(pick);
+    }
+    if (chooser.take(weights.heal)) {
+        group.heal(pick);
+    }
+    if (chooser.take(weights.repair)) {
+        group.repair();
+    }
+    if (chooser.take(weights.snapshot)) {
+        group.takeSnapshot(pick);
+    }
+    if (chooser.take(weights.advance)) {
+        group.advance(std::chrono::milliseconds(1 + pick % 120));
+    }
+    if (chooser.take(weights.sync)) {
+        group.syncDisk(pick);
+    }
+    if (chooser.take(weights.propose)) {
+        group.propose(group.leaderIndex().value_or(pick), static_cast<std::uint8_t>(pick));
+    }
+    if (chooser.take(weights.read)) {
+        group.read(pick);
+    }
+    if (chooser.rest()) {
+        group.deliverFirst();
+    }
+}
+
+/// Runs random schedules of a group that already has a leader, then heals it.
+auto checkSchedules(std::size_t size, const Weights &weights, int schedules, std::uint64_t seed) -> bool
+{
+    auto parameters = rc::detail::TestParams();
+    parameters.seed = seed;
+    parameters.maxSuccess = schedules;
+    parameters.disableShrinking = true;
+    const auto property = [size, &weights] {
+        const auto groupSeed = *rc::gen::arbitrary<std::uint32_t>();
+        const auto steps = *rc::gen::scale(8.0, rc::gen::container<std::vector<std::uint32_t>>(rc::gen::inRange<std::uint32_t>(0, 1'000'000)));
+        auto group = FakeGroup(size, groupSeed);
+        group.runCalmly(std::chrono::milliseconds(1500));
+        for (const auto step : steps) {
+            runStep(group, step, weights);
+        }
+        group.settle();
+    };
+    const auto result = rc::detail::checkTestable(property, rc::detail::TestMetadata(), parameters);
+    rc::detail::printResultMessage(result, std::cerr);
+    std::cerr << '\n';
+    return result.is<rc::detail::SuccessResult>();
+}
+
+} // namespace
+
+TEST_CASE("three control VMs keep the promises under drops, doubles, reorders, partitions, crashes and lost disks")
+{
+    // The caller sees: an accepted change that later vanishes, or two answers to one question.
+    // Messages are dropped, doubled and delivered out of order, VMs are cut off, crash between write and sync, and lose disks.
+    // Each is met by a rule of the core (quorums, synced before counted, terms, leases); this looks for schedules that slip through.
+    CHECK(checkSchedules(3, Weights(), 1500, 1));
+}
+
+TEST_CASE("five control VMs keep the promises under the same faults")
+{
+    // As with three, but a second VM may be lost while the first is being repaired.
+    CHECK(checkSchedules(5, Weights(), 700, 2));
+}
+
+TEST_CASE("leadership that changes hands all the time loses nothing")
+{
+    // Partitions and crashes at five times the rate: most entries are half replicated when their leader goes.
+    auto weights = Weights();
+    weights.isolate = 5;
+    weights.heal = 8;
+    weights.crash = 5;
+    weights.restart = 8;
+    weights.advance = 18;
+    CHECK(checkSchedules(3, weights, 1000, 3));
+}
+
+TEST_CASE("disks that are lost again and again, and repaired, lose nothing")
+{
+    // A VM returns empty under a new identity, is repaired, and a second VM loses its disk right after.
+    auto weights = Weights();
+    weights.loseDisk = 4;
+    weights.repair = 12;
+    weights.sync = 20;
+    CHECK(checkSchedules(3, weights, 700, 4));
+    CHECK(checkSchedules(5, weights, 300, 5));
+}
+
+} // namespace sapphirespool::consensus
