--- a/lib/ProxyRole/proxyrole.cpp
+++ b/lib/ProxyRole/proxyrole.cpp
@@ -80,6 +80,7 @@
     {
         asio::post(this->parts.dispatch, [self = this->shared_from_this()] {
             self->path->viewChanged();
+            self->followReadiness();
         });
     }
 
--- a/unittests/ProxyRole/proxyroletest.cpp
+++ b/unittests/ProxyRole/proxyroletest.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/json/parse.hpp>
+#include <boost/json/value_to.hpp>
 #include <catch2/catch.hpp>
 
 namespace sapphirespool::proxy
@@ -52,8 +53,8 @@
         settings.limits.keyWarmup = milliseconds(0);
         this->role = makeProxyRole(settings, this->parts());
         this->endpoints = this->role->start();
-        this->publish();
         this->views->extendLease(std::chrono::steady_clock::now() + std::chrono::hours(1));
+        this->publish();
     }
 
     ~RoleSystem()
