--- a/lib/Peers/peerloop.h
+++ b/lib/Peers/peerloop.h
@@ -20,7 +20,7 @@
 {
 
 /// Connections to peers and from them. Used on the loop only.
-class PeerLoop : private kj::TaskSet::ErrorHandler
+class PeerLoop final : private kj::TaskSet::ErrorHandler
 {
 public:
     explicit PeerLoop(rpc::LoopContext &context);
--- a/lib/Proxy/transactionstate.cpp
+++ b/lib/Proxy/transactionstate.cpp
@@ -54,14 +54,12 @@
 
     // Two statements at a time would share the connection, and each might read the other's answer; a commit beside a statement
     // would leave the caller guessing whether the statement belongs to it. Neither has a row here.
-    struct transition_table : boost::mpl::vector<Row<Begun, StatementSent, Running>,
-                                                 Row<Running, AnswerArrived, Begun>,
-                                                 Row<Begun, EndingSent, Ending>,
-                                                 Row<Begun, Over, Ended>,
-                                                 Row<Running, Over, Ended>,
-                                                 Row<Ending, Over, Ended>>
-    {
-    };
+    using transition_table = boost::mpl::vector<Row<Begun, StatementSent, Running>,
+                                                Row<Running, AnswerArrived, Begun>,
+                                                Row<Begun, EndingSent, Ending>,
+                                                Row<Begun, Over, Ended>,
+                                                Row<Running, Over, Ended>,
+                                                Row<Ending, Over, Ended>>;
 
     template <typename Fsm, typename Event>
     auto no_transition(const Event &, Fsm &, int) -> void
