--- a/unittests/Callers/handlertest.cpp
+++ b/unittests/Callers/handlertest.cpp
@@ -110,7 +110,8 @@
     auto request = statement();
     request.insert("Idempotency-Key", "k1");
     request.insert("Idempotency-Key", "k2");
-    CHECK(ask(api.handler, std::move(request)).result() == http::Status::bad_request);
+    const auto response = ask(api.handler, std::move(request));
+    CHECK(response.result() == http::Status::bad_request);
     CHECK(api.executor->statements.empty());
 }
 
--- a/unittests/Proxy/keytest.cpp
+++ b/unittests/Proxy/keytest.cpp
@@ -5,7 +5,10 @@
 namespace sapphirespool::proxy
 {
 
-using namespace testing;
+using testing::executedOf;
+using testing::reasonOf;
+using testing::servedBy;
+using testing::TrafficSystem;
 
 TEST_CASE("a resend with the same key through another proxy gets the first answer")
 {
--- a/unittests/Proxy/sessiontest.cpp
+++ b/unittests/Proxy/sessiontest.cpp
@@ -5,7 +5,11 @@
 namespace sapphirespool::proxy
 {
 
-using namespace testing;
+using testing::executedOf;
+using testing::idOf;
+using testing::reasonOf;
+using testing::servedBy;
+using testing::TrafficSystem;
 
 TEST_CASE("a session that roams with its token sees its own write")
 {
--- a/unittests/Proxy/transactiontest.cpp
+++ b/unittests/Proxy/transactiontest.cpp
@@ -7,7 +7,10 @@
 namespace sapphirespool::proxy
 {
 
-using namespace testing;
+using testing::executedOf;
+using testing::reasonOf;
+using testing::servedBy;
+using testing::TrafficSystem;
 
 namespace
 {
--- a/unittests/Proxy/writetest.cpp
+++ b/unittests/Proxy/writetest.cpp
@@ -7,7 +7,11 @@
 namespace sapphirespool::proxy
 {
 
-using namespace testing;
+using testing::executedOf;
+using testing::idOf;
+using testing::reasonOf;
+using testing::servedBy;
+using testing::TrafficSystem;
 
 namespace
 {
--- a/unittests/ProxyRole/proxyroletest.cpp
+++ b/unittests/ProxyRole/proxyroletest.cpp
@@ -16,8 +16,14 @@
 namespace
 {
 
-using namespace testing;
+namespace asio = boost::asio;
+
 using std::chrono::milliseconds;
+using testing::FakeDispatcher;
+using testing::FakeGroup;
+using testing::FakePool;
+using testing::FakeRecorder;
+using testing::FakeWatch;
 
 constexpr auto statements = "/v1/services/orders/statements";
 constexpr auto writeBody = R"({"sql":"book 7","access":"write"})";
