--- a/tools/sapphirespool/commands.h
+++ b/tools/sapphirespool/commands.h
@@ -21,6 +21,12 @@
 /// Serves a whole system in one process, to try it out.
 auto runDemo(Arguments arguments) -> ExitCode;
 
+/// Drives callers against a running system.
+auto runLoad(Arguments arguments) -> ExitCode;
+
+/// Serves one stand-in member of a database group.
+auto runStandin(Arguments arguments) -> ExitCode;
+
 /// Prints the version.
 auto runVersion(Arguments arguments) -> ExitCode;
 
--- a/tools/sapphirespool/main.cpp
+++ b/tools/sapphirespool/main.cpp
@@ -23,6 +23,8 @@
 
 constexpr auto commands = std::to_array<Command>({
     {"demo", "serve a whole system in one process", runDemo},
+    {"load", "drive callers against a running system and report what they received", runLoad},
+    {"standin", "serve one member of a database group, for trials", runStandin},
     {"version", "print the version", runVersion},
 });
 
