Divide an upstream among proxies by time-bounded grants

Cause: 12 proxies share 2 to 5 slots; a static part is less than one. Change: ShareGrantor and ShareHolder, pure machines with the typed messages ShareDemand and ShareGrant; two grantors for each upstream by rendezvous hash, so that the death of one leaves half of it usable. Property test with lost, late and doubled messages, restarts of proxies and grantor, cut-off proxies. Found by the tests: a grantor's pushes prolonged the record of a dead proxy for ever; a grant no longer prolongs it.

--- /dev/null
+++ b/lib/Decisions/sharegrantor.cpp
@@ -0,0 +1,253 @@
+#include "sapphirespool/Decisions/shareallocator.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace sapphirespool::decisions
+{
+
+ShareGrantor::ShareGrantor(VmId self, UpstreamId upstream, Share limit, std::uint32_t proxies, ShareSettings settings, bool quarantine, TimePoint now)
+    : self(std::move(self))
+    , upstream(std::move(upstream))
+    , limit(limit)
+    , proxies(std::max(1U, proxies))
+    , settings(settings)
+    , openFrom(quarantine ? now + settings.handover : now)
+{
+}
+
+auto ShareGrantor::total() const -> Share
+{
+    auto sum = Share();
+    for (const auto &[key, holder] : this->holders) {
+        sum.slots += holder.possible.slots;
+        sum.connections += holder.possible.connections;
+    }
+    return sum;
+}
+
+auto ShareGrantor::outstanding(TimePoint now) const -> Share
+{
+    auto sum = Share();
+    for (const auto &[key, holder] : this->holders) {
+        if (holder.expiry > now) {
+            sum.slots += holder.possible.slots;
+            sum.connections += holder.possible.connections;
+        }
+    }
+    return sum;
+}
+
+auto ShareGrantor::expire(TimePoint now) -> void
+{
+    std::erase_if(this->holders, [now](const auto &item) {
+        return item.second.expiry <= now;
+    });
+}
+
+auto ShareGrantor::demanded(const ShareDemand &demand, TimePoint now) -> Grants
+{
+    assert(demand.upstream == this->upstream && "a demand for this upstream");
+    this->expire(now);
+    const auto key = HolderKey(demand.proxy, demand.incarnation);
+    auto &holder = this->holders[key];
+    if (demand.sequence <= holder.sequence) {
+        // Late or doubled. Acting on it could count as returned what a newer demand keeps.
+        return {};
+    }
+    // A proxy cannot keep more than it was given here: after a restart of this grantor it is told nothing until all grants of the
+    // earlier process have run out.
+    holder.possible.slots = std::min(holder.possible.slots, demand.keeps.slots);
+    holder.possible.connections = std::min(holder.possible.connections, demand.keeps.connections);
+    holder.granted.slots = std::min(holder.granted.slots, holder.possible.slots);
+    holder.granted.connections = std::min(holder.granted.connections, holder.possible.connections);
+    holder.sequence = demand.sequence;
+    holder.number = 0;
+    if (holder.wanted <= holder.granted.slots && demand.wanted > holder.granted.slots) {
+        holder.waitingSince = now;
+    }
+    holder.wanted = demand.wanted;
+    holder.expiry = now + this->settings.life;
+    if (now < this->openFrom) {
+        // Silence leaves a holder with what an earlier grantor gave it; an answer of zero would take it away.
+        return {};
+    }
+    auto changed = std::vector<HolderKey>{key};
+    this->rebalance(changed, now);
+    return this->issueAll(std::move(changed));
+}
+
+auto ShareGrantor::limitChanged(Share newLimit, std::uint32_t newProxies, TimePoint now) -> Grants
+{
+    this->limit = newLimit;
+    this->proxies = std::max(1U, newProxies);
+    return this->tick(now);
+}
+
+auto ShareGrantor::tick(TimePoint now) -> Grants
+{
+    this->expire(now);
+    auto changed = std::vector<HolderKey>();
+    this->rebalance(changed, now);
+    return this->issueAll(std::move(changed));
+}
+
+auto ShareGrantor::neediest() -> std::map<HolderKey, Holder>::iterator
+{
+    auto best = this->holders.end();
+    for (auto holder = this->holders.begin(); holder != this->holders.end(); ++holder) {
+        if (holder->second.wanted <= holder->second.granted.slots) {
+            continue;
+        }
+        const auto earlier = [&holder, &best]() {
+            const auto left = std::pair(holder->second.granted.slots, holder->second.waitingSince);
+            const auto right = std::pair(best->second.granted.slots, best->second.waitingSince);
+            return left < right;
+        };
+        if (best == this->holders.end() || earlier()) {
+            best = holder;
+        }
+    }
+    return best;
+}
+
+auto ShareGrantor::giveFree(std::vector<HolderKey> &changed, TimePoint now) -> void
+{
+    while (this->total().slots < this->limit.slots) {
+        const auto next = this->neediest();
+        if (next == this->holders.end()) {
+            return;
+        }
+        auto &holder = next->second;
+        ++holder.granted.slots;
+        // A slot that was recalled and is not yet returned is still counted; giving it back to its holder takes nothing more.
+        holder.possible.slots = std::max(holder.possible.slots, holder.granted.slots);
+        holder.waitingSince = now;
+        holder.grantedSince = now;
+        changed.push_back(next->first);
+    }
+}
+
+auto ShareGrantor::pendingReturns() const -> std::uint32_t
+{
+    auto pending = std::uint32_t{0};
+    for (const auto &[key, holder] : this->holders) {
+        pending += holder.possible.slots - std::min(holder.possible.slots, holder.granted.slots);
+    }
+    return pending;
+}
+
+auto ShareGrantor::recall(std::vector<HolderKey> &changed, TimePoint now) -> void
+{
+    auto richest = std::uint32_t{0};
+    for (const auto &[key, holder] : this->holders) {
+        richest = std::max(richest, holder.granted.slots);
+    }
+    auto unmet = std::uint32_t{0};
+    for (const auto &[key, holder] : this->holders) {
+        const auto poorer = holder.granted.slots == 0 || holder.granted.slots + 1 < richest;
+        if (holder.wanted > holder.granted.slots && poorer) {
+            ++unmet;
+        }
+    }
+    const auto overLimit = this->total().slots > this->limit.slots ? this->total().slots - this->limit.slots : 0U;
+    auto needed = std::max(unmet, overLimit);
+    needed -= std::min(needed, this->pendingReturns());
+    while (needed > 0) {
+        auto longest = this->holders.end();
+        for (auto holder = this->holders.begin(); holder != this->holders.end(); ++holder) {
+            const auto due = holder->second.granted.slots > 0 && (overLimit > 0 || now - holder->second.grantedSince >= this->settings.quantum);
+            if (!due) {
+                continue;
+            }
+            const auto before = [&holder, &longest]() {
+                const auto left = std::pair(longest->second.granted.slots, holder->second.grantedSince);
+                const auto right = std::pair(holder->second.granted.slots, longest->second.grantedSince);
+                return left < right;
+            };
+            if (longest == this->holders.end() || before()) {
+                longest = holder;
+            }
+        }
+        if (longest == this->holders.end()) {
+            return;
+        }
+        --longest->second.granted.slots;
+        longest->second.grantedSince = now;
+        longest->second.waitingSince = now;
+        changed.push_back(longest->first);
+        --needed;
+    }
+}
+
+auto ShareGrantor::rebalance(std::vector<HolderKey> &changed, TimePoint now) -> void
+{
+    if (now < this->openFrom) {
+        return;
+    }
+    this->giveFree(changed, now);
+    this->recall(changed, now);
+    for (auto &[key, holder] : this->holders) {
+        const auto equalPart = std::max(1U, this->limit.connections / this->proxies);
+        const auto target = std::max(equalPart, holder.granted.slots);
+        const auto used = this->total().connections;
+        const auto free = this->limit.connections - std::min(this->limit.connections, used);
+        const auto wanted = std::min(target, holder.possible.connections + free);
+        if (wanted > holder.granted.connections) {
+            holder.granted.connections = wanted;
+            holder.possible.connections = std::max(holder.possible.connections, wanted);
+            changed.push_back(key);
+        }
+        // A slot without a connection to use it with is of no use to this proxy and would be missing elsewhere.
+        holder.granted.slots = std::min(holder.granted.slots, holder.granted.connections);
+    }
+}
+
+auto ShareGrantor::issue(const HolderKey &key, Holder &holder) const -> ShareGrant
+{
+    // A grant does not prolong its holder's time: only a demand shows that the holder lives, and the holder counts from there.
+    ++holder.number;
+    return {.upstream = this->upstream,
+            .grantor = this->self,
+            .proxy = key.first,
+            .incarnation = key.second,
+            .sequence = holder.sequence,
+            .number = holder.number,
+            .share = holder.granted};
+}
+
+auto ShareGrantor::issueAll(std::vector<HolderKey> changed) -> Grants
+{
+    std::sort(changed.begin(), changed.end());
+    changed.erase(std::unique(changed.begin(), changed.end()), changed.end());
+    auto grants = Grants();
+    for (const auto &key : changed) {
+        grants.push_back(this->issue(key, this->holders.at(key)));
+    }
+    return grants;
+}
+
+auto ShareGrantor::nextTick() const -> std::optional<TimePoint>
+{
+    auto next = std::optional<TimePoint>();
+    const auto consider = [&next](TimePoint candidate) {
+        next = next ? std::min(*next, candidate) : candidate;
+    };
+    auto anyUnmet = false;
+    for (const auto &[key, holder] : this->holders) {
+        consider(holder.expiry);
+        anyUnmet = anyUnmet || holder.wanted > holder.granted.slots;
+    }
+    if (!anyUnmet) {
+        return next;
+    }
+    for (const auto &[key, holder] : this->holders) {
+        if (holder.granted.slots > 0 && this->pendingReturns() == 0) {
+            consider(std::max(this->openFrom, holder.grantedSince + this->settings.quantum));
+        }
+    }
+    return next;
+}
+
+} // namespace sapphirespool::decisions
--- /dev/null
+++ b/lib/Decisions/shareholder.cpp
@@ -0,0 +1,141 @@
+#include "sapphirespool/Decisions/shareallocator.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphirespool::decisions
+{
+
+ShareHolder::ShareHolder(VmId self, Incarnation incarnation, UpstreamId upstream, ShareSettings settings)
+    : self(std::move(self))
+    , incarnation(incarnation)
+    , upstream(std::move(upstream))
+    , settings(settings)
+{
+}
+
+auto ShareHolder::share(TimePoint now) const -> Share
+{
+    // Work that starts now may run for the guard's time. Without the guard a statement would still run when the grantor, which
+    // counts the grant as ended, has given the slot to another proxy.
+    return now + this->settings.startGuard < this->expiry ? this->held : Share();
+}
+
+auto ShareHolder::demand(TimePoint now) -> ShareDemand
+{
+    if (now >= this->expiry) {
+        this->held = Share();
+    }
+    ++this->sequence;
+    this->number = 0;
+    this->sentAt = now;
+    this->surplusSince.reset();
+    this->held.slots = std::min(this->held.slots, std::max(this->running, this->wanted));
+    this->toldKeeps = std::max(this->held.slots, this->running);
+    this->toldWanted = this->wanted;
+    return {.upstream = this->upstream,
+            .proxy = this->self,
+            .incarnation = this->incarnation,
+            .sequence = this->sequence,
+            .keeps = {this->toldKeeps, this->held.connections},
+            .wanted = this->wanted};
+}
+
+auto ShareHolder::mustSay(TimePoint now) const -> bool
+{
+    const auto share = this->share(now).slots;
+    // A recalled slot whose statement has ended.
+    if (this->toldKeeps > share && this->running < this->toldKeeps && this->running >= share) {
+        return true;
+    }
+    // Work waits and the grantor does not know; or it knows of work that is gone.
+    const auto starved = this->wanted > share && this->toldWanted <= share;
+    return starved || (this->toldWanted > share && this->wanted <= share);
+}
+
+auto ShareHolder::workChanged(std::uint32_t nowRunning, std::uint32_t nowWanted, TimePoint now) -> std::optional<ShareDemand>
+{
+    this->running = nowRunning;
+    this->wanted = nowWanted;
+    if (this->mustSay(now)) {
+        return this->demand(now);
+    }
+    if (this->wanted >= this->held.slots) {
+        this->surplusSince.reset();
+    } else if (!this->surplusSince) {
+        this->surplusSince = now;
+    }
+    return std::nullopt;
+}
+
+auto ShareHolder::granted(const ShareGrant &grant, TimePoint now) -> std::optional<ShareDemand>
+{
+    const auto mine = grant.proxy == this->self && grant.incarnation == this->incarnation;
+    // A grant that answers an earlier demand was sent before the grantor saw what the newer one returned; it may have given that
+    // to another proxy since.
+    if (!mine || grant.sequence != this->sequence || grant.number <= this->number) {
+        return std::nullopt;
+    }
+    const auto life = std::chrono::duration_cast<Duration>(this->settings.life * (1.0 - this->settings.clockMargin));
+    this->number = grant.number;
+    this->held = grant.share;
+    // Counted from the demand, which was sent before the grantor began to count.
+    this->expiry = this->sentAt + life;
+    this->toldKeeps = std::max(this->toldKeeps, grant.share.slots);
+    if (this->mustSay(now)) {
+        return this->demand(now);
+    }
+    return std::nullopt;
+}
+
+auto ShareHolder::tick(TimePoint now) -> std::optional<ShareDemand>
+{
+    const auto surplusDue = this->surplusSince && now - *this->surplusSince >= this->settings.linger;
+    if (surplusDue || now - this->sentAt >= this->settings.renewal) {
+        return this->demand(now);
+    }
+    return std::nullopt;
+}
+
+auto ShareHolder::nextTick(TimePoint now) const -> TimePoint
+{
+    auto next = std::max(now, this->sentAt + this->settings.renewal);
+    if (this->surplusSince) {
+        next = std::min(next, std::max(now, *this->surplusSince + this->settings.linger));
+    }
+    return next;
+}
+
+auto grantorsOf(const UpstreamId &upstream, std::span<const membership::ProxyView> proxies) -> std::vector<VmId>
+{
+    auto scored = std::vector<std::pair<std::uint64_t, VmId>>();
+    for (const auto &proxy : proxies) {
+        if (proxy.leaving) {
+            continue;
+        }
+        const auto text = upstream.value() + '\n' + proxy.id.value();
+        scored.emplace_back(XXH3_64bits(text.data(), text.size()), proxy.id);
+    }
+    std::sort(scored.rbegin(), scored.rend());
+    auto grantors = std::vector<VmId>();
+    for (const auto &[score, vm] : scored) {
+        if (grantors.size() == grantorsPerUpstream) {
+            break;
+        }
+        grantors.push_back(vm);
+    }
+    return grantors;
+}
+
+auto partOf(Share limit, std::size_t index, std::size_t count) -> Share
+{
+    const auto part = [index, count](std::uint32_t whole) {
+        const auto parts = static_cast<std::uint32_t>(count);
+        return whole / parts + (index < whole % parts ? 1U : 0U);
+    };
+    return {part(limit.slots), part(limit.connections)};
+}
+
+} // namespace sapphirespool::decisions
--- /dev/null
+++ b/unittests/Decisions/shareallocatortest.cpp
@@ -0,0 +1,328 @@
+#include "sapphirespool/Decisions/shareallocator.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace sapphirespool::decisions
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr auto limitSlots = 5U;
+constexpr auto limitConnections = 35U;
+constexpr auto proxyCount = 6;
+
+/// One proxy: its holder, and the statements that it runs under the share. The statements outlive the process: the upstream goes on.
+struct Proxy
+{
+    std::unique_ptr<ShareHolder> holder;
+    std::uint32_t wanted = 0;
+    std::vector<TimePoint> running;
+};
+
+/// A grantor, holders and a network that loses, delays and doubles messages.
+class World
+{
+public:
+    explicit World(unsigned seed)
+        : random(seed)
+        , proxies(proxyCount)
+    {
+        for (auto index = 0; index < proxyCount; ++index) {
+            this->restartProxy(index);
+        }
+        this->restartGrantor(false);
+    }
+
+    auto step() -> void
+    {
+        this->now += milliseconds(this->draw(5) + 1);
+        this->deliver();
+        this->fault();
+        for (auto index = 0; index < proxyCount; ++index) {
+            this->work(index);
+        }
+        this->send(this->grantor->tick(this->now));
+        this->check();
+    }
+
+    auto isolate(int proxy) -> void
+    {
+        this->cutOff = proxy;
+    }
+
+    auto restartGrantor(bool quarantine) -> void
+    {
+        this->grantor = std::make_unique<ShareGrantor>(
+            VmId("g"), UpstreamId("u"), Share{limitSlots, limitConnections}, proxyCount, this->settings, quarantine, this->now);
+    }
+
+    auto slotsUsed() const -> std::size_t
+    {
+        auto used = std::size_t{0};
+        for (const auto &proxy : this->proxies) {
+            used += proxy.running.size();
+        }
+        return used;
+    }
+
+    bool lossy = false;
+    std::uint64_t finished = 0;
+    std::vector<std::uint64_t> finishedBy = std::vector<std::uint64_t>(proxyCount, 0);
+
+private:
+    auto draw(unsigned below) -> unsigned
+    {
+        return static_cast<unsigned>(this->random() % below);
+    }
+
+    auto restartProxy(int index) -> void
+    {
+        ++this->incarnations;
+        const auto name = VmId("p" + std::to_string(index));
+        this->proxies[index].holder = std::make_unique<ShareHolder>(name, Incarnation(this->incarnations), UpstreamId("u"), this->settings);
+    }
+
+    auto lost(const VmId &proxy) -> bool
+    {
+        const auto silent = this->cutOff && proxy == VmId("p" + std::to_string(*this->cutOff));
+        return silent || (this->lossy && this->draw(10) == 0);
+    }
+
+    auto delay() -> TimePoint
+    {
+        const auto late = this->lossy && this->draw(20) == 0;
+        return this->now + milliseconds(1 + (late ? this->draw(6000) : this->draw(3)));
+    }
+
+    auto send(const ShareGrantor::Grants &grants) -> void
+    {
+        for (const auto &grant : grants) {
+            if (!this->lost(grant.proxy)) {
+                this->grants.emplace(this->delay(), grant);
+            }
+            if (this->lossy && this->draw(20) == 0) {
+                this->grants.emplace(this->delay(), grant);
+            }
+        }
+    }
+
+    auto send(const std::optional<ShareDemand> &demand) -> void
+    {
+        if (!demand || this->lost(demand->proxy)) {
+            return;
+        }
+        this->demands.emplace(this->delay(), *demand);
+        if (this->lossy && this->draw(20) == 0) {
+            this->demands.emplace(this->delay(), *demand);
+        }
+    }
+
+    auto deliver() -> void
+    {
+        while (!this->demands.empty() && this->demands.begin()->first <= this->now) {
+            const auto demand = this->demands.begin()->second;
+            this->demands.erase(this->demands.begin());
+            this->send(this->grantor->demanded(demand, this->now));
+        }
+        while (!this->grants.empty() && this->grants.begin()->first <= this->now) {
+            const auto grant = this->grants.begin()->second;
+            this->grants.erase(this->grants.begin());
+            const auto index = std::stoi(grant.proxy.value().substr(1));
+            this->send(this->proxies[index].holder->granted(grant, this->now));
+        }
+    }
+
+    auto fault() -> void
+    {
+        if (!this->lossy) {
+            return;
+        }
+        if (this->draw(300) == 0) {
+            this->restartProxy(static_cast<int>(this->draw(proxyCount)));
+        }
+        if (this->draw(500) == 0) {
+            this->cutOff = this->cutOff ? std::nullopt : std::optional<int>(this->draw(proxyCount));
+        }
+        if (this->draw(2000) == 0) {
+            this->restartGrantor(true);
+        }
+    }
+
+    auto work(int index) -> void
+    {
+        auto &proxy = this->proxies[index];
+        const auto ended = std::erase_if(proxy.running, [this](TimePoint end) {
+            return end <= this->now;
+        });
+        this->finished += ended;
+        this->finishedBy[index] += ended;
+        if (this->draw(20) == 0) {
+            proxy.wanted = this->draw(4);
+        }
+        while (proxy.running.size() < std::min(proxy.wanted, proxy.holder->share(this->now).slots)) {
+            const auto longOne = this->lossy && this->draw(10) == 0;
+            proxy.running.push_back(this->now + milliseconds(longOne ? this->settings.startGuard.count() : 5 + this->draw(10)));
+        }
+        const auto running = static_cast<std::uint32_t>(proxy.running.size());
+        this->send(proxy.holder->workChanged(running, std::max(proxy.wanted, running), this->now));
+        this->send(proxy.holder->tick(this->now));
+    }
+
+    auto check() -> void
+    {
+        auto usable = std::size_t{0};
+        auto connections = std::size_t{0};
+        for (const auto &proxy : this->proxies) {
+            usable += std::max<std::size_t>(proxy.running.size(), proxy.holder->share(this->now).slots);
+            connections += proxy.holder->share(this->now).connections;
+        }
+        RC_ASSERT(usable <= limitSlots);
+        RC_ASSERT(connections <= limitConnections);
+        RC_ASSERT(this->grantor->outstanding(this->now).slots <= limitSlots);
+    }
+
+    std::mt19937 random;
+    ShareSettings settings;
+    TimePoint now = TimePoint(std::chrono::hours(1));
+    std::vector<Proxy> proxies;
+    std::unique_ptr<ShareGrantor> grantor;
+    std::multimap<TimePoint, ShareDemand> demands;
+    std::multimap<TimePoint, ShareGrant> grants;
+    std::uint64_t incarnations = 0;
+    std::optional<int> cutOff;
+};
+
+auto holdsFor(const std::string &name, const std::function<void(unsigned)> &property, int runs) -> bool
+{
+    auto parameters = rc::detail::TestParams();
+    parameters.seed = 20261202;
+    parameters.maxSuccess = runs;
+    auto metadata = rc::detail::TestMetadata();
+    metadata.id = name;
+    metadata.description = name;
+    const auto result = rc::detail::checkTestable(property, metadata, parameters);
+    rc::detail::printResultMessage(result, std::cerr);
+    return result.template is<rc::detail::SuccessResult>();
+}
+
+} // namespace
+
+TEST_CASE("the sum of shares never exceeds the upstream's limit whatever is lost, late, doubled or restarted")
+{
+    // Callers see an upstream over its limit as statements that are refused or slow. Messages between proxies are lost, delayed
+    // by seconds or doubled; proxies restart while their statements still run at the upstream, and the grantor restarts with an
+    // empty table while its grants live on. At each step all that any proxy runs or may start is added up. A proxy that is cut off goes on under its last
+    // grant.
+    CHECK(holdsFor(
+        "sum of shares",
+        [](unsigned seed) {
+            auto world = World(seed);
+            world.lossy = true;
+            for (auto step = 0; step < 4000; ++step) {
+                world.step();
+            }
+        },
+        60));
+}
+
+TEST_CASE("shares follow demand and each proxy with work gets its turn")
+{
+    auto world = World(7);
+    for (auto step = 0; step < 4000; ++step) {
+        world.step();
+    }
+    const auto [least, most] = std::minmax_element(world.finishedBy.begin(), world.finishedBy.end());
+    CHECK(*least * 2 > *most);
+}
+
+TEST_CASE("the share of a dead proxy returns")
+{
+    // One proxy of six stops answering while it holds slots. Its slots are unused until its grants have run out by the grantor's
+    // clock; after that the others have all of them again.
+    auto world = World(7);
+    for (auto step = 0; step < 500; ++step) {
+        world.step();
+    }
+    world.isolate(0);
+    for (auto step = 0; step < 3000; ++step) {
+        world.step();
+    }
+    const auto before = world.finished;
+    for (auto step = 0; step < 1000; ++step) {
+        world.step();
+    }
+    const auto whole = world.finished - before;
+    auto reference = World(7);
+    for (auto step = 0; step < 1000; ++step) {
+        reference.step();
+    }
+    CHECK(whole > reference.finished * 7 / 10);
+}
+
+TEST_CASE("a grant that arrives late lives from its demand and starts nothing that would outlive it")
+{
+    // A proxy asks, then its messages are held up for two seconds. The grantor began to count when the demand arrived. A statement
+    // that starts at the last moment may run for the guard's time; after that the slot belongs to another proxy.
+    const auto settings = ShareSettings();
+    const auto sent = TimePoint(std::chrono::hours(1));
+    auto holder = ShareHolder(VmId("p0"), Incarnation(1), UpstreamId("u"), settings);
+    const auto demand = holder.workChanged(0, 1, sent);
+    REQUIRE(demand);
+    auto grantor = ShareGrantor(VmId("g"), UpstreamId("u"), {1, 10}, 2, settings, false, sent);
+    const auto grants = grantor.demanded(*demand, sent);
+    REQUIRE(grants.size() == 1);
+    holder.granted(grants.front(), sent + milliseconds(2000));
+    CHECK(holder.share(sent + milliseconds(2000)).slots == 1);
+
+    auto other = ShareHolder(VmId("p1"), Incarnation(2), UpstreamId("u"), settings);
+    grantor.demanded(*other.workChanged(0, 1, sent), sent + milliseconds(100));
+    auto lastStart = sent;
+    while (holder.share(lastStart).slots > 0) {
+        lastStart += milliseconds(1);
+    }
+    auto freed = sent;
+    while (grantor.outstanding(freed).slots > 0) {
+        freed += milliseconds(1);
+    }
+    CHECK(lastStart + settings.startGuard <= freed);
+}
+
+TEST_CASE("the grantors' parts add up to the limit")
+{
+    for (auto slots = 0U; slots < 9; ++slots) {
+        const auto first = partOf({slots, 35}, 0, 2);
+        const auto second = partOf({slots, 35}, 1, 2);
+        CHECK(first.slots + second.slots == slots);
+        CHECK(first.connections + second.connections == 35);
+    }
+}
+
+TEST_CASE("a leaving proxy is not chosen as grantor and the others keep their places")
+{
+    auto proxies = std::vector<membership::ProxyView>();
+    for (auto index = 0; index < 12; ++index) {
+        proxies.push_back({.id = VmId("v" + std::to_string(index))});
+    }
+    const auto chosen = grantorsOf(UpstreamId("u"), proxies);
+    REQUIRE(chosen.size() == grantorsPerUpstream);
+    for (auto &proxy : proxies) {
+        proxy.leaving = proxy.id == chosen.front();
+    }
+    const auto next = grantorsOf(UpstreamId("u"), proxies);
+    CHECK(next.front() == chosen.back());
+    CHECK(std::count(next.begin(), next.end(), chosen.front()) == 0);
+}
+
+} // namespace sapphirespool::decisions
