Shares survive changes of grantors; one table for a proxy's holders and grantors

Cause: after a restart of a grantor or of everything, 8 s without grants would be 8 s without service. Change: a grantor opens early, with the smaller half, once each proxy of the view has told what it keeps and the guard's time has passed; demands and grants name the grantor's process; holders carry earlier grants over. ShareTable ties it together. The property no longer bounds the grantor's own count, which may exceed the limit by late reports in the handover (it then gives nothing); it bounds what proxies run or may start, which is what the upstream sees, under more faults than before. Safeguards broken once, and the test that failed: void grants, no handover, demands out of order, running work, reports of what is kept (sum of shares); half the life (a grant that arrives late); guard before the early opening, demands to a former process (a new grantor gives nothing).

--- a/include/sapphirespool/Decisions/shareallocator.h
+++ b/include/sapphirespool/Decisions/shareallocator.h
@@ -19,10 +19,21 @@
 namespace sapphirespool::decisions
 {
 
+/// One process that grants; a restarted one is another.
+struct GrantorId
+{
+    VmId vm;
+    Incarnation incarnation;
+
+    auto operator<=>(const GrantorId &) const = default;
+};
+
 /// What a proxy asks of a grantor; also its return of what it no longer needs, and its renewal.
 struct ShareDemand
 {
     UpstreamId upstream;
+    /// A demand to an earlier process says nothing to a later one: its answer may still be under way.
+    GrantorId grantor;
     VmId proxy;
     Incarnation incarnation;
     /// Rises with each demand. Grants that answer an earlier one are void.
@@ -37,7 +48,7 @@
 struct ShareGrant
 {
     UpstreamId upstream;
-    VmId grantor;
+    GrantorId grantor;
     VmId proxy;
     Incarnation incarnation;
     /// Sequence of the demand that it answers.
@@ -81,11 +92,16 @@
 public:
     using Grants = std::vector<ShareGrant>;
 
-    /// \param quarantine whether an earlier grantor may have given grants that still live; false only at the first start of a system
-    ShareGrantor(VmId self, UpstreamId upstream, Share limit, std::uint32_t proxies, ShareSettings settings, bool quarantine, TimePoint now);
+    /// Grants nothing before limitChanged() was called, and nothing for the handover time: grants of an earlier process or of another
+    /// grantor may still live.
+    ShareGrantor(GrantorId self, UpstreamId upstream, ShareSettings settings, TimePoint now);
 
     auto demanded(const ShareDemand &demand, TimePoint now) -> Grants;
-    auto limitChanged(Share limit, std::uint32_t proxies, TimePoint now) -> Grants;
+
+    /// Sets the part that is given out and the proxies that may ask. The handover is over early, for the smaller half, once each of them
+    /// has told what it keeps and the work of its former processes must have ended.
+    /// \param early the smaller half of the whole
+    auto limitChanged(Share part, Share early, std::vector<VmId> proxies, TimePoint now) -> Grants;
     auto tick(TimePoint now) -> Grants;
     [[nodiscard]] auto nextTick() const -> std::optional<TimePoint>;
 
@@ -103,6 +119,8 @@
         /// The most that it may be using.
         Share possible;
         TimePoint expiry{};
+        /// When its first demand came.
+        TimePoint heardAt{};
         /// Since when it waits for more, and since when it has what it has.
         TimePoint waitingSince{};
         TimePoint grantedSince{};
@@ -110,6 +128,9 @@
     using HolderKey = std::pair<VmId, Incarnation>;
 
     auto expire(TimePoint now) -> void;
+    [[nodiscard]] auto closed(TimePoint now) const -> bool;
+    [[nodiscard]] auto limitAt(TimePoint now) const -> Share;
+    [[nodiscard]] auto allHeardAt() const -> std::optional<TimePoint>;
     auto rebalance(std::vector<HolderKey> &changed, TimePoint now) -> void;
     auto giveFree(std::vector<HolderKey> &changed, TimePoint now) -> void;
     auto recall(std::vector<HolderKey> &changed, TimePoint now) -> void;
@@ -119,11 +140,13 @@
     auto issue(const HolderKey &key, Holder &holder) const -> ShareGrant;
     auto issueAll(std::vector<HolderKey> changed) -> Grants;
 
-    VmId self;
+    GrantorId self;
     UpstreamId upstream;
-    Share limit;
-    std::uint32_t proxies;
+    Share part;
+    Share early;
+    std::vector<VmId> proxies;
     ShareSettings settings;
+    /// From when the whole part is given out.
     TimePoint openFrom;
     std::map<HolderKey, Holder> holders;
 };
@@ -132,7 +155,7 @@
 class ShareHolder
 {
 public:
-    ShareHolder(VmId self, Incarnation incarnation, UpstreamId upstream, ShareSettings settings);
+    ShareHolder(VmId self, Incarnation incarnation, UpstreamId upstream, GrantorId grantor, ShareSettings settings);
 
     /// Tells how much work runs under this share and how much could.
     /// \return a demand to send, if something is to be said now
@@ -145,6 +168,14 @@
     /// \return what may be used for work that starts at \p now
     [[nodiscard]] auto share(TimePoint now) const -> Share;
 
+    [[nodiscard]] auto grantorId() const -> const GrantorId &;
+
+    /// \return slots that the grantor was told are kept
+    [[nodiscard]] auto kept() const -> std::uint32_t;
+
+    /// Takes over what a former grantor gave; it is used on until this one's grantor answers.
+    auto inherit(const ShareHolder &former) -> void;
+
 private:
     auto demand(TimePoint now) -> ShareDemand;
     [[nodiscard]] auto mustSay(TimePoint now) const -> bool;
@@ -152,6 +183,7 @@
     VmId self;
     Incarnation incarnation;
     UpstreamId upstream;
+    GrantorId grantor;
     ShareSettings settings;
     std::uint64_t sequence = 0;
     std::uint64_t number = 0;
@@ -172,7 +204,7 @@
 constexpr std::size_t grantorsPerUpstream = 2;
 
 /// \return the proxies that grant \p upstream, at most grantorsPerUpstream, by highest rendezvous hash
-[[nodiscard]] auto grantorsOf(const UpstreamId &upstream, std::span<const membership::ProxyView> proxies) -> std::vector<VmId>;
+[[nodiscard]] auto grantorsOf(const UpstreamId &upstream, std::span<const membership::ProxyView> proxies) -> std::vector<GrantorId>;
 
 /// \return the part of \p limit that the grantor at \p index of \p count gives out; the parts add up to the limit
 [[nodiscard]] auto partOf(Share limit, std::size_t index, std::size_t count) -> Share;
--- /dev/null
+++ b/include/sapphirespool/Decisions/sharetable.h
@@ -0,0 +1,85 @@
+// sharetable.h: everything that one proxy does for the sharing of upstreams: its own shares, and the grants that it gives.
+#pragma once
+
+#include "sapphirespool/Decisions/shareallocator.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace sapphirespool::decisions
+{
+
+/// Message to another proxy; a lost one is made good by the next renewal.
+struct ShareMessage
+{
+    VmId to;
+    std::variant<ShareDemand, ShareGrant> content;
+};
+
+/// This proxy's share of an upstream has changed.
+struct ShareChange
+{
+    UpstreamId upstream;
+    Share share;
+};
+
+/// What to send and what to tell the dispatcher.
+struct ShareActions
+{
+    std::vector<ShareMessage> messages;
+    std::vector<ShareChange> changes;
+};
+
+/// Holders and grantors of one proxy; all calls on the dispatch thread.
+class ShareTable
+{
+public:
+    ShareTable(VmId self, Incarnation incarnation, ShareSettings settings);
+
+    /// Chooses the grantors anew. Work keeps running under what an earlier grantor gave until a new one answers or it runs out.
+    auto viewChanged(const membership::ClusterView &view, TimePoint now) -> ShareActions;
+
+    /// Tells how many slots of \p upstream are in use and how many could be.
+    auto workChanged(const UpstreamId &upstream, std::uint32_t running, std::uint32_t wanted, TimePoint now) -> ShareActions;
+
+    auto receive(const ShareDemand &demand, TimePoint now) -> ShareActions;
+    auto receive(const ShareGrant &grant, TimePoint now) -> ShareActions;
+    auto tick(TimePoint now) -> ShareActions;
+    [[nodiscard]] auto nextTick(TimePoint now) const -> std::optional<TimePoint>;
+
+    /// \return what may be used of \p upstream for work that starts at \p now
+    [[nodiscard]] auto share(const UpstreamId &upstream, TimePoint now) const -> Share;
+
+private:
+    struct UpstreamEntry
+    {
+        std::vector<ShareHolder> holders;
+        std::unique_ptr<ShareGrantor> grantor;
+        std::uint32_t running = 0;
+        std::uint32_t wanted = 0;
+        Share told;
+    };
+
+    auto updateHolders(UpstreamEntry &entry, const UpstreamId &upstream, const std::vector<GrantorId> &grantors) -> void;
+    auto updateGrantor(UpstreamEntry &entry,
+                       const membership::UpstreamView &upstream,
+                       const std::vector<GrantorId> &grantors,
+                       const std::vector<membership::ProxyView> &proxies,
+                       TimePoint now,
+                       ShareActions &actions) -> void;
+    auto spread(UpstreamEntry &entry, TimePoint now, ShareActions &actions) -> void;
+    auto send(std::optional<ShareDemand> demand, TimePoint now, ShareActions &actions) -> void;
+    auto send(ShareGrantor::Grants grants, TimePoint now, ShareActions &actions) -> void;
+    auto reportChanges(TimePoint now, ShareActions &actions) -> void;
+    [[nodiscard]] auto shareOf(const UpstreamEntry &entry, TimePoint now) const -> Share;
+
+    GrantorId self;
+    ShareSettings settings;
+    std::map<UpstreamId, UpstreamEntry> upstreams;
+};
+
+} // namespace sapphirespool::decisions
--- a/lib/Decisions/sharegrantor.cpp
+++ b/lib/Decisions/sharegrantor.cpp
@@ -7,16 +7,41 @@
 namespace sapphirespool::decisions
 {
 
-ShareGrantor::ShareGrantor(VmId self, UpstreamId upstream, Share limit, std::uint32_t proxies, ShareSettings settings, bool quarantine, TimePoint now)
+ShareGrantor::ShareGrantor(GrantorId self, UpstreamId upstream, ShareSettings settings, TimePoint now)
     : self(std::move(self))
     , upstream(std::move(upstream))
-    , limit(limit)
-    , proxies(std::max(1U, proxies))
     , settings(settings)
-    , openFrom(quarantine ? now + settings.handover : now)
+    , openFrom(now + settings.handover)
 {
 }
 
+auto ShareGrantor::allHeardAt() const -> std::optional<TimePoint>
+{
+    auto last = TimePoint();
+    for (const auto &proxy : this->proxies) {
+        auto heard = std::optional<TimePoint>();
+        for (const auto &[key, holder] : this->holders) {
+            if (key.first == proxy) {
+                heard = std::max(heard.value_or(holder.heardAt), holder.heardAt);
+            }
+        }
+        if (!heard) {
+            return std::nullopt;
+        }
+        last = std::max(last, *heard);
+    }
+    return last;
+}
+
+auto ShareGrantor::limitAt(TimePoint now) const -> Share
+{
+    if (now >= this->openFrom) {
+        return this->part;
+    }
+    // The other grantor may still have out the larger half, which it had before; so until then only the smaller is given out.
+    return this->closed(now) ? Share() : this->early;
+}
+
 auto ShareGrantor::total() const -> Share
 {
     auto sum = Share();
@@ -46,18 +71,36 @@
     });
 }
 
+auto ShareGrantor::closed(TimePoint now) const -> bool
+{
+    // Once each proxy has said what it keeps, only statements of processes that have ended are unknown, and none runs longer than
+    // the guard.
+    const auto heard = this->allHeardAt();
+    return now < this->openFrom && (!heard || now < *heard + this->settings.startGuard);
+}
+
 auto ShareGrantor::demanded(const ShareDemand &demand, TimePoint now) -> Grants
 {
     assert(demand.upstream == this->upstream && "a demand for this upstream");
     this->expire(now);
+    if (demand.grantor != this->self) {
+        return {};
+    }
     const auto key = HolderKey(demand.proxy, demand.incarnation);
     auto &holder = this->holders[key];
     if (demand.sequence <= holder.sequence) {
         // Late or doubled. Acting on it could count as returned what a newer demand keeps.
         return {};
     }
-    // A proxy cannot keep more than it was given here: after a restart of this grantor it is told nothing until all grants of the
-    // earlier process have run out.
+    if (holder.sequence == 0) {
+        holder.heardAt = now;
+    }
+    const auto handover = now < this->openFrom;
+    if (handover) {
+        // It may keep what another grantor or an earlier process gave it.
+        holder.possible = demand.keeps;
+        holder.granted = demand.keeps;
+    }
     holder.possible.slots = std::min(holder.possible.slots, demand.keeps.slots);
     holder.possible.connections = std::min(holder.possible.connections, demand.keeps.connections);
     holder.granted.slots = std::min(holder.granted.slots, holder.possible.slots);
@@ -69,7 +112,7 @@
     }
     holder.wanted = demand.wanted;
     holder.expiry = now + this->settings.life;
-    if (now < this->openFrom) {
+    if (this->closed(now)) {
         // Silence leaves a holder with what an earlier grantor gave it; an answer of zero would take it away.
         return {};
     }
@@ -78,10 +121,11 @@
     return this->issueAll(std::move(changed));
 }
 
-auto ShareGrantor::limitChanged(Share newLimit, std::uint32_t newProxies, TimePoint now) -> Grants
+auto ShareGrantor::limitChanged(Share newPart, Share newEarly, std::vector<VmId> newProxies, TimePoint now) -> Grants
 {
-    this->limit = newLimit;
-    this->proxies = std::max(1U, newProxies);
+    this->part = newPart;
+    this->early = newEarly;
+    this->proxies = std::move(newProxies);
     return this->tick(now);
 }
 
@@ -114,7 +158,8 @@
 
 auto ShareGrantor::giveFree(std::vector<HolderKey> &changed, TimePoint now) -> void
 {
-    while (this->total().slots < this->limit.slots) {
+    const auto limit = this->limitAt(now);
+    while (this->total().slots < limit.slots) {
         const auto next = this->neediest();
         if (next == this->holders.end()) {
             return;
@@ -140,6 +185,7 @@
 
 auto ShareGrantor::recall(std::vector<HolderKey> &changed, TimePoint now) -> void
 {
+    const auto limit = this->limitAt(now);
     auto richest = std::uint32_t{0};
     for (const auto &[key, holder] : this->holders) {
         richest = std::max(richest, holder.granted.slots);
@@ -151,7 +197,7 @@
             ++unmet;
         }
     }
-    const auto overLimit = this->total().slots > this->limit.slots ? this->total().slots - this->limit.slots : 0U;
+    const auto overLimit = this->total().slots > limit.slots ? this->total().slots - limit.slots : 0U;
     auto needed = std::max(unmet, overLimit);
     needed -= std::min(needed, this->pendingReturns());
     while (needed > 0) {
@@ -183,16 +229,17 @@
 
 auto ShareGrantor::rebalance(std::vector<HolderKey> &changed, TimePoint now) -> void
 {
-    if (now < this->openFrom) {
+    if (this->closed(now)) {
         return;
     }
+    const auto limit = this->limitAt(now);
     this->giveFree(changed, now);
     this->recall(changed, now);
     for (auto &[key, holder] : this->holders) {
-        const auto equalPart = std::max(1U, this->limit.connections / this->proxies);
+        const auto equalPart = std::max(1U, limit.connections / std::max<std::uint32_t>(1, static_cast<std::uint32_t>(this->proxies.size())));
         const auto target = std::max(equalPart, holder.granted.slots);
         const auto used = this->total().connections;
-        const auto free = this->limit.connections - std::min(this->limit.connections, used);
+        const auto free = limit.connections - std::min(limit.connections, used);
         const auto wanted = std::min(target, holder.possible.connections + free);
         if (wanted > holder.granted.connections) {
             holder.granted.connections = wanted;
@@ -239,6 +286,9 @@
         consider(holder.expiry);
         anyUnmet = anyUnmet || holder.wanted > holder.granted.slots;
     }
+    if (const auto heard = this->allHeardAt()) {
+        consider(std::min(this->openFrom, *heard + this->settings.startGuard));
+    }
     if (!anyUnmet) {
         return next;
     }
--- a/lib/Decisions/shareholder.cpp
+++ b/lib/Decisions/shareholder.cpp
@@ -8,10 +8,11 @@
 namespace sapphirespool::decisions
 {
 
-ShareHolder::ShareHolder(VmId self, Incarnation incarnation, UpstreamId upstream, ShareSettings settings)
+ShareHolder::ShareHolder(VmId self, Incarnation incarnation, UpstreamId upstream, GrantorId grantor, ShareSettings settings)
     : self(std::move(self))
     , incarnation(incarnation)
     , upstream(std::move(upstream))
+    , grantor(std::move(grantor))
     , settings(settings)
 {
 }
@@ -23,6 +24,24 @@
     return now + this->settings.startGuard < this->expiry ? this->held : Share();
 }
 
+auto ShareHolder::grantorId() const -> const GrantorId &
+{
+    return this->grantor;
+}
+
+auto ShareHolder::kept() const -> std::uint32_t
+{
+    return this->toldKeeps;
+}
+
+auto ShareHolder::inherit(const ShareHolder &former) -> void
+{
+    this->held.slots += former.held.slots;
+    this->held.connections += former.held.connections;
+    this->expiry = this->expiry == TimePoint() ? former.expiry : std::min(this->expiry, former.expiry);
+    this->toldKeeps += former.toldKeeps;
+}
+
 auto ShareHolder::demand(TimePoint now) -> ShareDemand
 {
     if (now >= this->expiry) {
@@ -36,6 +55,7 @@
     this->toldKeeps = std::max(this->held.slots, this->running);
     this->toldWanted = this->wanted;
     return {.upstream = this->upstream,
+            .grantor = this->grantor,
             .proxy = this->self,
             .incarnation = this->incarnation,
             .sequence = this->sequence,
@@ -72,7 +92,7 @@
 
 auto ShareHolder::granted(const ShareGrant &grant, TimePoint now) -> std::optional<ShareDemand>
 {
-    const auto mine = grant.proxy == this->self && grant.incarnation == this->incarnation;
+    const auto mine = grant.grantor == this->grantor && grant.proxy == this->self && grant.incarnation == this->incarnation;
     // A grant that answers an earlier demand was sent before the grantor saw what the newer one returned; it may have given that
     // to another proxy since.
     if (!mine || grant.sequence != this->sequence || grant.number <= this->number) {
@@ -108,23 +128,23 @@
     return next;
 }
 
-auto grantorsOf(const UpstreamId &upstream, std::span<const membership::ProxyView> proxies) -> std::vector<VmId>
+auto grantorsOf(const UpstreamId &upstream, std::span<const membership::ProxyView> proxies) -> std::vector<GrantorId>
 {
-    auto scored = std::vector<std::pair<std::uint64_t, VmId>>();
+    auto scored = std::vector<std::pair<std::uint64_t, GrantorId>>();
     for (const auto &proxy : proxies) {
         if (proxy.leaving) {
             continue;
         }
         const auto text = upstream.value() + '\n' + proxy.id.value();
-        scored.emplace_back(XXH3_64bits(text.data(), text.size()), proxy.id);
+        scored.emplace_back(XXH3_64bits(text.data(), text.size()), GrantorId{proxy.id, proxy.incarnation});
     }
     std::sort(scored.rbegin(), scored.rend());
-    auto grantors = std::vector<VmId>();
-    for (const auto &[score, vm] : scored) {
+    auto grantors = std::vector<GrantorId>();
+    for (const auto &[score, grantor] : scored) {
         if (grantors.size() == grantorsPerUpstream) {
             break;
         }
-        grantors.push_back(vm);
+        grantors.push_back(grantor);
     }
     return grantors;
 }
--- a/unittests/Decisions/shareallocatortest.cpp
+++ b/unittests/Decisions/shareallocatortest.cpp
@@ -29,6 +29,7 @@
     std::unique_ptr<ShareHolder> holder;
     std::uint32_t wanted = 0;
     std::vector<TimePoint> running;
+    std::uint64_t incarnation = 0;
 };
 
 /// A grantor, holders and a network that loses, delays and doubles messages.
@@ -39,10 +40,10 @@
         : random(seed)
         , proxies(proxyCount)
     {
+        this->restartGrantor(false);
         for (auto index = 0; index < proxyCount; ++index) {
             this->restartProxy(index);
         }
-        this->restartGrantor(false);
     }
 
     auto step() -> void
@@ -64,8 +65,15 @@
 
     auto restartGrantor(bool quarantine) -> void
     {
-        this->grantor = std::make_unique<ShareGrantor>(
-            VmId("g"), UpstreamId("u"), Share{limitSlots, limitConnections}, proxyCount, this->settings, quarantine, this->now);
+        ++this->grantorProcesses;
+        const auto limit = Share{limitSlots, limitConnections};
+        auto names = std::vector<VmId>();
+        for (auto index = 0; index < proxyCount; ++index) {
+            names.emplace_back("p" + std::to_string(index));
+        }
+        const auto began = quarantine ? this->now : this->now - this->settings.handover;
+        this->grantor = std::make_unique<ShareGrantor>(this->grantorId(), UpstreamId("u"), this->settings, began);
+        this->send(this->grantor->limitChanged(limit, limit, std::move(names), this->now));
     }
 
     auto slotsUsed() const -> std::size_t
@@ -82,6 +90,11 @@
     std::vector<std::uint64_t> finishedBy = std::vector<std::uint64_t>(proxyCount, 0);
 
 private:
+    auto grantorId() const -> GrantorId
+    {
+        return {VmId("g"), Incarnation(this->grantorProcesses)};
+    }
+
     auto draw(unsigned below) -> unsigned
     {
         return static_cast<unsigned>(this->random() % below);
@@ -91,7 +104,8 @@
     {
         ++this->incarnations;
         const auto name = VmId("p" + std::to_string(index));
-        this->proxies[index].holder = std::make_unique<ShareHolder>(name, Incarnation(this->incarnations), UpstreamId("u"), this->settings);
+        this->proxies[index].holder = std::make_unique<ShareHolder>(name, Incarnation(this->incarnations), UpstreamId("u"), this->grantorId(), this->settings);
+        this->proxies[index].incarnation = this->incarnations;
     }
 
     auto lost(const VmId &proxy) -> bool
@@ -160,8 +174,22 @@
         }
     }
 
+    /// The view that names the grantor's new process reaches each proxy at another time, and not one that is cut off.
+    auto learnGrantor(int index) -> void
+    {
+        auto &proxy = this->proxies[index];
+        if (proxy.holder->grantorId() == this->grantorId() || this->cutOff == index || this->draw(100) != 0) {
+            return;
+        }
+        const auto name = VmId("p" + std::to_string(index));
+        auto next = std::make_unique<ShareHolder>(name, Incarnation(proxy.incarnation), UpstreamId("u"), this->grantorId(), this->settings);
+        next->inherit(*proxy.holder);
+        proxy.holder = std::move(next);
+    }
+
     auto work(int index) -> void
     {
+        this->learnGrantor(index);
         auto &proxy = this->proxies[index];
         const auto ended = std::erase_if(proxy.running, [this](TimePoint end) {
             return end <= this->now;
@@ -190,7 +218,6 @@
         }
         RC_ASSERT(usable <= limitSlots);
         RC_ASSERT(connections <= limitConnections);
-        RC_ASSERT(this->grantor->outstanding(this->now).slots <= limitSlots);
     }
 
     std::mt19937 random;
@@ -201,6 +228,7 @@
     std::multimap<TimePoint, ShareDemand> demands;
     std::multimap<TimePoint, ShareGrant> grants;
     std::uint64_t incarnations = 0;
+    std::uint64_t grantorProcesses = 0;
     std::optional<int> cutOff;
 };
 
@@ -234,7 +262,7 @@
                 world.step();
             }
         },
-        60));
+        100));
 }
 
 TEST_CASE("shares follow demand and each proxy with work gets its turn")
@@ -276,17 +304,19 @@
     // A proxy asks, then its messages are held up for two seconds. The grantor began to count when the demand arrived. A statement
     // that starts at the last moment may run for the guard's time; after that the slot belongs to another proxy.
     const auto settings = ShareSettings();
+    const auto grantorId = GrantorId{VmId("g"), Incarnation(1)};
     const auto sent = TimePoint(std::chrono::hours(1));
-    auto holder = ShareHolder(VmId("p0"), Incarnation(1), UpstreamId("u"), settings);
+    auto holder = ShareHolder(VmId("p0"), Incarnation(1), UpstreamId("u"), grantorId, settings);
     const auto demand = holder.workChanged(0, 1, sent);
     REQUIRE(demand);
-    auto grantor = ShareGrantor(VmId("g"), UpstreamId("u"), {1, 10}, 2, settings, false, sent);
+    auto grantor = ShareGrantor(grantorId, UpstreamId("u"), settings, sent - settings.handover);
+    grantor.limitChanged({1, 10}, {1, 10}, {VmId("p0"), VmId("p1")}, sent);
     const auto grants = grantor.demanded(*demand, sent);
     REQUIRE(grants.size() == 1);
     holder.granted(grants.front(), sent + milliseconds(2000));
     CHECK(holder.share(sent + milliseconds(2000)).slots == 1);
 
-    auto other = ShareHolder(VmId("p1"), Incarnation(2), UpstreamId("u"), settings);
+    auto other = ShareHolder(VmId("p1"), Incarnation(2), UpstreamId("u"), grantorId, settings);
     grantor.demanded(*other.workChanged(0, 1, sent), sent + milliseconds(100));
     auto lastStart = sent;
     while (holder.share(lastStart).slots > 0) {
@@ -299,6 +329,30 @@
     CHECK(lastStart + settings.startGuard <= freed);
 }
 
+TEST_CASE("a new grantor gives nothing while work of ended processes may still run")
+{
+    // A proxy and the grantor restart together. A statement that the proxy's former process sent still runs at the upstream, and
+    // nobody can report it. Callers would see the upstream over its limit; after the guard's time no such statement is left.
+    const auto settings = ShareSettings();
+    const auto start = TimePoint(std::chrono::hours(1));
+    const auto second = GrantorId{VmId("g"), Incarnation(2)};
+    auto grantor = ShareGrantor(second, UpstreamId("u"), settings, start);
+    grantor.limitChanged({2, 10}, {1, 5}, {VmId("p0")}, start);
+
+    // A demand to the grantor's former process may have an answer under way, so it does not count as heard.
+    auto unaware = ShareHolder(VmId("p0"), Incarnation(1), UpstreamId("u"), {VmId("g"), Incarnation(1)}, settings);
+    CHECK(grantor.demanded(*unaware.workChanged(0, 2, start), start).empty());
+    CHECK(grantor.tick(start + settings.startGuard).empty());
+
+    const auto heard = start + settings.startGuard;
+    auto aware = ShareHolder(VmId("p0"), Incarnation(1), UpstreamId("u"), second, settings);
+    CHECK(grantor.demanded(*aware.workChanged(0, 2, heard), heard).empty());
+    CHECK(grantor.tick(heard + settings.startGuard - milliseconds(1)).empty());
+    const auto early = grantor.tick(heard + settings.startGuard);
+    REQUIRE(early.size() == 1);
+    CHECK(early.front().share.slots == 1);
+}
+
 TEST_CASE("the grantors' parts add up to the limit")
 {
     for (auto slots = 0U; slots < 9; ++slots) {
@@ -318,7 +372,7 @@
     const auto chosen = grantorsOf(UpstreamId("u"), proxies);
     REQUIRE(chosen.size() == grantorsPerUpstream);
     for (auto &proxy : proxies) {
-        proxy.leaving = proxy.id == chosen.front();
+        proxy.leaving = proxy.id == chosen.front().vm;
     }
     const auto next = grantorsOf(UpstreamId("u"), proxies);
     CHECK(next.front() == chosen.back());
