--- a/include/sapphirespool/Decisions/dispatcher.h
+++ b/include/sapphirespool/Decisions/dispatcher.h
@@ -96,6 +96,13 @@
     std::uint32_t connections = 0;
 };
 
+/// How many slots of an upstream this proxy uses, and how many it could use at once; what the sharing of upstreams is told.
+struct SlotDemand
+{
+    std::uint32_t running = 0;
+    std::uint32_t wanted = 0;
+};
+
 /// One for a proxy; all calls on the dispatch thread. Each returns what to do now.
 class Dispatcher
 {
@@ -122,6 +129,8 @@
     /// Lets time pass; called at nextTick() or later.
     virtual auto tick(TimePoint now) -> Actions = 0;
     [[nodiscard]] virtual auto nextTick() const -> std::optional<TimePoint> = 0;
+
+    [[nodiscard]] virtual auto demand(const UpstreamId &upstream) const -> SlotDemand = 0;
 };
 
 } // namespace sapphirespool::decisions
--- a/include/sapphirespool/Decisions/fairqueue.h
+++ b/include/sapphirespool/Decisions/fairqueue.h
@@ -50,14 +50,14 @@
 
     [[nodiscard]] auto size() const -> std::size_t;
 
-    /// \return how many entries would be served before a new one of \p caller
-    [[nodiscard]] auto ahead(const CallerId &caller) const -> std::size_t;
+    /// \return how many entries of \p cost would be served before a new one of \p caller
+    [[nodiscard]] auto ahead(const CallerId &caller, Duration cost) const -> std::size_t;
 
     /// \return entries of \p caller
     [[nodiscard]] auto sizeOf(const CallerId &caller) const -> std::size_t;
 
-    /// \return the newest entry of the caller with the most entries, if it has more than \p limit
-    [[nodiscard]] auto newestOfLongest(std::size_t limit) const -> std::optional<QueueEntry>;
+    /// \return callers that have entries
+    [[nodiscard]] auto activeCallers() const -> std::size_t;
 
     /// Flows looked at in one pop.
     static constexpr std::size_t scanLimit = 32;
--- a/include/sapphirespool/Decisions/groupscheduler.h
+++ b/include/sapphirespool/Decisions/groupscheduler.h
@@ -68,8 +68,8 @@
     auto tick(TimePoint now, DecisionSink &sink) -> void;
     [[nodiscard]] auto nextTick(TimePoint now) const -> std::optional<TimePoint>;
 
-    /// \return work that wants slots of \p upstream, running and waiting; the allocator's demand
-    [[nodiscard]] auto demand(const UpstreamId &upstream) const -> std::uint32_t;
+    /// \return the demand on \p upstream; nothing if it is not of this group
+    [[nodiscard]] auto demand(const UpstreamId &upstream) const -> std::optional<SlotDemand>;
 
 private:
     struct Waiting
@@ -119,7 +119,7 @@
     [[nodiscard]] auto admit(const Work &work, Lane lane, const Estimate &estimate, TimePoint now) -> bool;
     [[nodiscard]] auto givesWay(const Work &work, TimePoint now) -> bool;
     [[nodiscard]] auto readSlots(const Work &work, TimePoint now) const -> std::uint32_t;
-    auto makeRoom(const Work &work, Lane lane, std::uint32_t queueLimit, TimePoint now, DecisionSink &sink) -> bool;
+    [[nodiscard]] auto roomFor(const Work &work, Lane lane, std::uint32_t queueLimit) const -> std::optional<RefusalReason>;
     auto retryAfter(const Work &work, Lane lane, TimePoint now) -> std::optional<Duration>;
     auto refuse(const Work &work, Lane lane, RefusalReason reason, TimePoint now, DecisionSink &sink) -> void;
     auto refuseWaiting(WorkId id, RefusalReason reason, TimePoint now, DecisionSink &sink) -> void;
--- a/include/sapphirespool/Decisions/settings.h
+++ b/include/sapphirespool/Decisions/settings.h
@@ -40,7 +40,7 @@
     bool enabled = true;
     /// Part of the time allowed that may pass in the queue as it is estimated. The rest covers the spread of service times
     /// and errors of the estimate.
-    double waitFraction = 0.6;
+    double waitFraction = 0.5;
     /// Part of the wait allowed that new work may fill although returns were promised.
     double unreservedFraction = 0.7;
     /// Promised returns are never further away than this; clients keep no appointment for longer.
--- a/lib/Decisions/fairqueue.cpp
+++ b/lib/Decisions/fairqueue.cpp
@@ -14,6 +14,8 @@
 
 /// Pushes between two sweeps of idle flows, besides one for each flow, so that a push pays for a constant part of a sweep.
 constexpr std::size_t sweepInterval = 4096;
+/// Work served before a new entry, as a multiple of what waits, at most.
+constexpr std::size_t latecomerFactor = 2;
 /// Attained service, in seconds, below which a caller without entries is forgotten.
 constexpr double forgottenService = 0.001;
 
@@ -235,27 +237,24 @@
     return found == this->callers.end() ? 0 : found->second.entries;
 }
 
-auto FairQueue::ahead(const CallerId &caller) const -> std::size_t
+auto FairQueue::ahead(const CallerId &caller, Duration cost) const -> std::size_t
 {
     if (this->settings.discipline != QueueDiscipline::FairQueueing) {
         return this->count;
     }
     const auto own = this->sizeOf(caller);
     const auto others = this->order.size() - (own > 0 ? 1 : 0);
-    return std::min(this->count, own + others * (own + 1));
+    const auto flow = this->flows.find(caller);
+    const auto debt = flow == this->flows.end() || own > 0 ? 0.0 : std::max(0.0, flow->second.virtualTime - this->virtualNow);
+    const auto rounds = 1.0 + static_cast<double>(own) + debt / seconds(cost);
+    const auto served = static_cast<double>(own) + static_cast<double>(others) * rounds;
+    // Later arrivals of callers with less in the queue go ahead as well, but not more of them than wait now.
+    return std::min(latecomerFactor * this->count, static_cast<std::size_t>(served));
 }
 
-auto FairQueue::newestOfLongest(std::size_t limit) const -> std::optional<QueueEntry>
+auto FairQueue::activeCallers() const -> std::size_t
 {
-    if (this->lengths.empty() || this->lengths.rbegin()->first <= limit) {
-        return std::nullopt;
-    }
-    const auto &caller = this->lengths.rbegin()->second;
-    const auto flow = this->flows.find(caller);
-    if (flow == this->flows.end() || flow->second.entries.empty()) {
-        return std::nullopt;
-    }
-    return flow->second.entries.back();
+    return this->lengths.size();
 }
 
 auto FairQueue::forgetIdle(TimePoint now) -> void
--- a/lib/Decisions/groupadmission.cpp
+++ b/lib/Decisions/groupadmission.cpp
@@ -11,7 +11,7 @@
 
 /// Wait told when nothing was measured yet.
 constexpr auto defaultRetryAfter = std::chrono::milliseconds(1000);
-/// A caller that holds so many times its equal part of a full queue makes room for others.
+/// Times its equal part of the queue that a caller may hold once the queue is half full.
 constexpr std::size_t overQuotaFactor = 2;
 /// Higher lanes' work that is served before one piece of a lane's own, by the weights 8, 4 and 1.
 constexpr std::size_t writesBeforeRead = 2;
@@ -27,7 +27,7 @@
 
 auto GroupScheduler::primaryAhead(const CallerId &caller, Lane lane) const -> std::size_t
 {
-    const auto own = this->queue(lane).ahead(caller);
+    const auto own = this->queue(lane).ahead(caller, this->slotTimes[static_cast<std::size_t>(lane)].mean());
     const auto writes = this->queue(Lane::Write).size();
     const auto reads = this->queue(Lane::CurrentRead).size();
     switch (lane) {
@@ -57,7 +57,7 @@
     const auto service = this->slotTimes[static_cast<std::size_t>(lane)].mean();
     const auto replicaSlots = lane == Lane::TolerantRead ? this->readSlots(work, now) : 0U;
     if (replicaSlots > 0) {
-        const auto ahead = this->queue(lane).ahead(work.caller);
+        const auto ahead = this->queue(lane).ahead(work.caller, service);
         const auto spacing = service / replicaSlots;
         const auto busy = std::any_of(this->members.begin(), this->members.end(), [now](const auto &member) {
             return member->hasFree(now);
@@ -82,7 +82,10 @@
 
 auto GroupScheduler::givesWay(const Work &work, TimePoint now) -> bool
 {
-    if (this->brownout.admits(work.maxAge) || this->anyReplicaServes(work, now)) {
+    // A replica that only has to catch up with what the session saw will serve it without the primary.
+    auto ageOnly = work;
+    ageOnly.needed.reset();
+    if (this->brownout.admits(work.maxAge) || this->anyReplicaServes(ageOnly, now)) {
         return false;
     }
     ++this->browned;
@@ -114,21 +117,21 @@
     return estimate.wait + estimate.spacing * book.due(now + budget) <= budget;
 }
 
-auto GroupScheduler::makeRoom(const Work &work, Lane lane, std::uint32_t queueLimit, TimePoint now, DecisionSink &sink) -> bool
+auto GroupScheduler::roomFor(const Work &work, Lane lane, std::uint32_t queueLimit) const -> std::optional<RefusalReason>
 {
     const auto found = this->waitingByService.find(work.service);
-    if (found == this->waitingByService.end() || found->second < queueLimit) {
-        return true;
+    const auto waitingNow = found == this->waitingByService.end() ? 0U : found->second;
+    if (waitingNow >= queueLimit) {
+        return RefusalReason::QueueFull;
     }
+    // A caller's part is refused before the queue is full, and never taken back: accepted work of one caller is not pushed out by another's.
+    const auto &laneQueue = this->queue(lane);
+    const auto part = std::max<std::size_t>(1, overQuotaFactor * queueLimit / (laneQueue.activeCallers() + 1));
     const auto fair = this->settings.queue.discipline != QueueDiscipline::Fifo;
-    const auto own = this->queue(lane).sizeOf(work.caller);
-    const auto longest = fair ? this->queue(lane).newestOfLongest(std::max<std::size_t>(1, overQuotaFactor * (own + 1))) : std::nullopt;
-    if (!longest || this->waiting.at(longest->id).work.service != work.service) {
-        this->refuse(work, lane, RefusalReason::QueueFull, now, sink);
-        return false;
+    if (fair && waitingNow >= queueLimit / 2 && laneQueue.sizeOf(work.caller) >= part) {
+        return RefusalReason::CallerOverQuota;
     }
-    this->refuseWaiting(longest->id, RefusalReason::CallerOverQuota, now, sink);
-    return true;
+    return std::nullopt;
 }
 
 auto GroupScheduler::retryAfter(const Work &work, Lane lane, TimePoint now) -> std::optional<Duration>
--- a/lib/Decisions/groupscheduler.cpp
+++ b/lib/Decisions/groupscheduler.cpp
@@ -11,7 +11,7 @@
 {
 
 /// Slot times decide about admission for many callers at once; they follow more slowly than an upstream's own estimate.
-constexpr auto slotTimeWeight = 1.0 / 16;
+constexpr auto slotTimeWeight = 1.0 / 64;
 
 auto makeQueues(const QueueSettings &settings) -> std::array<FairQueue, laneCount>
 {
@@ -128,7 +128,8 @@
         this->refuse(work, lane, reason, now, sink);
         return;
     }
-    if (!this->makeRoom(work, lane, queueLimit, now, sink)) {
+    if (const auto reason = this->roomFor(work, lane, queueLimit)) {
+        this->refuse(work, lane, *reason, now, sink);
         return;
     }
     this->enqueue(std::move(work), lane, now);
@@ -356,17 +357,20 @@
     return next;
 }
 
-auto GroupScheduler::demand(const UpstreamId &upstream) const -> std::uint32_t
+auto GroupScheduler::demand(const UpstreamId &upstream) const -> std::optional<SlotDemand>
 {
-    auto total = std::size_t{0};
-    for (const auto &member : this->members) {
-        if (member->view.id != upstream) {
-            continue;
-        }
-        total += member->running;
-        total += this->isPrimary(*member) ? this->waiting.size() - this->queue(Lane::TolerantRead).size() : this->queue(Lane::TolerantRead).size();
-    }
-    return static_cast<std::uint32_t>(total);
+    const auto found = std::find_if(this->members.begin(), this->members.end(), [&upstream](const auto &member) {
+        return member->view.id == upstream;
+    });
+    if (found == this->members.end()) {
+        return std::nullopt;
+    }
+    const auto &state = **found;
+    const auto tolerant = this->queue(Lane::TolerantRead).size();
+    const auto primaryOnly = this->waiting.size() - tolerant;
+    const auto waitingHere = this->isPrimary(state) ? primaryOnly : tolerant;
+    const auto wanted = std::min<std::size_t>(state.running + waitingHere, state.view.slots);
+    return SlotDemand{state.running, static_cast<std::uint32_t>(wanted)};
 }
 
 } // namespace sapphirespool::decisions
--- a/lib/Decisions/loaddispatcher.cpp
+++ b/lib/Decisions/loaddispatcher.cpp
@@ -57,6 +57,7 @@
     auto shareChanged(const UpstreamId &upstream, Share share, TimePoint now) -> Actions override;
     auto tick(TimePoint now) -> Actions override;
     [[nodiscard]] auto nextTick() const -> std::optional<TimePoint> override;
+    [[nodiscard]] auto demand(const UpstreamId &upstream) const -> SlotDemand override;
 
 private:
     /// Turns a scheduler's decisions into actions and counts them for their services.
@@ -264,6 +265,16 @@
     return next;
 }
 
+auto LoadDispatcher::demand(const UpstreamId &upstream) const -> SlotDemand
+{
+    for (const auto &[id, scheduler] : this->groups) {
+        if (const auto found = scheduler->demand(upstream)) {
+            return *found;
+        }
+    }
+    return {};
+}
+
 } // namespace
 
 auto makeDispatcher(DispatcherSettings settings) -> std::unique_ptr<Dispatcher>
