--- a/include/sapphirespool/Decisions/settings.h
+++ b/include/sapphirespool/Decisions/settings.h
@@ -107,7 +107,7 @@
     /// Times the group's mean service time from which a caller counts as long.
     double longFactor = 4.0;
     /// Times the mean use of active callers from which a caller leaves one slot of each upstream free for the others.
-    double hotFactor = 4.0;
+    double hotFactor = 3.0;
     /// Writes on one key that run at a time; more of them would hold slots and wait for the row's lock.
     std::uint32_t writesPerKey = 1;
 };
--- a/tools/loadmodel/scenarios.h
+++ b/tools/loadmodel/scenarios.h
@@ -30,6 +30,8 @@
 
 [[nodiscard]] auto chosenPolicy() -> Policy;
 [[nodiscard]] auto fifoPolicy() -> Policy;
+/// \return order of arrival within the slots' limit, to tell the sharing from the order
+[[nodiscard]] auto fifoOwnersPolicy() -> Policy;
 [[nodiscard]] auto sharingPolicies() -> std::vector<Policy>;
 [[nodiscard]] auto disciplinePolicies() -> std::vector<Policy>;
 
--- /dev/null
+++ b/unittests/Decisions/loadtest.cpp
@@ -0,0 +1,281 @@
+#include "fixture.h"
+
+#include "sapphirespool/Decisions/brownout.h"
+#include "sapphirespool/Decisions/dependencyguard.h"
+#include "sapphirespool/Decisions/fairqueue.h"
+#include "sapphirespool/Decisions/upstreamstate.h"
+
+#include <catch2/catch.hpp>
+
+namespace sapphirespool::decisions
+{
+
+namespace
+{
+
+const auto always = [](WorkId) {
+    return true;
+};
+
+} // namespace
+
+TEST_CASE("work that cannot be served in time is refused at once and served when it returns as told")
+{
+    // One slot, 10 ms for each write, and more writes than fit into the 100 ms that each caller allows. The caller sees a refusal
+    // at once with a time. At that time it comes back, although new work goes on arriving, and is answered before its deadline.
+    auto fixture = Fixture({}, 1);
+    for (auto warming = 0; warming < 20; ++warming) {
+        fixture.write("warm");
+        fixture.now += milliseconds(10);
+        fixture.finish(fixture.lastId);
+    }
+    const auto firstId = fixture.lastId + 1;
+    auto told = std::optional<milliseconds>();
+    for (auto number = 0; number < 100 && !told; ++number) {
+        const auto refused = refusal(fixture.write("c" + std::to_string(number), milliseconds(100)));
+        if (refused) {
+            CHECK(refused->reason == RefusalReason::DeadlineUnreachable);
+            told = refused->retryAfter;
+        }
+    }
+    REQUIRE(told);
+    REQUIRE(fixture.lastId < firstId + 20);
+    const auto refusedCaller = "c" + std::to_string(fixture.lastId - firstId);
+    const auto back = fixture.now + *told;
+    auto runningId = firstId;
+    const auto serveOne = [&fixture, &runningId]() {
+        fixture.now += milliseconds(10);
+        const auto actions = fixture.finish(runningId);
+        for (const auto &action : actions) {
+            if (const auto *const start = std::get_if<Start>(&action)) {
+                runningId = start->id.value();
+            }
+        }
+    };
+    while (fixture.now < back) {
+        serveOne();
+        fixture.write("new" + std::to_string(fixture.lastId), milliseconds(100));
+        fixture.write("new" + std::to_string(fixture.lastId), milliseconds(100));
+    }
+    CHECK_FALSE(refusal(fixture.write(refusedCaller, milliseconds(100))));
+    const auto returned = fixture.lastId;
+    const auto deadline = fixture.now + milliseconds(100);
+    while (runningId != returned && fixture.now < deadline) {
+        serveOne();
+    }
+    CHECK(runningId == returned);
+    CHECK(fixture.now + milliseconds(10) <= deadline);
+}
+
+TEST_CASE("a caller with a long backlog does not delay another caller's first piece of work")
+{
+    auto queue = FairQueue(QueueSettings{});
+    const auto now = TimePoint(std::chrono::hours(1));
+    for (auto id = std::uint64_t{1}; id <= 50; ++id) {
+        queue.push({WorkId(id), CallerId("hot")}, now);
+    }
+    queue.pop(always, milliseconds(5), now);
+    queue.push({WorkId(100), CallerId("other")}, now);
+    CHECK(queue.pop(always, milliseconds(5), now)->id == WorkId(100));
+}
+
+TEST_CASE("a caller whose statements turn out long is charged for them afterwards")
+{
+    auto queue = FairQueue(QueueSettings{});
+    const auto now = TimePoint(std::chrono::hours(1));
+    for (auto id = std::uint64_t{1}; id <= 10; ++id) {
+        queue.push({WorkId(id), CallerId("long")}, now);
+        queue.push({WorkId(100 + id), CallerId("short")}, now);
+    }
+    const auto first = queue.pop(always, milliseconds(5), now);
+    REQUIRE(first->caller == CallerId("long"));
+    queue.charge(CallerId("long"), milliseconds(5), milliseconds(50), now);
+    for (auto count = 0; count < 9; ++count) {
+        CHECK(queue.pop(always, milliseconds(5), now)->caller == CallerId("short"));
+    }
+}
+
+TEST_CASE("with least attained service a caller above the threshold waits for those below it")
+{
+    auto queue = FairQueue(QueueSettings{.discipline = QueueDiscipline::LeastAttained});
+    const auto now = TimePoint(std::chrono::hours(1));
+    queue.charge(CallerId("long"), milliseconds(5), milliseconds(400), now);
+    queue.push({WorkId(1), CallerId("long")}, now);
+    queue.push({WorkId(2), CallerId("short")}, now);
+    CHECK(queue.size() == 2);
+    queue.pop(always, milliseconds(5), now);
+    queue.push({WorkId(3), CallerId("short")}, now);
+    CHECK(queue.pop(always, milliseconds(5), now).has_value());
+    CHECK(queue.size() == 1);
+}
+
+TEST_CASE("writes on one key run one after the other and leave the other slots to other work")
+{
+    // Two writes change one row. The second would hold a slot of the primary only to wait for the row's lock, and a third caller's
+    // booking would wait behind it.
+    auto fixture = Fixture();
+    auto first = fixture.work(Access::Write, "a");
+    auto second = fixture.work(Access::Write, "b");
+    first.key = "row";
+    second.key = "row";
+    CHECK(startedOn(fixture.dispatcher->submit(first, fixture.now)) == "p");
+    CHECK(fixture.dispatcher->submit(second, fixture.now).empty());
+    CHECK(startedOn(fixture.write("c")) == "p");
+    fixture.now += milliseconds(5);
+    const auto actions = fixture.finish(1);
+    REQUIRE(startedOn(actions) == "p");
+    CHECK(std::get<Start>(actions.front()).id == second.id);
+}
+
+TEST_CASE("a replica ten times slower than its peers is taken out, comes back slowly, and the last ones stay in")
+{
+    auto fixture = Fixture({}, 1);
+    const auto roundOn = [&fixture](milliseconds slow, milliseconds quick) {
+        fixture.report("r1", 10);
+        fixture.report("r2", 10);
+        const auto one = startedOn(fixture.tolerant(milliseconds(5000)));
+        const auto oneId = fixture.lastId;
+        const auto two = startedOn(fixture.tolerant(milliseconds(5000)));
+        const auto twoId = fixture.lastId;
+        fixture.now += quick;
+        fixture.finish(one == "r1" ? twoId : oneId);
+        fixture.now += slow - quick;
+        fixture.finish(one == "r1" ? oneId : twoId);
+        return one + two;
+    };
+    for (auto round = 0; round < 12; ++round) {
+        roundOn(milliseconds(100), milliseconds(5));
+    }
+    fixture.report("r1", 10);
+    fixture.report("r2", 10);
+    CHECK(startedOn(fixture.tolerant(milliseconds(5000))) == "r2");
+    CHECK(fixture.tolerant(milliseconds(5000)).empty());
+    fixture.now += milliseconds(1001);
+    fixture.dispatcher->tick(fixture.now);
+    CHECK(startedOn(fixture.tolerant(milliseconds(5000))) == "r1");
+}
+
+TEST_CASE("a promoted primary gets its share step by step")
+{
+    // The gap has left eight writes waiting. The new primary's caches are cold; all at once would time out together.
+    auto fixture = Fixture({}, 4);
+    fixture.cluster.groups.front().primary.reset();
+    fixture.publish();
+    fixture.now += milliseconds(900);
+    for (auto count = 0; count < 8; ++count) {
+        fixture.write("c" + std::to_string(count), milliseconds(5000));
+    }
+    fixture.cluster.groups.front().primary = UpstreamId("r1");
+    fixture.cluster.groups.front().term = Term(2);
+    CHECK(fixture.publish().size() == 1);
+    fixture.now += milliseconds(126);
+    CHECK(fixture.dispatcher->tick(fixture.now).size() == 1);
+    fixture.now += milliseconds(400);
+    CHECK(fixture.dispatcher->tick(fixture.now).size() == 2);
+}
+
+TEST_CASE("writes go before reads that accept age, and these are not starved")
+{
+    auto fixture = Fixture({}, 1);
+    fixture.cluster.groups.front().members.resize(1);
+    fixture.publish();
+    fixture.write("w");
+    for (auto count = 0; count < 20; ++count) {
+        fixture.tolerant(milliseconds(500));
+        fixture.write("w", milliseconds(60'000));
+        fixture.write("w", milliseconds(60'000));
+    }
+    auto runningId = std::uint64_t{1};
+    auto reads = 0;
+    for (auto count = 0; count < 20; ++count) {
+        fixture.now += milliseconds(1);
+        for (const auto &action : fixture.finish(runningId)) {
+            if (const auto *const start = std::get_if<Start>(&action)) {
+                runningId = start->id.value();
+            }
+        }
+        reads += runningId % 3 == 2 ? 1 : 0;
+    }
+    CHECK(reads >= 1);
+    CHECK(reads <= 4);
+}
+
+TEST_CASE("retries beyond the budget are refused")
+{
+    auto fixture = Fixture();
+    auto refusals = 0;
+    for (auto count = 0; count < 15; ++count) {
+        auto retry = fixture.work(Access::Read);
+        retry.attempt = 1;
+        const auto refused = refusal(fixture.dispatcher->submit(retry, fixture.now));
+        refusals += refused && refused->reason == RefusalReason::RetryBudgetSpent ? 1 : 0;
+    }
+    CHECK(refusals == 5);
+}
+
+TEST_CASE("a service whose dependency refuses is refused early, with probes, until the dependency recovers")
+{
+    // Most work of the lower service is refused. Requests of the upper one would take their slots first and fail in the last step.
+    auto guard = DependencyGuard(DependencySettings{});
+    auto now = TimePoint(std::chrono::hours(1));
+    const auto fill = [&guard, &now](int admitted, int refused) {
+        now += milliseconds(1000);
+        for (auto count = 0; count < admitted; ++count) {
+            guard.recordAdmitted(now);
+        }
+        for (auto count = 0; count < refused; ++count) {
+            guard.recordRefused(now, milliseconds(70));
+        }
+    };
+    fill(20, 30);
+    now += milliseconds(1000);
+    CHECK(guard.refusing(now));
+    CHECK(guard.retryAfter() == milliseconds(70));
+    auto probes = 0;
+    for (auto count = 0; count < 100; ++count) {
+        probes += guard.probe() ? 1 : 0;
+    }
+    CHECK(probes == 10);
+    fill(30, 2);
+    now += milliseconds(1000);
+    CHECK_FALSE(guard.refusing(now));
+}
+
+TEST_CASE("reads give way by the age they accept, and come back one step at a time without swinging")
+{
+    auto brownout = Brownout(BrownoutSettings{});
+    auto now = TimePoint(std::chrono::hours(1));
+    brownout.observe(milliseconds(60), now);
+    CHECK_FALSE(brownout.admits(milliseconds(10'000)));
+    CHECK(brownout.admits(milliseconds(1'000)));
+    now += milliseconds(100);
+    brownout.observe(milliseconds(60), now);
+    CHECK_FALSE(brownout.admits(milliseconds(1'000)));
+    CHECK(brownout.admits(milliseconds(500)));
+    for (auto count = 0; count < 50; ++count) {
+        now += milliseconds(10);
+        brownout.observe(milliseconds(count % 2 == 0 ? 30 : 0), now);
+        CHECK(brownout.level() == 2);
+    }
+    for (auto count = 0; count < 101; ++count) {
+        now += milliseconds(10);
+        brownout.observe(Duration::zero(), now);
+    }
+    CHECK(brownout.level() == 1);
+}
+
+TEST_CASE("the limit of concurrent work falls with refusals of the upstream, not below one, and rises with answers")
+{
+    auto limit = ConcurrencyLimit(ConcurrencySettings{});
+    CHECK(limit.limit(5) == 5);
+    for (auto count = 0; count < 20; ++count) {
+        limit.record(WorkOutcome::NotRun, 5);
+    }
+    CHECK(limit.limit(5) == 1);
+    for (auto count = 0; count < 20; ++count) {
+        limit.record(WorkOutcome::Answered, 5);
+    }
+    CHECK(limit.limit(5) == 5);
+}
+
+} // namespace sapphirespool::decisions
