Replicas that hold void entries are not read; tests of the remaining safeguards

Cause: a replica that followed the old primary past the promotion point could serve entries that nobody acknowledged. Change: holdsVoidEntries(); tests for the ejection floor, idle callers, staggered returns, late reports.

--- a/include/sapphirespool/Decisions/freshness.h
+++ b/include/sapphirespool/Decisions/freshness.h
@@ -17,4 +17,9 @@
 /// \return the highest position of \p needed that still stands in \p group
 [[nodiscard]] auto standingPosition(const membership::GroupView &group, const NeededPosition &needed) -> LogPosition;
 
+/// A member that still follows an earlier primary may hold entries that the promotion dropped. A session that read them would see them
+/// vanish with its next read elsewhere.
+/// \return whether (\p term, \p applied) holds entries that later terms made void
+[[nodiscard]] auto holdsVoidEntries(const membership::GroupView &group, Term term, LogPosition applied) -> bool;
+
 } // namespace sapphirespool::decisions
--- a/lib/Decisions/freshness.cpp
+++ b/lib/Decisions/freshness.cpp
@@ -16,6 +16,11 @@
     return position;
 }
 
+auto holdsVoidEntries(const membership::GroupView &group, Term term, LogPosition applied) -> bool
+{
+    return applied > standingPosition(group, {term, applied});
+}
+
 auto covers(const membership::GroupView &group, Term term, LogPosition applied, const NeededPosition &needed) -> bool
 {
     if (term < needed.term) {
--- a/lib/Decisions/groupplacing.cpp
+++ b/lib/Decisions/groupplacing.cpp
@@ -32,7 +32,11 @@
     if (!age || *age > work.maxAge) {
         return false;
     }
-    return !work.needed || covers(this->group, upstream.observation->term, upstream.observation->applied, *work.needed);
+    const auto &seen = *upstream.observation;
+    if (holdsVoidEntries(this->group, seen.term, seen.applied)) {
+        return false;
+    }
+    return !work.needed || covers(this->group, seen.term, seen.applied, *work.needed);
 }
 
 auto GroupScheduler::anyReplicaServes(const Work &work, TimePoint now) const -> bool
--- a/unittests/Decisions/dispatchertest.cpp
+++ b/unittests/Decisions/dispatchertest.cpp
@@ -52,6 +52,28 @@
     CHECK(startedOn(fixture.tolerant(milliseconds(500), NeededPosition{Term(2), LogPosition(26)})) == "p");
 }
 
+TEST_CASE("a replica with entries that a promotion dropped is not read")
+{
+    // The replica was cut off with the old primary and holds entries 26 and 27 of term 1, which nobody acknowledged. The caller
+    // would read a booking there that no other member has, and miss it in the next read.
+    auto fixture = Fixture();
+    fixture.cluster.groups.front().term = Term(2);
+    fixture.cluster.groups.front().history = {{Term(1), LogPosition(0)}, {Term(2), LogPosition(25)}};
+    fixture.publish();
+    fixture.report("r1", 27, 1);
+    CHECK(startedOn(fixture.tolerant(milliseconds(500))) == "p");
+    fixture.report("r2", 24, 1);
+    CHECK(startedOn(fixture.tolerant(milliseconds(500))) == "r2");
+}
+
+TEST_CASE("a late report does not make a replica look older than it was seen to be")
+{
+    auto fixture = Fixture();
+    fixture.report("r1", 20);
+    fixture.report("r1", 10);
+    CHECK(startedOn(fixture.tolerant(milliseconds(500), NeededPosition{Term(1), LogPosition(15)})) == "r1");
+}
+
 TEST_CASE("a leaving upstream gets no new work from the moment the view says so")
 {
     auto fixture = Fixture();
--- a/unittests/Decisions/loadtest.cpp
+++ b/unittests/Decisions/loadtest.cpp
@@ -3,6 +3,7 @@
 #include "sapphirespool/Decisions/brownout.h"
 #include "sapphirespool/Decisions/dependencyguard.h"
 #include "sapphirespool/Decisions/fairqueue.h"
+#include "sapphirespool/Decisions/returnbook.h"
 #include "sapphirespool/Decisions/upstreamstate.h"
 
 #include <catch2/catch.hpp>
@@ -79,6 +80,42 @@
     CHECK(queue.pop(always, milliseconds(5), now)->id == WorkId(100));
 }
 
+TEST_CASE("a caller that was idle has no claim on the time it did not use")
+{
+    auto queue = FairQueue(QueueSettings{});
+    const auto now = TimePoint(std::chrono::hours(1));
+    for (auto id = std::uint64_t{1}; id <= 100; ++id) {
+        queue.push({WorkId(id), CallerId("steady")}, now);
+    }
+    for (auto count = 0; count < 50; ++count) {
+        queue.pop(always, milliseconds(5), now);
+    }
+    for (auto id = std::uint64_t{201}; id <= 210; ++id) {
+        queue.push({WorkId(id), CallerId("late")}, now);
+    }
+    auto late = 0;
+    for (auto count = 0; count < 10; ++count) {
+        late += queue.pop(always, milliseconds(5), now)->caller == CallerId("late") ? 1 : 0;
+    }
+    CHECK(late <= 6);
+}
+
+TEST_CASE("refused callers are told different times, one place after the other")
+{
+    // Told the same time, all would come back together and be refused again.
+    auto book = ReturnBook(milliseconds(1000), milliseconds(100));
+    const auto now = TimePoint(std::chrono::hours(1));
+    const auto first = book.promise(CallerId("a"), now + milliseconds(50), milliseconds(10), now);
+    const auto second = book.promise(CallerId("b"), now + milliseconds(50), milliseconds(10), now);
+    CHECK(first == now + milliseconds(50));
+    CHECK(second == now + milliseconds(60));
+    CHECK(book.due(now + milliseconds(55)) == 1);
+    CHECK_FALSE(book.redeem(CallerId("b"), now + milliseconds(50)));
+    CHECK(book.redeem(CallerId("b"), now + milliseconds(60)));
+    CHECK_FALSE(book.redeem(CallerId("b"), now + milliseconds(60)));
+    CHECK_FALSE(book.redeem(CallerId("a"), now + milliseconds(151)));
+}
+
 TEST_CASE("a caller whose statements turn out long is charged for them afterwards")
 {
     auto queue = FairQueue(QueueSettings{});
@@ -155,6 +192,22 @@
     CHECK(startedOn(fixture.tolerant(milliseconds(5000))) == "r1");
 }
 
+TEST_CASE("two slow replicas are not both taken out")
+{
+    // A fault common to both, such as a full disk behind them, would otherwise send all their reads to the primary.
+    auto fixture = Fixture({}, 1);
+    for (auto round = 0; round < 40; ++round) {
+        fixture.report("r1", 10);
+        fixture.report("r2", 10);
+        const auto actions = fixture.tolerant(milliseconds(5000));
+        CHECK(startedOn(actions) != "p");
+        if (!actions.empty()) {
+            fixture.finish(fixture.lastId, WorkOutcome::Failed);
+        }
+        fixture.now += milliseconds(10);
+    }
+}
+
 TEST_CASE("a promoted primary gets its share step by step")
 {
     // The gap has left eight writes waiting. The new primary's caches are cold; all at once would time out together.
