--- /dev/null
+++ b/include/sapphirespool/Consensus/replicastore.h
@@ -0,0 +1,46 @@
+// replicastore.h: what a replica keeps in its data folder.
+#pragma once
+
+#include "sapphirespool/Consensus/coretypes.h"
+#include "sapphirespool/Storage/folder.h"
+#include "sapphirespool/Storage/journal.h"
+
+#include <boost/leaf/result.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace sapphirespool::consensus
+{
+
+/// The identity file, the journal of the log and the newest snapshot. Failures carry a storage::StorageError.
+class ReplicaStore
+{
+public:
+    /// Opens \p folder, which must outlive the store; an empty one becomes that of \p vm and \p newReplica.
+    [[nodiscard]] static auto open(storage::Folder &folder, const VmId &vm, ReplicaId newReplica) -> boost::leaf::result<std::unique_ptr<ReplicaStore>>;
+
+    [[nodiscard]] auto replica() const -> ReplicaId;
+
+    /// \return what the folder held; empty after the first call
+    [[nodiscard]] auto takeRecovered() -> Recovered;
+
+    /// Writes without a sync.
+    auto write(const Persist &persist) -> boost::leaf::result<void>;
+    /// Writes and syncs.
+    auto write(const SaveSnapshot &save) -> boost::leaf::result<void>;
+    auto sync() -> boost::leaf::result<void>;
+
+private:
+    explicit ReplicaStore(storage::Folder &folder);
+
+    auto openIdentity(const VmId &vm, ReplicaId newReplica) -> boost::leaf::result<void>;
+    auto openLog() -> boost::leaf::result<void>;
+
+    storage::Folder &folder;
+    std::unique_ptr<storage::Journal> journal;
+    ReplicaId self;
+    Recovered recovered;
+};
+
+} // namespace sapphirespool::consensus
--- /dev/null
+++ b/include/sapphirespool/Storage/folder.h
@@ -0,0 +1,58 @@
+// folder.h: the file operations that lasting state needs, behind an interface so that tests can make each of them fail.
+#pragma once
+
+#include "sapphirespool/Storage/error.h"
+
+#include <boost/leaf/result.hpp>
+
+#include <cstddef>
+#include <filesystem>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sapphirespool::storage
+{
+
+using Bytes = std::vector<std::byte>;
+
+/// A file open for appending. What is appended lasts once sync() has succeeded.
+class File
+{
+public:
+    File() = default;
+    File(const File &) = delete;
+    auto operator=(const File &) -> File & = delete;
+    virtual ~File() = default;
+
+    virtual auto append(std::span<const std::byte> data) -> boost::leaf::result<void> = 0;
+    virtual auto sync() -> boost::leaf::result<void> = 0;
+};
+
+/// One flat folder. Creations, renames and removals last once sync() has succeeded. Failures carry a StorageError.
+class Folder
+{
+public:
+    Folder() = default;
+    Folder(const Folder &) = delete;
+    auto operator=(const Folder &) -> Folder & = delete;
+    virtual ~Folder() = default;
+
+    /// Opens an empty file, in place of one that has the name.
+    virtual auto create(std::string_view name) -> boost::leaf::result<std::unique_ptr<File>> = 0;
+    /// Opens a file, cut to \p size bytes, for appending.
+    virtual auto openAt(std::string_view name, std::size_t size) -> boost::leaf::result<std::unique_ptr<File>> = 0;
+    virtual auto read(std::string_view name) -> boost::leaf::result<Bytes> = 0;
+    virtual auto list() -> boost::leaf::result<std::vector<std::string>> = 0;
+    /// Gives the file \p from the name \p to in one step, in place of one that has it.
+    virtual auto rename(std::string_view from, std::string_view to) -> boost::leaf::result<void> = 0;
+    virtual auto remove(std::string_view name) -> boost::leaf::result<void> = 0;
+    virtual auto sync() -> boost::leaf::result<void> = 0;
+};
+
+/// Opens the folder at \p path, creating it if needed, and locks it for this process until the result is destroyed.
+[[nodiscard]] auto openPosixFolder(const std::filesystem::path &path) -> boost::leaf::result<std::unique_ptr<Folder>>;
+
+} // namespace sapphirespool::storage
--- /dev/null
+++ b/lib/Storage/journal.cpp
@@ -0,0 +1,150 @@
+#include "sapphirespool/Storage/journal.h"
+
+#include "sapphirespool/Storage/record.h"
+
+#include <boost/leaf/error.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphirespool::storage
+{
+
+namespace
+{
+
+constexpr auto temporarySuffix = ".new";
+
+auto corrupt(std::string_view name, std::uint64_t offset) -> StorageError
+{
+    return {StorageErrorKind::Corrupt,
+            "file " + std::string(name) + " lost synced data at byte " + std::to_string(offset)
+                + "; check the disk, then empty the data folder: the VM rejoins as a new replica and is filled by the others"};
+}
+
+auto exists(Folder &folder, std::string_view name) -> boost::leaf::result<bool>
+{
+    BOOST_LEAF_AUTO(names, folder.list());
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+/// Writes \p content under a temporary name and gives it the name \p name once it lasts.
+auto replaceWhole(Folder &folder, std::string_view name, std::span<const std::byte> content) -> boost::leaf::result<std::unique_ptr<File>>
+{
+    const auto temporary = std::string(name) + temporarySuffix;
+    BOOST_LEAF_AUTO(file, folder.create(temporary));
+    BOOST_LEAF_CHECK(file->append(content));
+    // Renamed before it is synced, the file could be empty after a crash while the old one is gone.
+    BOOST_LEAF_CHECK(file->sync());
+    BOOST_LEAF_CHECK(folder.rename(temporary, name));
+    BOOST_LEAF_CHECK(folder.sync());
+    return file;
+}
+
+} // namespace
+
+Journal::Journal(Folder &folder, std::string name)
+    : folder(folder)
+    , name(std::move(name))
+{
+}
+
+auto Journal::open(Folder &folder, std::string name) -> boost::leaf::result<std::unique_ptr<Journal>>
+{
+    auto journal = std::unique_ptr<Journal>(new Journal(folder, std::move(name)));
+    BOOST_LEAF_CHECK(journal->restore());
+    return journal;
+}
+
+auto Journal::restore() -> boost::leaf::result<void>
+{
+    BOOST_LEAF_AUTO(present, exists(this->folder, this->name));
+    if (!present) {
+        return this->replace({});
+    }
+    BOOST_LEAF_AUTO(content, this->folder.read(this->name));
+    auto scan = scanRecords(content);
+    if (scan.lostAt) {
+        return boost::leaf::new_error(corrupt(this->name, *scan.lostAt));
+    }
+    this->found = std::move(scan.records);
+    BOOST_LEAF_AUTO(opened, this->folder.openAt(this->name, scan.validSize));
+    this->file = std::move(opened);
+    this->size = scan.validSize;
+    // What is found may so far be in memory only, and the first records appended below count on it.
+    return this->sync();
+}
+
+auto Journal::takeRecords() -> std::vector<Bytes>
+{
+    return std::exchange(this->found, {});
+}
+
+auto Journal::append(std::span<const std::byte> record) -> boost::leaf::result<void>
+{
+    if (this->failed) {
+        return boost::leaf::new_error(StorageError{StorageErrorKind::OperationFailed, "an earlier write failed; free the disk and restart"});
+    }
+    auto encoded = Bytes();
+    encodeRecord(record, this->size, this->syncedSize, encoded);
+    this->failed = true;
+    BOOST_LEAF_CHECK(this->file->append(encoded));
+    this->failed = false;
+    this->size += encoded.size();
+    return {};
+}
+
+auto Journal::sync() -> boost::leaf::result<void>
+{
+    // A failed sync may drop the pages and let the next one succeed without them. So the first failure is final.
+    if (this->failed) {
+        return boost::leaf::new_error(StorageError{StorageErrorKind::OperationFailed, "an earlier write failed; free the disk and restart"});
+    }
+    this->failed = true;
+    BOOST_LEAF_CHECK(this->file->sync());
+    this->failed = false;
+    this->syncedSize = this->size;
+    return {};
+}
+
+auto Journal::replace(std::span<const Bytes> records) -> boost::leaf::result<void>
+{
+    if (this->failed) {
+        return boost::leaf::new_error(StorageError{StorageErrorKind::OperationFailed, "an earlier write failed; free the disk and restart"});
+    }
+    auto content = Bytes();
+    for (const auto &record : records) {
+        encodeRecord(record, content.size(), 0, content);
+    }
+    this->failed = true;
+    BOOST_LEAF_AUTO(replaced, replaceWhole(this->folder, this->name, content));
+    this->failed = false;
+    this->file = std::move(replaced);
+    this->size = content.size();
+    this->syncedSize = content.size();
+    return {};
+}
+
+auto replaceFile(Folder &folder, std::string_view name, std::span<const std::byte> content) -> boost::leaf::result<void>
+{
+    auto encoded = Bytes();
+    encodeRecord(content, 0, 0, encoded);
+    BOOST_LEAF_CHECK(replaceWhole(folder, name, encoded));
+    return {};
+}
+
+auto readFile(Folder &folder, std::string_view name) -> boost::leaf::result<std::optional<Bytes>>
+{
+    BOOST_LEAF_AUTO(present, exists(folder, name));
+    if (!present) {
+        return std::optional<Bytes>();
+    }
+    BOOST_LEAF_AUTO(content, folder.read(name));
+    auto scan = scanRecords(content);
+    if (scan.records.size() != 1 || scan.validSize != content.size()) {
+        return boost::leaf::new_error(corrupt(name, scan.validSize));
+    }
+    return std::optional<Bytes>(std::move(scan.records.front()));
+}
+
+} // namespace sapphirespool::storage
--- /dev/null
+++ b/lib/Storage/record.cpp
@@ -0,0 +1,98 @@
+#include "sapphirespool/Storage/record.h"
+
+#include <xxhash.h>
+
+#include <array>
+#include <cstring>
+
+namespace sapphirespool::storage
+{
+
+namespace
+{
+
+/// Marks the start of a record, so that the search behind a broken one is quick.
+constexpr auto recordMark = std::uint32_t(0x53505243);
+
+/// Fixed part of a record; all in the byte order of the machine, since a data folder stays on its VM.
+struct Header
+{
+    std::uint32_t mark;
+    std::uint32_t length;
+    std::uint64_t syncedSize;
+    std::uint64_t checksum;
+};
+static_assert(sizeof(Header) == 24, "no padding in the file");
+
+auto checksum(const Header &header, std::span<const std::byte> payload, std::uint64_t offset) -> std::uint64_t
+{
+    // With the offset in it, a record that stands at another place than it was written for does not pass.
+    const auto fixed = std::array<std::uint64_t, 3>{header.length, header.syncedSize, offset};
+    const auto seed = XXH64(fixed.data(), sizeof(fixed), recordMark);
+    return XXH64(payload.data(), payload.size(), seed);
+}
+
+/// A whole record in a file.
+struct FoundRecord
+{
+    std::span<const std::byte> payload;
+    std::uint64_t syncedSize;
+};
+
+auto recordAt(std::span<const std::byte> file, std::uint64_t offset) -> std::optional<FoundRecord>
+{
+    if (file.size() - offset < sizeof(Header)) {
+        return std::nullopt;
+    }
+    auto header = Header();
+    std::memcpy(&header, file.data() + offset, sizeof(header));
+    if (header.mark != recordMark || file.size() - offset - sizeof(Header) < header.length) {
+        return std::nullopt;
+    }
+    const auto payload = file.subspan(offset + sizeof(Header), header.length);
+    if (checksum(header, payload, offset) != header.checksum) {
+        return std::nullopt;
+    }
+    return FoundRecord{payload, header.syncedSize};
+}
+
+auto provenSynced(std::span<const std::byte> file, std::uint64_t broken) -> bool
+{
+    for (auto offset = broken + 1; offset + sizeof(Header) <= file.size(); ++offset) {
+        const auto later = recordAt(file, offset);
+        if (later && later->syncedSize > broken) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+auto encodeRecord(std::span<const std::byte> payload, std::uint64_t offset, std::uint64_t syncedSize, Bytes &out) -> void
+{
+    auto header = Header{recordMark, static_cast<std::uint32_t>(payload.size()), syncedSize, 0};
+    header.checksum = checksum(header, payload, offset);
+    const auto bytes = std::as_bytes(std::span(&header, 1));
+    out.insert(out.end(), bytes.begin(), bytes.end());
+    out.insert(out.end(), payload.begin(), payload.end());
+}
+
+auto scanRecords(std::span<const std::byte> file) -> RecordScan
+{
+    auto scan = RecordScan();
+    while (scan.validSize < file.size()) {
+        const auto record = recordAt(file, scan.validSize);
+        if (!record) {
+            break;
+        }
+        scan.records.emplace_back(record->payload.begin(), record->payload.end());
+        scan.validSize += sizeof(Header) + record->payload.size();
+    }
+    if (scan.validSize < file.size() && provenSynced(file, scan.validSize)) {
+        scan.lostAt = scan.validSize;
+    }
+    return scan;
+}
+
+} // namespace sapphirespool::storage
--- /dev/null
+++ b/schema/control.capnp
@@ -0,0 +1,191 @@
+# control.capnp: between proxies and the control group.
+@0xce551eae4b35a77e;
+
+using Cxx = import "/capnp/c++.capnp";
+using Consensus = import "consensus.capnp";
+$Cxx.namespace("sapphirespool::schema");
+
+struct UpstreamView {
+  id @0 :Text;
+  endpoint @1 :Consensus.Endpoint;
+  zone @2 :Text;
+  incarnation @3 :UInt64;
+  slots @4 :UInt32;
+  connectionLimit @5 :UInt32;
+  leaving @6 :Bool;
+}
+
+struct TermStart {
+  term @0 :UInt64;
+  keptUpTo @1 :UInt64;
+}
+
+struct GroupView {
+  id @0 :Text;
+  term @1 :UInt64;
+  # Empty while a promotion is under way.
+  primary @2 :Text;
+  history @3 :List(TermStart);
+  members @4 :List(UpstreamView);
+}
+
+struct ServiceView {
+  id @0 :Text;
+  group @1 :Text;
+  dependsOn @2 :List(Text);
+  readAgeMs @3 :UInt64;
+  timeoutMs @4 :UInt64;
+  queueLimit @5 :UInt32;
+  retryRatio @6 :Float64;
+}
+
+struct ProxyView {
+  id @0 :Text;
+  zone @1 :Text;
+  incarnation @2 :UInt64;
+  callers @3 :Consensus.Endpoint;
+  peers @4 :Consensus.Endpoint;
+  leaving @5 :Bool;
+}
+
+struct ClusterView {
+  revision @0 :UInt64;
+  configuration @1 :UInt64;
+  services @2 :List(ServiceView);
+  groups @3 :List(GroupView);
+  proxies @4 :List(ProxyView);
+}
+
+# What turns the view of one revision into that of another. Elements replace those of the same id or are new.
+struct ViewDelta {
+  base @0 :UInt64;
+  changed @1 :ClusterView;
+  removedServices @2 :List(Text);
+  removedGroups @3 :List(Text);
+  removedProxies @4 :List(Text);
+}
+
+struct Announcement {
+  group @0 :Text;
+  id @1 :Text;
+  address @2 :Text;
+  port @3 :UInt16;
+  zone @4 :Text;
+  incarnation @5 :UInt64;
+  term @6 :UInt64;
+  role @7 :UInt8;
+  lastTerm @8 :UInt64;
+  position @9 :UInt64;
+  slots @10 :UInt32;
+  connectionLimit @11 :UInt32;
+  leaving @12 :Bool;
+}
+
+struct Suspicion {
+  group @0 :Text;
+  term @1 :UInt64;
+  upstream @2 :Text;
+}
+
+struct VmHeartbeat {
+  vm @0 :Text;
+  zone @1 :Text;
+  incarnation @2 :UInt64;
+  callers @3 :Consensus.Endpoint;
+  peers @4 :Consensus.Endpoint;
+  leaving @5 :Bool;
+  confirmed @6 :UInt64;
+  configuration @7 :UInt64;
+  announcements @8 :List(Announcement);
+  suspicions @9 :List(Suspicion);
+}
+
+# Why a request was not run, in the words of the refusals page.
+struct Refusal {
+  reason @0 :Text;
+  detail @1 :Text;
+  # 0: not known.
+  retryAfterMs @2 :UInt64;
+}
+
+# The VM does not lead, or not provably. Empty if it knows no leader.
+struct Redirect {
+  leader @0 :Consensus.Endpoint;
+}
+
+struct VmStatus {
+  vm @0 :Text;
+  zone @1 :Text;
+  confirmed @2 :UInt64;
+  configuration @3 :UInt64;
+  live @4 :Bool;
+}
+
+struct ClusterStatus {
+  leader @0 :Text;
+  revision @1 :UInt64;
+  configuration @2 :UInt64;
+  inForce @3 :Bool;
+  vms @4 :List(VmStatus);
+}
+
+interface Control {
+  heartbeat @0 (heartbeat :VmHeartbeat) -> (answer :HeartbeatAnswer);
+  # Answers as soon as the view differs from the known revision, or after a while.
+  watch @1 (known :UInt64, services :List(Text)) -> (answer :WatchAnswer);
+  changeConfiguration @2 (change :Text, base :UInt64, text :Text) -> (answer :ChangeAnswer);
+  readConfiguration @3 () -> (answer :TextAnswer);
+  readStatus @4 () -> (answer :StatusAnswer);
+}
+
+struct HeartbeatAnswer {
+  union {
+    redirect @0 :Redirect;
+    refused @1 :Refusal;
+    lease :group {
+      lengthMs @2 :UInt64;
+      floor @3 :UInt64;
+    }
+  }
+}
+
+struct WatchAnswer {
+  union {
+    redirect @0 :Redirect;
+    unchanged @1 :Void;
+    snapshot @2 :ClusterView;
+    delta @3 :ViewDelta;
+  }
+}
+
+struct ChangeAnswer {
+  union {
+    redirect @0 :Redirect;
+    accepted @1 :UInt64;
+    refused @2 :Refusal;
+    unknown @3 :Refusal;
+  }
+}
+
+struct TextAnswer {
+  union {
+    redirect @0 :Redirect;
+    refused @1 :Refusal;
+    text :group {
+      revision @2 :UInt64;
+      content @3 :Text;
+    }
+  }
+}
+
+struct StatusAnswer {
+  union {
+    redirect @0 :Redirect;
+    refused @1 :Refusal;
+    status @2 :ClusterStatus;
+  }
+}
+
+# What a control VM serves at its one endpoint.
+interface ControlVm extends (Consensus.ConsensusPeer, Control) {
+}
--- /dev/null
+++ b/unittests/Storage/fakefolder.cpp
@@ -0,0 +1,142 @@
+#include "Storage/fakefolder.h"
+
+#include <boost/leaf/error.hpp>
+
+#include <utility>
+
+namespace sapphirespool::storage
+{
+
+class FakeFile : public File
+{
+public:
+    FakeFile(FakeFolder &folder, std::shared_ptr<FakeFolder::Content> content)
+        : folder(folder)
+        , content(std::move(content))
+    {
+    }
+
+    auto append(std::span<const std::byte> data) -> boost::leaf::result<void> override
+    {
+        auto done = this->folder.step();
+        // A write that fails for lack of space leaves a part of it.
+        const auto kept = done ? data.size() : data.size() / 2;
+        this->content->present.insert(this->content->present.end(), data.begin(), data.begin() + static_cast<std::ptrdiff_t>(kept));
+        return done;
+    }
+
+    auto sync() -> boost::leaf::result<void> override
+    {
+        BOOST_LEAF_CHECK(this->folder.step());
+        this->content->synced = this->content->present;
+        return {};
+    }
+
+private:
+    FakeFolder &folder;
+    std::shared_ptr<FakeFolder::Content> content;
+};
+
+auto FakeFolder::step() -> boost::leaf::result<void>
+{
+    const auto number = this->count++;
+    if (this->failFrom && number >= *this->failFrom) {
+        return boost::leaf::new_error(StorageError{StorageErrorKind::OperationFailed, "operation failed by the test"});
+    }
+    return {};
+}
+
+auto FakeFolder::create(std::string_view name) -> boost::leaf::result<std::unique_ptr<File>>
+{
+    BOOST_LEAF_CHECK(this->step());
+    auto content = std::make_shared<Content>();
+    this->names[std::string(name)] = content;
+    return std::unique_ptr<File>(std::make_unique<FakeFile>(*this, std::move(content)));
+}
+
+auto FakeFolder::openAt(std::string_view name, std::size_t size) -> boost::leaf::result<std::unique_ptr<File>>
+{
+    BOOST_LEAF_CHECK(this->step());
+    const auto content = this->names.at(std::string(name));
+    content->present.resize(size);
+    return std::unique_ptr<File>(std::make_unique<FakeFile>(*this, content));
+}
+
+auto FakeFolder::read(std::string_view name) -> boost::leaf::result<Bytes>
+{
+    return this->names.at(std::string(name))->present;
+}
+
+auto FakeFolder::list() -> boost::leaf::result<std::vector<std::string>>
+{
+    auto found = std::vector<std::string>();
+    for (const auto &[name, content] : this->names) {
+        found.push_back(name);
+    }
+    return found;
+}
+
+auto FakeFolder::rename(std::string_view from, std::string_view to) -> boost::leaf::result<void>
+{
+    BOOST_LEAF_CHECK(this->step());
+    const auto found = this->names.find(from);
+    auto content = found->second;
+    this->names.erase(found);
+    this->names[std::string(to)] = std::move(content);
+    return {};
+}
+
+auto FakeFolder::remove(std::string_view name) -> boost::leaf::result<void>
+{
+    BOOST_LEAF_CHECK(this->step());
+    this->names.erase(std::string(name));
+    return {};
+}
+
+auto FakeFolder::sync() -> boost::leaf::result<void>
+{
+    BOOST_LEAF_CHECK(this->step());
+    this->durable = this->names;
+    return {};
+}
+
+auto FakeFolder::failAt(std::uint64_t number) -> void
+{
+    this->failFrom = this->count + number;
+}
+
+auto FakeFolder::crash(CrashLeaves leaves) -> void
+{
+    this->failFrom.reset();
+    // A rename that was not synced may have reached the disk or not.
+    if (leaves == CrashLeaves::Nothing || leaves == CrashLeaves::TornTail) {
+        this->names = this->durable;
+    }
+    for (const auto &[name, content] : this->names) {
+        auto &present = content->present;
+        const auto &synced = content->synced;
+        if (present.size() > synced.size() && leaves == CrashLeaves::TornTail) {
+            present.pop_back();
+        }
+        if (present.size() > synced.size() && leaves == CrashLeaves::HoleInTail) {
+            present[synced.size()] ^= std::byte(0x55);
+        }
+        if (leaves == CrashLeaves::Nothing) {
+            present = synced;
+        }
+        content->synced = present;
+    }
+    this->durable = this->names;
+}
+
+auto FakeFolder::damage(std::string_view name, std::size_t offset) -> void
+{
+    this->names.at(std::string(name))->present.at(offset) ^= std::byte(1);
+}
+
+auto FakeFolder::operations() const -> std::uint64_t
+{
+    return this->count;
+}
+
+} // namespace sapphirespool::storage
--- /dev/null
+++ b/unittests/Storage/journaltest.cpp
@@ -0,0 +1,203 @@
+#include "sapphirespool/Storage/journal.h"
+#include "Storage/fakefolder.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <functional>
+#include <unistd.h>
+
+namespace sapphirespool::storage
+{
+
+namespace
+{
+
+auto record(int value) -> Bytes
+{
+    return Bytes(20, static_cast<std::byte>(value));
+}
+
+/// \return the error of \p work, if it failed
+auto errorOf(const std::function<boost::leaf::result<void>()> &work) -> std::optional<StorageError>
+{
+    return boost::leaf::try_handle_all(
+        [&work]() -> boost::leaf::result<std::optional<StorageError>> {
+            BOOST_LEAF_CHECK(work());
+            return std::optional<StorageError>();
+        },
+        [](const StorageError &error) {
+            return std::optional<StorageError>(error);
+        },
+        [] {
+            return std::optional<StorageError>(StorageError{StorageErrorKind::OperationFailed, "untyped"});
+        });
+}
+
+auto recordsOf(Folder &folder, std::vector<Bytes> &records) -> boost::leaf::result<void>
+{
+    BOOST_LEAF_AUTO(journal, Journal::open(folder, "log"));
+    records = journal->takeRecords();
+    return {};
+}
+
+/// How far the work of a process came.
+struct Acknowledged
+{
+    int synced = 0;
+    int appended = 0;
+};
+
+/// Appends 12 records, syncs each second, and compacts to the last four after the eighth.
+auto work(Folder &folder, Acknowledged &done) -> boost::leaf::result<void>
+{
+    constexpr auto records = 12;
+    constexpr auto compactAfter = 8;
+    BOOST_LEAF_AUTO(journal, Journal::open(folder, "log"));
+    for (auto value = 1; value <= records; ++value) {
+        done.appended = value;
+        BOOST_LEAF_CHECK(journal->append(record(value)));
+        if (value % 2 == 0) {
+            BOOST_LEAF_CHECK(journal->sync());
+            done.synced = value;
+        }
+        if (value == compactAfter) {
+            const auto kept = std::vector<Bytes>{record(5), record(6), record(7), record(8)};
+            BOOST_LEAF_CHECK(journal->replace(kept));
+        }
+    }
+    return {};
+}
+
+auto checkAfterCrash(FakeFolder &folder, const Acknowledged &done) -> void
+{
+    auto records = std::vector<Bytes>();
+    const auto error = errorOf([&folder, &records] {
+        return recordsOf(folder, records);
+    });
+    REQUIRE_FALSE(error.has_value());
+    auto last = 0;
+    if (!records.empty()) {
+        last = std::to_integer<int>(records.back().front());
+        const auto first = std::to_integer<int>(records.front().front());
+        CHECK((first == 1 || first == 5));
+        CHECK(static_cast<int>(records.size()) == last - first + 1);
+    }
+    CHECK(last >= done.synced);
+    CHECK(last <= done.appended);
+}
+
+} // namespace
+
+TEST_CASE("a journal restarts from a failure of each write, sync and rename with all that was synced")
+{
+    // The caller sees: a change that was accepted is gone after a restart, or the VM does not start.
+    // Each operation fails in turn, the process ends, and the disk keeps none, a part, a part with a hole, or all of what was not synced.
+    // Records are found again by their checksums, files are replaced only once they are synced.
+    auto whole = FakeFolder();
+    auto unused = Acknowledged();
+    REQUIRE_FALSE(errorOf([&whole, &unused] {
+                      return work(whole, unused);
+                  }).has_value());
+    for (const auto leaves : {CrashLeaves::Nothing, CrashLeaves::TornTail, CrashLeaves::HoleInTail, CrashLeaves::Everything}) {
+        for (auto number = std::uint64_t(0); number < whole.operations(); ++number) {
+            auto folder = FakeFolder();
+            folder.failAt(number);
+            auto done = Acknowledged();
+            REQUIRE(errorOf([&folder, &done] {
+                        return work(folder, done);
+                    }).has_value());
+            folder.crash(leaves);
+            checkAfterCrash(folder, done);
+        }
+    }
+}
+
+TEST_CASE("a journal with a broken synced record refuses to open and names the remedy")
+{
+    // The caller sees: a VM that acknowledged a change no longer has it, and votes as if it never had.
+    // A bad block destroys a record in the middle of the log. The later records prove that it had been synced.
+    auto folder = FakeFolder();
+    auto done = Acknowledged();
+    REQUIRE_FALSE(errorOf([&folder, &done] {
+                      return work(folder, done);
+                  }).has_value());
+    folder.damage("log", 70);
+    auto records = std::vector<Bytes>();
+    const auto error = errorOf([&folder, &records] {
+        return recordsOf(folder, records);
+    });
+    REQUIRE(error.has_value());
+    CHECK(error->kind == StorageErrorKind::Corrupt);
+    CHECK(error->detail.find("empty the data folder") != std::string::npos);
+}
+
+TEST_CASE("a journal acknowledges nothing after a failed sync, also if the next one would succeed")
+{
+    // The caller sees: an accepted change is gone after a restart.
+    // The sync fails and the system drops the pages; a second sync reports success without having written them.
+    auto folder = FakeFolder();
+    auto outcomes = std::vector<bool>();
+    const auto error = errorOf([&folder, &outcomes]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(journal, Journal::open(folder, "log"));
+        BOOST_LEAF_CHECK(journal->append(record(1)));
+        folder.failAt(0);
+        outcomes.push_back(bool(journal->sync()));
+        folder.crash(CrashLeaves::Nothing);
+        outcomes.push_back(bool(journal->sync()));
+        outcomes.push_back(bool(journal->append(record(2))));
+        return {};
+    });
+    CHECK_FALSE(error.has_value());
+    CHECK(outcomes == std::vector<bool>{false, false, false});
+}
+
+TEST_CASE("a replaced file is the old one or the new one after a failure of each operation")
+{
+    for (const auto leaves : {CrashLeaves::Nothing, CrashLeaves::TornTail, CrashLeaves::HoleInTail, CrashLeaves::Everything}) {
+        constexpr auto operationsOfReplace = 5;
+        for (auto number = std::uint64_t(0); number < operationsOfReplace; ++number) {
+            auto folder = FakeFolder();
+            auto content = std::optional<Bytes>();
+            const auto replaced = errorOf([&folder, number]() -> boost::leaf::result<void> {
+                BOOST_LEAF_CHECK(replaceFile(folder, "snapshot", record(1)));
+                folder.failAt(number);
+                return replaceFile(folder, "snapshot", record(2));
+            });
+            REQUIRE(replaced.has_value());
+            folder.crash(leaves);
+            REQUIRE_FALSE(errorOf([&folder, &content]() -> boost::leaf::result<void> {
+                              BOOST_LEAF_ASSIGN(content, readFile(folder, "snapshot"));
+                              return {};
+                          }).has_value());
+            REQUIRE(content.has_value());
+            CHECK((*content == record(1) || *content == record(2)));
+        }
+    }
+}
+
+TEST_CASE("a data folder on disk is held by one process and keeps its records")
+{
+    const auto path = std::filesystem::temp_directory_path() / ("sapphirespool-storage-" + std::to_string(::getpid()));
+    std::filesystem::remove_all(path);
+    auto records = std::vector<Bytes>();
+    auto second = std::optional<StorageError>();
+    const auto error = errorOf([&path, &records, &second]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(folder, openPosixFolder(path));
+        second = errorOf([&path]() -> boost::leaf::result<void> {
+            BOOST_LEAF_CHECK(openPosixFolder(path));
+            return {};
+        });
+        auto done = Acknowledged();
+        BOOST_LEAF_CHECK(work(*folder, done));
+        return recordsOf(*folder, records);
+    });
+    std::filesystem::remove_all(path);
+    CHECK_FALSE(error.has_value());
+    REQUIRE(second.has_value());
+    CHECK(second->kind == StorageErrorKind::Locked);
+    CHECK(records.size() == 8);
+}
+
+} // namespace sapphirespool::storage
