--- a/include/sapphirespool/Membership/clusterview.h
+++ b/include/sapphirespool/Membership/clusterview.h
@@ -29,6 +29,8 @@
     std::uint32_t connectionLimit = 1;
     /// No new work goes to a leaving upstream.
     bool leaving = false;
+
+    auto operator==(const UpstreamView &) const -> bool = default;
 };
 
 /// Where a term of a group began.
@@ -37,6 +39,8 @@
     Term term;
     /// Last position of the earlier terms that the new primary kept; what lies above it in an earlier term is void.
     LogPosition keptUpTo;
+
+    auto operator==(const TermStart &) const -> bool = default;
 };
 
 /// A database group: one primary and the replicas that follow it.
@@ -50,6 +54,7 @@
     std::vector<TermStart> history;
     std::vector<UpstreamView> members;
 
+    auto operator==(const GroupView &) const -> bool = default;
     [[nodiscard]] auto findMember(const UpstreamId &member) const -> const UpstreamView *;
     [[nodiscard]] auto primaryMember() const -> const UpstreamView *;
 };
@@ -68,6 +73,8 @@
     std::uint32_t queueLimit = 256;
     /// Retries that one first attempt earns, 0 to 1.
     double retryRatio = 0.1;
+
+    auto operator==(const ServiceView &) const -> bool = default;
 };
 
 /// A VM that runs the proxy role.
@@ -81,6 +88,8 @@
     /// Where it accepts other proxies.
     Endpoint peers;
     bool leaving = false;
+
+    auto operator==(const ProxyView &) const -> bool = default;
 };
 
 /// The whole view at one revision.
@@ -93,6 +102,7 @@
     std::vector<GroupView> groups;
     std::vector<ProxyView> proxies;
 
+    auto operator==(const ClusterView &) const -> bool = default;
     [[nodiscard]] auto findService(const ServiceId &service) const -> const ServiceView *;
     [[nodiscard]] auto findGroup(const GroupId &group) const -> const GroupView *;
     [[nodiscard]] auto findProxy(const VmId &vm) const -> const ProxyView *;
--- a/lib/Consensus/peerlink.cpp
+++ b/lib/Consensus/peerlink.cpp
@@ -3,7 +3,6 @@
 #include "codec.h"
 
 #include <chrono>
-#include <string>
 #include <utility>
 
 namespace sapphirespool::consensus
@@ -22,32 +21,6 @@
 
 } // namespace
 
-class PeerLink::Connection
-{
-public:
-    explicit Connection(kj::Own<kj::AsyncIoStream> opened)
-        : stream(kj::mv(opened))
-        , client(*this->stream)
-        , peer(this->client.bootstrap().castAs<schema::ConsensusPeer>())
-    {
-    }
-
-    auto onDisconnect() -> kj::Promise<void>
-    {
-        return this->client.onDisconnect();
-    }
-
-    auto get() -> schema::ConsensusPeer::Client &
-    {
-        return this->peer;
-    }
-
-private:
-    kj::Own<kj::AsyncIoStream> stream;
-    capnp::TwoPartyClient client;
-    schema::ConsensusPeer::Client peer;
-};
-
 PeerLink::PeerLink(rpc::LoopContext &context, Endpoint endpoint)
     : context(context)
     , endpoint(std::move(endpoint))
@@ -87,14 +60,10 @@
     }
     this->connecting = true;
     this->triedAt = now;
-    auto opened = this->context.network.parseAddress(this->endpoint.address.c_str(), this->endpoint.port).then([](kj::Own<kj::NetworkAddress> address) {
-        auto connected = address->connect();
-        return connected.attach(kj::mv(address));
-    });
-    auto limited = this->context.timer.timeoutAfter(std::chrono::milliseconds(silenceLimit).count() * kj::MILLISECONDS, kj::mv(opened));
-    this->tasks.add(limited.then([this](kj::Own<kj::AsyncIoStream> stream) {
+    auto opened = rpc::connect(this->context, this->endpoint, std::chrono::milliseconds(silenceLimit).count() * kj::MILLISECONDS);
+    this->tasks.add(opened.then([this](kj::Own<rpc::Connection> connected) {
         this->connecting = false;
-        this->connection = kj::heap<Connection>(kj::mv(stream));
+        this->connection = kj::mv(connected);
         this->answeredAt = std::chrono::steady_clock::now();
         this->tasks.add(this->connection->onDisconnect().then([this, ended = this->connection.get()] {
             if (this->connection.get() == ended) {
@@ -125,7 +94,7 @@
     if (!this->ready()) {
         return;
     }
-    auto request = this->connection->get().deliverRequest();
+    auto request = this->connection->bootstrap().castAs<schema::ConsensusPeer>().deliverRequest();
     write(request.initMessage());
     ++this->unanswered;
     this->tasks.add(request.send().then([this](auto &&) {
@@ -138,7 +107,7 @@
     if (!this->ready()) {
         return;
     }
-    auto request = this->connection->get().joinRequest();
+    auto request = this->connection->bootstrap().castAs<schema::ConsensusPeer>().joinRequest();
     write(self, request.initMember());
     ++this->unanswered;
     this->tasks.add(request.send().then([this, answered = std::move(answered)](auto &&answer) {
--- a/lib/Consensus/peerlink.h
+++ b/lib/Consensus/peerlink.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "sapphirespool/Consensus/messages.h"
+#include "sapphirespool/Rpc/connection.h"
 #include "sapphirespool/Rpc/loopthread.h"
 
-#include <capnp/rpc-twoparty.h>
 #include <consensus.capnp.h>
 #include <kj/async.h>
 
@@ -31,8 +31,6 @@
     auto join(const ControlMember &self, std::function<void(bool)> answered) -> void;
 
 private:
-    class Connection;
-
     auto taskFailed(kj::Exception &&exception) -> void override;
     auto ready() -> bool;
     auto connect() -> void;
@@ -41,7 +39,7 @@
 
     rpc::LoopContext &context;
     Endpoint endpoint;
-    kj::Own<Connection> connection;
+    kj::Own<rpc::Connection> connection;
     bool connecting = false;
     std::size_t unanswered = 0;
     TimePoint answeredAt{};
--- /dev/null
+++ b/lib/Control/codec.cpp
@@ -0,0 +1,341 @@
+#include "codec.h"
+
+#include <algorithm>
+#include <cassert>
+#include <chrono>
+#include <string>
+
+namespace sapphirespool::control
+{
+
+namespace
+{
+
+auto text(capnp::Text::Reader in) -> std::string
+{
+    return {in.begin(), in.end()};
+}
+
+template <typename Elements, typename List>
+auto writeEach(const Elements &elements, List list) -> void
+{
+    for (auto index = 0U; index < list.size(); ++index) {
+        write(elements[index], list[index]);
+    }
+}
+
+template <typename Ids, typename List>
+auto writeIds(const Ids &ids, List list) -> void
+{
+    for (auto index = 0U; index < list.size(); ++index) {
+        list.set(index, ids[index].value());
+    }
+}
+
+template <typename Id>
+auto readIds(capnp::List<capnp::Text>::Reader in) -> std::vector<Id>
+{
+    auto ids = std::vector<Id>();
+    for (const auto id : in) {
+        ids.emplace_back(text(id));
+    }
+    return ids;
+}
+
+template <typename Elements>
+auto sizeOf(const Elements &elements) -> unsigned
+{
+    return static_cast<unsigned>(elements.size());
+}
+
+auto reasonOf(const std::string &label) -> RefusalReason
+{
+    const auto descriptions = refusalDescriptions();
+    const auto found = std::find_if(descriptions.begin(), descriptions.end(), [&label](const RefusalDescription &description) {
+        return description.label == label;
+    });
+    return found == descriptions.end() ? RefusalReason::Internal : found->reason;
+}
+
+auto writeReason(RefusalReason reason, const std::string &detail, schema::Refusal::Builder out) -> void
+{
+    out.setReason(std::string(describe(reason).label));
+    out.setDetail(detail);
+}
+
+} // namespace
+
+auto write(const membership::UpstreamView &member, schema::UpstreamView::Builder out) -> void
+{
+    out.setId(member.id.value());
+    write(member.endpoint, out.initEndpoint());
+    out.setZone(member.zone.value());
+    out.setIncarnation(member.incarnation.value());
+    out.setSlots(member.slots);
+    out.setConnectionLimit(member.connectionLimit);
+    out.setLeaving(member.leaving);
+}
+
+auto read(schema::UpstreamView::Reader in) -> membership::UpstreamView
+{
+    return {UpstreamId(text(in.getId())),
+            read(in.getEndpoint()),
+            ZoneId(text(in.getZone())),
+            Incarnation(in.getIncarnation()),
+            in.getSlots(),
+            in.getConnectionLimit(),
+            in.getLeaving()};
+}
+
+auto write(const membership::TermStart &start, schema::TermStart::Builder out) -> void
+{
+    out.setTerm(start.term.value());
+    out.setKeptUpTo(start.keptUpTo.value());
+}
+
+auto write(const membership::GroupView &group, schema::GroupView::Builder out) -> void
+{
+    out.setId(group.id.value());
+    out.setTerm(group.term.value());
+    out.setPrimary(group.primary ? group.primary->value() : std::string());
+    writeEach(group.history, out.initHistory(sizeOf(group.history)));
+    writeEach(group.members, out.initMembers(sizeOf(group.members)));
+}
+
+auto read(schema::GroupView::Reader in) -> membership::GroupView
+{
+    auto group = membership::GroupView{GroupId(text(in.getId())), Term(in.getTerm())};
+    if (in.getPrimary().size() > 0) {
+        group.primary = UpstreamId(text(in.getPrimary()));
+    }
+    for (const auto start : in.getHistory()) {
+        group.history.push_back({Term(start.getTerm()), LogPosition(start.getKeptUpTo())});
+    }
+    for (const auto member : in.getMembers()) {
+        group.members.push_back(read(member));
+    }
+    return group;
+}
+
+auto write(const membership::ServiceView &service, schema::ServiceView::Builder out) -> void
+{
+    out.setId(service.id.value());
+    out.setGroup(service.group.value());
+    writeIds(service.dependsOn, out.initDependsOn(sizeOf(service.dependsOn)));
+    out.setReadAgeMs(static_cast<std::uint64_t>(service.readAge.count()));
+    out.setTimeoutMs(static_cast<std::uint64_t>(service.timeout.count()));
+    out.setQueueLimit(service.queueLimit);
+    out.setRetryRatio(service.retryRatio);
+}
+
+auto read(schema::ServiceView::Reader in) -> membership::ServiceView
+{
+    return {ServiceId(text(in.getId())),
+            GroupId(text(in.getGroup())),
+            readIds<ServiceId>(in.getDependsOn()),
+            std::chrono::milliseconds(in.getReadAgeMs()),
+            std::chrono::milliseconds(in.getTimeoutMs()),
+            in.getQueueLimit(),
+            in.getRetryRatio()};
+}
+
+auto write(const membership::ProxyView &proxy, schema::ProxyView::Builder out) -> void
+{
+    out.setId(proxy.id.value());
+    out.setZone(proxy.zone.value());
+    out.setIncarnation(proxy.incarnation.value());
+    write(proxy.callers, out.initCallers());
+    write(proxy.peers, out.initPeers());
+    out.setLeaving(proxy.leaving);
+}
+
+auto read(schema::ProxyView::Reader in) -> membership::ProxyView
+{
+    return {VmId(text(in.getId())), ZoneId(text(in.getZone())), Incarnation(in.getIncarnation()), read(in.getCallers()), read(in.getPeers()), in.getLeaving()};
+}
+
+auto write(const platform::Announcement &announcement, schema::Announcement::Builder out) -> void
+{
+    out.setGroup(announcement.group);
+    out.setId(announcement.id);
+    out.setAddress(announcement.address);
+    out.setPort(announcement.port);
+    out.setZone(announcement.zone);
+    out.setIncarnation(announcement.incarnation);
+    out.setTerm(announcement.term);
+    out.setRole(static_cast<std::uint8_t>(announcement.role));
+    out.setLastTerm(announcement.lastTerm);
+    out.setPosition(announcement.position);
+    out.setSlots(announcement.slots);
+    out.setConnectionLimit(announcement.connectionLimit);
+    out.setLeaving(announcement.leaving);
+}
+
+auto read(schema::Announcement::Reader in) -> platform::Announcement
+{
+    return {text(in.getGroup()),
+            text(in.getId()),
+            text(in.getAddress()),
+            in.getPort(),
+            text(in.getZone()),
+            in.getIncarnation(),
+            in.getTerm(),
+            static_cast<platform::Role>(in.getRole()),
+            in.getLastTerm(),
+            in.getPosition(),
+            in.getSlots(),
+            in.getConnectionLimit(),
+            in.getLeaving()};
+}
+
+auto write(const membership::Suspicion &suspicion, schema::Suspicion::Builder out) -> void
+{
+    out.setGroup(suspicion.group.value());
+    out.setTerm(suspicion.term.value());
+    out.setUpstream(suspicion.upstream.value());
+}
+
+auto write(const membership::VmStatus &status, schema::VmStatus::Builder out) -> void
+{
+    out.setVm(status.vm.value());
+    out.setZone(status.zone.value());
+    out.setConfirmed(status.confirmed.value());
+    out.setConfiguration(status.configuration.value());
+    out.setLive(status.live);
+}
+
+auto write(const Endpoint &endpoint, schema::Endpoint::Builder out) -> void
+{
+    out.setAddress(endpoint.address);
+    out.setPort(endpoint.port);
+}
+
+auto read(schema::Endpoint::Reader in) -> Endpoint
+{
+    return {text(in.getAddress()), in.getPort()};
+}
+
+auto write(const membership::ClusterView &view, schema::ClusterView::Builder out) -> void
+{
+    out.setRevision(view.revision.value());
+    out.setConfiguration(view.configuration.value());
+    writeEach(view.services, out.initServices(sizeOf(view.services)));
+    writeEach(view.groups, out.initGroups(sizeOf(view.groups)));
+    writeEach(view.proxies, out.initProxies(sizeOf(view.proxies)));
+}
+
+auto read(schema::ClusterView::Reader in) -> membership::ClusterView
+{
+    auto view = membership::ClusterView{Revision(in.getRevision()), Revision(in.getConfiguration())};
+    for (const auto service : in.getServices()) {
+        view.services.push_back(read(service));
+    }
+    for (const auto group : in.getGroups()) {
+        view.groups.push_back(read(group));
+    }
+    for (const auto proxy : in.getProxies()) {
+        view.proxies.push_back(read(proxy));
+    }
+    return view;
+}
+
+auto write(const membership::ViewDelta &delta, schema::ViewDelta::Builder out) -> void
+{
+    out.setBase(delta.base.value());
+    write(membership::ClusterView{delta.revision, delta.configuration, delta.services, delta.groups, delta.proxies}, out.initChanged());
+    writeIds(delta.removedServices, out.initRemovedServices(sizeOf(delta.removedServices)));
+    writeIds(delta.removedGroups, out.initRemovedGroups(sizeOf(delta.removedGroups)));
+    writeIds(delta.removedProxies, out.initRemovedProxies(sizeOf(delta.removedProxies)));
+}
+
+auto read(schema::ViewDelta::Reader in) -> membership::ViewDelta
+{
+    auto changed = read(in.getChanged());
+    return {Revision(in.getBase()),
+            changed.revision,
+            changed.configuration,
+            std::move(changed.services),
+            std::move(changed.groups),
+            std::move(changed.proxies),
+            readIds<ServiceId>(in.getRemovedServices()),
+            readIds<GroupId>(in.getRemovedGroups()),
+            readIds<VmId>(in.getRemovedProxies())};
+}
+
+auto write(const VmHeartbeat &heartbeat, schema::VmHeartbeat::Builder out) -> void
+{
+    out.setVm(heartbeat.vm.value());
+    out.setZone(heartbeat.zone.value());
+    out.setIncarnation(heartbeat.incarnation.value());
+    write(heartbeat.callers, out.initCallers());
+    write(heartbeat.peers, out.initPeers());
+    out.setLeaving(heartbeat.leaving);
+    out.setConfirmed(heartbeat.confirmed.value());
+    out.setConfiguration(heartbeat.configuration.value());
+    writeEach(heartbeat.announcements, out.initAnnouncements(sizeOf(heartbeat.announcements)));
+    writeEach(heartbeat.suspicions, out.initSuspicions(sizeOf(heartbeat.suspicions)));
+}
+
+auto read(schema::VmHeartbeat::Reader in) -> VmHeartbeat
+{
+    auto heartbeat = VmHeartbeat{VmId(text(in.getVm())),
+                                 ZoneId(text(in.getZone())),
+                                 Incarnation(in.getIncarnation()),
+                                 read(in.getCallers()),
+                                 read(in.getPeers()),
+                                 in.getLeaving(),
+                                 Revision(in.getConfirmed()),
+                                 Revision(in.getConfiguration())};
+    for (const auto announcement : in.getAnnouncements()) {
+        heartbeat.announcements.push_back(read(announcement));
+    }
+    for (const auto suspicion : in.getSuspicions()) {
+        heartbeat.suspicions.push_back({GroupId(text(suspicion.getGroup())), Term(suspicion.getTerm()), UpstreamId(text(suspicion.getUpstream()))});
+    }
+    return heartbeat;
+}
+
+auto write(const membership::ClusterStatus &status, schema::ClusterStatus::Builder out) -> void
+{
+    out.setLeader(status.leader.value());
+    out.setRevision(status.revision.value());
+    out.setConfiguration(status.configuration.value());
+    out.setInForce(status.inForce);
+    writeEach(status.vms, out.initVms(sizeOf(status.vms)));
+}
+
+auto read(schema::ClusterStatus::Reader in) -> membership::ClusterStatus
+{
+    auto status = membership::ClusterStatus{VmId(text(in.getLeader())), Revision(in.getRevision()), Revision(in.getConfiguration()), in.getInForce()};
+    for (const auto vm : in.getVms()) {
+        status.vms.push_back({VmId(text(vm.getVm())), ZoneId(text(vm.getZone())), Revision(vm.getConfirmed()), Revision(vm.getConfiguration()), vm.getLive()});
+    }
+    return status;
+}
+
+auto write(const NotRun &refusal, schema::Refusal::Builder out) -> void
+{
+    writeReason(refusal.reason, refusal.detail, out);
+    out.setRetryAfterMs(refusal.retryAfter ? static_cast<std::uint64_t>(refusal.retryAfter->count()) : 0);
+}
+
+auto write(const OutcomeUnknown &unknown, schema::Refusal::Builder out) -> void
+{
+    writeReason(unknown.reason, unknown.detail, out);
+}
+
+auto readNotRun(schema::Refusal::Reader in) -> NotRun
+{
+    auto refusal = NotRun{reasonOf(text(in.getReason())), text(in.getDetail())};
+    if (in.getRetryAfterMs() > 0) {
+        refusal.retryAfter = std::chrono::milliseconds(in.getRetryAfterMs());
+    }
+    return refusal;
+}
+
+auto readUnknown(schema::Refusal::Reader in) -> OutcomeUnknown
+{
+    return {reasonOf(text(in.getReason())), text(in.getDetail())};
+}
+
+} // namespace sapphirespool::control
--- /dev/null
+++ b/lib/Control/codec.h
@@ -0,0 +1,46 @@
+// codec.h: the messages between proxies and control in Cap'n Proto.
+#pragma once
+
+#include "sapphirespool/Control/controlservice.h"
+#include "sapphirespool/Membership/viewdelta.h"
+
+#include <control.capnp.h>
+
+namespace sapphirespool::control
+{
+
+auto write(const membership::UpstreamView &member, schema::UpstreamView::Builder out) -> void;
+[[nodiscard]] auto read(schema::UpstreamView::Reader in) -> membership::UpstreamView;
+auto write(const membership::TermStart &start, schema::TermStart::Builder out) -> void;
+auto write(const membership::GroupView &group, schema::GroupView::Builder out) -> void;
+[[nodiscard]] auto read(schema::GroupView::Reader in) -> membership::GroupView;
+auto write(const membership::ServiceView &service, schema::ServiceView::Builder out) -> void;
+[[nodiscard]] auto read(schema::ServiceView::Reader in) -> membership::ServiceView;
+auto write(const membership::ProxyView &proxy, schema::ProxyView::Builder out) -> void;
+[[nodiscard]] auto read(schema::ProxyView::Reader in) -> membership::ProxyView;
+auto write(const platform::Announcement &announcement, schema::Announcement::Builder out) -> void;
+[[nodiscard]] auto read(schema::Announcement::Reader in) -> platform::Announcement;
+auto write(const membership::Suspicion &suspicion, schema::Suspicion::Builder out) -> void;
+auto write(const membership::VmStatus &status, schema::VmStatus::Builder out) -> void;
+
+auto write(const membership::ClusterView &view, schema::ClusterView::Builder out) -> void;
+[[nodiscard]] auto read(schema::ClusterView::Reader in) -> membership::ClusterView;
+
+auto write(const membership::ViewDelta &delta, schema::ViewDelta::Builder out) -> void;
+[[nodiscard]] auto read(schema::ViewDelta::Reader in) -> membership::ViewDelta;
+
+auto write(const VmHeartbeat &heartbeat, schema::VmHeartbeat::Builder out) -> void;
+[[nodiscard]] auto read(schema::VmHeartbeat::Reader in) -> VmHeartbeat;
+
+auto write(const membership::ClusterStatus &status, schema::ClusterStatus::Builder out) -> void;
+[[nodiscard]] auto read(schema::ClusterStatus::Reader in) -> membership::ClusterStatus;
+
+auto write(const NotRun &refusal, schema::Refusal::Builder out) -> void;
+auto write(const OutcomeUnknown &unknown, schema::Refusal::Builder out) -> void;
+[[nodiscard]] auto readNotRun(schema::Refusal::Reader in) -> NotRun;
+[[nodiscard]] auto readUnknown(schema::Refusal::Reader in) -> OutcomeUnknown;
+
+auto write(const Endpoint &endpoint, schema::Endpoint::Builder out) -> void;
+[[nodiscard]] auto read(schema::Endpoint::Reader in) -> Endpoint;
+
+} // namespace sapphirespool::control
--- /dev/null
+++ b/lib/Control/linkloop.cpp
@@ -0,0 +1,336 @@
+#include "linkloop.h"
+
+#include "codec.h"
+
+#include <chrono>
+#include <utility>
+
+namespace sapphirespool::control
+{
+
+namespace
+{
+
+/// Five heartbeats fit into the shortest useful lease of about a second, so that one lost heartbeat costs nothing.
+constexpr auto heartbeatInterval = 200 * kj::MILLISECONDS;
+/// What changes is passed on no faster than this, so that many announcements share a heartbeat.
+constexpr auto heartbeatSpacing = 5 * kj::MILLISECONDS;
+/// A heartbeat without an answer for so long ends the connection; three times a round trip with a sync on a busy disk.
+constexpr auto heartbeatLimit = 500 * kj::MILLISECONDS;
+/// More than the server takes to answer a watch without a change.
+constexpr auto watchLimit = 2000 * kj::MILLISECONDS;
+/// Pause before the next VM is tried; an election takes a few of them.
+constexpr auto reconnectPause = 50 * kj::MILLISECONDS;
+constexpr auto connectLimit = 500 * kj::MILLISECONDS;
+/// One send of an operator's request; a commit takes a few milliseconds.
+constexpr auto attemptLimit = 2000 * kj::MILLISECONDS;
+/// An operator waits this long at most; an election and a few retries fit into it.
+constexpr auto requestLife = std::chrono::seconds(8);
+constexpr auto attemptPause = 50 * kj::MILLISECONDS;
+
+/// Ends a session whose VM does not lead.
+auto endSession() -> kj::Exception
+{
+    return KJ_EXCEPTION(DISCONNECTED, "the control VM does not lead");
+}
+
+auto unreachable() -> NotRun
+{
+    return {RefusalReason::ControlUnreachable, "no control VM leads or answers", std::chrono::milliseconds(1000)};
+}
+
+} // namespace
+
+LinkLoop::LinkLoop(rpc::LoopContext &context, ProxyLinkSettings settings, membership::ViewHolder &holder)
+    : context(context)
+    , settings(std::move(settings))
+    , holder(holder)
+    , leases(holder)
+    , tasks(*this)
+{
+    this->tasks.add(this->runSessions());
+}
+
+auto LinkLoop::taskFailed(kj::Exception &&) -> void
+{
+}
+
+auto LinkLoop::nextTarget() -> Endpoint
+{
+    if (this->redirected) {
+        return *std::exchange(this->redirected, std::nullopt);
+    }
+    const auto &vms = this->settings.controlVms;
+    return vms.at(this->nextVm++ % vms.size());
+}
+
+auto LinkLoop::runSessions() -> kj::Promise<void>
+{
+    auto session = rpc::connect(this->context, this->nextTarget(), connectLimit).then([this](kj::Own<rpc::Connection> connected) {
+        return this->runSession(kj::mv(connected));
+    });
+    return session
+        .catch_([this](kj::Exception &&) {
+            this->client = nullptr;
+        })
+        .then([this] {
+            return this->context.timer.afterDelay(reconnectPause);
+        })
+        .then([this] {
+            return this->runSessions();
+        });
+}
+
+auto LinkLoop::runSession(kj::Own<rpc::Connection> connected) -> kj::Promise<void>
+{
+    auto control = connected->bootstrap().castAs<schema::Control>();
+    this->client = control;
+    // After a change of the VM the first heartbeat goes out at once: the lease runs.
+    auto session = this->heartbeats(control).exclusiveJoin(this->watches(control)).exclusiveJoin(connected->onDisconnect().then([]() -> kj::Promise<void> {
+        return endSession();
+    }));
+    return session.attach(kj::mv(connected));
+}
+
+auto LinkLoop::takeHeartbeat() -> VmHeartbeat
+{
+    const auto view = this->holder.current();
+    auto heartbeat = VmHeartbeat{this->settings.vm,
+                                 this->settings.zone,
+                                 this->settings.incarnation,
+                                 this->settings.callers,
+                                 this->settings.peers,
+                                 this->leaving,
+                                 view->revision,
+                                 view->configuration};
+    // What had no answer is sent again, unless the upstream announced something newer.
+    this->announcements.merge(this->announcementsSent);
+    this->announcementsSent = std::exchange(this->announcements, {});
+    for (const auto &[id, announcement] : this->announcementsSent) {
+        heartbeat.announcements.push_back(announcement);
+    }
+    heartbeat.suspicions = this->suspicions;
+    this->suspicionsSent = this->suspicions.size();
+    return heartbeat;
+}
+
+auto LinkLoop::heartbeats(schema::Control::Client control) -> kj::Promise<void>
+{
+    auto request = control.heartbeatRequest();
+    write(this->takeHeartbeat(), request.initHeartbeat());
+    const auto sentAt = std::chrono::steady_clock::now();
+    return this->context.timer.timeoutAfter(heartbeatLimit, request.send())
+        .then([this, sentAt](capnp::Response<schema::Control::HeartbeatResults> &&response) {
+            this->takeAnswer(response.getAnswer(), sentAt);
+            return this->context.timer.afterDelay(heartbeatSpacing);
+        })
+        .then([this]() -> kj::Promise<void> {
+            if (!this->announcements.empty() || !this->suspicions.empty()) {
+                return kj::READY_NOW;
+            }
+            auto wake = kj::newPromiseAndFulfiller<void>();
+            this->heartbeatWaker = kj::mv(wake.fulfiller);
+            return wake.promise.exclusiveJoin(this->context.timer.afterDelay(heartbeatInterval));
+        })
+        .then([this, control]() mutable {
+            return this->heartbeats(control);
+        });
+}
+
+auto LinkLoop::takeAnswer(schema::HeartbeatAnswer::Reader answer, TimePoint sentAt) -> void
+{
+    if (answer.isRedirect()) {
+        this->followRedirect(answer.getRedirect());
+        kj::throwFatalException(endSession());
+    }
+    this->announcementsSent.clear();
+    // A suspicion that got no answer goes along with the next heartbeat: the proxy may not notice anything more.
+    this->suspicions.erase(this->suspicions.begin(), this->suspicions.begin() + static_cast<std::ptrdiff_t>(this->suspicionsSent));
+    if (answer.isLease()) {
+        const auto lease = answer.getLease();
+        this->leases.granted(sentAt + std::chrono::milliseconds(lease.getLengthMs()), Revision(lease.getFloor()));
+    }
+}
+
+auto LinkLoop::watches(schema::Control::Client control) -> kj::Promise<void>
+{
+    auto request = control.watchRequest();
+    request.setKnown(this->snapshotNeeded ? 0 : this->holder.current()->revision.value());
+    auto services = request.initServices(static_cast<unsigned>(this->settings.services.size()));
+    for (auto index = 0U; index < services.size(); ++index) {
+        services.set(index, this->settings.services[index].value());
+    }
+    return this->context.timer.timeoutAfter(watchLimit, request.send())
+        .then([this](capnp::Response<schema::Control::WatchResults> &&response) {
+            this->takeView(response.getAnswer());
+            return this->context.timer.afterDelay(heartbeatSpacing);
+        })
+        .then([this, control]() mutable {
+            return this->watches(control);
+        });
+}
+
+auto LinkLoop::takeView(schema::WatchAnswer::Reader answer) -> void
+{
+    if (answer.isRedirect()) {
+        this->followRedirect(answer.getRedirect());
+        kj::throwFatalException(endSession());
+    }
+    if (answer.isSnapshot()) {
+        this->snapshotNeeded = false;
+        this->leases.viewArrived(std::make_shared<const membership::ClusterView>(read(answer.getSnapshot())));
+        this->wakeHeartbeat();
+    } else if (answer.isDelta()) {
+        auto next = membership::applyDelta(*this->holder.current(), read(answer.getDelta()));
+        this->snapshotNeeded = !next.has_value();
+        if (next) {
+            this->leases.viewArrived(std::make_shared<const membership::ClusterView>(*std::move(next)));
+            this->wakeHeartbeat();
+        }
+    }
+}
+
+auto LinkLoop::followRedirect(schema::Redirect::Reader redirect) -> void
+{
+    if (redirect.hasLeader() && redirect.getLeader().getPort() != 0) {
+        this->redirected = read(redirect.getLeader());
+    }
+}
+
+auto LinkLoop::wakeHeartbeat() -> void
+{
+    if (this->heartbeatWaker.get() != nullptr) {
+        this->heartbeatWaker->fulfill();
+        this->heartbeatWaker = nullptr;
+    }
+}
+
+auto LinkLoop::announce(platform::Announcement announcement) -> void
+{
+    // Only the newest of an upstream counts; what was not yet sent is replaced.
+    const auto id = announcement.id;
+    this->announcements.insert_or_assign(id, std::move(announcement));
+    this->wakeHeartbeat();
+}
+
+auto LinkLoop::suspect(membership::Suspicion suspicion) -> void
+{
+    this->suspicions.push_back(std::move(suspicion));
+    this->wakeHeartbeat();
+}
+
+auto LinkLoop::leave() -> void
+{
+    this->leaving = true;
+    this->wakeHeartbeat();
+}
+
+auto LinkLoop::run(std::shared_ptr<Attempt> attempt) -> void
+{
+    this->tasks.add(this->tryOnce(attempt)
+                        .catch_([](kj::Exception &&) {
+                            return false;
+                        })
+                        .then([this, attempt](bool answered) -> kj::Promise<void> {
+                            if (answered) {
+                                return kj::READY_NOW;
+                            }
+                            if (std::chrono::steady_clock::now() >= attempt->deadline) {
+                                attempt->giveUp(attempt->sent);
+                                return kj::READY_NOW;
+                            }
+                            return this->context.timer.afterDelay(attemptPause).then([this, attempt] {
+                                this->run(attempt);
+                            });
+                        }));
+}
+
+auto LinkLoop::tryOnce(std::shared_ptr<Attempt> attempt) -> kj::Promise<bool>
+{
+    KJ_IF_MAYBE (control, this->client) {
+        return this->context.timer.timeoutAfter(attemptLimit, attempt->send(*control));
+    }
+    return false;
+}
+
+auto LinkLoop::changeConfiguration(membership::ConfigurationChange change, std::function<void(membership::ConfigurationOutcome)> done) -> void
+{
+    auto attempt = std::make_shared<Attempt>();
+    attempt->deadline = std::chrono::steady_clock::now() + requestLife;
+    attempt->send = [change = std::move(change), done, attempt = attempt.get()](schema::Control::Client control) {
+        auto request = control.changeConfigurationRequest();
+        request.setChange(change.change.value());
+        request.setBase(change.base.value());
+        request.setText(change.text);
+        // Without an answer it may have been accepted; the change id makes the next send harmless.
+        const auto sentBefore = std::exchange(attempt->sent, true);
+        return request.send().then([done, attempt, sentBefore](capnp::Response<schema::Control::ChangeConfigurationResults> &&response) {
+            const auto answer = response.getAnswer();
+            if (answer.isRedirect()) {
+                attempt->sent = sentBefore;
+                return false;
+            }
+            if (answer.isUnknown()) {
+                return false;
+            }
+            if (answer.isAccepted()) {
+                done(membership::ConfigurationAccepted{Revision(answer.getAccepted())});
+            } else {
+                done(readNotRun(answer.getRefused()));
+            }
+            return true;
+        });
+    };
+    attempt->giveUp = [done](bool sent) {
+        if (sent) {
+            done(OutcomeUnknown{RefusalReason::ControlUnreachable, "control did not answer; send the same change id again"});
+        } else {
+            done(unreachable());
+        }
+    };
+    this->run(std::move(attempt));
+}
+
+auto LinkLoop::readConfiguration(std::function<void(membership::ConfigurationReadOutcome)> done) -> void
+{
+    auto attempt = std::make_shared<Attempt>();
+    attempt->deadline = std::chrono::steady_clock::now() + requestLife;
+    attempt->send = [done](schema::Control::Client control) {
+        return control.readConfigurationRequest().send().then([done](capnp::Response<schema::Control::ReadConfigurationResults> &&response) {
+            const auto answer = response.getAnswer();
+            if (answer.isText()) {
+                done(membership::ConfigurationText{Revision(answer.getText().getRevision()), answer.getText().getContent().cStr()});
+            } else if (answer.isRefused()) {
+                done(readNotRun(answer.getRefused()));
+            }
+            return !answer.isRedirect();
+        });
+    };
+    attempt->giveUp = [done](bool) {
+        done(unreachable());
+    };
+    this->run(std::move(attempt));
+}
+
+auto LinkLoop::readStatus(std::function<void(membership::ClusterStatusOutcome)> done) -> void
+{
+    auto attempt = std::make_shared<Attempt>();
+    attempt->deadline = std::chrono::steady_clock::now() + requestLife;
+    attempt->send = [done](schema::Control::Client control) {
+        return control.readStatusRequest().send().then([done](capnp::Response<schema::Control::ReadStatusResults> &&response) {
+            const auto answer = response.getAnswer();
+            if (answer.isStatus()) {
+                done(read(answer.getStatus()));
+            } else if (answer.isRefused()) {
+                done(readNotRun(answer.getRefused()));
+            }
+            return !answer.isRedirect();
+        });
+    };
+    attempt->giveUp = [done](bool) {
+        done(unreachable());
+    };
+    this->run(std::move(attempt));
+}
+
+} // namespace sapphirespool::control
--- /dev/null
+++ b/lib/Control/linkloop.h
@@ -0,0 +1,83 @@
+// linkloop.h: the part of a proxy's control link that lives on the loop.
+#pragma once
+
+#include "leasekeeper.h"
+#include "sapphirespool/Control/controlservice.h"
+#include "sapphirespool/Control/proxylink.h"
+#include "sapphirespool/Rpc/connection.h"
+
+#include <control.capnp.h>
+#include <kj/async.h>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sapphirespool::control
+{
+
+/// Keeps a connection to the leading control VM: heartbeats and a watch over it, and requests of operators.
+///
+/// A connection ends when an answer is missing too long, when it breaks, or when the VM points to another leader; the next one goes
+/// there, or to the next VM of the settings.
+class LinkLoop : private kj::TaskSet::ErrorHandler
+{
+public:
+    LinkLoop(rpc::LoopContext &context, ProxyLinkSettings settings, membership::ViewHolder &holder);
+    virtual ~LinkLoop() noexcept = default;
+    LinkLoop(const LinkLoop &) = delete;
+    auto operator=(const LinkLoop &) -> LinkLoop & = delete;
+
+    auto announce(platform::Announcement announcement) -> void;
+    auto suspect(membership::Suspicion suspicion) -> void;
+    auto leave() -> void;
+    auto changeConfiguration(membership::ConfigurationChange change, std::function<void(membership::ConfigurationOutcome)> done) -> void;
+    auto readConfiguration(std::function<void(membership::ConfigurationReadOutcome)> done) -> void;
+    auto readStatus(std::function<void(membership::ClusterStatusOutcome)> done) -> void;
+
+private:
+    /// A request of an operator that is tried until it has an answer or its time is over.
+    struct Attempt
+    {
+        TimePoint deadline;
+        /// Sends it over a connection; the promise gives whether it got its final answer.
+        std::function<kj::Promise<bool>(schema::Control::Client)> send;
+        /// Called once when the time is over, with whether any send may have taken effect.
+        std::function<void(bool)> giveUp;
+        bool sent = false;
+    };
+
+    auto taskFailed(kj::Exception &&exception) -> void override;
+    auto runSessions() -> kj::Promise<void>;
+    auto runSession(kj::Own<rpc::Connection> connected) -> kj::Promise<void>;
+    auto heartbeats(schema::Control::Client control) -> kj::Promise<void>;
+    auto takeHeartbeat() -> VmHeartbeat;
+    auto takeAnswer(schema::HeartbeatAnswer::Reader answer, TimePoint sentAt) -> void;
+    auto watches(schema::Control::Client control) -> kj::Promise<void>;
+    auto takeView(schema::WatchAnswer::Reader answer) -> void;
+    auto followRedirect(schema::Redirect::Reader redirect) -> void;
+    auto nextTarget() -> Endpoint;
+    auto wakeHeartbeat() -> void;
+    auto run(std::shared_ptr<Attempt> attempt) -> void;
+    auto tryOnce(std::shared_ptr<Attempt> attempt) -> kj::Promise<bool>;
+
+    rpc::LoopContext &context;
+    ProxyLinkSettings settings;
+    membership::ViewHolder &holder;
+    LeaseKeeper leases;
+    std::size_t nextVm = 0;
+    std::optional<Endpoint> redirected;
+    kj::Maybe<schema::Control::Client> client;
+    bool snapshotNeeded = false;
+    std::map<std::string, platform::Announcement> announcements;
+    std::map<std::string, platform::Announcement> announcementsSent;
+    std::vector<membership::Suspicion> suspicions;
+    std::size_t suspicionsSent = 0;
+    bool leaving = false;
+    kj::Own<kj::PromiseFulfiller<void>> heartbeatWaker;
+    kj::TaskSet tasks;
+};
+
+} // namespace sapphirespool::control
--- /dev/null
+++ b/unittests/Control/proxylinktest.cpp
@@ -0,0 +1,328 @@
+#include "sapphirespool/Control/proxylink.h"
+#include "sapphirespool/Control/controlserver.h"
+
+#include <consensus.capnp.h>
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <string>
+#include <thread>
+
+namespace sapphirespool::control
+{
+
+namespace
+{
+
+/// Leads or not, as the test says.
+class FakeReplica : public consensus::Replica
+{
+public:
+    auto propose(consensus::Bytes, std::function<void(consensus::ProposalOutcome)> done) -> void override
+    {
+        done(consensus::ProposalFailure::NotLeader);
+    }
+
+    auto confirmRead(std::function<void(std::optional<consensus::ProposalFailure>)> done) -> void override
+    {
+        done(std::nullopt);
+    }
+
+    [[nodiscard]] auto holdsLeaderLease(TimePoint) const -> bool override
+    {
+        return this->leads;
+    }
+
+    [[nodiscard]] auto leader() const -> std::optional<VmId> override
+    {
+        return VmId("leader");
+    }
+
+    auto addLearner(consensus::ControlMember, std::function<void(consensus::ProposalOutcome)>) -> void override
+    {
+    }
+
+    auto promoteLearner(VmId, std::function<void(consensus::ProposalOutcome)>) -> void override
+    {
+    }
+
+    auto removeMember(VmId, std::function<void(consensus::ProposalOutcome)>) -> void override
+    {
+    }
+
+    [[nodiscard]] auto members() const -> std::vector<consensus::ControlMember> override
+    {
+        return {consensus::ControlMember{VmId("leader"), this->leaderEndpoint, true}};
+    }
+
+    auto peerCapability() -> capnp::Capability::Client override
+    {
+        return schema::ConsensusPeer::Client(kj::heap<schema::ConsensusPeer::Server>());
+    }
+
+    auto start() -> void override
+    {
+    }
+
+    std::atomic<bool> leads{false};
+    Endpoint leaderEndpoint;
+};
+
+/// Grants leases, serves the view of the test, and forgets the outcome of the first change.
+class FakeService : public ControlService
+{
+public:
+    auto heartbeat(VmHeartbeat heartbeat, std::function<void(HeartbeatOutcome)> done) -> void override
+    {
+        ++this->heartbeats;
+        this->confirmed = heartbeat.confirmed.value();
+        this->announcements += static_cast<int>(heartbeat.announcements.size());
+        this->suspicions += static_cast<int>(heartbeat.suspicions.size());
+        done(LeaseGrant{std::chrono::milliseconds(600), this->floor});
+    }
+
+    auto changeConfiguration(membership::ConfigurationChange change, std::function<void(membership::ConfigurationOutcome)> done) -> void override
+    {
+        this->changes.push_back(change.change);
+        if (this->changes.size() == 1) {
+            done(OutcomeUnknown{RefusalReason::ControlUnreachable, "leadership was lost"});
+            return;
+        }
+        done(membership::ConfigurationAccepted{Revision(7)});
+    }
+
+    auto readConfiguration(std::function<void(membership::ConfigurationReadOutcome)> done) -> void override
+    {
+        done(membership::ConfigurationText{Revision(7), "services: []"});
+    }
+
+    auto readStatus(std::function<void(membership::ClusterStatusOutcome)> done) -> void override
+    {
+        done(membership::ClusterStatus{VmId("leader"), Revision(7), Revision(6), true, {{VmId("p"), ZoneId("z"), Revision(7), Revision(6), true}}});
+    }
+
+    [[nodiscard]] auto currentView() const -> std::shared_ptr<const membership::ClusterView> override
+    {
+        return this->view;
+    }
+
+    auto onViewChange(std::function<void()> listener) -> void override
+    {
+        this->listener = std::move(listener);
+    }
+
+    auto change(membership::ClusterView next) -> void
+    {
+        this->view = std::make_shared<const membership::ClusterView>(std::move(next));
+        this->listener();
+    }
+
+    std::atomic<int> heartbeats{0};
+    std::atomic<int> announcements{0};
+    std::atomic<int> suspicions{0};
+    std::atomic<std::uint64_t> confirmed{0};
+    std::vector<ChangeId> changes;
+    Revision floor;
+    std::function<void()> listener;
+    std::shared_ptr<const membership::ClusterView> view = std::make_shared<const membership::ClusterView>();
+};
+
+auto viewOf(std::uint64_t revision, const std::string &service) -> membership::ClusterView
+{
+    auto view = membership::ClusterView{Revision(revision), Revision(revision)};
+    view.services.push_back(membership::ServiceView{ServiceId(service), GroupId("g")});
+    view.groups.push_back(membership::GroupView{GroupId("g"), Term(revision), UpstreamId("u"), {{Term(1), LogPosition(0)}}, {{UpstreamId("u")}}});
+    view.proxies.push_back(membership::ProxyView{VmId("p"), ZoneId("z"), Incarnation(1)});
+    return view;
+}
+
+auto waitUntil(const std::function<bool()> &reached) -> void
+{
+    while (!reached()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+}
+
+/// Two control VMs of which one leads, and a proxy that knows only the other.
+class TwoControlVms
+{
+public:
+    TwoControlVms()
+    {
+        this->leading.leads = true;
+        this->leading.leaderEndpoint = this->serve(this->leading, this->service, this->leadingServer);
+        this->following.leaderEndpoint = this->leading.leaderEndpoint;
+        const auto known = this->serve(this->following, this->otherService, this->followingServer);
+        auto settings = ProxyLinkSettings{VmId("p"), ZoneId("z"), Incarnation(1)};
+        settings.controlVms = {known};
+        this->link = makeProxyLink(this->proxyLoop, settings, this->holder);
+    }
+
+    ~TwoControlVms()
+    {
+        this->link.reset();
+        this->onControl([this](rpc::LoopContext &) {
+            this->leadingServer.reset();
+            this->followingServer.reset();
+        });
+    }
+
+    /// Runs \p work on the control thread and waits for it.
+    auto onControl(const std::function<void(rpc::LoopContext &)> &work) -> void
+    {
+        auto done = std::promise<void>();
+        this->controlLoop.post([&work, &done](rpc::LoopContext &context) {
+            work(context);
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    auto change(const membership::ClusterView &view) -> void
+    {
+        this->onControl([this, &view](rpc::LoopContext &) {
+            this->service.change(view);
+        });
+    }
+
+    auto awaitRevision(std::uint64_t revision) -> void
+    {
+        waitUntil([this, revision] {
+            return this->holder.current()->revision == Revision(revision);
+        });
+    }
+
+    [[nodiscard]] auto leaseLive() const -> bool
+    {
+        return this->holder.leaseLive(std::chrono::steady_clock::now());
+    }
+
+    FakeReplica leading;
+    FakeReplica following;
+    FakeService service;
+    FakeService otherService;
+    membership::ViewHolder holder;
+    std::unique_ptr<ControlServer> leadingServer;
+    std::unique_ptr<ControlServer> followingServer;
+    rpc::LoopThread controlLoop;
+    rpc::LoopThread proxyLoop;
+    std::shared_ptr<membership::ControlLink> link;
+
+private:
+    auto serve(FakeReplica &replica, FakeService &service, std::unique_ptr<ControlServer> &server) -> Endpoint
+    {
+        auto port = std::uint16_t(0);
+        this->onControl([&](rpc::LoopContext &context) {
+            server = serveControl(context, Endpoint{"127.0.0.1", 0}, replica, service);
+        });
+        while (port == 0) {
+            this->onControl([&](rpc::LoopContext &) {
+                port = server->port();
+            });
+        }
+        return {"127.0.0.1", port};
+    }
+};
+
+} // namespace
+
+TEST_CASE("a proxy is pointed to the leader, follows each change of the view and serves under its lease")
+{
+    auto vms = TwoControlVms();
+    CHECK_FALSE(vms.leaseLive());
+    vms.change(viewOf(1, "bookings"));
+    vms.awaitRevision(1);
+    vms.change(viewOf(2, "intake"));
+    vms.awaitRevision(2);
+    CHECK(*vms.holder.current() == viewOf(2, "intake"));
+    waitUntil([&vms] {
+        return vms.leaseLive() && vms.service.confirmed == 2;
+    });
+    CHECK(vms.otherService.heartbeats == 0);
+}
+
+TEST_CASE("a control VM that no longer leads grants no lease")
+{
+    // The caller sees: a write acknowledged by a proxy whose primary was replaced.
+    // The leader is cut off and another one promotes a primary; the proxy still reaches the former leader.
+    // That one answers only under its leader lease, so the proxy's lease runs out.
+    auto vms = TwoControlVms();
+    vms.change(viewOf(1, "bookings"));
+    waitUntil([&vms] {
+        return vms.leaseLive();
+    });
+    vms.leading.leads = false;
+    waitUntil([&vms] {
+        return !vms.leaseLive();
+    });
+    const auto heartbeats = vms.service.heartbeats.load();
+    vms.leading.leads = true;
+    waitUntil([&vms, heartbeats] {
+        return vms.leaseLive() && vms.service.heartbeats > heartbeats;
+    });
+}
+
+TEST_CASE("a lease for a newer view does not extend that of an older one")
+{
+    // The caller sees: a write acknowledged under the old primary after a promotion.
+    // Control commits a new term and grants leases for it; the heartbeat's answer overtakes the view.
+    // The grant names the revision that it holds for, and waits for it.
+    auto vms = TwoControlVms();
+    vms.onControl([&vms](rpc::LoopContext &) {
+        vms.service.floor = Revision(2);
+    });
+    vms.change(viewOf(1, "bookings"));
+    vms.awaitRevision(1);
+    const auto heartbeats = vms.service.heartbeats.load();
+    waitUntil([&vms, heartbeats] {
+        return vms.service.heartbeats > heartbeats + 2;
+    });
+    CHECK_FALSE(vms.leaseLive());
+    vms.change(viewOf(2, "bookings"));
+    waitUntil([&vms] {
+        return vms.leaseLive();
+    });
+}
+
+TEST_CASE("a change of the configuration with an unknown outcome is sent again under the same change id")
+{
+    auto vms = TwoControlVms();
+    auto outcome = std::promise<membership::ConfigurationOutcome>();
+    vms.link->changeConfiguration({ChangeId("c1"), Revision(3), "services: []"}, [&outcome](membership::ConfigurationOutcome given) {
+        outcome.set_value(std::move(given));
+    });
+    const auto given = outcome.get_future().get();
+    REQUIRE(std::holds_alternative<membership::ConfigurationAccepted>(given));
+    CHECK(std::get<membership::ConfigurationAccepted>(given).revision == Revision(7));
+    CHECK(vms.service.changes == std::vector<ChangeId>{ChangeId("c1"), ChangeId("c1")});
+}
+
+TEST_CASE("announcements, suspicions, the text and the status go through the link")
+{
+    auto vms = TwoControlVms();
+    auto announcement = platform::Announcement();
+    announcement.id = "u1";
+    vms.link->announce(announcement);
+    vms.link->suspect({GroupId("g"), Term(1), UpstreamId("u1")});
+    waitUntil([&vms] {
+        return vms.service.announcements >= 1 && vms.service.suspicions >= 1;
+    });
+    auto text = std::promise<membership::ConfigurationReadOutcome>();
+    vms.link->readConfiguration([&text](membership::ConfigurationReadOutcome given) {
+        text.set_value(std::move(given));
+    });
+    CHECK(std::get<membership::ConfigurationText>(text.get_future().get()).text == "services: []");
+    auto status = std::promise<membership::ClusterStatusOutcome>();
+    vms.link->readStatus([&status](membership::ClusterStatusOutcome given) {
+        status.set_value(std::move(given));
+    });
+    const auto given = std::get<membership::ClusterStatus>(status.get_future().get());
+    CHECK(given.inForce);
+    REQUIRE(given.vms.size() == 1);
+    CHECK(given.vms.front().confirmed == Revision(7));
+}
+
+} // namespace sapphirespool::control
--- /dev/null
+++ b/unittests/Membership/viewdeltatest.cpp
@@ -0,0 +1,91 @@
+#include "sapphirespool/Membership/viewdelta.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <iostream>
+#include <set>
+#include <string>
+
+namespace sapphirespool::membership
+{
+
+namespace
+{
+
+auto someNumbers() -> std::set<int>
+{
+    const auto drawn = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 6));
+    return {drawn.begin(), drawn.end()};
+}
+
+template <typename Element, typename Make>
+auto someOf(const Make &make) -> std::vector<Element>
+{
+    auto elements = std::vector<Element>();
+    for (const auto number : someNumbers()) {
+        elements.push_back(make(std::to_string(number), *rc::gen::inRange(0, 3)));
+    }
+    return elements;
+}
+
+auto someView(std::uint64_t revision) -> ClusterView
+{
+    auto view = ClusterView{Revision(revision), Revision(revision / 2)};
+    view.services = someOf<ServiceView>([](const std::string &name, int value) {
+        auto service = ServiceView{ServiceId(name), GroupId(std::to_string(value))};
+        service.queueLimit = static_cast<std::uint32_t>(value);
+        return service;
+    });
+    view.groups = someOf<GroupView>([](const std::string &name, int value) {
+        return GroupView{GroupId(name), Term(static_cast<std::uint64_t>(value)), UpstreamId(name), {TermStart{Term(1), LogPosition(2)}}, {}};
+    });
+    view.proxies = someOf<ProxyView>([](const std::string &name, int value) {
+        return ProxyView{VmId(name), ZoneId("z"), Incarnation(static_cast<std::uint64_t>(value))};
+    });
+    return view;
+}
+
+} // namespace
+
+TEST_CASE("a snapshot with the deltas after it is the newest view, whatever services a proxy subscribes to")
+{
+    auto parameters = rc::detail::TestParams();
+    parameters.seed = 1;
+    parameters.maxSuccess = 1000;
+    // Small views collide more often in their ids.
+    parameters.maxSize = 8;
+    const auto property = [] {
+        auto services = std::vector<ServiceId>();
+        for (const auto number : someNumbers()) {
+            services.emplace_back(std::to_string(number));
+        }
+        auto former = viewFor(someView(1), services);
+        auto held = former;
+        for (auto revision = std::uint64_t(2); revision < 6; ++revision) {
+            const auto next = viewFor(someView(revision), services);
+            const auto applied = applyDelta(held, computeDelta(former, next));
+            RC_ASSERT(applied.has_value());
+            RC_ASSERT(*applied == next);
+            held = *applied;
+            former = next;
+        }
+    };
+    const auto result = rc::detail::checkTestable(property, rc::detail::TestMetadata(), parameters);
+    rc::detail::printResultMessage(result, std::cerr);
+    CHECK(result.is<rc::detail::SuccessResult>());
+}
+
+TEST_CASE("a gap in the deltas is found")
+{
+    // The caller sees: a proxy that sends work to an upstream that left, although its view calls itself current.
+    // The delta from revision 1 to 2 is lost and the one from 2 to 3 arrives at a proxy that holds 1.
+    // Each delta names its base, so the proxy refuses it and asks for a snapshot.
+    auto first = ClusterView{Revision(1)};
+    auto second = ClusterView{Revision(2)};
+    auto third = ClusterView{Revision(3)};
+    CHECK_FALSE(applyDelta(first, computeDelta(second, third)).has_value());
+    CHECK(applyDelta(second, computeDelta(second, third)) == third);
+}
+
+} // namespace sapphirespool::membership
