--- a/include/sapphirespool/ProxyRole/proxyrole.h
+++ b/include/sapphirespool/ProxyRole/proxyrole.h
@@ -4,6 +4,7 @@
 #include "sapphirespool/Http/router.h"
 #include "sapphirespool/Http/server.h"
 #include "sapphirespool/Proxy/limits.h"
+#include "sapphirespool/Proxy/recorder.h"
 #include "sapphirespool/Support/types.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -26,11 +27,6 @@
 class ViewHolder;
 } // namespace sapphirespool::membership
 
-namespace sapphirespool::metrics
-{
-class Metrics;
-}
-
 namespace sapphirespool::upstreams
 {
 class Pool;
@@ -73,7 +69,8 @@
     std::shared_ptr<upstreams::Pool> pool;
     std::shared_ptr<upstreams::PositionWatch> watch;
     std::shared_ptr<decisions::Dispatcher> dispatcher;
-    std::shared_ptr<metrics::Metrics> metrics;
+    /// Of the process's metrics; see metricsrecorder.h.
+    std::shared_ptr<Recorder> recorder;
     /// Executor of one thread, on which all state of the traffic path lives; pool and watch use the same.
     boost::asio::any_io_executor dispatch;
     /// Executors of callers' connections.
@@ -112,8 +109,9 @@
     /// Takes up the newest view at once; without it the role sees a new view within some milliseconds.
     virtual auto viewChanged() -> void = 0;
 
-    /// Graceful shutdown: unready, the balancer's delay, no new requests, running requests and transactions to their end.
-    /// Calls \p done on the dispatch thread once nothing runs.
+    /// Graceful shutdown: unready, the balancer's delay, no new work, running requests and transactions to their end.
+    /// Connections are accepted until then, since the next step of an open transaction may come on a new one.
+    /// Calls \p done on the dispatch thread once nothing runs or the drain timeout is over.
     virtual auto drain(std::function<void()> done) -> void = 0;
 
     /// Closes everything at once. Call it before the dispatch thread ends.
--- a/tools/sapphirespool/democommand.cpp
+++ b/tools/sapphirespool/democommand.cpp
@@ -1,5 +1,6 @@
 // democommand.cpp: a whole system in one process.
 #include "commands.h"
+#include "directexecutor.h"
 
 #include "sapphirespool/Callers/handler.h"
 #include "sapphirespool/Http/server.h"
@@ -65,7 +66,7 @@
     const auto upstream = serverOn(io, standin::makeMemberHandler());
     const auto views = std::make_shared<membership::ViewHolder>();
     views->publish(viewOf(upstream->listen({"127.0.0.1", 0})));
-    const auto executor = proxy::makeExecutor(views, upstreams::makeHttpConnector(io.get_executor()));
+    const auto executor = makeDirectExecutor(views, upstreams::makeHttpConnector(io.get_executor()));
     const auto proxy = serverOn(io, callers::makeHandler(executor));
     const auto entry = proxy->listen({"127.0.0.1", port});
     std::cout << "try:\n  curl -s http://127.0.0.1:" << entry.port << "/v1/services/orders/statements -d '{\"sql\":\"select 1\",\"access\":\"read\"}'\n"
