--- /dev/null
+++ b/include/sapphirespool/Configuration/configuration.h
@@ -0,0 +1,40 @@
+// configuration.h: the operators' text, checked as a whole.
+#pragma once
+
+#include "sapphirespool/Membership/clusterview.h"
+#include "sapphirespool/Support/types.h"
+
+#include <boost/leaf/result.hpp>
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace sapphirespool::configuration
+{
+
+/// Members of a group, unless the text says otherwise.
+constexpr auto usualGroupSize = std::uint32_t{3};
+
+/// A database group that the text names.
+struct GroupConfiguration
+{
+    GroupId id;
+    /// How many members the group has. Quorums are counted on it, not on how many have announced themselves: else the two halves of a
+    /// group that starts up partitioned could each elect a primary.
+    std::uint32_t size = usualGroupSize;
+};
+
+/// A text without mistakes.
+struct Configuration
+{
+    std::vector<membership::ServiceView> services;
+    /// Each group of a service, ordered by name.
+    std::vector<GroupConfiguration> groups;
+};
+
+/// \param file name that stands in the reports
+/// \return the configuration in \p text, or an error with support::TextProblems
+[[nodiscard]] auto parseConfiguration(std::string_view file, std::string_view text) -> boost::leaf::result<Configuration>;
+
+} // namespace sapphirespool::configuration
--- /dev/null
+++ b/include/sapphirespool/Settings/settings.h
@@ -0,0 +1,69 @@
+// settings.h: what one VM knows of itself at its start.
+//
+// Settings differ by VM and change with a restart; what the operators change while the system runs is the configuration.
+#pragma once
+
+#include "sapphirespool/Consensus/replicatedlog.h"
+#include "sapphirespool/Http/server.h"
+#include "sapphirespool/Support/log.h"
+#include "sapphirespool/Support/types.h"
+
+#include <boost/leaf/result.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sapphirespool::settings
+{
+
+/// Where a VM of the control group is reached.
+struct ControlAddress
+{
+    VmId vm;
+    Endpoint endpoint;
+};
+
+/// How a stop proceeds.
+struct Shutdown
+{
+    /// Time that the balancer needs to see that the VM is not ready.
+    std::chrono::milliseconds balancerDelay{2'000};
+    /// Time after which requests and transactions that still run are cut.
+    std::chrono::milliseconds drainTimeout{30'000};
+};
+
+/// The checked settings of one VM.
+struct Settings
+{
+    VmId vm;
+    ZoneId zone;
+    bool proxy = false;
+    bool control = false;
+    /// Where callers and operators connect; set for a proxy.
+    Endpoint callers;
+    /// Where other proxies connect; set for a proxy.
+    Endpoint peers;
+    /// Folder of the durable state; set for a VM of the control group.
+    std::string dataFolder;
+    /// The VMs of the control group at its first start, and where proxies first ask.
+    std::vector<ControlAddress> controlMembers;
+    std::uint32_t trafficThreads = 1;
+    support::LogFormat logFormat = support::LogFormat::Text;
+    http::ServerLimits limits;
+    Shutdown shutdown;
+
+    /// \return where this VM's control role listens, if it has one
+    [[nodiscard]] auto controlEndpoint() const -> std::optional<Endpoint>;
+};
+
+/// \return the settings in \p text, or an error with support::TextProblems
+[[nodiscard]] auto parseSettings(std::string_view file, std::string_view text) -> boost::leaf::result<Settings>;
+
+/// Reads \p file and parses it.
+[[nodiscard]] auto readSettings(std::string_view file) -> boost::leaf::result<Settings>;
+
+} // namespace sapphirespool::settings
--- /dev/null
+++ b/lib/State/changelog.cpp
@@ -0,0 +1,45 @@
+#include "sapphirespool/State/records.h"
+
+#include <utility>
+
+namespace sapphirespool::state
+{
+
+auto GroupRecord::quorum() const -> std::uint32_t
+{
+    return this->size / 2 + 1;
+}
+
+StateContent::StateContent(std::size_t changeLimit)
+    : changes(changeLimit)
+{
+}
+
+ChangeLog::ChangeLog(std::size_t limit)
+    : limit(limit)
+{
+}
+
+auto ChangeLog::find(const ChangeId &id) const -> const ChangeRecord *
+{
+    const auto found = this->places.find(id);
+    return found == this->places.end() ? nullptr : &this->ordered[found->second - this->forgotten];
+}
+
+auto ChangeLog::add(ChangeRecord record) -> void
+{
+    this->places.insert_or_assign(record.id, this->forgotten + this->ordered.size());
+    this->ordered.push_back(std::move(record));
+    if (this->ordered.size() > this->limit) {
+        this->places.erase(this->ordered.front().id);
+        this->ordered.pop_front();
+        ++this->forgotten;
+    }
+}
+
+auto ChangeLog::records() const -> const std::deque<ChangeRecord> &
+{
+    return this->ordered;
+}
+
+} // namespace sapphirespool::state
--- /dev/null
+++ b/lib/State/clusterstate.cpp
@@ -0,0 +1,284 @@
+#include "sapphirespool/State/clusterstate.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphirespool::state
+{
+
+namespace
+{
+
+using membership::ClusterView;
+using membership::ProxyView;
+using membership::UpstreamView;
+
+auto sameUpstream(const UpstreamView &left, const UpstreamView &right) -> bool
+{
+    return left.endpoint == right.endpoint && left.zone == right.zone && left.incarnation == right.incarnation && left.slots == right.slots
+        && left.connectionLimit == right.connectionLimit && left.leaving == right.leaving;
+}
+
+auto sameVm(const ProxyView &left, const ProxyView &right) -> bool
+{
+    return left.zone == right.zone && left.incarnation == right.incarnation && left.callers == right.callers && left.peers == right.peers
+        && left.leaving == right.leaving;
+}
+
+/// \return the place of the element named \p id in elements ordered by name, or the place where it belongs
+template <typename Elements, typename Id, typename Name>
+auto placeOf(Elements &elements, const Id &id, Name name)
+{
+    return std::lower_bound(elements.begin(), elements.end(), id, [&name](const auto &element, const Id &sought) {
+        return name(element) < sought;
+    });
+}
+
+auto upstreamName(const UpstreamView &upstream) -> const UpstreamId &
+{
+    return upstream.id;
+}
+
+auto vmName(const ProxyView &vm) -> const VmId &
+{
+    return vm.id;
+}
+
+auto groupName(const GroupRecord &group) -> const GroupId &
+{
+    return group.view.id;
+}
+
+auto digestOf(const std::string &text) -> std::uint64_t
+{
+    return XXH64(text.data(), text.size(), 0);
+}
+
+} // namespace
+
+ClusterState::ClusterState()
+    : content(rememberedChanges)
+{
+    this->buildView();
+}
+
+ClusterState::~ClusterState() = default;
+
+auto ClusterState::apply(consensus::LogIndex, std::span<const std::byte> command) -> consensus::Bytes
+{
+    const auto decoded = decodeCommand(command);
+    return encode(decoded ? this->execute(*decoded) : Result(Ignored()));
+}
+
+auto ClusterState::snapshot() const -> consensus::Bytes
+{
+    return encode(this->content);
+}
+
+auto ClusterState::restore(std::span<const std::byte> snapshot) -> void
+{
+    this->content = decodeContent(snapshot, rememberedChanges);
+    this->buildView();
+}
+
+auto ClusterState::execute(const Command &command) -> Result
+{
+    return std::visit(
+        [this](const auto &concrete) {
+            return this->run(concrete);
+        },
+        command);
+}
+
+auto ClusterState::view() const -> std::shared_ptr<const ClusterView>
+{
+    return this->builtView;
+}
+
+auto ClusterState::onChange(std::function<void()> newListener) -> void
+{
+    this->listener = std::move(newListener);
+}
+
+auto ClusterState::text() const -> const std::string &
+{
+    return this->content.text;
+}
+
+auto ClusterState::groups() const -> std::span<const GroupRecord>
+{
+    return this->content.groups;
+}
+
+auto ClusterState::findGroup(const GroupId &group) const -> const GroupRecord *
+{
+    const auto place = placeOf(this->content.groups, group, groupName);
+    return place == this->content.groups.end() || place->view.id != group ? nullptr : &*place;
+}
+
+auto ClusterState::run(const ChangeConfiguration &command) -> Result
+{
+    // An operator who lost the answer sends the change again. Judged anew it would meet the base that it itself has changed and be
+    // called a conflict, and the operator would apply it a second time on the new base. The first answer is kept by change id.
+    if (const auto *const known = this->content.changes.find(command.change)) {
+        const auto same = known->base == command.base && known->digest == digestOf(command.text);
+        return same ? known->result : Result(ChangeIdReused());
+    }
+    const auto result = this->decide(command);
+    this->remember(command, result);
+    return result;
+}
+
+auto ClusterState::decide(const ChangeConfiguration &command) -> Result
+{
+    if (command.base != this->content.configuration) {
+        return Conflict{this->content.configuration};
+    }
+    this->adopt(command);
+    return Accepted{this->content.configuration};
+}
+
+auto ClusterState::adopt(const ChangeConfiguration &command) -> void
+{
+    this->content.configuration = this->content.configuration.next();
+    this->content.text = command.text;
+    this->content.services = command.content.services;
+    for (const auto &group : command.content.groups) {
+        const auto place = placeOf(this->content.groups, group.id, groupName);
+        if (place != this->content.groups.end() && place->view.id == group.id) {
+            place->size = group.size;
+            continue;
+        }
+        auto record = GroupRecord();
+        record.view.id = group.id;
+        record.size = group.size;
+        this->content.groups.insert(place, std::move(record));
+    }
+    this->changed();
+}
+
+auto ClusterState::remember(const ChangeConfiguration &command, const Result &result) -> void
+{
+    // A conflict on a base that has passed is a conflict for ever, since revisions only rise; it needs no memory.
+    const auto *const conflict = std::get_if<Conflict>(&result);
+    if (conflict == nullptr || command.base > conflict->current) {
+        this->content.changes.add({command.change, command.base, digestOf(command.text), result});
+    }
+}
+
+auto ClusterState::run(const RegisterUpstream &command) -> Result
+{
+    auto *const record = this->group(command.group);
+    if (record == nullptr) {
+        return Ignored();
+    }
+    auto &members = record->view.members;
+    const auto place = placeOf(members, command.upstream.id, upstreamName);
+    if (place != members.end() && place->id == command.upstream.id) {
+        if (sameUpstream(*place, command.upstream)) {
+            return Ignored();
+        }
+        *place = command.upstream;
+        return this->changed();
+    }
+    // A member beyond the size would not be met by every quorum, and an acknowledged write on it and one other could be lost.
+    if (members.size() >= record->size) {
+        return Ignored();
+    }
+    members.insert(place, command.upstream);
+    return this->changed();
+}
+
+auto ClusterState::run(const BeginTerm &command) -> Result
+{
+    auto *const record = this->group(command.group);
+    if (record == nullptr || record->view.term != command.previous || command.next <= command.previous) {
+        return Ignored();
+    }
+    record->view.term = command.next;
+    record->view.primary.reset();
+    record->primaryIncarnation = Incarnation();
+    return this->changed();
+}
+
+auto ClusterState::run(const ChoosePrimary &command) -> Result
+{
+    auto *const record = this->group(command.group);
+    // Two control leaders in a row may fence different majorities of one term and choose differently. Only the first choice of a
+    // term counts, and only the member that it names is promoted: so a term never has two primaries.
+    if (record == nullptr || record->view.term != command.term || record->view.primary || record->view.findMember(command.primary) == nullptr) {
+        return Ignored();
+    }
+    record->view.primary = command.primary;
+    record->primaryIncarnation = command.incarnation;
+    auto &history = record->view.history;
+    history.push_back({command.term, command.keptUpTo});
+    if (history.size() > rememberedTerms) {
+        history.erase(history.begin());
+    }
+    return this->changed();
+}
+
+auto ClusterState::run(const RegisterVm &command) -> Result
+{
+    auto &vms = this->content.vms;
+    const auto place = placeOf(vms, command.vm.id, vmName);
+    if (place == vms.end() || place->id != command.vm.id) {
+        vms.insert(place, command.vm);
+        return this->changed();
+    }
+    if (sameVm(*place, command.vm)) {
+        return Ignored();
+    }
+    *place = command.vm;
+    return this->changed();
+}
+
+auto ClusterState::run(const ForgetVm &command) -> Result
+{
+    auto &vms = this->content.vms;
+    const auto place = placeOf(vms, command.vm, vmName);
+    if (place == vms.end() || place->id != command.vm || place->incarnation != command.incarnation) {
+        return Ignored();
+    }
+    vms.erase(place);
+    return this->changed();
+}
+
+auto ClusterState::group(const GroupId &id) -> GroupRecord *
+{
+    const auto place = placeOf(this->content.groups, id, groupName);
+    return place == this->content.groups.end() || place->view.id != id ? nullptr : &*place;
+}
+
+auto ClusterState::changed() -> Applied
+{
+    this->content.revision = this->content.revision.next();
+    this->buildView();
+    return Applied();
+}
+
+auto ClusterState::buildView() -> void
+{
+    auto view = ClusterView();
+    view.revision = this->content.revision;
+    view.configuration = this->content.configuration;
+    view.services = this->content.services;
+    view.proxies = this->content.vms;
+    for (const auto &record : this->content.groups) {
+        const auto named = std::any_of(view.services.begin(), view.services.end(), [&record](const membership::ServiceView &service) {
+            return service.group == record.view.id;
+        });
+        if (named) {
+            view.groups.push_back(record.view);
+        }
+    }
+    this->builtView = std::make_shared<const ClusterView>(std::move(view));
+    if (this->listener) {
+        this->listener();
+    }
+}
+
+} // namespace sapphirespool::state
--- /dev/null
+++ b/lib/State/commandcodec.cpp
@@ -0,0 +1,158 @@
+#include "recordcodec.h"
+
+#include "sapphirespool/State/commands.h"
+
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+#include <utility>
+
+namespace sapphirespool::state
+{
+
+namespace
+{
+
+struct CommandWriter
+{
+    schema::Command::Builder to;
+
+    auto operator()(const ChangeConfiguration &command) -> void
+    {
+        auto builder = this->to.initChangeConfiguration();
+        builder.setChange(command.change.value());
+        builder.setBase(command.base.value());
+        builder.setText(command.text);
+        writeAll(builder.initServices(static_cast<unsigned>(command.content.services.size())), command.content.services);
+        auto groups = builder.initGroups(static_cast<unsigned>(command.content.groups.size()));
+        auto place = 0U;
+        for (const auto &group : command.content.groups) {
+            groups[place].setId(group.id.value());
+            groups[place].setSize(group.size);
+            ++place;
+        }
+    }
+
+    auto operator()(const RegisterUpstream &command) -> void
+    {
+        auto builder = this->to.initRegisterUpstream();
+        builder.setGroup(command.group.value());
+        write(builder.initUpstream(), command.upstream);
+    }
+
+    auto operator()(const BeginTerm &command) -> void
+    {
+        auto builder = this->to.initBeginTerm();
+        builder.setGroup(command.group.value());
+        builder.setPrevious(command.previous.value());
+        builder.setNext(command.next.value());
+    }
+
+    auto operator()(const ChoosePrimary &command) -> void
+    {
+        auto builder = this->to.initChoosePrimary();
+        builder.setGroup(command.group.value());
+        builder.setTerm(command.term.value());
+        builder.setPrimary(command.primary.value());
+        builder.setIncarnation(command.incarnation.value());
+        builder.setKeptUpTo(command.keptUpTo.value());
+    }
+
+    auto operator()(const RegisterVm &command) -> void
+    {
+        write(this->to.initRegisterVm(), command.vm);
+    }
+
+    auto operator()(const ForgetVm &command) -> void
+    {
+        auto builder = this->to.initForgetVm();
+        builder.setVm(command.vm.value());
+        builder.setIncarnation(command.incarnation.value());
+    }
+};
+
+auto readChange(schema::Command::ChangeConfiguration::Reader from) -> ChangeConfiguration
+{
+    auto command = ChangeConfiguration();
+    command.change = ChangeId(read(from.getChange()));
+    command.base = Revision(from.getBase());
+    command.text = read(from.getText());
+    command.content.services = readAll<membership::ServiceView>(from.getServices());
+    for (const auto group : from.getGroups()) {
+        command.content.groups.push_back({GroupId(read(group.getId())), group.getSize()});
+    }
+    return command;
+}
+
+auto readChoice(schema::Command::ChoosePrimary::Reader from) -> ChoosePrimary
+{
+    return {GroupId(read(from.getGroup())),
+            Term(from.getTerm()),
+            UpstreamId(read(from.getPrimary())),
+            Incarnation(from.getIncarnation()),
+            LogPosition(from.getKeptUpTo())};
+}
+
+auto readCommand(schema::Command::Reader from) -> std::optional<Command>
+{
+    switch (from.which()) {
+    case schema::Command::CHANGE_CONFIGURATION:
+        return readChange(from.getChangeConfiguration());
+    case schema::Command::REGISTER_UPSTREAM:
+        return RegisterUpstream{GroupId(read(from.getRegisterUpstream().getGroup())), read(from.getRegisterUpstream().getUpstream())};
+    case schema::Command::BEGIN_TERM:
+        return BeginTerm{GroupId(read(from.getBeginTerm().getGroup())), Term(from.getBeginTerm().getPrevious()), Term(from.getBeginTerm().getNext())};
+    case schema::Command::CHOOSE_PRIMARY:
+        return readChoice(from.getChoosePrimary());
+    case schema::Command::REGISTER_VM:
+        return RegisterVm{read(from.getRegisterVm())};
+    case schema::Command::FORGET_VM:
+        return ForgetVm{VmId(read(from.getForgetVm().getVm())), Incarnation(from.getForgetVm().getIncarnation())};
+    }
+    return std::nullopt;
+}
+
+/// Runs \p readRoot on the message in \p bytes; bytes that are no message give nothing.
+template <typename Value, typename ReadRoot>
+auto decode(std::span<const std::byte> bytes, ReadRoot readRoot) -> std::optional<Value>
+{
+    auto value = std::optional<Value>();
+    const auto failure = kj::runCatchingExceptions([&] {
+        const auto words = align(bytes);
+        auto message = capnp::FlatArrayMessageReader(words);
+        value = readRoot(message);
+    });
+    return failure == nullptr ? value : std::nullopt;
+}
+
+} // namespace
+
+auto encode(const Command &command) -> consensus::Bytes
+{
+    auto message = capnp::MallocMessageBuilder();
+    std::visit(CommandWriter{message.initRoot<schema::Command>()}, command);
+    return flatten(message);
+}
+
+auto encode(const Result &result) -> consensus::Bytes
+{
+    auto message = capnp::MallocMessageBuilder();
+    write(message.initRoot<schema::Result>(), result);
+    return flatten(message);
+}
+
+auto decodeCommand(std::span<const std::byte> bytes) -> std::optional<Command>
+{
+    return decode<Command>(bytes, [](capnp::MessageReader &message) {
+        return readCommand(message.getRoot<schema::Command>());
+    });
+}
+
+auto decodeResult(std::span<const std::byte> bytes) -> std::optional<Result>
+{
+    return decode<Result>(bytes, [](capnp::MessageReader &message) {
+        return std::optional(read(message.getRoot<schema::Result>()));
+    });
+}
+
+} // namespace sapphirespool::state
--- /dev/null
+++ b/schema/state.capnp
@@ -0,0 +1,119 @@
+# state.capnp: commands, results and snapshots of the replicated state. Run scripts/generate-schema after a change.
+@0xb4f0a1c7d2e93658;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("sapphirespool::state::schema");
+
+struct Endpoint {
+  address @0 :Text;
+  port @1 :UInt16;
+}
+
+struct Service {
+  id @0 :Text;
+  group @1 :Text;
+  dependsOn @2 :List(Text);
+  readAgeMs @3 :UInt64;
+  timeoutMs @4 :UInt64;
+  queueLimit @5 :UInt32;
+  retryRatio @6 :Float64;
+}
+
+struct GroupSize {
+  id @0 :Text;
+  size @1 :UInt32;
+}
+
+struct Upstream {
+  id @0 :Text;
+  endpoint @1 :Endpoint;
+  zone @2 :Text;
+  incarnation @3 :UInt64;
+  slots @4 :UInt32;
+  connectionLimit @5 :UInt32;
+  leaving @6 :Bool;
+}
+
+struct Vm {
+  id @0 :Text;
+  zone @1 :Text;
+  incarnation @2 :UInt64;
+  callers @3 :Endpoint;
+  peers @4 :Endpoint;
+  leaving @5 :Bool;
+}
+
+struct Command {
+  union {
+    changeConfiguration :group {
+      change @0 :Text;
+      base @1 :UInt64;
+      text @2 :Text;
+      services @3 :List(Service);
+      groups @4 :List(GroupSize);
+    }
+    registerUpstream :group {
+      group @5 :Text;
+      upstream @6 :Upstream;
+    }
+    beginTerm :group {
+      group @7 :Text;
+      previous @8 :UInt64;
+      next @9 :UInt64;
+    }
+    choosePrimary :group {
+      group @10 :Text;
+      term @11 :UInt64;
+      primary @12 :Text;
+      incarnation @13 :UInt64;
+      keptUpTo @14 :UInt64;
+    }
+    registerVm @15 :Vm;
+    forgetVm :group {
+      vm @16 :Text;
+      incarnation @17 :UInt64;
+    }
+  }
+}
+
+struct Result {
+  union {
+    accepted @0 :UInt64;
+    conflict @1 :UInt64;
+    changeIdReused @2 :Void;
+    applied @3 :Void;
+    ignored @4 :Void;
+  }
+}
+
+struct Change {
+  id @0 :Text;
+  base @1 :UInt64;
+  digest @2 :UInt64;
+  result @3 :Result;
+}
+
+struct TermStart {
+  term @0 :UInt64;
+  keptUpTo @1 :UInt64;
+}
+
+struct Group {
+  id @0 :Text;
+  size @1 :UInt32;
+  term @2 :UInt64;
+  primary @3 :Text;
+  primaryIncarnation @4 :UInt64;
+  history @5 :List(TermStart);
+  members @6 :List(Upstream);
+}
+
+struct Snapshot {
+  revision @0 :UInt64;
+  configuration @1 :UInt64;
+  text @2 :Text;
+  services @3 :List(Service);
+  groups @4 :List(Group);
+  vms @5 :List(Vm);
+  changes @6 :List(Change);
+}
--- /dev/null
+++ b/unittests/State/clusterstatetest.cpp
@@ -0,0 +1,151 @@
+#include "sapphirespool/State/clusterstate.h"
+
+#include "samplecommands.h"
+
+#include <catch2/catch.hpp>
+
+namespace sapphirespool::state
+{
+
+namespace
+{
+
+const auto orders = GroupId("orders-1");
+
+auto isApplied(const Result &result) -> bool
+{
+    return std::holds_alternative<Applied>(result);
+}
+
+auto isIgnored(const Result &result) -> bool
+{
+    return std::holds_alternative<Ignored>(result);
+}
+
+/// A state with one group of three members in term 1.
+auto runningGroup() -> std::unique_ptr<ClusterState>
+{
+    auto state = std::make_unique<ClusterState>();
+    state->execute(changeOf("first", 0, "text"));
+    for (const auto *id : {"a", "b", "c"}) {
+        state->execute(RegisterUpstream{orders, upstreamOf(id, 1)});
+    }
+    state->execute(BeginTerm{orders, Term(0), Term(1)});
+    state->execute(ChoosePrimary{orders, Term(1), UpstreamId("a"), Incarnation(1), LogPosition(0)});
+    return state;
+}
+
+} // namespace
+
+TEST_CASE("a resent change gets its first answer, over a snapshot and later changes too")
+{
+    // An operator applies a text, loses the answer and sends the change again, after another operator's change and on a control VM
+    // that was restored from a snapshot. The operator must read that the first send was accepted, not that it met a conflict.
+    auto first = ClusterState();
+    CHECK(std::get<Accepted>(first.execute(changeOf("change-1", 0, "one"))).revision == Revision(1));
+    CHECK(std::get<Accepted>(first.execute(changeOf("change-2", 1, "two"))).revision == Revision(2));
+    auto second = ClusterState();
+    second.restore(first.snapshot());
+    CHECK(std::get<Accepted>(second.execute(changeOf("change-1", 0, "one"))).revision == Revision(1));
+    CHECK(second.text() == "two");
+    CHECK(second.view()->configuration == Revision(2));
+}
+
+TEST_CASE("of two texts on an equal base exactly one is accepted, and resends change nothing")
+{
+    // Two operators read revision 1 and send different texts; both lose the answer and send again in turns. One text stands, the
+    // other operator reads each time that it met a conflict.
+    auto state = ClusterState();
+    state.execute(changeOf("first", 0, "start"));
+    for (auto round = 0; round < 3; ++round) {
+        CHECK(std::get<Accepted>(state.execute(changeOf("left", 1, "left"))).revision == Revision(2));
+        CHECK(std::get<Conflict>(state.execute(changeOf("right", 1, "right"))).current == Revision(2));
+    }
+    CHECK(state.text() == "left");
+}
+
+TEST_CASE("a refused change on a base that was not reached stays refused once it is reached")
+{
+    auto state = ClusterState();
+    CHECK(std::get<Conflict>(state.execute(changeOf("early", 1, "early"))).current == Revision(0));
+    state.execute(changeOf("first", 0, "start"));
+    CHECK(std::holds_alternative<Conflict>(state.execute(changeOf("early", 1, "early"))));
+    CHECK(state.text() == "start");
+}
+
+TEST_CASE("a change id with another text or base is refused")
+{
+    auto state = ClusterState();
+    state.execute(changeOf("change-1", 0, "one"));
+    CHECK(std::holds_alternative<ChangeIdReused>(state.execute(changeOf("change-1", 0, "other"))));
+    CHECK(std::holds_alternative<ChangeIdReused>(state.execute(changeOf("change-1", 1, "one"))));
+}
+
+TEST_CASE("a forgotten change id is never accepted again")
+{
+    auto log = ChangeLog(2);
+    for (const auto *id : {"a", "b", "c"}) {
+        log.add({ChangeId(id), Revision(0), 0, Applied()});
+    }
+    CHECK(log.find(ChangeId("a")) == nullptr);
+    CHECK(log.find(ChangeId("b")) != nullptr);
+    CHECK(log.find(ChangeId("c"))->id == ChangeId("c"));
+
+    auto state = ClusterState();
+    for (std::uint64_t change = 0; change <= ClusterState::rememberedChanges; ++change) {
+        state.execute(changeOf("change-" + std::to_string(change), change, "text", {}));
+    }
+    CHECK(std::holds_alternative<Conflict>(state.execute(changeOf("change-0", 0, "text", {}))));
+    CHECK(std::holds_alternative<Accepted>(state.execute(changeOf("change-1", 1, "text", {}))));
+}
+
+TEST_CASE("a term has one primary, whatever a former control leader proposes")
+{
+    // A control leader chooses a and is cut off before it learns that the choice was committed; the next one fenced another majority
+    // and chooses b for the same term. Were both promoted, writes of one term would stand in two logs.
+    const auto state = runningGroup();
+    CHECK(isIgnored(state->execute(ChoosePrimary{orders, Term(1), UpstreamId("b"), Incarnation(1), LogPosition(9)})));
+    CHECK(state->findGroup(orders)->view.primary == UpstreamId("a"));
+    CHECK(isApplied(state->execute(BeginTerm{orders, Term(1), Term(2)})));
+    CHECK(isIgnored(state->execute(BeginTerm{orders, Term(1), Term(2)})));
+    CHECK(!state->findGroup(orders)->view.primary);
+    CHECK(isIgnored(state->execute(ChoosePrimary{orders, Term(1), UpstreamId("a"), Incarnation(1), LogPosition(9)})));
+    CHECK(isApplied(state->execute(ChoosePrimary{orders, Term(2), UpstreamId("b"), Incarnation(1), LogPosition(9)})));
+    CHECK(state->findGroup(orders)->view.history.size() == 2);
+}
+
+TEST_CASE("a group takes as many members as the text says")
+{
+    const auto state = runningGroup();
+    CHECK(isIgnored(state->execute(RegisterUpstream{orders, upstreamOf("d", 1)})));
+    CHECK(isIgnored(state->execute(RegisterUpstream{orders, upstreamOf("a", 1)})));
+    CHECK(isApplied(state->execute(RegisterUpstream{orders, upstreamOf("a", 2)})));
+    CHECK(isIgnored(state->execute(RegisterUpstream{GroupId("unnamed"), upstreamOf("a", 1)})));
+}
+
+TEST_CASE("a group that left the text keeps its term")
+{
+    const auto state = runningGroup();
+    state->execute(changeOf("second", 1, "other", {"orders-2"}));
+    CHECK(state->view()->findGroup(orders) == nullptr);
+    state->execute(changeOf("third", 2, "both", {"orders-1", "orders-2"}));
+    CHECK(state->view()->findGroup(orders)->term == Term(1));
+}
+
+TEST_CASE("a VM's former process cannot take it out of the view")
+{
+    auto state = ClusterState();
+    state.execute(RegisterVm{vmOf("hobart-1", 1)});
+    state.execute(RegisterVm{vmOf("hobart-1", 2)});
+    CHECK(isIgnored(state.execute(ForgetVm{VmId("hobart-1"), Incarnation(1)})));
+    CHECK(state.view()->findProxy(VmId("hobart-1"))->incarnation == Incarnation(2));
+    CHECK(isApplied(state.execute(ForgetVm{VmId("hobart-1"), Incarnation(2)})));
+}
+
+TEST_CASE("a snapshot that cannot be read names the remedy")
+{
+    const auto broken = consensus::Bytes(24, std::byte{0xff});
+    CHECK_THROWS_WITH(ClusterState().restore(broken), Catch::Contains("restore this VM's data folder"));
+}
+
+} // namespace sapphirespool::state
