Controller: the control role over the replicated log, state and promotion

Cause: somebody must turn heartbeats into registrations, promotions and leases, and texts into changes. Change: library Controller; soft state lives only while the VM leads; a VM gets a lease once the replicated state names it.

--- a/include/sapphirespool/Support/events.h
+++ b/include/sapphirespool/Support/events.h
@@ -24,6 +24,9 @@
     ListenFailed = 1005,
     CallerRequestRefused = 1101,
     UpstreamConnectionClosed = 1201,
+    ConfigurationAccepted = 2201,
+    TermEnded = 2401,
+    PrimaryChosen = 2402,
     StandinStarted = 3001,
 };
 
--- /dev/null
+++ b/lib/Controller/controller.cpp
@@ -0,0 +1,196 @@
+#include "sapphirespool/Controller/controller.h"
+
+#include "changelimiter.h"
+#include "leadership.h"
+
+#include "sapphirespool/Configuration/configuration.h"
+#include "sapphirespool/Support/log.h"
+#include "sapphirespool/Support/yaml.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <utility>
+
+namespace sapphirespool::controller
+{
+
+namespace
+{
+
+/// Name of the text in reports; the command line puts the file's name in its place.
+constexpr auto textName = std::string_view("configuration");
+constexpr auto changeIdLimit = std::size_t{128};
+constexpr auto limiterPause = std::chrono::milliseconds(1'000);
+
+using membership::ConfigurationChange;
+using membership::ConfigurationOutcome;
+
+using CheckedText = std::variant<configuration::Configuration, NotRun>;
+
+auto check(const ConfigurationChange &change) -> CheckedText
+{
+    if (change.change.value().empty() || change.change.value().size() > changeIdLimit) {
+        return NotRun{RefusalReason::MalformedRequest, "a change id has 1 to 128 characters"};
+    }
+    return boost::leaf::try_handle_all(
+        [&change]() -> boost::leaf::result<CheckedText> {
+            BOOST_LEAF_AUTO(configuration, configuration::parseConfiguration(textName, change.text));
+            return CheckedText(std::move(configuration));
+        },
+        [](const support::TextProblems &problems) {
+            return CheckedText(NotRun{RefusalReason::ConfigurationInvalid, describe(problems)});
+        },
+        [] {
+            return CheckedText(NotRun{RefusalReason::ConfigurationInvalid, "the text cannot be read"});
+        });
+}
+
+struct OutcomeOfResult
+{
+    const ConfigurationChange &change;
+
+    auto operator()(const state::Accepted &accepted) const -> ConfigurationOutcome
+    {
+        return membership::ConfigurationAccepted{accepted.revision};
+    }
+
+    auto operator()(const state::Conflict &conflict) const -> ConfigurationOutcome
+    {
+        return NotRun{RefusalReason::RevisionConflict,
+                      "base " + std::to_string(this->change.base.value()) + " is not the current revision " + std::to_string(conflict.current.value())};
+    }
+
+    auto operator()(const state::ChangeIdReused &) const -> ConfigurationOutcome
+    {
+        return NotRun{RefusalReason::KeyReused, "change id '" + this->change.change.value() + "' was used for another text or base"};
+    }
+
+    auto operator()(const state::Applied &) const -> ConfigurationOutcome
+    {
+        return OutcomeUnknown{RefusalReason::Internal, "the replicated state gave no result for the change"};
+    }
+
+    auto operator()(const state::Ignored &) const -> ConfigurationOutcome
+    {
+        return OutcomeUnknown{RefusalReason::Internal, "the replicated state did not understand the change"};
+    }
+};
+
+auto outcomeOf(const ConfigurationChange &change, const consensus::ProposalOutcome &outcome) -> ConfigurationOutcome
+{
+    if (const auto *const failure = std::get_if<consensus::ProposalFailure>(&outcome)) {
+        if (*failure == consensus::ProposalFailure::NotLeader) {
+            return NotRun{RefusalReason::ControlUnreachable, "this control VM does not lead"};
+        }
+        return OutcomeUnknown{RefusalReason::ControlUnreachable, "the answer of the control group was lost"};
+    }
+    const auto result = state::decodeResult(std::get<consensus::Bytes>(outcome));
+    return std::visit(OutcomeOfResult{change}, result.value_or(state::Ignored()));
+}
+
+class ReplicatedController : public Controller, public std::enable_shared_from_this<ReplicatedController>
+{
+public:
+    explicit ReplicatedController(ControllerParts parts)
+        : parts(std::move(parts))
+    {
+    }
+
+    auto tick() -> void override
+    {
+        if (const auto present = this->lead()) {
+            present->tick();
+        }
+    }
+
+    auto heartbeat(control::VmHeartbeat heartbeat, std::function<void(control::HeartbeatOutcome)> done) -> void override
+    {
+        const auto present = this->lead();
+        if (!present) {
+            done(NotRun{RefusalReason::ControlUnreachable, "this control VM does not lead"});
+            return;
+        }
+        present->heartbeat(heartbeat, std::move(done));
+    }
+
+    auto changeConfiguration(ConfigurationChange change, std::function<void(ConfigurationOutcome)> done) -> void override
+    {
+        auto checked = check(change);
+        if (const auto *const refusal = std::get_if<NotRun>(&checked)) {
+            done(*refusal);
+            return;
+        }
+        if (!this->limiter.tryTake(this->parts.clock())) {
+            done(NotRun{RefusalReason::QueueFull, "more than 20 changes of the configuration in a second", limiterPause});
+            return;
+        }
+        auto command = state::ChangeConfiguration{change.change, change.base, change.text, std::get<configuration::Configuration>(std::move(checked))};
+        this->parts.log.propose(encode(state::Command(std::move(command))), [change, done = std::move(done)](const consensus::ProposalOutcome &result) {
+            const auto outcome = outcomeOf(change, result);
+            if (const auto *const accepted = std::get_if<membership::ConfigurationAccepted>(&outcome)) {
+                support::log(support::Event::ConfigurationAccepted, {{"change", change.change.value()}, {"revision", accepted->revision.value()}});
+            }
+            done(outcome);
+        });
+    }
+
+    auto readConfiguration(std::function<void(membership::ConfigurationReadOutcome)> done) -> void override
+    {
+        this->parts.log.confirmRead([weak = this->weak_from_this(), done = std::move(done)](std::optional<consensus::ProposalFailure> failure) {
+            const auto self = weak.lock();
+            if (failure || !self) {
+                done(NotRun{RefusalReason::ControlUnreachable, "this control VM does not lead"});
+                return;
+            }
+            done(membership::ConfigurationText{self->parts.state.view()->configuration, self->parts.state.text()});
+        });
+    }
+
+    auto readStatus(std::function<void(membership::ClusterStatusOutcome)> done) -> void override
+    {
+        this->parts.log.confirmRead([weak = this->weak_from_this(), done = std::move(done)](std::optional<consensus::ProposalFailure> failure) {
+            const auto self = weak.lock();
+            const auto present = self ? self->lead() : nullptr;
+            if (failure || !present) {
+                done(NotRun{RefusalReason::ControlUnreachable, "this control VM does not lead"});
+                return;
+            }
+            done(present->status());
+        });
+    }
+
+    [[nodiscard]] auto currentView() const -> std::shared_ptr<const membership::ClusterView> override
+    {
+        return this->parts.state.view();
+    }
+
+    auto onViewChange(std::function<void()> listener) -> void override
+    {
+        this->parts.state.onChange(std::move(listener));
+    }
+
+private:
+    /// \return what is kept while this VM leads; begun or dropped as the lead comes and goes
+    auto lead() -> std::shared_ptr<Leadership>
+    {
+        if (!this->parts.log.holdsLeaderLease(this->parts.clock())) {
+            this->leadership.reset();
+        } else if (!this->leadership) {
+            this->leadership = std::make_shared<Leadership>(this->parts);
+        }
+        return this->leadership;
+    }
+
+    ControllerParts parts;
+    ChangeLimiter limiter;
+    std::shared_ptr<Leadership> leadership;
+};
+
+} // namespace
+
+auto makeController(ControllerParts parts) -> std::shared_ptr<Controller>
+{
+    return std::make_shared<ReplicatedController>(std::move(parts));
+}
+
+} // namespace sapphirespool::controller
--- /dev/null
+++ b/lib/Controller/leadership.cpp
@@ -0,0 +1,229 @@
+#include "leadership.h"
+
+#include "sapphirespool/Support/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphirespool::controller
+{
+
+namespace
+{
+
+/// A registration that did not change the state in this time is proposed again with the next heartbeat.
+constexpr auto proposalLife = std::chrono::milliseconds(1'000);
+
+auto viewOf(const control::VmHeartbeat &heartbeat) -> membership::ProxyView
+{
+    return {heartbeat.vm, heartbeat.zone, heartbeat.incarnation, heartbeat.callers, heartbeat.peers, heartbeat.leaving};
+}
+
+auto viewOf(const platform::Announcement &announcement) -> membership::UpstreamView
+{
+    auto view = membership::UpstreamView();
+    view.id = UpstreamId(announcement.id);
+    view.endpoint = {announcement.address, announcement.port};
+    view.zone = ZoneId(announcement.zone);
+    view.incarnation = Incarnation(announcement.incarnation);
+    view.slots = announcement.slots;
+    view.connectionLimit = announcement.connectionLimit;
+    view.leaving = announcement.leaving;
+    return view;
+}
+
+auto isSame(const membership::ProxyView &left, const membership::ProxyView &right) -> bool
+{
+    return left.zone == right.zone && left.incarnation == right.incarnation && left.callers == right.callers && left.peers == right.peers
+        && left.leaving == right.leaving;
+}
+
+auto isSame(const membership::UpstreamView &left, const membership::UpstreamView &right) -> bool
+{
+    return left.endpoint == right.endpoint && left.zone == right.zone && left.incarnation == right.incarnation && left.slots == right.slots
+        && left.connectionLimit == right.connectionLimit && left.leaving == right.leaving;
+}
+
+} // namespace
+
+Leadership::Leadership(const ControllerParts &parts)
+    : parts(parts)
+    , vms(parts.state.view()->proxies, parts.clock())
+    , promoter(parts.state, parts.clock())
+{
+}
+
+auto Leadership::tick() -> void
+{
+    const auto now = this->parts.clock();
+    this->promoter.setProxyZones(this->vms.liveZones(now));
+    this->forgetSilentVms();
+    this->carryOut(this->promoter.tick(now));
+}
+
+auto Leadership::heartbeat(const control::VmHeartbeat &heartbeat, std::function<void(control::HeartbeatOutcome)> done) -> void
+{
+    if (!this->vms.note(heartbeat, this->parts.clock())) {
+        done(NotRun{RefusalReason::StaleView, "a later process of VM " + heartbeat.vm.value() + " has taken its place"});
+        return;
+    }
+    this->registerVm(heartbeat);
+    for (const auto &announcement : heartbeat.announcements) {
+        this->registerUpstream(announcement);
+        this->handle(promotion::Announced{announcement});
+    }
+    for (const auto &suspicion : heartbeat.suspicions) {
+        this->handle(promotion::Suspected{heartbeat.zone, suspicion});
+    }
+    // The next leader knows a lease only by the replicated list of VMs. A lease of a VM that is not there yet would run on unknown
+    // to it, and a change would be reported in force while that VM still served under the old text.
+    if (this->parts.state.view()->findProxy(heartbeat.vm) == nullptr) {
+        done(NotRun{RefusalReason::StaleView, "VM " + heartbeat.vm.value() + " is not registered yet"});
+        return;
+    }
+    done(this->grant());
+}
+
+auto Leadership::status() const -> membership::ClusterStatus
+{
+    const auto now = this->parts.clock();
+    const auto view = this->parts.state.view();
+    auto status = membership::ClusterStatus();
+    status.leader = this->parts.vm;
+    status.revision = view->revision;
+    status.configuration = view->configuration;
+    status.inForce = this->vms.inForce(view->configuration, now);
+    for (const auto &proxy : view->proxies) {
+        status.vms.push_back(this->vms.status(proxy, now));
+    }
+    return status;
+}
+
+auto Leadership::grant() const -> control::LeaseGrant
+{
+    return {leaseLength, this->parts.state.view()->revision};
+}
+
+auto Leadership::registerVm(const control::VmHeartbeat &heartbeat) -> void
+{
+    const auto wanted = viewOf(heartbeat);
+    const auto view = this->parts.state.view();
+    const auto *const known = view->findProxy(heartbeat.vm);
+    if ((known != nullptr && isSame(*known, wanted)) || !this->tryRegister("vm " + heartbeat.vm.value())) {
+        return;
+    }
+    this->propose(state::RegisterVm{wanted}, {});
+}
+
+auto Leadership::registerUpstream(const platform::Announcement &announcement) -> void
+{
+    const auto wanted = viewOf(announcement);
+    const auto *const group = this->parts.state.findGroup(GroupId(announcement.group));
+    if (group == nullptr) {
+        return;
+    }
+    const auto *const known = group->view.findMember(wanted.id);
+    const auto full = known == nullptr && group->view.members.size() >= group->size;
+    if (full || (known != nullptr && isSame(*known, wanted)) || !this->tryRegister("upstream " + announcement.id)) {
+        return;
+    }
+    this->propose(state::RegisterUpstream{group->view.id, wanted}, group->view.id);
+}
+
+auto Leadership::forgetSilentVms() -> void
+{
+    const auto view = this->parts.state.view();
+    for (const auto &vm : this->vms.silent(view->proxies, this->parts.clock())) {
+        if (this->tryRegister("silent " + vm.id.value())) {
+            this->propose(state::ForgetVm{vm.id, vm.incarnation}, {});
+        }
+    }
+}
+
+auto Leadership::handle(const promotion::Event &event) -> void
+{
+    this->carryOut(this->promoter.handle(event, this->parts.clock()));
+}
+
+auto Leadership::carryOut(const promotion::Actions &actions) -> void
+{
+    for (const auto &action : actions) {
+        std::visit(
+            [this](const auto &kind) {
+                this->carryOut(kind);
+            },
+            action);
+    }
+}
+
+auto Leadership::carryOut(const promotion::SendFence &action) -> void
+{
+    this->parts.groupOperator->fence(
+        action.endpoint, action.request, this->answerTo(promotion::Order::Fence, action.group, action.request.term, action.member));
+}
+
+auto Leadership::carryOut(const promotion::SendPromote &action) -> void
+{
+    this->parts.groupOperator->promote(
+        action.endpoint, action.request, this->answerTo(promotion::Order::Promote, action.group, action.request.term, action.member));
+}
+
+auto Leadership::carryOut(const promotion::SendFollow &action) -> void
+{
+    this->parts.groupOperator->follow(
+        action.endpoint, action.request, this->answerTo(promotion::Order::Follow, action.group, action.request.term, action.member));
+}
+
+auto Leadership::carryOut(const promotion::ProposeTerm &action) -> void
+{
+    support::log(support::Event::TermEnded,
+                 {{"group", action.command.group.value()}, {"term", action.command.next.value()}, {"reason", promotion::name(action.reason)}});
+    this->propose(action.command, action.command.group);
+}
+
+auto Leadership::carryOut(const promotion::ProposePrimary &action) -> void
+{
+    support::log(support::Event::PrimaryChosen,
+                 {{"group", action.command.group.value()},
+                  {"term", action.command.term.value()},
+                  {"upstream", action.command.primary.value()},
+                  {"position", action.command.keptUpTo.value()}});
+    this->propose(action.command, action.command.group);
+}
+
+auto Leadership::answerTo(promotion::Order order, const GroupId &group, std::uint64_t term, const UpstreamId &member) -> platform::ReportCallback
+{
+    return [weak = this->weak_from_this(), post = this->parts.post, order, group, term, member](std::optional<platform::PositionReport> report) {
+        const auto answer = promotion::OrderAnswered{order, group, Term(term), member, std::move(report)};
+        post([weak, answer] {
+            if (const auto self = weak.lock()) {
+                self->handle(answer);
+            }
+        });
+    };
+}
+
+auto Leadership::propose(const state::Command &command, const GroupId &group) -> void
+{
+    this->parts.log.propose(encode(command), [weak = this->weak_from_this(), post = this->parts.post, group](const consensus::ProposalOutcome &) {
+        // Whether it took effect is read from the state; a lost proposal is made again.
+        post([weak, group] {
+            if (const auto self = weak.lock()) {
+                self->handle(promotion::GroupChanged{group});
+            }
+        });
+    });
+}
+
+auto Leadership::tryRegister(const std::string &name) -> bool
+{
+    const auto now = this->parts.clock();
+    const auto found = this->registrations.find(name);
+    if (found != this->registrations.end() && now - found->second < proposalLife) {
+        return false;
+    }
+    this->registrations.insert_or_assign(name, now);
+    return true;
+}
+
+} // namespace sapphirespool::controller
--- /dev/null
+++ b/lib/Controller/leadership.h
@@ -0,0 +1,49 @@
+// leadership.h: what a control VM keeps while it leads, and loses with the lead.
+#pragma once
+
+#include "sapphirespool/Controller/controller.h"
+#include "sapphirespool/Controller/vmtable.h"
+#include "sapphirespool/Promotion/promoter.h"
+
+#include <map>
+#include <string>
+
+namespace sapphirespool::controller
+{
+
+/// One time of leading. It proposes changes of the replicated state and orders members about; it is never told to stop in the
+/// middle, it is dropped. Answers that come later find it gone.
+class Leadership : public std::enable_shared_from_this<Leadership>
+{
+public:
+    explicit Leadership(const ControllerParts &parts);
+
+    auto tick() -> void;
+    auto heartbeat(const control::VmHeartbeat &heartbeat, std::function<void(control::HeartbeatOutcome)> done) -> void;
+    [[nodiscard]] auto status() const -> membership::ClusterStatus;
+
+private:
+    auto grant() const -> control::LeaseGrant;
+    auto registerVm(const control::VmHeartbeat &heartbeat) -> void;
+    auto registerUpstream(const platform::Announcement &announcement) -> void;
+    auto forgetSilentVms() -> void;
+    auto handle(const promotion::Event &event) -> void;
+    auto carryOut(const promotion::Actions &actions) -> void;
+    auto carryOut(const promotion::SendFence &action) -> void;
+    auto carryOut(const promotion::SendPromote &action) -> void;
+    auto carryOut(const promotion::SendFollow &action) -> void;
+    auto carryOut(const promotion::ProposeTerm &action) -> void;
+    auto carryOut(const promotion::ProposePrimary &action) -> void;
+    /// \return a callback that brings the report to the control thread
+    auto answerTo(promotion::Order order, const GroupId &group, std::uint64_t term, const UpstreamId &member) -> platform::ReportCallback;
+    auto propose(const state::Command &command, const GroupId &group) -> void;
+    /// \return whether a registration under \p name may be proposed now; repeated ones wait for proposalLife
+    auto tryRegister(const std::string &name) -> bool;
+
+    const ControllerParts &parts;
+    VmTable vms;
+    promotion::Promoter promoter;
+    std::map<std::string, TimePoint> registrations;
+};
+
+} // namespace sapphirespool::controller
--- a/lib/Support/events.cpp
+++ b/lib/Support/events.cpp
@@ -18,6 +18,9 @@
     {Event::ListenFailed, Severity::Error, "listen failed"},
     {Event::CallerRequestRefused, Severity::Warning, "caller request refused"},
     {Event::UpstreamConnectionClosed, Severity::Warning, "upstream connection closed"},
+    {Event::ConfigurationAccepted, Severity::Info, "configuration accepted"},
+    {Event::TermEnded, Severity::Warning, "term ended"},
+    {Event::PrimaryChosen, Severity::Info, "primary chosen"},
     {Event::StandinStarted, Severity::Info, "stand-in started"},
 });
 
