--- /dev/null
+++ b/lib/Node/controlpart.cpp
@@ -0,0 +1,131 @@
+#include "controlpart.h"
+
+#include "sapphirespool/Consensus/replica.h"
+#include "sapphirespool/Control/controlserver.h"
+#include "sapphirespool/Controller/controller.h"
+#include "sapphirespool/Node/node.h"
+#include "sapphirespool/State/clusterstate.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <kj/async.h>
+
+#include <chrono>
+#include <future>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace sapphirespool::node
+{
+
+namespace
+{
+
+constexpr auto tickLength = controller::tickInterval / std::chrono::milliseconds(1) * kj::MILLISECONDS;
+
+auto replicaSettings(const settings::Settings &settings, std::uint64_t seed) -> consensus::ReplicaSettings
+{
+    auto replica = consensus::ReplicaSettings();
+    replica.vm = settings.vm;
+    replica.endpoint = settings.controlEndpoint().value_or(Endpoint());
+    for (const auto &member : settings.controlMembers) {
+        replica.initialMembers.push_back({member.vm, member.endpoint, true, {}});
+    }
+    replica.dataFolder = settings.dataFolder;
+    replica.seed = seed;
+    return replica;
+}
+
+} // namespace
+
+/// Members are destroyed in the reverse order: the server first, the state last.
+class ControlPart::OnLoop
+{
+public:
+    OnLoop(rpc::LoopContext &context,
+           rpc::LoopThread &loop,
+           const settings::Settings &settings,
+           std::shared_ptr<platform::GroupOperator> groupOperator,
+           std::uint64_t seed)
+        : timer(context.timer)
+        , replica(openOrThrow(context, replicaSettings(settings, seed), this->state))
+        , controller(controller::makeController(this->controllerParts(loop, settings.vm, std::move(groupOperator))))
+        , server(control::serveControl(context, *settings.controlEndpoint(), *this->replica, *this->controller))
+    {
+        this->replica->start();
+        this->ticking = this->tickForever().eagerlyEvaluate(nullptr);
+    }
+
+private:
+    static auto openOrThrow(rpc::LoopContext &context, consensus::ReplicaSettings settings, state::ClusterState &state) -> std::unique_ptr<consensus::Replica>
+    {
+        return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<std::unique_ptr<consensus::Replica>> {
+                return consensus::openReplica(context, std::move(settings), state);
+            },
+            [](const storage::StorageError &error) -> std::unique_ptr<consensus::Replica> {
+                throw StartFailure(error.detail);
+            },
+            []() -> std::unique_ptr<consensus::Replica> {
+                throw StartFailure("the data folder cannot be used; see the log");
+            });
+    }
+
+    auto controllerParts(rpc::LoopThread &loop, const VmId &vm, std::shared_ptr<platform::GroupOperator> groupOperator) -> controller::ControllerParts
+    {
+        return {vm,
+                *this->replica,
+                this->state,
+                std::move(groupOperator),
+                [] {
+                    return std::chrono::steady_clock::now();
+                },
+                [&loop](std::function<void()> work) {
+                    loop.post([work = std::move(work)](rpc::LoopContext &) {
+                        work();
+                    });
+                }};
+    }
+
+    auto tickForever() -> kj::Promise<void>
+    {
+        return this->timer.afterDelay(tickLength).then([this] {
+            this->controller->tick();
+            return this->tickForever();
+        });
+    }
+
+    kj::Timer &timer;
+    state::ClusterState state;
+    std::unique_ptr<consensus::Replica> replica;
+    std::shared_ptr<controller::Controller> controller;
+    std::unique_ptr<control::ControlServer> server;
+    kj::Promise<void> ticking = nullptr;
+};
+
+ControlPart::ControlPart(rpc::LoopThread &loop, const settings::Settings &settings, std::shared_ptr<platform::GroupOperator> groupOperator, std::uint64_t seed)
+    : loop(loop)
+{
+    auto made = std::make_shared<std::promise<std::shared_ptr<OnLoop>>>();
+    auto ready = made->get_future();
+    loop.post([made, &loop, &settings, groupOperator = std::move(groupOperator), seed](rpc::LoopContext &context) {
+        try {
+            made->set_value(std::make_shared<OnLoop>(context, loop, settings, groupOperator, seed));
+        } catch (const std::exception &) {
+            made->set_exception(std::current_exception());
+        }
+    });
+    this->onLoop = ready.get();
+}
+
+ControlPart::~ControlPart()
+{
+    auto ended = std::promise<void>();
+    this->loop.post([&ended, onLoop = std::move(this->onLoop)](rpc::LoopContext &) mutable {
+        onLoop.reset();
+        ended.set_value();
+    });
+    ended.get_future().wait();
+}
+
+} // namespace sapphirespool::node
--- /dev/null
+++ b/lib/Node/controlpart.h
@@ -0,0 +1,31 @@
+// controlpart.h: the control role of a VM on its control thread.
+#pragma once
+
+#include "sapphirespool/Platform/groupoperator.h"
+#include "sapphirespool/Rpc/loopthread.h"
+#include "sapphirespool/Settings/settings.h"
+
+#include <cstdint>
+#include <memory>
+
+namespace sapphirespool::node
+{
+
+/// Replica, replicated state, controller and RPC server. Made and destroyed on any thread; everything in it lives on the loop.
+class ControlPart
+{
+public:
+    /// \throws StartFailure if the data folder cannot be used
+    ControlPart(rpc::LoopThread &loop, const settings::Settings &settings, std::shared_ptr<platform::GroupOperator> groupOperator, std::uint64_t seed);
+    ~ControlPart();
+    ControlPart(const ControlPart &) = delete;
+    auto operator=(const ControlPart &) -> ControlPart & = delete;
+
+private:
+    class OnLoop;
+
+    rpc::LoopThread &loop;
+    std::shared_ptr<OnLoop> onLoop;
+};
+
+} // namespace sapphirespool::node
--- /dev/null
+++ b/lib/Node/node.cpp
@@ -0,0 +1,90 @@
+#include "sapphirespool/Node/node.h"
+
+#include "controlpart.h"
+#include "proxypart.h"
+#include "trafficthreads.h"
+
+#include "sapphirespool/Platform/httpgroupoperator.h"
+#include "sapphirespool/Rpc/loopthread.h"
+#include "sapphirespool/Support/log.h"
+
+#include <boost/system/system_error.hpp>
+
+#include <random>
+#include <utility>
+
+namespace sapphirespool::node
+{
+
+namespace
+{
+
+/// \return a number that no earlier start of this VM drew
+auto drawNumber() -> std::uint64_t
+{
+    auto device = std::random_device();
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+/// Members are destroyed in the reverse order: first what uses the threads, then the threads.
+class OneNode : public Node
+{
+public:
+    explicit OneNode(settings::Settings settings)
+        : settings(std::move(settings))
+        , traffic(this->settings.trafficThreads)
+    {
+    }
+
+    auto start() -> void override
+    {
+        try {
+            this->startParts();
+        } catch (const boost::system::system_error &error) {
+            support::log(support::Event::ListenFailed, {{"vm", this->settings.vm.value()}, {"detail", error.what()}});
+            throw StartFailure(std::string(error.what()) + "; give the VM an address of its own that is free");
+        }
+        support::log(support::Event::ProcessStarted, {{"vm", this->settings.vm.value()}, {"zone", this->settings.zone.value()}});
+    }
+
+    auto drain() -> void override
+    {
+        support::log(support::Event::ProcessDraining, {{"vm", this->settings.vm.value()}});
+        if (this->proxyPart) {
+            this->proxyPart->drain();
+        }
+        this->proxyPart.reset();
+        this->controlPart.reset();
+        support::log(support::Event::ProcessStopped, {{"vm", this->settings.vm.value()}});
+    }
+
+private:
+    auto startParts() -> void
+    {
+        if (this->settings.control) {
+            this->controlPart
+                = std::make_unique<ControlPart>(this->controlLoop, this->settings, platform::makeHttpGroupOperator(this->orders.dispatch()), drawNumber());
+        }
+        if (this->settings.proxy) {
+            this->proxyPart = std::make_unique<ProxyPart>(this->controlLoop, this->traffic, this->settings, Incarnation(drawNumber()));
+            this->proxyPart->start();
+        }
+    }
+
+    settings::Settings settings;
+    rpc::LoopThread controlLoop;
+    /// Carries the orders to members of database groups, which a busy dispatch thread would hold up.
+    TrafficThreads orders{1};
+    TrafficThreads traffic;
+    std::unique_ptr<ControlPart> controlPart;
+    std::unique_ptr<ProxyPart> proxyPart;
+};
+
+} // namespace
+
+auto makeNode(settings::Settings settings) -> std::unique_ptr<Node>
+{
+    return std::make_unique<OneNode>(std::move(settings));
+}
+
+} // namespace sapphirespool::node
--- a/tools/sapphirespool/commands.h
+++ b/tools/sapphirespool/commands.h
@@ -18,9 +18,18 @@
 /// Arguments of a subcommand; the first is its name, as getopt_long wants it.
 using Arguments = std::span<char *>;
 
+/// Hands a text to the system.
+auto runApply(Arguments arguments) -> ExitCode;
+
+/// Checks a text without sending it.
+auto runCheck(Arguments arguments) -> ExitCode;
+
 /// Serves a whole system in one process, to try it out.
 auto runDemo(Arguments arguments) -> ExitCode;
 
+/// Shows the revision of each VM.
+auto runStatus(Arguments arguments) -> ExitCode;
+
 /// Prints the version.
 auto runVersion(Arguments arguments) -> ExitCode;
 
--- a/tools/sapphirespool/main.cpp
+++ b/tools/sapphirespool/main.cpp
@@ -22,7 +22,10 @@
 };
 
 constexpr auto commands = std::to_array<Command>({
+    {"apply", "hand the operators' text to the system", runApply},
+    {"check", "check the operators' text", runCheck},
     {"demo", "serve a whole system in one process", runDemo},
+    {"status", "show the revision that each VM serves under", runStatus},
     {"version", "print the version", runVersion},
 });
 
