--- a/lib/Support/events.cpp
+++ b/lib/Support/events.cpp
@@ -22,6 +22,9 @@
     {Event::GroupFounded, Severity::Info, "control group founded"},
     {Event::ConsensusTaskFailed, Severity::Warning, "consensus task failed"},
     {Event::StorageFailed, Severity::Error, "storage failed"},
+    {Event::ConfigurationAccepted, Severity::Info, "configuration accepted"},
+    {Event::TermEnded, Severity::Warning, "term ended"},
+    {Event::PrimaryChosen, Severity::Info, "primary chosen"},
     {Event::StandinStarted, Severity::Info, "stand-in started"},
 });
 
