--- a/unittests/Proxy/fakes.h
+++ b/unittests/Proxy/fakes.h
@@ -261,6 +261,11 @@
         return std::nullopt;
     }
 
+    [[nodiscard]] auto demand(const UpstreamId &) const -> decisions::SlotDemand override
+    {
+        return {};
+    }
+
 private:
     std::shared_ptr<const membership::ClusterView> view;
 };
