--- a/lib/Consensus/core.cpp
+++ b/lib/Consensus/core.cpp
@@ -16,6 +16,9 @@
     using Functions::operator()...;
 };
 
+template <typename... Functions>
+Overloaded(Functions...) -> Overloaded<Functions...>;
+
 } // namespace
 
 auto CoreSettings::leaseLength() const -> Duration
--- a/lib/Consensus/replica.cpp
+++ b/lib/Consensus/replica.cpp
@@ -65,9 +65,14 @@
     auto peerCapability() -> capnp::Capability::Client override;
     auto start() -> void override;
 
-private:
-    friend class PeerServer;
+    /// Takes in a message of another control VM.
+    auto received(schema::Message::Reader message) -> void;
+
+    /// Notes that \p member wants to be taken in.
+    /// \return whether this VM is of no group either
+    auto joinAsked(const ControlMember &member) -> bool;
 
+private:
     auto taskFailed(kj::Exception &&exception) -> void override;
     auto handle(const CoreEvent &event) -> void;
     auto perform(Action action) -> void;
@@ -85,8 +90,6 @@
     auto vmOf(ReplicaId replica) const -> std::optional<VmId>;
     auto selfMember() const -> ControlMember;
     auto reportLeader() -> void;
-    auto received(schema::Message::Reader message) -> void;
-    auto joinAsked(const ControlMember &member) -> bool;
 
     rpc::LoopContext &context;
     ReplicaSettings settings;
@@ -113,7 +116,7 @@
 };
 
 /// Takes messages of other control VMs in.
-class PeerServer : public schema::ConsensusPeer::Server
+class PeerServer final : public schema::ConsensusPeer::Server
 {
 public:
     explicit PeerServer(ReplicaNode &node)
@@ -461,7 +464,7 @@
 
 auto ReplicaNode::peerCapability() -> capnp::Capability::Client
 {
-    return schema::ConsensusPeer::Client(kj::heap<PeerServer>(*this));
+    return capnp::Capability::Client(kj::heap<PeerServer>(*this));
 }
 
 } // namespace
--- a/lib/Control/controlserver.cpp
+++ b/lib/Control/controlserver.cpp
@@ -129,7 +129,7 @@
     return kj::mv(signal.promise);
 }
 
-class ControlVmServer : public schema::ControlVm::Server
+class ControlVmServer final : public schema::ControlVm::Server
 {
 public:
     explicit ControlVmServer(std::shared_ptr<Shared> shared)
--- a/unittests/Control/proxylinktest.cpp
+++ b/unittests/Control/proxylinktest.cpp
@@ -17,6 +17,10 @@
 namespace
 {
 
+class EmptyPeer final : public schema::ConsensusPeer::Server
+{
+};
+
 /// Leads or not, as the test says.
 class FakeReplica : public consensus::Replica
 {
@@ -60,7 +64,7 @@
 
     auto peerCapability() -> capnp::Capability::Client override
     {
-        return schema::ConsensusPeer::Client(kj::heap<schema::ConsensusPeer::Server>());
+        return kj::heap<EmptyPeer>();
     }
 
     auto start() -> void override
