--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -47,8 +47,8 @@
     [[nodiscard]] auto wakeAt() const -> TimePoint;
 
 private:
-    /// An order that waits for its answer.
-    struct OpenOrder
+    /// The last order that a member was sent.
+    struct SentOrder
     {
         Order order;
         Term term;
@@ -88,7 +88,7 @@
     /// Reports of the members that were fenced at the term.
     std::map<UpstreamId, platform::PositionReport> fenced;
     std::optional<TimePoint> quorumSince;
-    std::map<UpstreamId, OpenOrder> open;
+    std::map<UpstreamId, SentOrder> orders;
     std::optional<TimePoint> proposed;
     /// Zones that suspect the primary, and when they last said so.
     std::map<ZoneId, TimePoint> suspicions;
--- a/tools/sapphirespool/commands.h
+++ b/tools/sapphirespool/commands.h
@@ -27,6 +27,12 @@
 /// Serves a whole system in one process, to try it out.
 auto runDemo(Arguments arguments) -> ExitCode;
 
+/// Drives callers against a running system.
+auto runLoad(Arguments arguments) -> ExitCode;
+
+/// Serves one stand-in member of a database group.
+auto runStandin(Arguments arguments) -> ExitCode;
+
 /// Shows the revision of each VM.
 auto runStatus(Arguments arguments) -> ExitCode;
 
