--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -59,15 +59,10 @@
 
 auto GroupPromotion::note(const OrderAnswered &event, TimePoint now) -> void
 {
-    const auto order = this->open.find(event.member);
-    const auto expected = order != this->open.end() && order->second.order == event.order && order->second.term == event.term;
     // Another process may have taken over the address of a member; its log says nothing of the member's.
     if (!event.report || event.report->id != event.member.value()) {
         return;
     }
-    if (expected) {
-        this->open.erase(order);
-    }
     this->members.note(*event.report, now);
     // Only a report that a member gives while it is fenced at this very term tells where its log ends: a late report of an earlier
     // term is older than what the member wrote since, and by it the choice could pass over the log with the acknowledged writes.
@@ -102,7 +97,7 @@
     this->term = group.view.term;
     this->hasPrimary = group.view.primary.has_value();
     this->quorumSince.reset();
-    this->open.clear();
+    this->orders.clear();
     this->proposed.reset();
     this->suspicions.clear();
     this->leavingSince.reset();
@@ -326,12 +321,14 @@
 
 auto GroupPromotion::tryOpen(const UpstreamId &member, Order order, Term inTerm, TimePoint now) -> bool
 {
-    const auto found = this->open.find(member);
-    const auto waits = found != this->open.end() && found->second.order == order && found->second.term == inTerm && now - found->second.sent < orderRetry;
+    // Also an order that was answered waits: a control leader that is behind the state may ask for what the member is past, and would
+    // ask again as fast as the answers come.
+    const auto found = this->orders.find(member);
+    const auto waits = found != this->orders.end() && found->second.order == order && found->second.term == inTerm && now - found->second.sent < orderRetry;
     if (waits) {
         return false;
     }
-    this->open.insert_or_assign(member, OpenOrder{order, inTerm, now});
+    this->orders.insert_or_assign(member, SentOrder{order, inTerm, now});
     return true;
 }
 
--- a/unittests/Promotion/grouppromotiontest.cpp
+++ b/unittests/Promotion/grouppromotiontest.cpp
@@ -106,6 +106,17 @@
     CHECK(count<ProposePrimary>(fencing.answer(follower)) == 0);
 }
 
+TEST_CASE("an answer that does not help does not bring the next order at once")
+{
+    // A former control leader does not know that a primary was chosen. Each member answers its fence as a follower; were the next
+    // fence sent at once, leader and members would exchange them as fast as they can.
+    auto fencing = Fencing();
+    for (auto answer = 1; answer < 10; ++answer) {
+        CHECK(fencing.answer(answerOf("a", 2, platform::Role::Replica, 10), answer * 1ms).empty());
+    }
+    CHECK(count<SendFence>(fencing.promotion.advance(fencing.group, 3, start + orderRetry)) == 3);
+}
+
 TEST_CASE("an answer of another process at the member's address does not count")
 {
     auto fencing = Fencing();
--- a/unittests/Promotion/world.h
+++ b/unittests/Promotion/world.h
@@ -173,7 +173,8 @@
     std::vector<state::Command> committed;
     std::vector<std::shared_ptr<FakeLeader>> leaders;
     std::vector<PendingWrite> pending;
-    std::set<std::uint64_t> acknowledged;
+    /// Acknowledged writes and the terms in which they were.
+    std::map<std::uint64_t, Term> acknowledged;
     std::uint64_t nextWrite = 1;
     std::size_t actionCount = 0;
     /// The one member that was primary in a term.
--- a/unittests/State/clusterstatepropertiestest.cpp
+++ b/unittests/State/clusterstatepropertiestest.cpp
@@ -107,7 +107,7 @@
         for (const auto draw : *commands()) {
             const auto before = state.view();
             const auto groups = std::vector<GroupRecord>(state.groups().begin(), state.groups().end());
-            const auto result = state.execute(commandFrom(draw));
+            state.execute(commandFrom(draw));
             const auto after = state.view();
             RC_ASSERT(after->configuration >= before->configuration);
             RC_ASSERT((after->revision > before->revision) || after == before);
