--- a/unittests/Upstreams/positionwatchtest.cpp
+++ b/unittests/Upstreams/positionwatchtest.cpp
@@ -88,6 +88,28 @@
     }
 };
 
+/// Gives the reports it was made with, each at once, and then none.
+class ScriptedSource : public PositionSource
+{
+public:
+    explicit ScriptedSource(std::vector<platform::PositionReport> reports)
+        : reports(std::move(reports))
+    {
+    }
+
+    auto poll(Term, LogPosition, std::chrono::milliseconds) -> asio::awaitable<std::optional<platform::PositionReport>> override
+    {
+        if (this->next == this->reports.size()) {
+            co_return std::nullopt;
+        }
+        co_return this->reports[this->next++];
+    }
+
+private:
+    std::vector<platform::PositionReport> reports;
+    std::size_t next = 0;
+};
+
 } // namespace
 
 TEST_CASE("a write is confirmed by a replica")
@@ -166,6 +188,39 @@
     CHECK(fixture.loop.finish(confirmed) == Confirmation::Confirmed);
 }
 
+TEST_CASE("a confirmation stands though its member is fenced in the next moment")
+{
+    // The member held the write when it said so, and the promotion will find it there. The caller must not be told otherwise
+    // because the fence was heard of before the waiting request came to run.
+    auto loop = Loop();
+    auto view = membership::ClusterView();
+    auto group = membership::GroupView();
+    group.id = GroupId("g");
+    group.term = Term(1);
+    group.primary = UpstreamId("a");
+    for (const auto *const name : {"a", "b", "c"}) {
+        auto member = membership::UpstreamView();
+        member.id = UpstreamId(name);
+        member.endpoint.address = name;
+        group.members.push_back(member);
+    }
+    view.groups.push_back(group);
+    auto holds = platform::PositionReport();
+    holds.id = "b";
+    holds.term = 1;
+    holds.lastTerm = 1;
+    holds.position = 5;
+    auto fenced = holds;
+    fenced.term = 2;
+    fenced.role = platform::Role::Fenced;
+    const auto watch = makePositionWatch(loop.io.get_executor(), [&holds, &fenced](const Endpoint &endpoint) {
+        const auto speaks = endpoint.address == "b";
+        return std::make_shared<ScriptedSource>(speaks ? std::vector{holds, fenced} : std::vector<platform::PositionReport>());
+    });
+    watch->viewChanged(std::make_shared<const membership::ClusterView>(view));
+    CHECK(loop.wait(watch->confirm(GroupId("g"), Term(1), LogPosition(5), farDeadline())) == Confirmation::Confirmed);
+}
+
 TEST_CASE("a replica that comes back confirms again")
 {
     // Both replicas restart while a write waits. They keep their logs but are other processes, which the view learns first.
