--- a/include/sapphirespool/Load/target.h
+++ b/include/sapphirespool/Load/target.h
@@ -61,6 +61,10 @@
     virtual auto ask(Question question) -> boost::asio::awaitable<Reply> = 0;
 };
 
+/// \return whether \p endpoint is on this machine. A load that is pointed at somebody else's system by a slip would write into it
+/// and could bring it down.
+[[nodiscard]] auto isLocal(const Endpoint &endpoint) -> bool;
+
 /// \return a proxy, asked over the callers' API
 [[nodiscard]] auto makeProxyTarget(boost::asio::any_io_executor executor, Endpoint proxy, ServiceId service) -> std::shared_ptr<Target>;
 
--- a/lib/Load/proxytarget.cpp
+++ b/lib/Load/proxytarget.cpp
@@ -3,6 +3,7 @@
 
 #include "clientpool.h"
 
+#include <boost/asio/ip/address.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 
@@ -116,6 +117,13 @@
 
 } // namespace
 
+auto isLocal(const Endpoint &endpoint) -> bool
+{
+    auto error = boost::system::error_code();
+    const auto address = asio::ip::make_address(endpoint.address, error);
+    return !error && address.is_loopback();
+}
+
 auto makeProxyTarget(asio::any_io_executor executor, Endpoint proxy, ServiceId service) -> std::shared_ptr<Target>
 {
     return std::make_shared<ProxyTarget>(std::move(executor), std::move(proxy), service);
--- a/lib/Metrics/metrics.cpp
+++ b/lib/Metrics/metrics.cpp
@@ -13,6 +13,7 @@
 #include <mutex>
 #include <span>
 #include <sstream>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -34,7 +35,7 @@
 constexpr auto latencyBuckets = 28U;
 
 /// Services that are counted by name. A caller that makes up names must not make the process grow; the rest share one name.
-constexpr auto mostServices = 256;
+constexpr auto mostServices = std::size_t{256};
 constexpr auto otherServices = std::string_view("other");
 
 /// Service of requests that were refused before their service was known.
@@ -77,7 +78,7 @@
 
 auto serviceAxis() -> ServiceAxis
 {
-    return ServiceAxis(std::vector<std::string>{std::string(noService)});
+    return ServiceAxis();
 }
 
 auto makeLatencies()
@@ -103,15 +104,6 @@
 using LatencySums = decltype(makeLatencySums());
 using Counters = decltype(makeCounters(0));
 
-/// Without the bound a caller that makes up service names would fill the memory.
-template <typename Histogram>
-auto boundedName(const Histogram &histogram, const ServiceId &service) -> std::string
-{
-    const auto &axis = histogram.template axis<0>();
-    const auto known = axis.index(service.value()) < axis.size();
-    return known || axis.size() < mostServices ? service.value() : std::string(otherServices);
-}
-
 auto family(std::string_view name, std::string_view help, MetricType type) -> MetricFamily
 {
     return MetricFamily{std::string(name), std::string(help), type, {}};
@@ -191,12 +183,49 @@
 class Metrics::State
 {
 public:
+    State()
+    {
+        this->addService(std::string(noService));
+    }
+
+    /// \return the index that \p service has on the service axis of each histogram
+    auto indexOf(const ServiceId &service) -> int
+    {
+        const auto found = this->services.find(service.value());
+        if (found != this->services.end()) {
+            return found->second;
+        }
+        // Without the bound a caller that makes up service names would fill the memory.
+        if (this->services.size() < mostServices) {
+            return this->addService(service.value());
+        }
+        const auto other = this->services.find(std::string(otherServices));
+        return other != this->services.end() ? other->second : this->addService(std::string(otherServices));
+    }
+
     std::mutex mutex;
     Latencies latencies = makeLatencies();
     LatencySums latencySums = makeLatencySums();
     Counters refusals = makeCounters(refusalDescriptions().size());
     Counters retries = makeCounters(retryNames.size());
     std::array<std::uint64_t, connectionNames.size()> connections{};
+
+private:
+    /// Adds \p name to all service axes at once, so that it has the same index on each; looking it up on a category axis would
+    /// cost a comparison for each service of the proxy.
+    auto addService(const std::string &name) -> int
+    {
+        this->latencies(name, 0, 0, shortestLatency, histogram::weight(0));
+        this->latencySums(name, 0, 0, histogram::weight(0));
+        this->refusals(name, 0, histogram::weight(0));
+        this->retries(name, 0, histogram::weight(0));
+        const auto index = static_cast<int>(this->services.size());
+        assert(this->retries.axis<0>().index(name) == index && "the axes grow in step");
+        this->services[name] = index;
+        return index;
+    }
+
+    std::unordered_map<std::string, int> services;
 };
 
 Metrics::Metrics()
@@ -210,21 +239,22 @@
 {
     const auto seconds = std::chrono::duration<double>(latency).count();
     const auto guard = std::lock_guard(this->state->mutex);
-    const auto known = boundedName(this->state->latencies, service);
-    this->state->latencies(known, static_cast<int>(access), static_cast<int>(role), seconds);
-    this->state->latencySums(known, static_cast<int>(access), static_cast<int>(role), histogram::weight(seconds));
+    const auto index = this->state->indexOf(service);
+    const auto bucket = this->state->latencies.axis<3>().index(seconds);
+    this->state->latencies.at(index, static_cast<int>(access), static_cast<int>(role), bucket) += 1;
+    this->state->latencySums.at(index, static_cast<int>(access), static_cast<int>(role)) += seconds;
 }
 
 auto Metrics::countRefusal(const ServiceId &service, RefusalReason reason) -> void
 {
     const auto guard = std::lock_guard(this->state->mutex);
-    this->state->refusals(boundedName(this->state->refusals, service), static_cast<int>(reason));
+    this->state->refusals.at(this->state->indexOf(service), static_cast<int>(reason)) += 1;
 }
 
 auto Metrics::countRetry(const ServiceId &service, RetryReason reason) -> void
 {
     const auto guard = std::lock_guard(this->state->mutex);
-    this->state->retries(boundedName(this->state->retries, service), static_cast<int>(reason));
+    this->state->retries.at(this->state->indexOf(service), static_cast<int>(reason)) += 1;
 }
 
 auto Metrics::setConnections(ConnectionState connectionState, std::uint64_t count) -> void
--- a/tools/sapphirespool/loadcommand.cpp
+++ b/tools/sapphirespool/loadcommand.cpp
@@ -6,7 +6,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/address.hpp>
 #include <boost/json/serialize.hpp>
 #include <getopt.h>
 
@@ -138,10 +137,9 @@
     }
 }
 
-/// A load that is pointed at somebody else's system by a slip would write into it and could bring it down.
 auto refuseRemote(const Endpoint &target) -> void
 {
-    if (!asio::ip::make_address(target.address).is_loopback()) {
+    if (!load::isLocal(target)) {
         throw OptionError(target.address + " is outside of 127.0.0.0/8; add --anywhere if the load is meant for it");
     }
 }
--- a/unittests/Load/loadruntest.cpp
+++ b/unittests/Load/loadruntest.cpp
@@ -121,6 +121,16 @@
     CHECK(report.violations.uncheckedSessions == 0);
 }
 
+TEST_CASE("only addresses of this machine are local")
+{
+    CHECK(isLocal({"127.0.0.1", 80}));
+    CHECK(isLocal({"127.255.0.9", 80}));
+    CHECK_FALSE(isLocal({"10.0.0.1", 80}));
+    CHECK_FALSE(isLocal({"128.0.0.1", 80}));
+    CHECK_FALSE(isLocal({"0.0.0.0", 80}));
+    CHECK_FALSE(isLocal({"example.org", 80}));
+}
+
 TEST_CASE("a run ends at its duration")
 {
     auto fixture = RunFixture();
