--- a/lib/Consensus/core.cpp
+++ b/lib/Consensus/core.cpp
@@ -16,6 +16,9 @@
     using Functions::operator()...;
 };
 
+template <typename... Functions>
+Overloaded(Functions...) -> Overloaded<Functions...>;
+
 } // namespace
 
 auto CoreSettings::leaseLength() const -> Duration
@@ -113,6 +116,9 @@
                    [this](const ReadRequested &read) {
                        this->onRead(read);
                    },
+                   [this](const Founded &founded) {
+                       this->onFounded(founded);
+                   },
                    [this](const SnapshotTaken &taken) {
                        this->onSnapshotTaken(taken);
                    },
