Test of the graceful shutdown: give the stop time to go wrong

Cause: with the wait for open transactions taken out, the test still passed: the transaction was over before the next step of the stop, and an exchange without an answer counted as 200. Change: the test waits ten of the stop's steps while the transaction is open, and an answer counts only if one came.

--- a/unittests/ProxyRole/proxyroletest.cpp
+++ b/unittests/ProxyRole/proxyroletest.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/value_to.hpp>
 #include <catch2/catch.hpp>
@@ -102,6 +103,19 @@
         }
     }
 
+    /// Lets the stop take as many steps as it would in this time.
+    auto pause(milliseconds time) -> void
+    {
+        auto timer = asio::steady_timer(this->io, time);
+        auto over = false;
+        timer.async_wait([&over](const boost::system::error_code &) {
+            over = true;
+        });
+        this->runUntil([&over] {
+            return over;
+        });
+    }
+
     auto readiness() -> http::Status
     {
         auto probe = Caller();
@@ -151,7 +165,9 @@
         request.body() = body;
         auto result = co_await caller.connection->exchange(std::move(request), deadline);
         caller.failed = static_cast<bool>(result.error);
-        caller.answer = std::move(result.response);
+        if (!caller.failed) {
+            caller.answer = std::move(result.response);
+        }
     }
 };
 
@@ -205,6 +221,7 @@
         refused = system.ask(newcomer, http::Verb::post, statements, writeBody);
     }
     CHECK(reasonOf(refused) == "draining");
+    system.pause(milliseconds(100));
     CHECK_FALSE(system.done);
     CHECK(system.ask(clerk, http::Verb::post, transaction + "/statements", R"({"sql":"enrol A","access":"write"})").result() == http::Status::ok);
     auto reconnected = Caller();
