--- a/include/sapphirespool/Support/events.h
+++ b/include/sapphirespool/Support/events.h
@@ -27,6 +27,10 @@
     ConfigurationAccepted = 2201,
     TermEnded = 2401,
     PrimaryChosen = 2402,
+    ControlLeaderChanged = 2001,
+    GroupFounded = 2002,
+    ConsensusTaskFailed = 2003,
+    StorageFailed = 2101,
     StandinStarted = 3001,
 };
 
--- a/lib/Support/events.cpp
+++ b/lib/Support/events.cpp
@@ -21,6 +21,10 @@
     {Event::ConfigurationAccepted, Severity::Info, "configuration accepted"},
     {Event::TermEnded, Severity::Warning, "term ended"},
     {Event::PrimaryChosen, Severity::Info, "primary chosen"},
+    {Event::ControlLeaderChanged, Severity::Info, "control leader changed"},
+    {Event::GroupFounded, Severity::Info, "control group founded"},
+    {Event::ConsensusTaskFailed, Severity::Warning, "consensus task failed"},
+    {Event::StorageFailed, Severity::Error, "storage failed"},
     {Event::StandinStarted, Severity::Info, "stand-in started"},
 });
 
