--- a/lib/Node/proxypart.cpp
+++ b/lib/Node/proxypart.cpp
@@ -5,10 +5,12 @@
 #include "sapphirespool/Control/proxylink.h"
 #include "sapphirespool/Decisions/factory.h"
 #include "sapphirespool/Membership/clusterview.h"
+#include "sapphirespool/Metrics/handler.h"
 #include "sapphirespool/Metrics/metrics.h"
 #include "sapphirespool/Node/node.h"
 #include "sapphirespool/Operators/handler.h"
 #include "sapphirespool/Platform/announcements.h"
+#include "sapphirespool/ProxyRole/metricsrecorder.h"
 #include "sapphirespool/ProxyRole/proxyrole.h"
 #include "sapphirespool/Upstreams/connection.h"
 #include "sapphirespool/Upstreams/pool.h"
@@ -111,7 +113,9 @@
         parts.pool = upstreams::makePool(upstreams::makeHttpConnector(dispatch), dispatch);
         parts.watch = upstreams::makeHttpPositionWatch(dispatch);
         parts.dispatcher = dispatcherFor(settings);
-        parts.metrics = std::make_shared<metrics::Metrics>();
+        const auto metrics = std::make_shared<metrics::Metrics>();
+        parts.recorder = proxy::makeMetricsRecorder(metrics);
+        parts.routes.push_back({"/metrics", metrics::makeMetricsHandler(metrics)});
         parts.dispatch = dispatch;
         parts.sessions = this->traffic.sessions();
         const auto operators = operators::makeHandler(this->link);
