--- a/lib/State/recordcodec.h
+++ b/lib/State/recordcodec.h
@@ -6,8 +6,6 @@
 #include "sapphirespool/Membership/clusterview.h"
 #include "sapphirespool/State/commands.h"
 
-#include <kjcompat.h>
-
 #include <capnp/message.h>
 #include <state.capnp.h>
 
