Nobody is promoted while a proxy may still serve under the ended term

Cause: a proxy that is cut off together with the old primary reads from it for as long as its lease lasts. A session that wrote to the new primary by another proxy and roams there without its token, while the session's homes are out of reach, missed its own write. The traffic path took it for granted that a promotion waits for the leases; promotion did not. Change: the order to promote waits until each proxy with a live lease has confirmed a view in which the term has ended, or the lease length since the term was seen. Proxies confirm while the members are fenced, so nothing is added while all of them answer; with a proxy lost at the same time the gap grows to the lease of 3 s at most. Seen: the new test fails with the wait taken out; the tests of Promotion, Controller and Upstreams pass.

--- a/include/sapphirespool/Controller/vmtable.h
+++ b/include/sapphirespool/Controller/vmtable.h
@@ -4,6 +4,8 @@
 #include "sapphirespool/Control/controlservice.h"
 #include "sapphirespool/Membership/clusterview.h"
 #include "sapphirespool/Membership/controllink.h"
+#include "sapphirespool/Promotion/messages.h"
+#include "sapphirespool/Promotion/timing.h"
 #include "sapphirespool/Support/types.h"
 
 #include <chrono>
@@ -16,9 +18,7 @@
 namespace sapphirespool::controller
 {
 
-/// Length of a proxy's lease. It outlasts an election of control, which takes up to about 2 s, so that acknowledging does not stop
-/// with each lost control VM; and a proxy that is cut off from control stops acknowledging before the 7 s of a failover are over.
-constexpr auto leaseLength = std::chrono::milliseconds(3'000);
+using promotion::leaseLength;
 
 /// A VM that was silent for this long leaves the view; a restart or a partition of minutes does not change the others' sharing twice.
 constexpr auto forgetAfter = std::chrono::milliseconds(60'000);
@@ -43,8 +43,9 @@
     /// \return the state of \p vm for `status`
     [[nodiscard]] auto status(const membership::ProxyView &vm, TimePoint now) const -> membership::VmStatus;
 
-    /// \return how many zones have a VM with a live lease
-    [[nodiscard]] auto liveZones(TimePoint now) const -> std::size_t;
+    /// \param current revision of the replicated state
+    /// \return what promotion has to know of the VMs with live leases
+    [[nodiscard]] auto standing(Revision current, TimePoint now) const -> promotion::ProxyStanding;
 
     /// \return the VMs of \p known that were silent for forgetAfter
     [[nodiscard]] auto silent(std::span<const membership::ProxyView> known, TimePoint now) const -> std::vector<membership::ProxyView>;
--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -39,9 +39,8 @@
     auto note(const Suspected &event, TimePoint now) -> void;
     auto note(const OrderAnswered &event, TimePoint now) -> void;
 
-    /// \param proxyZones zones with live proxies
     /// \return the next steps
-    auto advance(const state::GroupRecord &group, std::size_t proxyZones, TimePoint now) -> Actions;
+    auto advance(const state::GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions;
 
     /// \return when advance() is due even if no event comes
     [[nodiscard]] auto wakeAt() const -> TimePoint;
@@ -55,17 +54,18 @@
         TimePoint sent;
     };
 
-    auto enterTerm(const state::GroupRecord &group) -> void;
+    auto enterTerm(const state::GroupRecord &group, Revision current, TimePoint now) -> void;
     auto elect(const state::GroupRecord &group, TimePoint now) -> Actions;
     auto fenceMembers(const state::GroupRecord &group, TimePoint now) -> Actions;
     auto choose(const state::GroupRecord &group, TimePoint now) -> Actions;
-    auto lead(const state::GroupRecord &group, std::size_t proxyZones, TimePoint now) -> Actions;
-    auto orderMembers(const state::GroupRecord &group, TimePoint now) -> Actions;
+    auto lead(const state::GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions;
+    auto orderMembers(const state::GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions;
     auto endTerm(const state::GroupRecord &group, TermEnd reason, TimePoint now) -> Actions;
 
     [[nodiscard]] auto reasonToEnd(const state::GroupRecord &group, std::size_t proxyZones, TimePoint now) const -> std::optional<TermEnd>;
     [[nodiscard]] auto isSilent(const UpstreamId &primary, TimePoint now) const -> bool;
     [[nodiscard]] auto isSuspected(std::size_t proxyZones, TimePoint now) const -> bool;
+    [[nodiscard]] auto isReleased(const state::GroupRecord &group, const ProxyStanding &proxies, TimePoint now) const -> bool;
     [[nodiscard]] auto isReadyForHandover(const state::GroupRecord &group, TimePoint now) const -> bool;
     [[nodiscard]] auto hasCaughtUp(const state::GroupRecord &group, const MemberState &primary, TimePoint now) const -> bool;
     [[nodiscard]] auto liveCount(const state::GroupRecord &group, TimePoint now) const -> std::size_t;
@@ -85,6 +85,9 @@
     /// Term that the fields below belong to.
     Term term;
     bool hasPrimary = false;
+    /// When this leader first saw the term, and the revision of the replicated state then.
+    TimePoint termSeen;
+    Revision termRevision;
     /// Reports of the members that were fenced at the term.
     std::map<UpstreamId, platform::PositionReport> fenced;
     std::optional<TimePoint> quorumSince;
--- a/include/sapphirespool/Promotion/messages.h
+++ b/include/sapphirespool/Promotion/messages.h
@@ -6,6 +6,7 @@
 #include "sapphirespool/State/commands.h"
 #include "sapphirespool/Support/types.h"
 
+#include <cstddef>
 #include <optional>
 #include <variant>
 #include <vector>
@@ -26,6 +27,17 @@
     membership::Suspicion suspicion;
 };
 
+/// What is known of the proxies while a group is looked at.
+struct ProxyStanding
+{
+    /// Zones with live proxies.
+    std::size_t zones = 0;
+    /// Revision of the replicated state now.
+    Revision current;
+    /// Oldest revision under which a proxy with a live lease may still serve; current if there is no such proxy.
+    Revision oldestServed;
+};
+
 /// What a member is told to do.
 enum class Order {
     Fence,
--- a/include/sapphirespool/Promotion/promoter.h
+++ b/include/sapphirespool/Promotion/promoter.h
@@ -24,8 +24,8 @@
     /// Looks at the groups that are due.
     auto tick(TimePoint now) -> Actions;
 
-    /// \param zones zones with live proxies
-    auto setProxyZones(std::size_t zones) -> void;
+    /// Tells what is known of the proxies by now.
+    auto setProxies(const ProxyStanding &standing) -> void;
 
 private:
     auto advance(const GroupId &group, TimePoint now) -> Actions;
@@ -33,7 +33,7 @@
 
     const state::ClusterState &state;
     TimePoint since;
-    std::size_t proxyZones = 0;
+    ProxyStanding proxies;
     std::map<GroupId, GroupPromotion> groups;
 };
 
--- a/include/sapphirespool/Promotion/timing.h
+++ b/include/sapphirespool/Promotion/timing.h
@@ -10,6 +10,11 @@
 /// again after 200 to 400 ms, or a stall of half a second does not cost a promotion; the gap stays far below the 7 s allowed.
 constexpr auto silenceLimit = std::chrono::milliseconds(1'000);
 
+/// Length of a proxy's lease on its view. It outlasts an election of control, which takes up to about 2 s, so that acknowledging does
+/// not stop with each lost control VM. A promotion waits this long at most for a proxy that is lost or cut off at the same time, and
+/// not at all while all proxies answer; with the detection before it that stays below the 7 s allowed.
+constexpr auto leaseLength = std::chrono::milliseconds(3'000);
+
 /// Suspicions of different zones count together within this time. Proxies whose callers are few notice a dead primary up to a
 /// timeout of 2 s apart.
 constexpr auto suspicionLife = std::chrono::milliseconds(2'000);
--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -56,7 +56,7 @@
 auto Leadership::tick() -> void
 {
     const auto now = this->parts.clock();
-    this->promoter.setProxyZones(this->vms.liveZones(now));
+    this->noteProxies(now);
     this->forgetSilentVms();
     this->carryOut(this->promoter.tick(now));
 }
@@ -99,6 +99,11 @@
     return status;
 }
 
+auto Leadership::noteProxies(TimePoint now) -> void
+{
+    this->promoter.setProxies(this->vms.standing(this->parts.state.view()->revision, now));
+}
+
 auto Leadership::grant() const -> control::LeaseGrant
 {
     return {leaseLength, this->parts.state.view()->revision};
@@ -142,7 +147,9 @@
 
 auto Leadership::handle(const promotion::Event &event) -> void
 {
-    this->carryOut(this->promoter.handle(event, this->parts.clock()));
+    const auto now = this->parts.clock();
+    this->noteProxies(now);
+    this->carryOut(this->promoter.handle(event, now));
 }
 
 auto Leadership::carryOut(const promotion::Actions &actions) -> void
--- a/lib/Controller/leadership.h
+++ b/lib/Controller/leadership.h
@@ -23,6 +23,7 @@
     [[nodiscard]] auto status() const -> membership::ClusterStatus;
 
 private:
+    auto noteProxies(TimePoint now) -> void;
     auto grant() const -> control::LeaseGrant;
     auto registerVm(const control::VmHeartbeat &heartbeat) -> void;
     auto registerUpstream(const platform::Announcement &announcement) -> void;
--- a/lib/Controller/vmtable.cpp
+++ b/lib/Controller/vmtable.cpp
@@ -58,15 +58,17 @@
     return status;
 }
 
-auto VmTable::liveZones(TimePoint now) const -> std::size_t
+auto VmTable::standing(Revision current, TimePoint now) const -> promotion::ProxyStanding
 {
     auto zones = std::set<ZoneId>();
+    auto oldest = current;
     for (const auto &[id, vm] : this->vms) {
         if (now < vm.leaseEnd) {
             zones.insert(vm.zone);
+            oldest = std::min(oldest, vm.confirmed);
         }
     }
-    return zones.size();
+    return {zones.size(), current, oldest};
 }
 
 auto VmTable::silent(std::span<const membership::ProxyView> known, TimePoint now) const -> std::vector<membership::ProxyView>
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -72,12 +72,12 @@
     }
 }
 
-auto GroupPromotion::advance(const GroupRecord &group, std::size_t proxyZones, TimePoint now) -> Actions
+auto GroupPromotion::advance(const GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions
 {
     if (group.view.term != this->term || group.view.primary.has_value() != this->hasPrimary) {
-        this->enterTerm(group);
+        this->enterTerm(group, proxies.current, now);
     }
-    auto actions = group.view.primary ? this->lead(group, proxyZones, now) : this->elect(group, now);
+    auto actions = group.view.primary ? this->lead(group, proxies, now) : this->elect(group, now);
     this->wake = now + motionInterval;
     if (!this->inMotion && group.view.primary) {
         const auto *const primary = this->members.find(*group.view.primary);
@@ -92,8 +92,12 @@
     return this->wake;
 }
 
-auto GroupPromotion::enterTerm(const GroupRecord &group) -> void
+auto GroupPromotion::enterTerm(const GroupRecord &group, Revision current, TimePoint now) -> void
 {
+    if (group.view.term != this->term) {
+        this->termSeen = now;
+        this->termRevision = current;
+    }
     this->term = group.view.term;
     this->hasPrimary = group.view.primary.has_value();
     this->quorumSince.reset();
@@ -153,7 +157,7 @@
     return {ProposePrimary{{group.view.id, group.view.term, UpstreamId(report.id), Incarnation(report.incarnation), LogPosition(report.position)}}};
 }
 
-auto GroupPromotion::lead(const GroupRecord &group, std::size_t proxyZones, TimePoint now) -> Actions
+auto GroupPromotion::lead(const GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions
 {
     const auto &primary = *group.view.primary;
     const auto *const state = this->members.find(primary);
@@ -163,21 +167,24 @@
     } else if (!leaving) {
         this->leavingSince.reset();
     }
-    const auto reason = this->reasonToEnd(group, proxyZones, now);
+    const auto reason = this->reasonToEnd(group, proxies.zones, now);
     this->inMotion = reason || leaving || !this->suspicions.empty() || !this->isPrimary(primary, this->term, group.primaryIncarnation);
     if (reason && this->pause.allows(now)) {
         return this->endTerm(group, *reason, now);
     }
-    return this->orderMembers(group, now);
+    return this->orderMembers(group, proxies, now);
 }
 
-auto GroupPromotion::orderMembers(const GroupRecord &group, TimePoint now) -> Actions
+auto GroupPromotion::orderMembers(const GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions
 {
     const auto *const primary = group.view.primaryMember();
     if (primary == nullptr || this->incarnationOf(group, primary->id) != group.primaryIncarnation) {
         return {};
     }
     if (!this->isPrimary(primary->id, this->term, group.primaryIncarnation)) {
+        if (!this->isReleased(group, proxies, now)) {
+            return {};
+        }
         return this->tryOpen(primary->id, Order::Promote, this->term, now) ? Actions{promoteOf(group, *primary)} : Actions();
     }
     auto actions = Actions();
@@ -250,6 +257,16 @@
     return static_cast<std::size_t>(recent) >= needed;
 }
 
+auto GroupPromotion::isReleased(const GroupRecord &group, const ProxyStanding &proxies, TimePoint now) const -> bool
+{
+    // A proxy that is cut off together with the old primary still reads from it. A session that writes to the new primary by another
+    // proxy and then roams to this one without its token would not find its own write. So nobody is primary of the new term
+    // before each proxy with a live lease has confirmed a view in which the old term has ended. Whoever cannot confirm loses its lease:
+    // from the moment the term was seen, leases are granted for views of this term only.
+    const auto firstTerm = group.view.history.size() <= 1;
+    return firstTerm || proxies.oldestServed >= this->termRevision || now - this->termSeen >= leaseLength;
+}
+
 auto GroupPromotion::isReadyForHandover(const GroupRecord &group, TimePoint now) const -> bool
 {
     const auto *const primary = this->members.find(*group.view.primary);
--- a/lib/Promotion/promoter.cpp
+++ b/lib/Promotion/promoter.cpp
@@ -93,15 +93,15 @@
     return actions;
 }
 
-auto Promoter::setProxyZones(std::size_t zones) -> void
+auto Promoter::setProxies(const ProxyStanding &standing) -> void
 {
-    this->proxyZones = zones;
+    this->proxies = standing;
 }
 
 auto Promoter::advance(const GroupId &group, TimePoint now) -> Actions
 {
     const auto *const record = this->state.findGroup(group);
-    return this->promotionOf(group).advance(*record, this->proxyZones, now);
+    return this->promotionOf(group).advance(*record, this->proxies, now);
 }
 
 auto Promoter::promotionOf(const GroupId &group) -> GroupPromotion &
--- a/lib/Proxy/upstreamaccess.cpp
+++ b/lib/Proxy/upstreamaccess.cpp
@@ -82,7 +82,7 @@
 
 auto UpstreamAccess::leaseCovers(std::chrono::milliseconds age) const -> bool
 {
-    // A promotion begins only after the leases on the old term have run out. So what an upstream of the viewed term shows is at
+    // Nobody is promoted before the leases on the old term have run out. So what an upstream of the viewed term shows is at
     // most as old as the lease is over, and a read that accepts this age may still be served.
     return this->views->leaseLive(std::chrono::steady_clock::now() - age);
 }
--- a/lib/Proxy/writeconfirmation.cpp
+++ b/lib/Proxy/writeconfirmation.cpp
@@ -46,7 +46,7 @@
         co_return OutcomeUnknown{RefusalReason::NotConfirmed, "it ran at a primary that was replaced; it may be lost"};
     }
     // Between the confirmation and this line the primary may have been replaced. Under a live lease it has not: a promotion
-    // waits for the leases of all proxies to run out. Without one an old primary's write would be acknowledged.
+    // waits until each proxy has confirmed the end of the term or lost its lease. Without one an old primary's write would be acknowledged.
     if (!this->isCurrent(write)) {
         co_return OutcomeUnknown{RefusalReason::NotConfirmed, "it ran, but the lease on the view ran out before it could be acknowledged"};
     }
--- a/lib/Upstreams/positionwatch.cpp
+++ b/lib/Upstreams/positionwatch.cpp
@@ -57,7 +57,11 @@
         }
         const auto waiting = WaitingWrite(self, term, position, deadline);
         self->pollMembers();
-        co_await waiting.entry->timer.async_wait(awaitTuple);
+        // A member may answer before the wait begins. The cancel that ends the wait would then find none, and the caller would wait until
+        // its deadline for a confirmation that is there.
+        if (!waiting.entry->outcome) {
+            co_await waiting.entry->timer.async_wait(awaitTuple);
+        }
         co_return waiting.entry->outcome.value_or(Confirmation::TimedOut);
     }
 
--- a/unittests/Promotion/grouppromotiontest.cpp
+++ b/unittests/Promotion/grouppromotiontest.cpp
@@ -14,6 +14,9 @@
 
 const auto start = TimePoint(1h);
 
+/// Three zones, and no proxy that serves under an ended term.
+const auto released = ProxyStanding{3, Revision(7), Revision(7)};
+
 /// A group in \p term with members a, b and c, without a primary.
 auto fencingGroup(std::uint64_t term) -> state::GroupRecord
 {
@@ -56,12 +59,12 @@
 {
     state::GroupRecord group = fencingGroup(2);
     GroupPromotion promotion{start};
-    Actions first = this->promotion.advance(this->group, 3, start);
+    Actions first = this->promotion.advance(this->group, released, start);
 
     auto answer(const OrderAnswered &event, Duration after = 1ms) -> Actions
     {
         this->promotion.note(event, start + after);
-        return this->promotion.advance(this->group, 3, start + after);
+        return this->promotion.advance(this->group, released, start + after);
     }
 };
 
@@ -72,8 +75,8 @@
     auto fencing = Fencing();
     CHECK(count<SendFence>(fencing.first) == 3);
     CHECK(fencing.answer(answerOf("a", 2, platform::Role::Fenced, 10)).empty());
-    CHECK(fencing.promotion.advance(fencing.group, 3, start + orderRetry - 1ms).empty());
-    CHECK(count<SendFence>(fencing.promotion.advance(fencing.group, 3, start + orderRetry)) == 2);
+    CHECK(fencing.promotion.advance(fencing.group, released, start + orderRetry - 1ms).empty());
+    CHECK(count<SendFence>(fencing.promotion.advance(fencing.group, released, start + orderRetry)) == 2);
 }
 
 TEST_CASE("a fenced majority is enough, and the choice names where the log is cut")
@@ -114,7 +117,7 @@
     for (auto answer = 1; answer < 10; ++answer) {
         CHECK(fencing.answer(answerOf("a", 2, platform::Role::Replica, 10), answer * 1ms).empty());
     }
-    CHECK(count<SendFence>(fencing.promotion.advance(fencing.group, 3, start + orderRetry)) == 3);
+    CHECK(count<SendFence>(fencing.promotion.advance(fencing.group, released, start + orderRetry)) == 3);
 }
 
 TEST_CASE("an answer of another process at the member's address does not count")
@@ -143,7 +146,7 @@
     group.view.primary = UpstreamId("b");
     group.primaryIncarnation = Incarnation(1);
     group.view.history.push_back({Term(2), LogPosition(12)});
-    const auto promoting = fencing.promotion.advance(group, 3, start + 2ms);
+    const auto promoting = fencing.promotion.advance(group, released, start + 2ms);
     CHECK(count<SendPromote>(promoting) == 1);
     CHECK(count<SendFollow>(promoting) == 0);
     auto promoted = answerOf("b", 2, platform::Role::Primary, 12);
@@ -153,6 +156,24 @@
     CHECK(std::get<SendFollow>(following.front()).request.keptUpTo == 12);
 }
 
+TEST_CASE("nobody is promoted while a proxy may still serve under the ended term")
+{
+    // A proxy is cut off from control together with the old primary and still reads from it under its lease. Its caller has just
+    // written to the new primary by another proxy and would not find its own write. The promotion waits until the proxy has confirmed
+    // the end of the term, or until its lease is over.
+    const auto behind = ProxyStanding{3, Revision(7), Revision(6)};
+    auto fencing = Fencing();
+    auto &group = fencing.group;
+    group.view.primary = UpstreamId("b");
+    group.primaryIncarnation = Incarnation(1);
+    group.view.history = {{Term(1), LogPosition(0)}, {Term(2), LogPosition(12)}};
+    CHECK(fencing.promotion.advance(group, behind, start + 2ms).empty());
+    CHECK(fencing.promotion.advance(group, behind, start + leaseLength - 1ms).empty());
+    auto confirmed = fencing.promotion;
+    CHECK(count<SendPromote>(confirmed.advance(group, released, start + 3ms)) == 1);
+    CHECK(count<SendPromote>(fencing.promotion.advance(group, behind, start + leaseLength)) == 1);
+}
+
 TEST_CASE("suspicions of an ended term say nothing of the new primary")
 {
     auto fencing = Fencing();
@@ -168,15 +189,15 @@
         announcement.role = id == std::string("b") ? platform::Role::Primary : platform::Role::Replica;
         fencing.promotion.note(Announced{announcement}, start);
     }
-    fencing.promotion.advance(group, 3, start + 1ms);
+    fencing.promotion.advance(group, released, start + 1ms);
     for (const auto *zone : {"hobart", "devonport"}) {
         fencing.promotion.note(Suspected{ZoneId(zone), {GroupId("orders-1"), Term(1), UpstreamId("a")}}, start + 2ms);
     }
-    CHECK(fencing.promotion.advance(group, 3, start + 3ms).empty());
+    CHECK(fencing.promotion.advance(group, released, start + 3ms).empty());
     for (const auto *zone : {"hobart", "devonport"}) {
         fencing.promotion.note(Suspected{ZoneId(zone), {GroupId("orders-1"), Term(2), UpstreamId("b")}}, start + 4ms);
     }
-    CHECK(count<ProposeTerm>(fencing.promotion.advance(group, 3, start + 5ms)) == 1);
+    CHECK(count<ProposeTerm>(fencing.promotion.advance(group, released, start + 5ms)) == 1);
 }
 
 } // namespace sapphirespool::promotion
--- a/unittests/Promotion/world.cpp
+++ b/unittests/Promotion/world.cpp
@@ -461,7 +461,7 @@
     auto leader = std::make_shared<FakeLeader>();
     this->applyCommitted(*leader);
     leader->promoter = std::make_unique<Promoter>(leader->state, this->now);
-    leader->promoter->setProxyZones(zones.size());
+    leader->promoter->setProxies({zones.size(), Revision(1), Revision(1)});
     this->leaders.push_back(leader);
 }
 
