--- a/benchmarks/proxyalone.cpp
+++ b/benchmarks/proxyalone.cpp
@@ -19,6 +19,7 @@
 #include <charconv>
 #include <csignal>
 #include <iostream>
+#include <span>
 #include <string_view>
 #include <vector>
 
@@ -141,31 +142,35 @@
     return value;
 }
 
-} // namespace
-
-} // namespace sapphirespool
-
-auto main(int argc, char **argv) -> int
+auto run(std::span<char *> given) -> int
 {
-    using namespace sapphirespool;
-    constexpr auto firstMember = 4;
-    if (argc <= firstMember) {
+    constexpr auto firstMember = std::size_t{4};
+    if (given.size() <= firstMember) {
         std::cerr << "usage: proxyalone PORT SLOTS CONNECTIONS MEMBER-PORT...\n";
         return 2;
     }
     support::configureLog(support::LogFormat::Text);
     auto arguments = Arguments();
-    arguments.port = static_cast<std::uint16_t>(number(argv[1]));
-    arguments.slots = number(argv[2]);
-    arguments.connections = number(argv[3]);
-    for (auto index = firstMember; index < argc; ++index) {
-        arguments.members.push_back({"127.0.0.1", static_cast<std::uint16_t>(number(argv[index]))});
+    arguments.port = static_cast<std::uint16_t>(number(given[1]));
+    arguments.slots = number(given[2]);
+    arguments.connections = number(given[3]);
+    for (const auto *const port : given.subspan(firstMember)) {
+        arguments.members.push_back({"127.0.0.1", static_cast<std::uint16_t>(number(port))});
     }
+    serve(arguments);
+    return 0;
+}
+
+} // namespace
+
+} // namespace sapphirespool
+
+auto main(int argc, char **argv) -> int
+{
     try {
-        serve(arguments);
+        return sapphirespool::run(std::span(argv, static_cast<std::size_t>(argc)));
     } catch (const std::exception &error) {
         std::cerr << "proxyalone: " << error.what() << "\n";
         return 1;
     }
-    return 0;
 }
