--- /dev/null
+++ b/unittests/Consensus/coretest.cpp
@@ -0,0 +1,263 @@
+#include "sapphirespool/Consensus/core.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace sapphirespool::consensus
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+const auto first = ReplicaId(1);
+const auto second = ReplicaId(2);
+const auto third = ReplicaId(3);
+
+auto entry(std::uint64_t index, std::uint64_t term) -> Entry
+{
+    return {LogIndex(index), ElectionTerm(term), Command{Bytes{std::byte(1)}}};
+}
+
+/// A core of three voters, with what its log holds after the founding entry.
+class OneCore
+{
+public:
+    explicit OneCore(std::vector<Entry> entries = {}, std::uint64_t term = 1)
+        : core(first, CoreSettings(), recovered(std::move(entries), term), 1, this->at(milliseconds(0)))
+    {
+    }
+
+    [[nodiscard]] auto at(milliseconds time) const -> TimePoint
+    {
+        return TimePoint(std::chrono::hours(1)) + time;
+    }
+
+    auto run(milliseconds time, const CoreEvent &event) -> Actions
+    {
+        auto actions = this->core.handle(event, this->at(time));
+        for (const auto &action : actions) {
+            if (const auto *const persist = std::get_if<Persist>(&action)) {
+                this->lastToken = persist->token;
+            }
+        }
+        return actions;
+    }
+
+    auto sync(milliseconds time) -> Actions
+    {
+        return this->run(time, DiskSynced{this->lastToken});
+    }
+
+    /// Lets the core win an election at \p time.
+    auto lead(milliseconds time) -> void
+    {
+        this->run(time, Timer());
+        this->run(time, Received{second, VoteReply{this->core.term().next(), true, true}});
+        this->sync(time);
+        this->run(time, Received{second, VoteReply{this->core.term(), false, true}});
+        REQUIRE(this->core.role() == CoreRole::Leader);
+    }
+
+    Core core;
+    PersistToken lastToken;
+
+private:
+    static auto recovered(std::vector<Entry> entries, std::uint64_t term) -> Recovered
+    {
+        auto group = Members{{}, true};
+        for (const auto replica : {first, second, third}) {
+            group.members.push_back(ControlMember{VmId(std::to_string(replica.value())), Endpoint(), true, replica});
+        }
+        auto state = Recovered{HardState{ElectionTerm(term), ReplicaId()}, nullptr, {Entry{LogIndex(1), ElectionTerm(1), group}}};
+        state.entries.insert(state.entries.end(), entries.begin(), entries.end());
+        return state;
+    }
+};
+
+template <typename Kind>
+auto sent(const Actions &actions) -> std::vector<Kind>
+{
+    auto found = std::vector<Kind>();
+    for (const auto &action : actions) {
+        if (const auto *const send = std::get_if<Send>(&action)) {
+            if (const auto *const message = std::get_if<Kind>(&send->message)) {
+                found.push_back(*message);
+            }
+        }
+    }
+    return found;
+}
+
+template <typename Kind>
+auto count(const Actions &actions) -> std::ptrdiff_t
+{
+    return std::count_if(actions.begin(), actions.end(), [](const Action &action) {
+        return std::holds_alternative<Kind>(action);
+    });
+}
+
+auto grants(const Actions &actions) -> bool
+{
+    const auto replies = sent<VoteReply>(actions);
+    return std::any_of(replies.begin(), replies.end(), [](const VoteReply &reply) {
+        return reply.granted;
+    });
+}
+
+const auto request = VoteRequest{ElectionTerm(5), false, LogIndex(9), ElectionTerm(4)};
+const auto preRequest = VoteRequest{ElectionTerm(5), true, LogIndex(9), ElectionTerm(4)};
+
+} // namespace
+
+TEST_CASE("a voter that heard a leader keeps its vote for the minimum election timeout")
+{
+    // The caller sees: a write acknowledged by one leader that another one never heard of.
+    // A leader relies on its lease while a candidate asks a voter that has just heard that leader.
+    // The voter keeps its vote for longer than the lease lasts, so nobody is elected meanwhile.
+    auto one = OneCore();
+    one.run(milliseconds(1000), Received{second, Heartbeat{ElectionTerm(2), Round(1), LogIndex()}});
+    CHECK_FALSE(grants(one.run(milliseconds(1299), Received{third, preRequest})));
+    one.run(milliseconds(1299), Received{third, request});
+    CHECK_FALSE(grants(one.sync(milliseconds(1299))));
+    CHECK(one.core.term() == ElectionTerm(2));
+    CHECK(grants(one.run(milliseconds(1300), Received{third, preRequest})));
+    one.run(milliseconds(1300), Received{third, request});
+    CHECK(grants(one.sync(milliseconds(1300))));
+}
+
+TEST_CASE("a restarted voter keeps its vote as if it had just heard a leader")
+{
+    // The caller sees: a write acknowledged by one leader that another one never heard of.
+    // A voter answers a heartbeat, restarts at once and no longer knows of it, and a candidate asks it.
+    // It keeps its vote for one minimum election timeout after each start.
+    auto one = OneCore();
+    one.run(milliseconds(299), Received{third, request});
+    CHECK_FALSE(grants(one.sync(milliseconds(299))));
+    one.run(milliseconds(300), Received{third, request});
+    CHECK(grants(one.sync(milliseconds(300))));
+}
+
+TEST_CASE("a vote is sent after it is synced")
+{
+    // The caller sees: two leaders of one term, each of which acknowledges changes.
+    // A voter gives its vote, loses power before the sync, and gives another vote in the same term.
+    // The vote leaves only once the disk holds it.
+    auto one = OneCore();
+    CHECK_FALSE(grants(one.run(milliseconds(300), Received{third, request})));
+    CHECK(grants(one.sync(milliseconds(300))));
+}
+
+TEST_CASE("the leader lease is shorter than the time for which voters keep their votes")
+{
+    // The caller sees: a read of the former leader that lacks an acknowledged change.
+    // A leader is cut off right after a heartbeat; its clock is slow by the drift bound.
+    // The lease counts from the send of the heartbeat and leaves room for the drift.
+    auto one = OneCore();
+    one.lead(milliseconds(700));
+    one.sync(milliseconds(700));
+    one.run(milliseconds(710), Received{second, AppendReply{ElectionTerm(2), true, LogIndex(2), ElectionTerm()}});
+    CHECK_FALSE(one.core.holdsLeaderLease(one.at(milliseconds(711))));
+    one.run(milliseconds(800), Received{second, HeartbeatReply{ElectionTerm(2), Round(1)}});
+    CHECK(one.core.holdsLeaderLease(one.at(milliseconds(969))));
+    CHECK_FALSE(one.core.holdsLeaderLease(one.at(milliseconds(970))));
+}
+
+TEST_CASE("a leader without a lease answers a read only after a round of heartbeats that began later")
+{
+    // The caller sees: a read that lacks a change that was acknowledged before.
+    // The leader was cut off long enough for another one to be elected and to commit.
+    // A quorum that answers a later heartbeat proves that there was none.
+    auto one = OneCore();
+    one.lead(milliseconds(700));
+    one.sync(milliseconds(700));
+    one.run(milliseconds(710), Received{second, AppendReply{ElectionTerm(2), true, LogIndex(2), ElectionTerm()}});
+    one.run(milliseconds(720), Received{second, HeartbeatReply{ElectionTerm(2), Round(1)}});
+    REQUIRE_FALSE(one.core.holdsLeaderLease(one.at(milliseconds(1100))));
+    CHECK(count<ReadReady>(one.run(milliseconds(1100), ReadRequested{RequestNumber(1)})) == 0);
+    CHECK(count<ReadReady>(one.run(milliseconds(1100), Timer())) == 0);
+    CHECK(count<ReadReady>(one.run(milliseconds(1110), Received{second, HeartbeatReply{ElectionTerm(2), Round(1)}})) == 0);
+    CHECK(count<ReadReady>(one.run(milliseconds(1120), Received{second, HeartbeatReply{ElectionTerm(2), Round(2)}})) == 1);
+}
+
+TEST_CASE("an entry of an earlier term is committed only by one of the own term")
+{
+    // The caller sees: an acknowledged change that vanishes.
+    // A new leader finds an entry of an earlier term on a quorum. A VM with an entry of a term in between could still be
+    // elected and overwrite it. Only an own entry above it shuts that VM out.
+    auto one = OneCore({entry(2, 2)}, 2);
+    one.lead(milliseconds(700));
+    one.sync(milliseconds(700));
+    one.run(milliseconds(710), Received{second, AppendReply{ElectionTerm(3), true, LogIndex(2), ElectionTerm()}});
+    CHECK(one.core.commitIndex() == LogIndex(0));
+    one.run(milliseconds(720), Received{second, AppendReply{ElectionTerm(3), true, LogIndex(3), ElectionTerm()}});
+    CHECK(one.core.commitIndex() == LogIndex(3));
+}
+
+TEST_CASE("an acknowledgement that waits for the disk is dropped when the term changes")
+{
+    // The caller sees: an acknowledged change that vanishes.
+    // A follower writes an entry; before the sync another leader arises, for which it voted and which may cut the entry.
+    // The acknowledgement for the former leader could then count for an entry that the follower no longer holds.
+    auto one = OneCore();
+    const auto append = AppendRequest{ElectionTerm(2), LogIndex(1), ElectionTerm(1), {entry(2, 2)}, LogIndex()};
+    one.run(milliseconds(100), Received{second, append});
+    one.run(milliseconds(500), Received{third, Heartbeat{ElectionTerm(3), Round(1), LogIndex()}});
+    CHECK(sent<AppendReply>(one.sync(milliseconds(510))).empty());
+}
+
+TEST_CASE("a leader that hears no quorum steps down and fails what it was asked")
+{
+    // The caller sees: a request that hangs until its own timeout.
+    // A partition cuts the leader off from the others, but not from a proxy.
+    // It notices within the maximum election timeout, and the proxy goes to another VM.
+    auto one = OneCore();
+    one.lead(milliseconds(700));
+    one.sync(milliseconds(700));
+    CHECK(count<Failed>(one.run(milliseconds(710), Proposed{RequestNumber(1), Bytes{std::byte(1)}})) == 0);
+    CHECK(count<Failed>(one.run(milliseconds(1300), Timer())) == 0);
+    CHECK(count<Failed>(one.run(milliseconds(1301), Timer())) == 1);
+    CHECK(one.core.role() == CoreRole::Follower);
+}
+
+TEST_CASE("a replica whose disk failed acknowledges nothing, gives no vote and does not stand for election")
+{
+    // The caller sees: an acknowledged change that is gone after a restart.
+    // A sync fails; the entries that it was for may be lost although a later sync succeeds.
+    auto one = OneCore();
+    one.run(milliseconds(100), Received{second, AppendRequest{ElectionTerm(2), LogIndex(1), ElectionTerm(1), {entry(2, 2)}, LogIndex()}});
+    one.run(milliseconds(110), DiskFailed());
+    CHECK(one.sync(milliseconds(120)).empty());
+    CHECK_FALSE(grants(one.run(milliseconds(800), Received{third, preRequest})));
+    CHECK(one.run(milliseconds(2000), Timer()).empty());
+    const auto failed = one.run(milliseconds(2100), Proposed{RequestNumber(1), Bytes{std::byte(1)}});
+    REQUIRE(count<Failed>(failed) == 1);
+    CHECK(std::get<Failed>(failed.front()).failure == ProposalFailure::StorageFailed);
+}
+
+TEST_CASE("a learner is not made a voter before it holds what is committed, nor two changes made at once")
+{
+    // The caller sees: control that stops when one more VM is lost right after a repair.
+    // An empty learner counted as a voter raises the quorum without holding anything.
+    auto one = OneCore();
+    one.lead(milliseconds(700));
+    auto members = one.core.members().members;
+    members.push_back(ControlMember{VmId("4"), Endpoint(), false, ReplicaId(4)});
+    const auto early = one.run(milliseconds(705), MembersProposed{RequestNumber(1), members});
+    CHECK(count<Failed>(early) == 1);
+    one.sync(milliseconds(706));
+    one.run(milliseconds(710), Received{second, AppendReply{ElectionTerm(2), true, LogIndex(2), ElectionTerm()}});
+    CHECK(count<Failed>(one.run(milliseconds(720), MembersProposed{RequestNumber(2), members})) == 0);
+    members.back().voter = true;
+    CHECK(count<Failed>(one.run(milliseconds(725), MembersProposed{RequestNumber(3), members})) == 1);
+    one.sync(milliseconds(726));
+    one.run(milliseconds(730), Received{second, AppendReply{ElectionTerm(2), true, LogIndex(3), ElectionTerm()}});
+    CHECK(count<Failed>(one.run(milliseconds(740), MembersProposed{RequestNumber(4), members})) == 1);
+    one.run(milliseconds(750), Received{ReplicaId(4), AppendReply{ElectionTerm(2), true, LogIndex(3), ElectionTerm()}});
+    CHECK(count<Failed>(one.run(milliseconds(760), MembersProposed{RequestNumber(5), members})) == 0);
+}
+
+} // namespace sapphirespool::consensus
