--- a/unittests/Consensus/coretest.cpp
+++ b/unittests/Consensus/coretest.cpp
@@ -238,25 +238,44 @@
     CHECK(std::get<Failed>(failed.front()).failure == ProposalFailure::StorageFailed);
 }
 
+TEST_CASE("parts of a snapshot from two leaders are not joined")
+{
+    // The caller sees: a configuration that nobody wrote.
+    // The leader goes while it sends a snapshot; its successor has one of the same index, encoded otherwise, and starts further on.
+    // The follower asks the successor for the whole.
+    auto one = OneCore();
+    const auto part = Bytes(40, std::byte(1));
+    const auto chunk = [&one, &part](std::uint64_t term, std::uint64_t offset, bool last) {
+        const auto message = SnapshotChunk{ElectionTerm(term), LogIndex(9), ElectionTerm(2), one.core.members(), offset, part, last};
+        return one.run(milliseconds(100), Received{second, message});
+    };
+    CHECK(sent<SnapshotReply>(chunk(2, 0, false)).at(0).offset == 40);
+    const auto actions = chunk(3, 40, true);
+    CHECK(count<Restore>(actions) == 0);
+    CHECK(sent<SnapshotReply>(actions).at(0).offset == 0);
+}
+
 TEST_CASE("a learner is not made a voter before it holds what is committed, nor two changes made at once")
 {
     // The caller sees: control that stops when one more VM is lost right after a repair.
     // An empty learner counted as a voter raises the quorum without holding anything.
     auto one = OneCore();
+    // The founding entry is known to be committed, so only the missing own entry stands against the first change.
+    one.run(milliseconds(50), Received{second, Heartbeat{ElectionTerm(2), Round(1), LogIndex(1)}});
     one.lead(milliseconds(700));
     auto members = one.core.members().members;
     members.push_back(ControlMember{VmId("4"), Endpoint(), false, ReplicaId(4)});
     const auto early = one.run(milliseconds(705), MembersProposed{RequestNumber(1), members});
     CHECK(count<Failed>(early) == 1);
     one.sync(milliseconds(706));
-    one.run(milliseconds(710), Received{second, AppendReply{ElectionTerm(2), true, LogIndex(2), ElectionTerm()}});
+    one.run(milliseconds(710), Received{second, AppendReply{ElectionTerm(3), true, LogIndex(2), ElectionTerm()}});
     CHECK(count<Failed>(one.run(milliseconds(720), MembersProposed{RequestNumber(2), members})) == 0);
     members.back().voter = true;
     CHECK(count<Failed>(one.run(milliseconds(725), MembersProposed{RequestNumber(3), members})) == 1);
     one.sync(milliseconds(726));
-    one.run(milliseconds(730), Received{second, AppendReply{ElectionTerm(2), true, LogIndex(3), ElectionTerm()}});
+    one.run(milliseconds(730), Received{second, AppendReply{ElectionTerm(3), true, LogIndex(3), ElectionTerm()}});
     CHECK(count<Failed>(one.run(milliseconds(740), MembersProposed{RequestNumber(4), members})) == 1);
-    one.run(milliseconds(750), Received{ReplicaId(4), AppendReply{ElectionTerm(2), true, LogIndex(3), ElectionTerm()}});
+    one.run(milliseconds(750), Received{ReplicaId(4), AppendReply{ElectionTerm(3), true, LogIndex(3), ElectionTerm()}});
     CHECK(count<Failed>(one.run(milliseconds(760), MembersProposed{RequestNumber(5), members})) == 0);
 }
 
--- a/unittests/Storage/journaltest.cpp
+++ b/unittests/Storage/journaltest.cpp
@@ -70,6 +70,22 @@
     return {};
 }
 
+/// What is written after a restart must be found at the next one, also behind a torn end.
+auto checkGoesOn(FakeFolder &folder, std::size_t before) -> void
+{
+    constexpr auto later = 100;
+    auto records = std::vector<Bytes>();
+    const auto error = errorOf([&folder, &records]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(journal, Journal::open(folder, "log"));
+        BOOST_LEAF_CHECK(journal->append(record(later)));
+        BOOST_LEAF_CHECK(journal->sync());
+        return recordsOf(folder, records);
+    });
+    REQUIRE_FALSE(error.has_value());
+    REQUIRE(records.size() == before + 1);
+    CHECK(records.back() == record(later));
+}
+
 auto checkAfterCrash(FakeFolder &folder, const Acknowledged &done) -> void
 {
     auto records = std::vector<Bytes>();
@@ -86,6 +102,7 @@
     }
     CHECK(last >= done.synced);
     CHECK(last <= done.appended);
+    checkGoesOn(folder, records.size());
 }
 
 } // namespace
