--- a/include/sapphirespool/Support/events.h
+++ b/include/sapphirespool/Support/events.h
@@ -28,6 +28,9 @@
     GroupFounded = 2002,
     ConsensusTaskFailed = 2003,
     StorageFailed = 2101,
+    ConfigurationAccepted = 2201,
+    TermEnded = 2401,
+    PrimaryChosen = 2402,
     StandinStarted = 3001,
 };
 
--- a/lib/Proxy/executor.cpp
+++ b/tools/sapphirespool/directexecutor.cpp
@@ -1,11 +1,11 @@
-#include "sapphirespool/Proxy/executor.h"
+#include "directexecutor.h"
 
 #include "sapphirespool/Membership/clusterview.h"
 #include "sapphirespool/Upstreams/connection.h"
 
 #include <utility>
 
-namespace sapphirespool::proxy
+namespace sapphirespool::tool
 {
 
 namespace
@@ -34,16 +34,33 @@
     return result;
 }
 
-class TrafficExecutor : public Executor
+class DirectExecutor : public proxy::Executor
 {
 public:
-    TrafficExecutor(std::shared_ptr<membership::ViewHolder> views, std::shared_ptr<upstreams::Connector> connector)
+    DirectExecutor(std::shared_ptr<membership::ViewHolder> views, std::shared_ptr<upstreams::Connector> connector)
         : views(std::move(views))
         , connector(std::move(connector))
     {
     }
 
-    auto execute(StatementRequest request) -> asio::awaitable<Outcome> override
+    auto execute(proxy::StatementRequest request) -> asio::awaitable<proxy::Reply> override
+    {
+        auto outcome = co_await this->executeOnce(std::move(request));
+        co_return proxy::Reply{std::move(outcome), {}};
+    }
+
+    auto begin(proxy::BeginRequest) -> asio::awaitable<proxy::BeginReply> override
+    {
+        co_return proxy::BeginReply{NotRun{RefusalReason::UnknownPath, "the demo has no transactions"}, {}};
+    }
+
+    auto run(proxy::TransactionRequest) -> asio::awaitable<proxy::Reply> override
+    {
+        co_return proxy::Reply{NotRun{RefusalReason::UnknownTransaction, "the demo has no transactions"}, {}};
+    }
+
+private:
+    auto executeOnce(proxy::StatementRequest request) -> asio::awaitable<proxy::Outcome>
     {
         const auto view = this->views->current();
         const auto *const service = view->findService(request.service);
@@ -56,11 +73,10 @@
             co_return NotRun{RefusalReason::NoPrimary, "group " + service->group.value() + " has no primary"};
         }
         const auto deadline = std::chrono::steady_clock::now() + request.timeout.value_or(service->timeout);
-        co_return co_await this->run(request.statement, *primary, group->term, deadline);
+        co_return co_await this->send(request.statement, *primary, group->term, deadline);
     }
 
-private:
-    auto run(const upstreams::Statement &statement, const membership::UpstreamView &upstream, Term term, TimePoint deadline) -> asio::awaitable<Outcome>
+    auto send(const upstreams::Statement &statement, const membership::UpstreamView &upstream, Term term, TimePoint deadline) -> asio::awaitable<proxy::Outcome>
     {
         const auto servedBy = upstream.id;
         const auto connection = co_await this->connector->connect(upstream.endpoint, deadline);
@@ -76,10 +92,10 @@
         if (reply.status != platform::ExecuteStatus::Done) {
             co_return StatementError{RefusalReason::StatementFailed, reply.detail, Executed::No};
         }
-        co_return Answer{toResult(std::move(reply)), {}, servedBy, platform::Role::Primary};
+        co_return proxy::Answer{toResult(std::move(reply)), servedBy, platform::Role::Primary};
     }
 
-    auto unanswered(const upstreams::ExchangeFailure &failure) -> Outcome
+    auto unanswered(const upstreams::ExchangeFailure &failure) -> proxy::Outcome
     {
         if (failure.sent) {
             return OutcomeUnknown{RefusalReason::AnswerLost, failure.detail};
@@ -93,9 +109,9 @@
 
 } // namespace
 
-auto makeExecutor(std::shared_ptr<membership::ViewHolder> views, std::shared_ptr<upstreams::Connector> connector) -> std::shared_ptr<Executor>
+auto makeDirectExecutor(std::shared_ptr<membership::ViewHolder> views, std::shared_ptr<upstreams::Connector> connector) -> std::shared_ptr<proxy::Executor>
 {
-    return std::make_shared<TrafficExecutor>(std::move(views), std::move(connector));
+    return std::make_shared<DirectExecutor>(std::move(views), std::move(connector));
 }
 
-} // namespace sapphirespool::proxy
+} // namespace sapphirespool::tool
