Bound a caller's part of the queue's time; compare orders also under a caller that alone exceeds the capacity

Cause: fair queueing was compared only where the hot caller fits the capacity. Change: overPart() refuses the caller that fills the queue; a scenario with a caller at 100 times the others.

--- a/include/sapphirespool/Decisions/groupscheduler.h
+++ b/include/sapphirespool/Decisions/groupscheduler.h
@@ -117,6 +117,7 @@
     [[nodiscard]] auto estimate(const Work &work, Lane lane, TimePoint now) const -> Estimate;
     [[nodiscard]] auto primaryAhead(const CallerId &caller, Lane lane) const -> std::size_t;
     [[nodiscard]] auto admit(const Work &work, Lane lane, const Estimate &estimate, TimePoint now) -> bool;
+    [[nodiscard]] auto overPart(const Work &work, Lane lane, const Estimate &estimate, Duration budget) const -> bool;
     [[nodiscard]] auto givesWay(const Work &work, TimePoint now) -> bool;
     [[nodiscard]] auto readSlots(const Work &work, TimePoint now) const -> std::uint32_t;
     [[nodiscard]] auto roomFor(const Work &work, Lane lane, std::uint32_t queueLimit) const -> std::optional<RefusalReason>;
--- a/lib/Decisions/groupadmission.cpp
+++ b/lib/Decisions/groupadmission.cpp
@@ -13,6 +13,8 @@
 constexpr auto defaultRetryAfter = std::chrono::milliseconds(1000);
 /// Times its equal part of the queue that a caller may hold once the queue is half full.
 constexpr std::size_t overQuotaFactor = 2;
+/// Part of the wait allowed below which nobody's part is looked at.
+constexpr auto quietPart = 0.1;
 /// Higher lanes' work that is served before one piece of a lane's own, by the weights 8, 4 and 1.
 constexpr std::size_t writesBeforeRead = 2;
 /// One in so many reads passes in a brownout, so that no age of reads starves.
@@ -97,6 +99,19 @@
     return this->browned % readsPassedInBrownout != 0;
 }
 
+auto GroupScheduler::overPart(const Work &work, Lane lane, const Estimate &estimate, Duration budget) const -> bool
+{
+    // In order of arrival a hot caller's backlog delays all. Bounding its part of the queue bounds that delay, and who is refused
+    // is the caller that caused it.
+    const auto &laneQueue = this->queue(lane);
+    const auto own = laneQueue.sizeOf(work.caller);
+    if (own < 2 || estimate.wait < scaled(budget, quietPart)) {
+        return false;
+    }
+    const auto part = budget * overQuotaFactor / (laneQueue.activeCallers() + 1);
+    return estimate.spacing * own >= part;
+}
+
 auto GroupScheduler::admit(const Work &work, Lane lane, const Estimate &estimate, TimePoint now) -> bool
 {
     const auto &admission = this->settings.admission;
@@ -113,7 +128,7 @@
     if (book.redeem(work.caller, now)) {
         return estimate.wait <= std::min(scaled(allowed, admission.returnFraction), allowed - service);
     }
-    if (estimate.wait > budget) {
+    if (estimate.wait > budget || this->overPart(work, lane, estimate, budget)) {
         return false;
     }
     if (estimate.wait <= scaled(budget, admission.unreservedFraction)) {
--- a/tools/loadmodel/main.cpp
+++ b/tools/loadmodel/main.cpp
@@ -139,7 +139,7 @@
     }
     runTable(out, sharing, sharingPolicies());
     out << "## Long statements among short ones: order and slot limit\n\n";
-    runTable(out, {noLong(), longAmongShort(), hotCaller()}, disciplinePolicies());
+    runTable(out, {noLong(), longAmongShort(), hotCaller(), veryHotCaller(), overload(3.0), cooperative(0.8)}, disciplinePolicies());
     out << "## Each module taken out\n\n";
     auto policies = withoutEach();
     policies.insert(policies.begin(), chosenPolicy());
@@ -153,14 +153,14 @@
     runCourses(folder);
 }
 
-auto runOne(const std::string &name, bool sharing) -> int
+auto runOne(const std::string &name, bool disciplines) -> int
 {
     for (const auto &scenario : allScenarios()) {
         if (scenario.name != name) {
             continue;
         }
         writeHeader(std::cout);
-        auto policies = sharing ? sharingPolicies() : std::vector<Policy>{chosenPolicy(), fifoPolicy()};
+        auto policies = disciplines ? disciplinePolicies() : std::vector<Policy>{chosenPolicy(), fifoPolicy()};
         for (const auto &policy : policies) {
             writeRow(std::cout, scenario.name, policy.name, run(scenario, policy));
         }
@@ -180,11 +180,11 @@
     if (arguments.size() == 3 && std::string_view(arguments[1]) == "--scenario") {
         return sapphirespool::loadmodel::runOne(arguments[2], false);
     }
-    if (arguments.size() == 3 && std::string_view(arguments[1]) == "--sharing") {
+    if (arguments.size() == 3 && std::string_view(arguments[1]) == "--disciplines") {
         return sapphirespool::loadmodel::runOne(arguments[2], true);
     }
     if (arguments.size() != 2) {
-        std::cerr << "usage: loadmodel FOLDER | loadmodel --scenario|--sharing NAME\n";
+        std::cerr << "usage: loadmodel FOLDER | loadmodel --scenario|--disciplines NAME\n";
         return EXIT_FAILURE;
     }
     sapphirespool::loadmodel::writeReport(arguments[1]);
--- a/tools/loadmodel/scenarios.cpp
+++ b/tools/loadmodel/scenarios.cpp
@@ -73,6 +73,14 @@
     return scenario;
 }
 
+auto veryHotCaller() -> Scenario
+{
+    auto scenario = hotCaller();
+    scenario.name = "caller at 100 times";
+    scenario.callers.back().perSecond *= 10;
+    return scenario;
+}
+
 auto hotKey() -> Scenario
 {
     auto scenario = oneGroup("hot key", commonLoad);
@@ -171,7 +179,7 @@
     for (const auto load : {0.8, 1.0, 1.5, 3.0, 10.0}) {
         scenarios.push_back(overload(load));
     }
-    for (auto scenario : {burst(), noHotCaller(), hotCaller(), hotKey(), slowUpstream(), noLong(), longAmongShort()}) {
+    for (auto scenario : {burst(), noHotCaller(), hotCaller(), veryHotCaller(), hotKey(), slowUpstream(), noLong(), longAmongShort()}) {
         scenarios.push_back(std::move(scenario));
     }
     for (auto scenario : {lostReplica(), promotionGap(), derwent(0.8), cooperative(0.8), retryStorm(), returningCallers()}) {
--- a/tools/loadmodel/scenarios.h
+++ b/tools/loadmodel/scenarios.h
@@ -14,6 +14,8 @@
 [[nodiscard]] auto hotCaller() -> Scenario;
 /// \return the same without the hot caller, to compare the others with
 [[nodiscard]] auto noHotCaller() -> Scenario;
+/// \return a caller that alone sends more than the capacity
+[[nodiscard]] auto veryHotCaller() -> Scenario;
 [[nodiscard]] auto hotKey() -> Scenario;
 [[nodiscard]] auto slowUpstream() -> Scenario;
 [[nodiscard]] auto longAmongShort() -> Scenario;
