--- a/tools/sapphirespool/main.cpp
+++ b/tools/sapphirespool/main.cpp
@@ -22,7 +22,13 @@
 };
 
 constexpr auto commands = std::to_array<Command>({
+    {"apply", "hand the operators' text to the system", runApply},
+    {"check", "check the operators' text", runCheck},
     {"demo", "serve a whole system in one process", runDemo},
+    {"load", "drive callers against a running system and report what they received", runLoad},
+    {"serve", "serve one VM by its settings", runServe},
+    {"standin", "serve one member of a database group, for trials", runStandin},
+    {"status", "show the revision that each VM serves under", runStatus},
     {"version", "print the version", runVersion},
 });
 
