Reads on the primary are estimated by what its own work leaves; the brownout waits for a tenth of a second

Change: the part of starts that are the primary's own work divides the reads' rate; brownout delays 100 and 50 ms.

--- a/include/sapphirespool/Decisions/groupscheduler.h
+++ b/include/sapphirespool/Decisions/groupscheduler.h
@@ -117,6 +117,7 @@
     [[nodiscard]] auto estimate(const Work &work, Lane lane, TimePoint now) const -> Estimate;
     [[nodiscard]] auto primaryAhead(const CallerId &caller, Lane lane, TimePoint now) const -> std::size_t;
     [[nodiscard]] auto admit(const Work &work, Lane lane, const Estimate &estimate, TimePoint now) -> bool;
+    [[nodiscard]] auto leftForTolerant() const -> double;
     [[nodiscard]] auto overPart(const Work &work, Lane lane, const Estimate &estimate, Duration budget) const -> bool;
     [[nodiscard]] auto givesWay(const Work &work, TimePoint now) -> bool;
     [[nodiscard]] auto readSlots(const Work &work, TimePoint now) const -> std::uint32_t;
@@ -158,6 +159,8 @@
     Brownout brownout;
     std::array<ReturnBook, laneCount> returns;
     std::optional<TimePoint> primaryLostAt;
+    /// Part of the primary's recent starts that were its own work, not reads that accept age.
+    double primaryOwnPart = 0;
     std::size_t turn = 0;
     std::uint64_t browned = 0;
 };
--- a/include/sapphirespool/Decisions/settings.h
+++ b/include/sapphirespool/Decisions/settings.h
@@ -132,9 +132,9 @@
 {
     bool enabled = true;
     /// Wait of writes on the primary from which reads give way.
-    std::chrono::milliseconds enterDelay{50};
+    std::chrono::milliseconds enterDelay{100};
     /// Wait below which they come back; half, so that the return does not at once cause the next step.
-    std::chrono::milliseconds leaveDelay{25};
+    std::chrono::milliseconds leaveDelay{50};
     /// Time between two steps up.
     std::chrono::milliseconds enterStep{100};
     /// Time between two steps down; ten times longer, so that recovery does not swing.
--- a/lib/Decisions/groupadmission.cpp
+++ b/lib/Decisions/groupadmission.cpp
@@ -17,6 +17,8 @@
 constexpr auto quietPart = 0.1;
 /// Higher lanes' work that is served before one piece of a lane's own, by the weights 8, 4 and 1.
 constexpr std::size_t writesBeforeRead = 2;
+/// Part of the primary's starts that reads which accept age have at least, by the weights 8, 4 and 1.
+constexpr auto leastTolerantPart = 1.0 / 13;
 /// One in so many reads passes in a brownout, so that no age of reads starves.
 constexpr std::uint64_t readsPassedInBrownout = 10;
 
@@ -38,11 +40,16 @@
     case Lane::CurrentRead:
         return own + std::min(writes, (own + 1) * writesBeforeRead);
     case Lane::TolerantRead:
-        return own + writes + reads;
+        return writes + reads + static_cast<std::size_t>(static_cast<double>(own) / this->leftForTolerant());
     }
     return own;
 }
 
+auto GroupScheduler::leftForTolerant() const -> double
+{
+    return std::max(1.0 - this->primaryOwnPart, leastTolerantPart);
+}
+
 auto GroupScheduler::readSlots(const Work &work, TimePoint now) const -> std::uint32_t
 {
     auto slots = std::uint32_t{0};
--- a/lib/Decisions/groupplacing.cpp
+++ b/lib/Decisions/groupplacing.cpp
@@ -14,6 +14,8 @@
 /// Weights of the lanes on the primary. A write is served before reads, and a read that accepts age last, yet each gets at
 /// least a thirteenth of the slots while it waits, so none starves.
 constexpr auto laneWeights = std::to_array<double>({8, 4, 1});
+/// Follows a change of the load within about 64 starts.
+constexpr auto ownPartWeight = 1.0 / 64;
 static_assert(laneWeights.size() == laneCount);
 
 } // namespace
@@ -158,6 +160,7 @@
             continue;
         }
         const auto index = static_cast<std::size_t>(lane);
+        this->primaryOwnPart += ((lane == Lane::TolerantRead ? 0.0 : 1.0) - this->primaryOwnPart) * ownPartWeight;
         this->laneTimes[index] += std::chrono::duration<double>(this->slotTimes[index].mean()).count() / laneWeights[index];
         return entry;
     }
--- a/tools/loadmodel/scenarios.cpp
+++ b/tools/loadmodel/scenarios.cpp
@@ -327,7 +327,7 @@
         add("hot factor (3)", [factor](auto &settings) {
             settings.bulkhead.hotFactor *= factor;
         });
-        add("brownout delays (50, 25 ms)", [scale](auto &settings) {
+        add("brownout delays (100, 50 ms)", [scale](auto &settings) {
             scale(settings.brownout.enterDelay);
             scale(settings.brownout.leaveDelay);
         });
