--- a/unittests/Decisions/loadtest.cpp
+++ b/unittests/Decisions/loadtest.cpp
@@ -296,18 +296,20 @@
 
 TEST_CASE("reads give way by the age they accept, and come back one step at a time without swinging")
 {
-    auto brownout = Brownout(BrownoutSettings{});
+    const auto settings = BrownoutSettings{};
+    const auto between = (settings.enterDelay + settings.leaveDelay) / 2;
+    auto brownout = Brownout(settings);
     auto now = TimePoint(std::chrono::hours(1));
-    brownout.observe(milliseconds(60), now);
+    brownout.observe(settings.enterDelay, now);
     CHECK_FALSE(brownout.admits(milliseconds(10'000)));
     CHECK(brownout.admits(milliseconds(1'000)));
     now += milliseconds(100);
-    brownout.observe(milliseconds(60), now);
+    brownout.observe(settings.enterDelay, now);
     CHECK_FALSE(brownout.admits(milliseconds(1'000)));
     CHECK(brownout.admits(milliseconds(500)));
     for (auto count = 0; count < 50; ++count) {
         now += milliseconds(10);
-        brownout.observe(milliseconds(count % 2 == 0 ? 30 : 0), now);
+        brownout.observe(count % 2 == 0 ? between : milliseconds(0), now);
         CHECK(brownout.level() == 2);
     }
     for (auto count = 0; count < 101; ++count) {
