--- a/include/sapphirespool/Decisions/groupscheduler.h
+++ b/include/sapphirespool/Decisions/groupscheduler.h
@@ -115,8 +115,10 @@
 
     // Admission: groupadmission.cpp
     [[nodiscard]] auto estimate(const Work &work, Lane lane, TimePoint now) const -> Estimate;
-    [[nodiscard]] auto primaryAhead(const CallerId &caller, Lane lane) const -> std::size_t;
+    [[nodiscard]] auto primaryAhead(const CallerId &caller, Lane lane, TimePoint now) const -> std::size_t;
     [[nodiscard]] auto admit(const Work &work, Lane lane, const Estimate &estimate, TimePoint now) -> bool;
+    [[nodiscard]] auto leftForTolerant() const -> double;
+    [[nodiscard]] auto overPart(const Work &work, Lane lane, const Estimate &estimate, Duration budget) const -> bool;
     [[nodiscard]] auto givesWay(const Work &work, TimePoint now) -> bool;
     [[nodiscard]] auto readSlots(const Work &work, TimePoint now) const -> std::uint32_t;
     [[nodiscard]] auto roomFor(const Work &work, Lane lane, std::uint32_t queueLimit) const -> std::optional<RefusalReason>;
@@ -142,6 +144,8 @@
     membership::GroupView group;
     std::size_t proxies = 1;
     std::vector<std::unique_ptr<UpstreamState>> members;
+    /// Before the queues, which ask it for levels.
+    SlotGuard guard;
     std::array<FairQueue, laneCount> queues;
     std::array<double, laneCount> laneTimes{};
     std::array<ServiceEstimate, laneCount> slotTimes;
@@ -152,10 +156,11 @@
     Timers expiries;
     Timers patience;
     std::set<UpstreamId> ejected;
-    SlotGuard guard;
     Brownout brownout;
     std::array<ReturnBook, laneCount> returns;
     std::optional<TimePoint> primaryLostAt;
+    /// Part of the primary's recent starts that were its own work, not reads that accept age.
+    double primaryOwnPart = 0;
     std::size_t turn = 0;
     std::uint64_t browned = 0;
 };
--- a/tools/loadmodel/scenarios.cpp
+++ b/tools/loadmodel/scenarios.cpp
@@ -73,6 +73,14 @@
     return scenario;
 }
 
+auto veryHotCaller() -> Scenario
+{
+    auto scenario = hotCaller();
+    scenario.name = "caller at 100 times";
+    scenario.callers.back().perSecond *= 10;
+    return scenario;
+}
+
 auto hotKey() -> Scenario
 {
     auto scenario = oneGroup("hot key", commonLoad);
@@ -171,7 +179,7 @@
     for (const auto load : {0.8, 1.0, 1.5, 3.0, 10.0}) {
         scenarios.push_back(overload(load));
     }
-    for (auto scenario : {burst(), noHotCaller(), hotCaller(), hotKey(), slowUpstream(), noLong(), longAmongShort()}) {
+    for (auto scenario : {burst(), noHotCaller(), hotCaller(), veryHotCaller(), hotKey(), slowUpstream(), noLong(), longAmongShort()}) {
         scenarios.push_back(std::move(scenario));
     }
     for (auto scenario : {lostReplica(), promotionGap(), derwent(0.8), cooperative(0.8), retryStorm(), returningCallers()}) {
@@ -218,9 +226,11 @@
     add("FIFO", decisions::QueueDiscipline::Fifo, false);
     add("fair queueing", decisions::QueueDiscipline::FairQueueing, false);
     add("least attained service", decisions::QueueDiscipline::LeastAttained, false);
+    add("levels relative to the mean", decisions::QueueDiscipline::RelativeAttained, false);
     add("FIFO, slot limit", decisions::QueueDiscipline::Fifo, true);
     add("fair queueing, slot limit", decisions::QueueDiscipline::FairQueueing, true);
     add("least attained service, slot limit", decisions::QueueDiscipline::LeastAttained, true);
+    add("levels relative to the mean, slot limit", decisions::QueueDiscipline::RelativeAttained, true);
     return policies;
 }
 
@@ -292,7 +302,7 @@
         const auto scale = [factor](milliseconds &value) {
             value = milliseconds(static_cast<std::int64_t>(static_cast<double>(value.count()) * factor));
         };
-        add("wait fraction (0.6)", [factor](auto &settings) {
+        add("wait fraction (0.4)", [factor](auto &settings) {
             settings.admission.waitFraction *= factor < 1 ? 0.5 : 1.5;
         });
         add("replica patience (100 ms)", [scale, factor](auto &settings) {
@@ -314,7 +324,10 @@
         add("long factor (4)", [factor](auto &settings) {
             settings.bulkhead.longFactor *= factor;
         });
-        add("brownout delays (50, 25 ms)", [scale](auto &settings) {
+        add("hot factor (3)", [factor](auto &settings) {
+            settings.bulkhead.hotFactor *= factor;
+        });
+        add("brownout delays (100, 50 ms)", [scale](auto &settings) {
             scale(settings.brownout.enterDelay);
             scale(settings.brownout.leaveDelay);
         });
