--- a/lib/Node/proxypart.cpp
+++ b/lib/Node/proxypart.cpp
@@ -5,10 +5,12 @@
 #include "sapphirespool/Control/proxylink.h"
 #include "sapphirespool/Decisions/factory.h"
 #include "sapphirespool/Membership/clusterview.h"
+#include "sapphirespool/Metrics/handler.h"
 #include "sapphirespool/Metrics/metrics.h"
 #include "sapphirespool/Node/node.h"
 #include "sapphirespool/Operators/handler.h"
 #include "sapphirespool/Platform/announcements.h"
+#include "sapphirespool/ProxyRole/metricsrecorder.h"
 #include "sapphirespool/ProxyRole/proxyrole.h"
 #include "sapphirespool/Upstreams/connection.h"
 #include "sapphirespool/Upstreams/pool.h"
@@ -42,6 +44,19 @@
     return link;
 }
 
+/// Requests that still run hold the link, and the link writes to the holder from its own thread: a holder that went with the role
+/// would be written to after its end, so it goes with the link.
+auto linkTo(rpc::LoopThread &loop, control::ProxyLinkSettings settings, std::shared_ptr<membership::ViewHolder> views)
+    -> std::shared_ptr<membership::ControlLink>
+{
+    auto link = control::makeProxyLink(loop, std::move(settings), *views);
+    auto *const plain = link.get();
+    return {plain, [link = std::move(link), views = std::move(views)](membership::ControlLink *) mutable {
+                link.reset();
+                views.reset();
+            }};
+}
+
 auto roleSettings(const settings::Settings &settings, Incarnation incarnation) -> proxy::ProxyRoleSettings
 {
     auto role = proxy::ProxyRoleSettings();
@@ -72,12 +87,12 @@
     Parts(rpc::LoopThread &controlLoop, TrafficThreads &traffic, const settings::Settings &settings, Incarnation incarnation)
         : traffic(traffic)
         , views(std::make_shared<membership::ViewHolder>())
-        , link(control::makeProxyLink(controlLoop, linkSettings(settings, incarnation), *this->views))
+        , link(linkTo(controlLoop, linkSettings(settings, incarnation), this->views))
         , role(proxy::makeProxyRole(roleSettings(settings, incarnation), this->roleParts(settings)))
     {
     }
 
-    ~Parts()
+    auto close() -> void
     {
         this->traffic.runOnDispatch([this] {
             this->role->close();
@@ -111,7 +126,9 @@
         parts.pool = upstreams::makePool(upstreams::makeHttpConnector(dispatch), dispatch);
         parts.watch = upstreams::makeHttpPositionWatch(dispatch);
         parts.dispatcher = dispatcherFor(settings);
-        parts.metrics = std::make_shared<metrics::Metrics>();
+        const auto metrics = std::make_shared<metrics::Metrics>();
+        parts.recorder = proxy::makeMetricsRecorder(metrics);
+        parts.routes.push_back({"/metrics", metrics::makeMetricsHandler(metrics)});
         parts.dispatch = dispatch;
         parts.sessions = this->traffic.sessions();
         const auto operators = operators::makeHandler(this->link);
@@ -147,4 +164,9 @@
     this->parts->drain();
 }
 
+auto ProxyPart::close() -> void
+{
+    this->parts->close();
+}
+
 } // namespace sapphirespool::node
--- a/tools/sapphirespool/commands.h
+++ b/tools/sapphirespool/commands.h
@@ -30,6 +30,9 @@
 /// Drives callers against a running system.
 auto runLoad(Arguments arguments) -> ExitCode;
 
+/// Serves one VM by its settings.
+auto runServe(Arguments arguments) -> ExitCode;
+
 /// Serves one stand-in member of a database group.
 auto runStandin(Arguments arguments) -> ExitCode;
 
