--- a/unittests/Decisions/loadtest.cpp
+++ b/unittests/Decisions/loadtest.cpp
@@ -70,7 +70,7 @@
 
 TEST_CASE("a caller with a long backlog does not delay another caller's first piece of work")
 {
-    auto queue = FairQueue(QueueSettings{});
+    auto queue = FairQueue(QueueSettings{.discipline = QueueDiscipline::FairQueueing});
     const auto now = TimePoint(std::chrono::hours(1));
     for (auto id = std::uint64_t{1}; id <= 50; ++id) {
         queue.push({WorkId(id), CallerId("hot")}, now);
@@ -82,7 +82,7 @@
 
 TEST_CASE("a caller that was idle has no claim on the time it did not use")
 {
-    auto queue = FairQueue(QueueSettings{});
+    auto queue = FairQueue(QueueSettings{.discipline = QueueDiscipline::FairQueueing});
     const auto now = TimePoint(std::chrono::hours(1));
     for (auto id = std::uint64_t{1}; id <= 100; ++id) {
         queue.push({WorkId(id), CallerId("steady")}, now);
@@ -118,7 +118,7 @@
 
 TEST_CASE("a caller whose statements turn out long is charged for them afterwards")
 {
-    auto queue = FairQueue(QueueSettings{});
+    auto queue = FairQueue(QueueSettings{.discipline = QueueDiscipline::FairQueueing});
     const auto now = TimePoint(std::chrono::hours(1));
     for (auto id = std::uint64_t{1}; id <= 10; ++id) {
         queue.push({WorkId(id), CallerId("long")}, now);
@@ -296,18 +296,20 @@
 
 TEST_CASE("reads give way by the age they accept, and come back one step at a time without swinging")
 {
-    auto brownout = Brownout(BrownoutSettings{});
+    const auto settings = BrownoutSettings{};
+    const auto between = (settings.enterDelay + settings.leaveDelay) / 2;
+    auto brownout = Brownout(settings);
     auto now = TimePoint(std::chrono::hours(1));
-    brownout.observe(milliseconds(60), now);
+    brownout.observe(settings.enterDelay, now);
     CHECK_FALSE(brownout.admits(milliseconds(10'000)));
     CHECK(brownout.admits(milliseconds(1'000)));
     now += milliseconds(100);
-    brownout.observe(milliseconds(60), now);
+    brownout.observe(settings.enterDelay, now);
     CHECK_FALSE(brownout.admits(milliseconds(1'000)));
     CHECK(brownout.admits(milliseconds(500)));
     for (auto count = 0; count < 50; ++count) {
         now += milliseconds(10);
-        brownout.observe(milliseconds(count % 2 == 0 ? 30 : 0), now);
+        brownout.observe(count % 2 == 0 ? between : milliseconds(0), now);
         CHECK(brownout.level() == 2);
     }
     for (auto count = 0; count < 101; ++count) {
