Work that outlives its upstream's absence from the view keeps its slot

Cause: a member dropped from the view and taken back was counted as idle; the end of its running work broke an assertion, which would have ended the process. Change: the count is taken from the running work.

--- a/include/sapphirespool/Decisions/groupscheduler.h
+++ b/include/sapphirespool/Decisions/groupscheduler.h
@@ -133,6 +133,7 @@
     auto forget(WorkId id) -> Waiting;
     auto releaseKey(const std::string &key, TimePoint now) -> void;
     auto findUpstream(const UpstreamId &upstream) -> UpstreamState *;
+    [[nodiscard]] auto runningOn(const UpstreamId &upstream) const -> std::uint32_t;
     auto setDefaultShare(UpstreamState &upstream) const -> void;
     auto judge(UpstreamState &upstream, WorkOutcome outcome, Duration took, TimePoint now) -> void;
     [[nodiscard]] auto peerMean(const UpstreamState &upstream) const -> Duration;
--- a/lib/Decisions/groupscheduler.cpp
+++ b/lib/Decisions/groupscheduler.cpp
@@ -92,9 +92,10 @@
             present.back()->view = member;
         } else {
             present.push_back(std::make_unique<UpstreamState>(this->settings, member));
+            // Work sent before a restart, or before the member left the view for a while, still has to be given back.
+            // Without counting it the member would get more work than its share, and giving it back would break the count.
+            present.back()->running = this->runningOn(member.id);
             if (restarted) {
-                // Work sent to the earlier process still has to be given back; its slot counts until then.
-                present.back()->running = (*old)->running;
                 present.back()->share = (*old)->share;
                 present.back()->granted = (*old)->granted;
             }
@@ -116,6 +117,13 @@
     this->pump(now, sink);
 }
 
+auto GroupScheduler::runningOn(const UpstreamId &upstream) const -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(std::count_if(this->running.begin(), this->running.end(), [&upstream](const auto &item) {
+        return item.second.upstream == upstream;
+    }));
+}
+
 auto GroupScheduler::submit(Work work, std::uint32_t queueLimit, TimePoint now, DecisionSink &sink) -> void
 {
     assert(!this->waiting.contains(work.id) && !this->running.contains(work.id) && "each piece of work is submitted once");
--- a/unittests/Decisions/dispatchertest.cpp
+++ b/unittests/Decisions/dispatchertest.cpp
@@ -83,6 +83,22 @@
     CHECK(startedOn(fixture.tolerant(milliseconds(500))) == "p");
 }
 
+TEST_CASE("work that runs while its upstream leaves the view and returns still holds its slot")
+{
+    // The primary's announcements are missed for a moment while a booking runs there. The view drops it and takes it back; the
+    // booking then ends. A second piece of work must not get the slot before.
+    auto fixture = Fixture({}, 1);
+    const auto whole = fixture.cluster;
+    CHECK(startedOn(fixture.write()) == "p");
+    fixture.cluster.groups.front().members.erase(fixture.cluster.groups.front().members.begin());
+    fixture.cluster.groups.front().primary.reset();
+    fixture.publish();
+    fixture.cluster = whole;
+    fixture.publish();
+    CHECK(fixture.write().empty());
+    CHECK(startedOn(fixture.finish(1)) == "p");
+}
+
 TEST_CASE("work that can no longer be served in time is refused with its reason")
 {
     auto settings = fifoSettings();
