--- a/lib/Decisions/groupadmission.cpp
+++ b/lib/Decisions/groupadmission.cpp
@@ -13,8 +13,12 @@
 constexpr auto defaultRetryAfter = std::chrono::milliseconds(1000);
 /// Times its equal part of the queue that a caller may hold once the queue is half full.
 constexpr std::size_t overQuotaFactor = 2;
+/// Part of the wait allowed below which nobody's part is looked at.
+constexpr auto quietPart = 0.1;
 /// Higher lanes' work that is served before one piece of a lane's own, by the weights 8, 4 and 1.
 constexpr std::size_t writesBeforeRead = 2;
+/// Part of the primary's starts that reads which accept age have at least, by the weights 8, 4 and 1.
+constexpr auto leastTolerantPart = 1.0 / 13;
 /// One in so many reads passes in a brownout, so that no age of reads starves.
 constexpr std::uint64_t readsPassedInBrownout = 10;
 
@@ -25,9 +29,9 @@
 
 } // namespace
 
-auto GroupScheduler::primaryAhead(const CallerId &caller, Lane lane) const -> std::size_t
+auto GroupScheduler::primaryAhead(const CallerId &caller, Lane lane, TimePoint now) const -> std::size_t
 {
-    const auto own = this->queue(lane).ahead(caller, this->slotTimes[static_cast<std::size_t>(lane)].mean());
+    const auto own = this->queue(lane).ahead(caller, this->slotTimes[static_cast<std::size_t>(lane)].mean(), now);
     const auto writes = this->queue(Lane::Write).size();
     const auto reads = this->queue(Lane::CurrentRead).size();
     switch (lane) {
@@ -36,11 +40,16 @@
     case Lane::CurrentRead:
         return own + std::min(writes, (own + 1) * writesBeforeRead);
     case Lane::TolerantRead:
-        return own + writes + reads;
+        return writes + reads + static_cast<std::size_t>(static_cast<double>(own) / this->leftForTolerant());
     }
     return own;
 }
 
+auto GroupScheduler::leftForTolerant() const -> double
+{
+    return std::max(1.0 - this->primaryOwnPart, leastTolerantPart);
+}
+
 auto GroupScheduler::readSlots(const Work &work, TimePoint now) const -> std::uint32_t
 {
     auto slots = std::uint32_t{0};
@@ -57,7 +66,7 @@
     const auto service = this->slotTimes[static_cast<std::size_t>(lane)].mean();
     const auto replicaSlots = lane == Lane::TolerantRead ? this->readSlots(work, now) : 0U;
     if (replicaSlots > 0) {
-        const auto ahead = this->queue(lane).ahead(work.caller, service);
+        const auto ahead = this->queue(lane).ahead(work.caller, service, now);
         const auto spacing = service / replicaSlots;
         const auto busy = std::any_of(this->members.begin(), this->members.end(), [now](const auto &member) {
             return member->hasFree(now);
@@ -69,13 +78,13 @@
         const auto passed = this->primaryLostAt ? now - *this->primaryLostAt : Duration::zero();
         // Past the expected time nothing is known; half of it again is the next guess.
         const auto gap = std::max<Duration>(this->settings.admission.expectedGap - passed, this->settings.admission.expectedGap / 2);
-        return {.wait = gap + service * this->primaryAhead(work.caller, lane), .spacing = service};
+        return {.wait = gap + service * this->primaryAhead(work.caller, lane, now), .spacing = service};
     }
     const auto state = std::find_if(this->members.begin(), this->members.end(), [this](const auto &member) {
         return this->isPrimary(*member);
     });
     const auto slots = std::max(1U, (*state)->usable(now));
-    const auto ahead = this->primaryAhead(work.caller, lane) + ((*state)->hasFree(now) ? 0 : 1);
+    const auto ahead = this->primaryAhead(work.caller, lane, now) + ((*state)->hasFree(now) ? 0 : 1);
     const auto spacing = service / slots;
     const auto parkedHere = lane == Lane::Write ? this->parked.find(work.key) : this->parked.end();
     if (parkedHere != this->parked.end()) {
@@ -97,6 +106,19 @@
     return this->browned % readsPassedInBrownout != 0;
 }
 
+auto GroupScheduler::overPart(const Work &work, Lane lane, const Estimate &estimate, Duration budget) const -> bool
+{
+    // In order of arrival a hot caller's backlog delays all. Bounding its part of the queue bounds that delay, and who is refused
+    // is the caller that caused it.
+    const auto &laneQueue = this->queue(lane);
+    const auto own = laneQueue.sizeOf(work.caller);
+    if (own < 2 || estimate.wait < scaled(budget, quietPart)) {
+        return false;
+    }
+    const auto part = budget * overQuotaFactor / (laneQueue.activeCallers() + 1);
+    return estimate.spacing * own >= part;
+}
+
 auto GroupScheduler::admit(const Work &work, Lane lane, const Estimate &estimate, TimePoint now) -> bool
 {
     const auto &admission = this->settings.admission;
@@ -113,7 +135,7 @@
     if (book.redeem(work.caller, now)) {
         return estimate.wait <= std::min(scaled(allowed, admission.returnFraction), allowed - service);
     }
-    if (estimate.wait > budget) {
+    if (estimate.wait > budget || this->overPart(work, lane, estimate, budget)) {
         return false;
     }
     if (estimate.wait <= scaled(budget, admission.unreservedFraction)) {
--- a/lib/Decisions/groupscheduler.cpp
+++ b/lib/Decisions/groupscheduler.cpp
@@ -13,9 +13,12 @@
 /// Slot times decide about admission for many callers at once; they follow more slowly than an upstream's own estimate.
 constexpr auto slotTimeWeight = 1.0 / 64;
 
-auto makeQueues(const QueueSettings &settings) -> std::array<FairQueue, laneCount>
+auto makeQueues(const QueueSettings &settings, const SlotGuard &guard) -> std::array<FairQueue, laneCount>
 {
-    return {FairQueue(settings), FairQueue(settings), FairQueue(settings)};
+    const auto level = [&guard, spacing = settings.thresholdFactor](const CallerId &caller, TimePoint now) {
+        return guard.useLevel(caller, spacing, now);
+    };
+    return {FairQueue(settings, level), FairQueue(settings, level), FairQueue(settings, level)};
 }
 
 auto makeReturns(const AdmissionSettings &settings) -> std::array<ReturnBook, laneCount>
@@ -36,9 +39,9 @@
 
 GroupScheduler::GroupScheduler(const DispatcherSettings &settings)
     : settings(settings)
-    , queues(makeQueues(settings.queue))
-    , slotTimes{ServiceEstimate(slotTimeWeight), ServiceEstimate(slotTimeWeight), ServiceEstimate(slotTimeWeight)}
     , guard(settings.bulkhead)
+    , queues(makeQueues(settings.queue, this->guard))
+    , slotTimes{ServiceEstimate(slotTimeWeight), ServiceEstimate(slotTimeWeight), ServiceEstimate(slotTimeWeight)}
     , brownout(settings.brownout)
     , returns(makeReturns(settings.admission))
 {
@@ -89,9 +92,10 @@
             present.back()->view = member;
         } else {
             present.push_back(std::make_unique<UpstreamState>(this->settings, member));
+            // Work sent before a restart, or before the member left the view for a while, still has to be given back.
+            // Without counting it the member would get more work than its share, and giving it back would break the count.
+            present.back()->running = this->runningOn(member.id);
             if (restarted) {
-                // Work sent to the earlier process still has to be given back; its slot counts until then.
-                present.back()->running = (*old)->running;
                 present.back()->share = (*old)->share;
                 present.back()->granted = (*old)->granted;
             }
@@ -113,6 +117,13 @@
     this->pump(now, sink);
 }
 
+auto GroupScheduler::runningOn(const UpstreamId &upstream) const -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(std::count_if(this->running.begin(), this->running.end(), [&upstream](const auto &item) {
+        return item.second.upstream == upstream;
+    }));
+}
+
 auto GroupScheduler::submit(Work work, std::uint32_t queueLimit, TimePoint now, DecisionSink &sink) -> void
 {
     assert(!this->waiting.contains(work.id) && !this->running.contains(work.id) && "each piece of work is submitted once");
