--- a/benchmarks/consensusbenchmark.cpp
+++ b/benchmarks/consensusbenchmark.cpp
@@ -17,11 +17,11 @@
 #include <string>
 #include <vector>
 
-namespace
+namespace sapphirespool::consensus
 {
 
-using namespace sapphirespool;
-using namespace sapphirespool::consensus;
+namespace
+{
 
 /// About the size of a heartbeat's news or a small change of the configuration.
 constexpr auto commandBytes = std::size_t(200);
@@ -233,13 +233,8 @@
 
 } // namespace
 
-auto main(int argc, char **argv) -> int
+auto measureAll(const std::filesystem::path &root) -> void
 {
-    if (argc != 2) {
-        std::cerr << "usage: consensusbenchmark FOLDER\n";
-        return 2;
-    }
-    const auto root = std::filesystem::path(argv[1]);
     for (const auto outstanding : {1, 16, 256}) {
         measureCommits(root, 1, outstanding);
         measureCommits(root, 3, outstanding);
@@ -248,5 +243,16 @@
         measureRestart(root, changes);
     }
     std::filesystem::remove_all(root);
+}
+
+} // namespace sapphirespool::consensus
+
+auto main(int argc, char **argv) -> int
+{
+    if (argc != 2) {
+        std::cerr << "usage: consensusbenchmark FOLDER\n";
+        return 2;
+    }
+    sapphirespool::consensus::measureAll(argv[1]);
     return 0;
 }
