--- a/lib/Load/loadrun.cpp
+++ b/lib/Load/loadrun.cpp
@@ -84,6 +84,8 @@
                 co_return false;
             }
         }
+        // A read that accepts age may be shown data from before the table was there, and rightly so.
+        co_await this->pause(this->settings.maxAge.value_or(std::chrono::milliseconds(0)));
         co_return true;
     }
 
