--- a/include/sapphirespool/Standin/member.h
+++ b/include/sapphirespool/Standin/member.h
@@ -7,7 +7,6 @@
 // statement.
 #pragma once
 
-#include "sapphirespool/Http/server.h"
 #include "sapphirespool/Platform/messages.h"
 #include "sapphirespool/Standin/faults.h"
 #include "sapphirespool/Standin/memberstore.h"
@@ -99,7 +98,4 @@
 /// Makes the first of \p members, which have started, the primary of \p term and the others its replicas.
 auto formGroup(std::span<const std::shared_ptr<Member>> members, Term term) -> void;
 
-/// \return a handler that answers as the only member of a group would
-[[nodiscard]] auto makeMemberHandler() -> std::shared_ptr<http::Handler>;
-
 } // namespace sapphirespool::standin
