--- a/unittests/Upstreams/positionwatchtest.cpp
+++ b/unittests/Upstreams/positionwatchtest.cpp
@@ -110,6 +110,31 @@
     std::size_t next = 0;
 };
 
+/// Reports a member's position every millisecond, and counts the polls.
+class CountingSource : public PositionSource
+{
+public:
+    CountingSource(asio::io_context &io, standin::Member &member, std::uint64_t &polls)
+        : io(io)
+        , member(member)
+        , polls(polls)
+    {
+    }
+
+    auto poll(Term, LogPosition, std::chrono::milliseconds) -> asio::awaitable<std::optional<platform::PositionReport>> override
+    {
+        ++this->polls;
+        auto timer = asio::steady_timer(this->io, 1ms);
+        co_await timer.async_wait(asio::use_awaitable);
+        co_return this->member.report();
+    }
+
+private:
+    asio::io_context &io;
+    standin::Member &member;
+    std::uint64_t &polls;
+};
+
 } // namespace
 
 TEST_CASE("a write is confirmed by a replica")
@@ -153,6 +178,24 @@
     CHECK(fixture.polls() == 0);
 }
 
+TEST_CASE("polling ends with the last write that waits")
+{
+    // A group takes one write and then none for a day. Going on with the polls would cost each member of each group two requests
+    // a second from each proxy.
+    auto fixture = WatchFixture();
+    auto polls = std::uint64_t{0};
+    auto watch = makePositionWatch(fixture.loop.io.get_executor(), [&fixture, &polls](const Endpoint &endpoint) {
+        return std::make_shared<CountingSource>(fixture.loop.io, endpoint == fixture.members[1]->endpoint() ? *fixture.members[1] : *fixture.members[2], polls);
+    });
+    watch->viewChanged(fixture.view(1, "a"));
+    fixture.write();
+    CHECK(fixture.loop.wait(watch->confirm(fixture.group, Term(1), LogPosition(1), farDeadline())) == Confirmation::Confirmed);
+    const auto before = polls;
+    fixture.loop.io.restart();
+    fixture.loop.io.run_for(100ms);
+    CHECK(polls <= before + 2);
+}
+
 TEST_CASE("a primary that is cut off from its replicas has nothing confirmed")
 {
     // The old primary still answers the proxy and its replicas follow another member already. Its write is on one disk only; an
