--- a/unittests/Promotion/grouppromotiontest.cpp
+++ b/unittests/Promotion/grouppromotiontest.cpp
@@ -105,6 +105,9 @@
     auto fencing = Fencing();
     fencing.answer(answerOf("a", 2, platform::Role::Fenced, 10));
     CHECK(count<ProposePrimary>(fencing.answer(answerOf("b", 1, platform::Role::Fenced, 5))) == 0);
+    auto unraised = answerOf("b", 1, platform::Role::Fenced, 5);
+    unraised.term = Term(2);
+    CHECK(count<ProposePrimary>(fencing.answer(unraised)) == 0);
     auto follower = answerOf("b", 2, platform::Role::Replica, 5);
     CHECK(count<ProposePrimary>(fencing.answer(follower)) == 0);
 }
