--- a/lib/LoadModel/model.cpp
+++ b/lib/LoadModel/model.cpp
@@ -17,16 +17,9 @@
 constexpr auto warmUp = std::chrono::seconds(1);
 constexpr auto sameZone = std::chrono::microseconds(200);
 constexpr auto reportInterval = std::chrono::milliseconds(20);
-/// Time until the view leaves out an upstream that has stopped.
-constexpr auto detection = std::chrono::milliseconds(200);
 constexpr std::size_t zones = 3;
 constexpr std::size_t membersPerGroup = 3;
 
-auto upstreamName(std::size_t group, std::size_t member) -> UpstreamId
-{
-    return UpstreamId("g" + std::to_string(group) + "u" + std::to_string(member));
-}
-
 auto groupName(std::size_t group) -> GroupId
 {
     return GroupId("g" + std::to_string(group));
@@ -49,6 +42,11 @@
 
 } // namespace
 
+auto upstreamName(std::size_t group, std::size_t member) -> UpstreamId
+{
+    return UpstreamId("g" + std::to_string(group) + "u" + std::to_string(member));
+}
+
 Model::Model(const Scenario &scenario, const Policy &policy)
     : scenario(scenario)
     , policy(policy)
@@ -355,58 +353,6 @@
     this->applyShares(proxy, this->proxies[proxy].shares->tick(this->events.now()));
 }
 
-auto Model::scheduleFaults() -> void
-{
-    for (const auto &fault : this->scenario.faults) {
-        this->scheduleFault(fault);
-    }
-}
-
-auto Model::scheduleFault(const Fault &fault) -> void
-{
-    const auto id = upstreamName(0, fault.upstream);
-    const auto at = this->begin + this->partOfRun(fault.at);
-    const auto until = this->begin + this->partOfRun(fault.until);
-    if (fault.kind == Fault::Kind::Slow) {
-        this->events.at(at, [this, id, factor = fault.factor]() {
-            this->upstreams.at(id)->setFactor(factor);
-        });
-        this->events.at(until, [this, id]() {
-            this->upstreams.at(id)->setFactor(1);
-        });
-        return;
-    }
-    const auto whole = this->view.groups.front().members;
-    this->events.at(at, [this, id]() {
-        this->upstreams.at(id)->stop();
-    });
-    this->events.at(at + detection, [this, id]() {
-        auto &group = this->view.groups.front();
-        std::erase_if(group.members, [&id](const auto &member) {
-            return member.id == id;
-        });
-        if (group.primary == id) {
-            group.primary.reset();
-        }
-        this->publishView();
-    });
-    if (fault.kind == Fault::Kind::PromotionGap) {
-        this->events.at(at + fault.duration, [this]() {
-            auto &group = this->view.groups.front();
-            group.primary = group.members.front().id;
-            group.term = group.term.next();
-            group.history = {{Term(1), LogPosition(0)}, {group.term, LogPosition(this->groups.front().position)}};
-            this->groups.front().term = group.term;
-            this->publishView();
-        });
-    }
-    this->events.at(until, [this, id, whole]() {
-        this->upstreams.at(id)->restart();
-        this->view.groups.front().members = whole;
-        this->publishView();
-    });
-}
-
 auto run(const Scenario &scenario, const Policy &policy) -> Report
 {
     return Model(scenario, policy).run();
--- a/lib/LoadModel/model.h
+++ b/lib/LoadModel/model.h
@@ -23,6 +23,9 @@
 
 using decisions::WorkId;
 
+/// \return name of a member of a group
+[[nodiscard]] auto upstreamName(std::size_t group, std::size_t member) -> UpstreamId;
+
 /// One run. Not reusable.
 class Model
 {
@@ -85,7 +88,7 @@
     auto comeBack(Request request, Duration wait) -> void;
     auto retryRead(Request request) -> void;
 
-    // Proxies: model.cpp
+    // Proxies: model.cpp; faults: modelfaults.cpp
     auto submit(Request request) -> void;
     auto apply(std::size_t proxy, const decisions::Dispatcher::Actions &actions) -> void;
     auto start(std::size_t proxy, const decisions::Start &start) -> void;
