--- a/lib/Rpc/loopthread.cpp
+++ b/lib/Rpc/loopthread.cpp
@@ -10,6 +10,20 @@
 namespace sapphirespool::rpc
 {
 
+namespace
+{
+
+/// KJ fills static tables at the first setup. The thread sanitizer sees nothing of the library's own guard for them and reports a
+/// race when two loops start; with a lock of ours it sees the order.
+auto setupIo() -> kj::AsyncIoContext
+{
+    static auto mutex = std::mutex();
+    const auto guard = std::lock_guard(mutex);
+    return kj::setupAsyncIo();
+}
+
+} // namespace
+
 class LoopThread::State
 {
 public:
@@ -52,7 +66,7 @@
 
     auto run() -> void
     {
-        auto io = kj::setupAsyncIo();
+        auto io = setupIo();
         auto context = LoopContext{io.provider->getNetwork(), io.provider->getTimer(), *io.lowLevelProvider};
         for (auto more = true; more;) {
             more = this->awaitWork(io.waitScope);
