Setting key_warmup: the first start of a whole system serves idempotency keys at once

Cause: a started proxy does not vouch for a key for ten minutes, and nothing but a restart of that code could say that no proxy served before; in the demo each request with an Idempotency-Key was refused as key_holders_unreachable.

--- a/include/sapphirespool/Settings/settings.h
+++ b/include/sapphirespool/Settings/settings.h
@@ -55,6 +55,9 @@
     support::LogFormat logFormat = support::LogFormat::Text;
     http::ServerLimits limits;
     Shutdown shutdown;
+    /// Time after a start in which a proxy does not vouch that an idempotency key is new, since it may have forgotten it. Zero is
+    /// sound only where no proxy of the system served before: at the first start of all.
+    std::chrono::milliseconds keyWarmup{600'000};
 
     /// \return where this VM's control role listens, if it has one
     [[nodiscard]] auto controlEndpoint() const -> std::optional<Endpoint>;
--- a/lib/Settings/settings.cpp
+++ b/lib/Settings/settings.cpp
@@ -28,6 +28,7 @@
 /// 10 KB for each connection keep a million connections at 10 GB, the most that one VM could hold.
 constexpr auto connectionRange = support::NumberRange{1, 1'000'000};
 constexpr auto timeoutRange = support::DurationRange{10ms, 3'600'000ms};
+constexpr auto keyWarmupRange = support::DurationRange{0ms, 600'000ms};
 constexpr auto balancerDelayRange = support::DurationRange{0ms, 60'000ms};
 /// Five voters bear the loss of two VMs, seven that of three; more only slow the commits down.
 constexpr auto controlMemberLimit = std::size_t{7};
@@ -141,6 +142,7 @@
     if (settings.proxy) {
         settings.callers = readEndpoint(map, "callers");
         settings.peers = readEndpoint(map, "peers");
+        settings.keyWarmup = map.duration("key_warmup", keyWarmupRange, settings.keyWarmup);
     }
     if (settings.control) {
         settings.dataFolder = map.text("data");
--- a/unittests/Settings/settingstest.cpp
+++ b/unittests/Settings/settingstest.cpp
@@ -24,6 +24,7 @@
 log_format: json
 limits: {connections: 5000, receive_timeout: 5s}
 shutdown: {balancer_delay: 3s}
+key_warmup: 90s
 )";
 
 struct Parsed
@@ -67,6 +68,7 @@
     CHECK(parsed.settings.limits.connections == 5000);
     CHECK(parsed.settings.limits.receiveTimeout == std::chrono::seconds(5));
     CHECK(parsed.settings.shutdown.balancerDelay == std::chrono::seconds(3));
+    CHECK(parsed.settings.keyWarmup == std::chrono::seconds(90));
     CHECK(parsed.settings.logFormat == support::LogFormat::Json);
 }
 
@@ -81,6 +83,7 @@
     CHECK(parse(with("vm: hobart-1\n", "vm: hobart-2\n")).problems.find("is no control member") != std::string::npos);
     CHECK(parse(with("launceston-1, address: \"127.1.2.1", "launceston-1, address: \"127.1.1.1")).problems.find("repeats a VM or an address")
           != std::string::npos);
+    CHECK(parse(with("90s", "2h")).problems.find("key_warmup") != std::string::npos);
     CHECK(parse(with("8481", "84810")).problems.find("use an IP address and a port") != std::string::npos);
 }
 
