--- a/unittests/Proxy/writetest.cpp
+++ b/unittests/Proxy/writetest.cpp
@@ -86,7 +86,7 @@
 TEST_CASE("a write whose answer is lost is not sent again")
 {
     // A courier booking runs, and the connection breaks before its answer. Nobody can know from here whether it ran. Sent again it
- Sent again it would book a second courier.
+    // would book a second courier; the caller is told "unknown".
     auto system = TrafficSystem();
     system.group->loseAnswer = [](const platform::ExecuteRequest &request) {
         return request.write;
--- a/unittests/Sessions/keyrecordtest.cpp
+++ b/unittests/Sessions/keyrecordtest.cpp
@@ -67,7 +67,7 @@
 TEST_CASE("a restarted holder does not say that a key was never seen")
 {
     // A booking with a key ran, and the proxy that held the key's record was restarted. The caller, who lost the answer, sends
-    // it again. The empty memory of the restarted holder proves nothing; saying "never seen" would send a second satchel.
+    // it again. The empty memory of the restarted holder proves nothing; saying "never seen" would book a second courier.
     auto holder = KeyHolder(10, life);
     CHECK(holder.start(startOf("y"), oneProxy(life), start + seconds(1)).state == KeyState::StartedUnsure);
 }
