Node: each failure to start names its remedy

Cause: a taken port for peers came as an exception of KJ and ended the process without a remedy. Change: every exception of a start becomes a StartFailure. Seen once and not explained: one of 8 processes whose ports were taken ended with a segmentation fault at its stop.

--- a/lib/Node/node.cpp
+++ b/lib/Node/node.cpp
@@ -8,8 +8,7 @@
 #include "sapphirespool/Rpc/loopthread.h"
 #include "sapphirespool/Support/log.h"
 
-#include <boost/system/system_error.hpp>
-
+#include <exception>
 #include <random>
 #include <utility>
 
@@ -45,7 +44,10 @@
     {
         try {
             this->startParts();
-        } catch (const boost::system::system_error &error) {
+        } catch (const StartFailure &) {
+            throw;
+        } catch (const std::exception &error) {
+            // The ports for callers are opened by Asio and those for peers by KJ, each with exceptions of its own.
             support::log(support::Event::ListenFailed, {{"vm", this->settings.vm.value()}, {"detail", error.what()}});
             throw StartFailure(std::string(error.what()) + "; give the VM an address of its own that is free");
         }
