Keys work in the demo: the warm-up of key holders is a setting of the VM

Cause: in a fresh system no proxy vouches for keys before their life of 10 minutes has passed, so the demo refused every request with an Idempotency-Key (key_holders_unreachable, seen with curl). Change: Settings::keyWarmup, passed on by the node, zero in the demo, where no earlier process can have forgotten a key. It is not read from YAML yet.

--- a/include/sapphirespool/Settings/settings.h
+++ b/include/sapphirespool/Settings/settings.h
@@ -54,6 +54,8 @@
     std::uint32_t trafficThreads = 1;
     support::LogFormat logFormat = support::LogFormat::Text;
     http::ServerLimits limits;
+    /// Time after its start in which the proxy does not vouch that it has never seen an idempotency key; see proxy::ProxyLimits.
+    std::chrono::milliseconds keyWarmup{600'000};
     Shutdown shutdown;
 
     /// \return where this VM's control role listens, if it has one
--- a/lib/Node/proxypart.cpp
+++ b/lib/Node/proxypart.cpp
@@ -66,6 +66,7 @@
     role.callers = settings.callers;
     role.peers = settings.peers;
     role.http = settings.limits;
+    role.limits.keyWarmup = settings.keyWarmup;
     role.balancerDelay = settings.shutdown.balancerDelay;
     role.drainTimeout = settings.shutdown.drainTimeout;
     return role;
--- a/tools/sapphirespool/democommand.cpp
+++ b/tools/sapphirespool/democommand.cpp
@@ -83,6 +83,8 @@
 {
     constexpr auto zones = std::to_array<std::string_view>({"hobart", "launceston", "devonport"});
     auto vm = settings::Settings();
+    // No process ran before those of the demo, so none can have forgotten a key.
+    vm.keyWarmup = std::chrono::milliseconds(0);
     for (std::size_t member = 0; member < zones.size(); ++member) {
         vm.controlMembers.push_back({VmId(std::string(zones[member]) + "-1"), at(static_cast<std::uint16_t>(port + 4 + member))});
     }
