--- a/include/sapphirespool/Settings/settings.h
+++ b/include/sapphirespool/Settings/settings.h
@@ -54,8 +54,6 @@
     std::uint32_t trafficThreads = 1;
     support::LogFormat logFormat = support::LogFormat::Text;
     http::ServerLimits limits;
-    /// Time after its start in which the proxy does not vouch that it has never seen an idempotency key; see proxy::ProxyLimits.
-    std::chrono::milliseconds keyWarmup{600'000};
     Shutdown shutdown;
     /// Time after a start in which a proxy does not vouch that an idempotency key is new, since it may have forgotten it. Zero is
     /// sound only where no proxy of the system served before: at the first start of all.
--- a/tools/sapphirespool/democommand.cpp
+++ b/tools/sapphirespool/democommand.cpp
@@ -95,8 +95,6 @@
     vm.callers = at(static_cast<std::uint16_t>(port + place));
     vm.peers = at(static_cast<std::uint16_t>(port + 2 + place));
     vm.dataFolder = folder / vm.vm.value();
-    // The demo's system is new at each start: there is no key that a proxy could have forgotten.
-    vm.keyWarmup = std::chrono::milliseconds(0);
     // Nothing stands before the demo that would have to notice its end.
     vm.shutdown = {std::chrono::milliseconds(0), std::chrono::milliseconds(2'000)};
     return vm;
