--- a/benchmarks/capacity.cpp
+++ b/benchmarks/capacity.cpp
@@ -225,13 +225,13 @@
 
 } // namespace sapphirespool
 
-auto main() -> int
+/// One size in one process, since memory that an earlier size has given back would hide what a later one takes.
+auto main(int argc, char **argv) -> int
 {
+    const auto nodes = argc > 1 ? static_cast<std::uint32_t>(std::stoul(argv[1])) : 54U;
     std::cout << std::fixed << std::setprecision(1) << "times in microseconds; memory, snapshot and view in KiB; delta, heartbeat and announcement in bytes\n"
               << " nodes databases      memory    snapshot snapshot-us  change-us  delta-us  apply-us    delta-B   view-KiB   beat-us  lease-us  hear-us  "
                  "tick-us   beat-B   hear-B\n";
-    for (const auto &size : {sapphirespool::Size{54, 75}, sapphirespool::Size{216, 300}, sapphirespool::Size{864, 1200}}) {
-        sapphirespool::measure(size);
-    }
+    sapphirespool::measure({nodes, nodes * 7'500 / 5'400});
     return 0;
 }
--- a/lib/Control/controlserver.cpp
+++ b/lib/Control/controlserver.cpp
@@ -100,6 +100,23 @@
         return view;
     }
 
+    /// \return what turns the view of \p known into \p newest for a proxy that serves everything; null if that view is not kept
+    auto deltaFrom(Revision known, const ViewPointer &newest) -> std::shared_ptr<const membership::ViewDelta>
+    {
+        // A change is answered to all watches at once, and most of them hold the same revision. Compared anew for each of them, the whole
+        // view would be gone through as often as there are proxies, and the last proxy would learn of a change long after the first.
+        if (this->lastDelta != nullptr && this->lastDelta->base == known && this->lastDelta->revision == newest->revision) {
+            return this->lastDelta;
+        }
+        const auto base = this->viewAt(known);
+        if (base == nullptr) {
+            return nullptr;
+        }
+        const auto delta = membership::computeDelta(membership::viewFor(*base, {}), membership::viewFor(*newest, {}));
+        this->lastDelta = std::make_shared<const membership::ViewDelta>(delta);
+        return this->lastDelta;
+    }
+
     rpc::LoopContext &context;
     consensus::Replica &replica;
     ControlService &service;
@@ -119,6 +136,7 @@
 
     bool detached = false;
     std::deque<ViewPointer> views;
+    std::shared_ptr<const membership::ViewDelta> lastDelta;
     std::vector<kj::Own<kj::PromiseFulfiller<void>>> waiting;
     kj::TaskSet tasks;
 };
@@ -283,6 +301,10 @@
         for (const auto service : call.getParams().getServices()) {
             services.emplace_back(service.cStr());
         }
+        if (const auto delta = services.empty() ? this->shared->deltaFrom(known, newest) : nullptr) {
+            write(*delta, answer.initDelta());
+            return;
+        }
         const auto whole = membership::viewFor(*newest, services);
         if (const auto base = this->shared->viewAt(known)) {
             write(membership::computeDelta(membership::viewFor(*base, services), whole), answer.initDelta());
