A proxy without a view answers stale_view, not unknown_service

Change: without a view the answer is stale_view with a time to come back. Test added; it fails with the former answer.

--- a/lib/Proxy/trafficpath.cpp
+++ b/lib/Proxy/trafficpath.cpp
@@ -31,6 +31,15 @@
 /// How often the view is looked at if nobody says that it changed: well under the few seconds in which a change has to be in force.
 constexpr auto viewInterval = milliseconds(20);
 
+/// A proxy that has just started knows no service at all. Told "unknown", the caller would give up on a service that exists.
+auto withoutService(const membership::ClusterView &view, const ServiceId &service) -> NotRun
+{
+    if (view.revision == Revision()) {
+        return staleView();
+    }
+    return NotRun{RefusalReason::UnknownService, "no service " + service.value()};
+}
+
 struct RefusalCounter
 {
     Recorder &recorder;
@@ -383,7 +392,7 @@
         const auto view = this->parts.views->current();
         const auto *const service = view->findService(request.service);
         if (service == nullptr) {
-            co_return Reply{NotRun{RefusalReason::UnknownService, "no service " + request.service.value()}, request.sessionToken};
+            co_return Reply{withoutService(*view, request.service), request.sessionToken};
         }
         const auto deadline = this->deadlineOf(*service, request.timeout, false);
         auto outcome = co_await this->transactions->run(std::move(request), token, deadline);
@@ -396,7 +405,7 @@
             return NotRun{RefusalReason::Draining, "this proxy is about to stop", milliseconds(0)};
         }
         if (service == nullptr) {
-            return NotRun{RefusalReason::UnknownService, "no service " + name.value()};
+            return withoutService(*this->parts.views->current(), name);
         }
         return std::nullopt;
     }
--- a/unittests/Proxy/writetest.cpp
+++ b/unittests/Proxy/writetest.cpp
@@ -208,6 +208,20 @@
     CHECK(system.group->connectionsOpened == 0);
 }
 
+TEST_CASE("a proxy that has no view yet does not call a service unknown")
+{
+    // A VM was restarted and control has not answered it yet. A caller that the balancer sends there would take 404 for the truth and
+    // drop its booking; told to come back, it finds the service a moment later.
+    auto system = TrafficSystem();
+    auto &views = *system.proxies[0].views;
+    std::destroy_at(&views);
+    std::construct_at(&views);
+    const auto reply = system.write(0, "book 7");
+    CHECK(reasonOf(reply) == RefusalReason::StaleView);
+    CHECK(executedOf(reply) == Executed::No);
+    CHECK(std::get<NotRun>(reply.outcome).retryAfter.has_value());
+}
+
 TEST_CASE("a draining proxy refuses new work as not run")
 {
     auto system = TrafficSystem();
