--- a/cmake/lint/kjcomparison.h
+++ b/cmake/lint/kjcomparison.h
@@ -1,7 +1,7 @@
 // kjcomparison.h: lets the linter read the headers of Cap'n Proto 0.9 as C++20.
 //
 // They leave comparisons with a text on the left to C++20's rewritten operators. g++ 12 accepts that; clang 16 follows a later rule by
-// which a class that has an operator!= of its own gets none. Only the linter includes this file, and nothing calls what it declares.
+// which a class that has an operator!= of its own gets none. Only the linter and the fuzz build include this file, and nothing calls what it declares.
 #pragma once
 
 #ifdef __cplusplus
