--- a/lib/Proxy/trafficpath.cpp
+++ b/lib/Proxy/trafficpath.cpp
@@ -8,6 +8,7 @@
 #include "statementrunner.h"
 #include "transactions.h"
 #include "upstreamaccess.h"
+#include "viewfollower.h"
 #include "writeconfirmation.h"
 
 #include "sapphirespool/Sessions/token.h"
@@ -98,6 +99,7 @@
         , runner(this->access, this->admission, this->confirmation, this->parts.recorder, this->parts.dispatch, this->parts.limits)
         , transactions(std::make_shared<Transactions>(this->access, this->confirmation, this->ids, this->parts.dispatch, this->parts.limits))
         , keys(this->parts.vm, this->parts.incarnation, this->calls, this->parts.dispatch, this->parts.limits)
+        , follower(this->parts.views, this->parts.pool, this->parts.watch, this->admission, this->records)
         , viewTimer(this->parts.dispatch)
     {
     }
@@ -136,17 +138,7 @@
 
     auto viewChanged() -> void override
     {
-        const auto now = std::chrono::steady_clock::now();
-        const auto view = this->parts.views->current();
-        this->followLease(*view, now);
-        if (view == this->seenView) {
-            return;
-        }
-        const auto before = std::exchange(this->seenView, view);
-        this->records.viewChanged(*view, now);
-        this->retireGone(before.get(), *view);
-        this->parts.watch->viewChanged(view);
-        this->admission->viewChanged(view);
+        this->follower.look();
     }
 
     auto refuseNewWork() -> void override
@@ -434,53 +426,6 @@
         this->admission->observe({group, UpstreamId(report.id), Term(report.term), LogPosition(report.applied), age});
     }
 
-    /// Control takes a proxy out of the view only once its lease has run out. After a lapse, views may have passed unseen in which
-    /// others held this proxy's records; what is kept here may be behind theirs.
-    auto followLease(const membership::ClusterView &view, TimePoint now) -> void
-    {
-        if (!this->parts.views->leaseLive(now)) {
-            this->leaseLapsed = true;
-            return;
-        }
-        if (this->leaseLapsed && view.revision != this->lastLiveRevision && this->wasLive) {
-            this->records.missedViews(now);
-        }
-        this->leaseLapsed = false;
-        this->wasLive = true;
-        this->lastLiveRevision = view.revision;
-    }
-
-    auto retireGone(const membership::ClusterView *before, const membership::ClusterView &now) -> void
-    {
-        for (const auto &group : now.groups) {
-            for (const auto &member : group.members) {
-                this->boundConnections(member, now);
-            }
-        }
-        if (before == nullptr) {
-            return;
-        }
-        for (const auto &group : before->groups) {
-            const auto *const present = now.findGroup(group.id);
-            for (const auto &member : group.members) {
-                if (present == nullptr || present->findMember(member.id) == nullptr) {
-                    this->parts.pool->retire(member.id);
-                }
-            }
-        }
-    }
-
-    /// An equal part of the upstream's connections for each proxy: all proxies together stay within its limit without asking.
-    auto boundConnections(const membership::UpstreamView &member, const membership::ClusterView &view) -> void
-    {
-        if (member.leaving) {
-            this->parts.pool->retire(member.id);
-            return;
-        }
-        const auto proxies = static_cast<std::uint32_t>(std::max(std::size_t{1}, view.proxies.size()));
-        this->parts.pool->setLimit(member.id, std::max(1U, member.connectionLimit / proxies));
-    }
-
     auto armViewTimer() -> void
     {
         this->viewTimer.expires_after(viewInterval);
@@ -505,12 +450,9 @@
     StatementRunner runner;
     std::shared_ptr<Transactions> transactions;
     KeyGuard keys;
+    ViewFollower follower;
     asio::steady_timer viewTimer;
-    std::shared_ptr<const membership::ClusterView> seenView;
-    Revision lastLiveRevision;
     std::size_t requests = 0;
-    bool leaseLapsed = true;
-    bool wasLive = false;
     bool draining = false;
     bool stopped = false;
 };
--- a/unittests/Proxy/fakes.h
+++ b/unittests/Proxy/fakes.h
@@ -37,6 +37,8 @@
     std::function<bool(const platform::ExecuteRequest &)> loseAnswer;
     /// Upstreams to which no connection can be had.
     std::set<UpstreamId> unreachable;
+    /// Upstreams to which connections were opened ahead of demand.
+    std::set<UpstreamId> warmed;
     std::size_t connectionsOpened = 0;
     std::size_t connectionsClosed = 0;
 
@@ -158,8 +160,9 @@
     {
     }
 
-    auto warm(membership::UpstreamView, std::uint32_t) -> void override
+    auto warm(membership::UpstreamView upstream, std::uint32_t) -> void override
     {
+        this->group->warmed.insert(upstream.id);
     }
 
     auto retire(const UpstreamId &) -> void override
--- a/unittests/Proxy/writetest.cpp
+++ b/unittests/Proxy/writetest.cpp
@@ -222,6 +222,16 @@
     CHECK(std::get<NotRun>(reply.outcome).retryAfter.has_value());
 }
 
+TEST_CASE("connections are opened before they are asked for, but not to an upstream that leaves")
+{
+    auto system = TrafficSystem();
+    CHECK(system.group->warmed.size() == 3);
+    system.group->warmed.clear();
+    system.view.groups.front().members.back().leaving = true;
+    system.publish();
+    CHECK(system.group->warmed == std::set<UpstreamId>{UpstreamId("u1"), UpstreamId("u2")});
+}
+
 TEST_CASE("a draining proxy refuses new work as not run")
 {
     auto system = TrafficSystem();
