The metrics show how many connections are in each state

Cause: reading the whole change once more: sapphirespool_connections stood in /metrics and nothing ever set it, so it said 0 always. Change: the proxy role counts callers' and upstreams' connections when it looks after itself. Seen: 25 of 25 test programs; the new test waits for the counts (a first form of it named three members where its system has one and hung). Left: the state peer_open, the retry reason peer_unreachable and the event SP1004 are still never used.

--- a/lib/ProxyRole/metricsrecorder.cpp
+++ b/lib/ProxyRole/metricsrecorder.cpp
@@ -31,6 +31,11 @@
         this->metrics->countRetry(service, reason);
     }
 
+    auto connections(metrics::ConnectionState state, std::uint64_t count) -> void override
+    {
+        this->metrics->setConnections(state, count);
+    }
+
 private:
     std::shared_ptr<metrics::Metrics> metrics;
 };
--- a/lib/ProxyRole/proxyrole.cpp
+++ b/lib/ProxyRole/proxyrole.cpp
@@ -7,6 +7,7 @@
 #include "sapphirespool/Proxy/trafficpath.h"
 #include "sapphirespool/ProxyRole/gracefulshutdown.h"
 #include "sapphirespool/Support/log.h"
+#include "sapphirespool/Upstreams/pool.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -131,6 +132,7 @@
     {
         this->followReadiness();
         this->followShutdown();
+        this->countConnections();
         if (this->closed || this->shutdown.phase() == ShutdownPhase::Done) {
             return;
         }
@@ -151,6 +153,28 @@
         this->readiness->ready = this->shutdown.phase() == ShutdownPhase::Serving && hasView && hasLease;
     }
 
+    /// The counts of the last look are what a scrape of the metrics shows.
+    auto countConnections() -> void
+    {
+        const auto callers = this->server->counts();
+        auto pooled = upstreams::PoolCounts();
+        const auto view = this->parts.views->current();
+        for (const auto &group : view->groups) {
+            for (const auto &member : group.members) {
+                const auto counts = this->parts.pool->counts(member.id);
+                pooled.connecting += counts.connecting;
+                pooled.idle += counts.idle;
+                pooled.busy += counts.busy;
+            }
+        }
+        auto &recorder = *this->parts.recorder;
+        recorder.connections(metrics::ConnectionState::CallerOpen, callers.connections);
+        recorder.connections(metrics::ConnectionState::CallerRunning, callers.running);
+        recorder.connections(metrics::ConnectionState::UpstreamConnecting, pooled.connecting);
+        recorder.connections(metrics::ConnectionState::UpstreamIdle, pooled.idle);
+        recorder.connections(metrics::ConnectionState::UpstreamBusy, pooled.busy);
+    }
+
     auto followShutdown() -> void
     {
         const auto traffic = this->path->counts();
--- a/unittests/Proxy/fakes.h
+++ b/unittests/Proxy/fakes.h
@@ -171,7 +171,7 @@
 
     [[nodiscard]] auto counts(const UpstreamId &) const -> upstreams::PoolCounts override
     {
-        return {};
+        return {0, 1, 0};
     }
 
 private:
@@ -362,6 +362,7 @@
     std::map<RefusalReason, int> refusals;
     std::map<metrics::RetryReason, int> retries;
     std::map<metrics::ServedRole, int> answers;
+    std::map<metrics::ConnectionState, std::uint64_t> states;
     /// Runs at each retry.
     std::function<void()> onRetry;
 
@@ -375,6 +376,11 @@
         ++this->refusals[reason];
     }
 
+    auto connections(metrics::ConnectionState state, std::uint64_t count) -> void override
+    {
+        this->states[state] = count;
+    }
+
     auto retried(const ServiceId &, metrics::RetryReason reason) -> void override
     {
         ++this->retries[reason];
--- a/unittests/ProxyRole/proxyroletest.cpp
+++ b/unittests/ProxyRole/proxyroletest.cpp
@@ -42,6 +42,7 @@
 {
 public:
     asio::io_context io;
+    std::shared_ptr<FakeRecorder> recorder = std::make_shared<FakeRecorder>();
     std::shared_ptr<FakeGroup> group = std::make_shared<FakeGroup>();
     std::shared_ptr<FakeWatch> watch = std::make_shared<FakeWatch>();
     std::shared_ptr<membership::ViewHolder> views = std::make_shared<membership::ViewHolder>();
@@ -130,7 +131,7 @@
         parts.pool = std::make_shared<FakePool>(this->group);
         parts.watch = this->watch;
         parts.dispatcher = std::make_shared<FakeDispatcher>();
-        parts.recorder = std::make_shared<FakeRecorder>();
+        parts.recorder = this->recorder;
         parts.dispatch = this->io.get_executor();
         parts.sessions = [executor = this->io.get_executor()] {
             return executor;
@@ -192,6 +193,20 @@
     CHECK(reasonOf(unknown) == "unknown_service");
 }
 
+TEST_CASE("the metrics are told how many connections there are in each state")
+{
+    auto system = RoleSystem();
+    auto caller = Caller();
+    system.ask(caller, http::Verb::post, statements, writeBody);
+    auto &states = system.recorder->states;
+    system.runUntil([&states] {
+        return states[metrics::ConnectionState::CallerOpen] == 1 && states[metrics::ConnectionState::UpstreamIdle] == 1;
+    });
+    CHECK(states.contains(metrics::ConnectionState::CallerRunning));
+    CHECK(states.contains(metrics::ConnectionState::UpstreamConnecting));
+    CHECK(states.contains(metrics::ConnectionState::UpstreamBusy));
+}
+
 TEST_CASE("a graceful shutdown cuts no request and no transaction")
 {
     // A VM is stopped while one caller's booking waits for its confirmation and another caller is in the middle of a transaction.
