--- a/benchmarks/proxyalone.cpp
+++ b/benchmarks/proxyalone.cpp
@@ -68,11 +68,11 @@
     for (const auto &endpoint : arguments.members) {
         const auto report = finish(io, [&](platform::ReportCallback done) {
             if (!group.primary) {
-                caller->promote(endpoint, {1}, std::move(done));
+                caller->promote({group.id, {}, endpoint}, {1}, std::move(done));
                 return;
             }
             const auto &primary = arguments.members.front();
-            caller->follow(endpoint, {1, group.primary->value(), primary.address, primary.port, 0}, std::move(done));
+            caller->follow({group.id, {}, endpoint}, {1, group.primary->value(), primary.address, primary.port, 0}, std::move(done));
         });
         auto member = membership::UpstreamView();
         member.id = UpstreamId(report.id);
--- a/include/sapphirespool/Configuration/configuration.h
+++ b/include/sapphirespool/Configuration/configuration.h
@@ -7,6 +7,7 @@
 #include <boost/leaf/result.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -23,11 +24,16 @@
     /// How many members the group has. Quorums are counted on it, not on how many have announced themselves: else the two halves of a
     /// group that starts up partitioned could each elect a primary.
     std::uint32_t size = usualGroupSize;
+    /// Connections that each member accepts from all proxies together; 0: as the member announces.
+    std::uint32_t connectionLimit = 0;
 };
 
 /// A text without mistakes.
 struct Configuration
 {
+    /// Number that the operator gave to the text. Among numbered texts the highest one wins; a text without a number replaces the
+    /// revision that it names.
+    std::optional<ConfigurationVersion> version;
     std::vector<membership::ServiceView> services;
     /// Each group of a service, ordered by name.
     std::vector<GroupConfiguration> groups;
--- a/include/sapphirespool/Consensus/replicatedlog.h
+++ b/include/sapphirespool/Consensus/replicatedlog.h
@@ -63,6 +63,9 @@
     /// \return whether this VM leads and a quorum confirmed so recently that no other VM can lead at \p now
     [[nodiscard]] virtual auto holdsLeaderLease(TimePoint now) const -> bool = 0;
 
+    /// \return a number that no other VM ever leads under, and that is higher than that of every earlier leader; of use while this VM leads
+    [[nodiscard]] virtual auto leadershipNumber() const -> std::uint64_t = 0;
+
     /// \return the VM that is believed to lead
     [[nodiscard]] virtual auto leader() const -> std::optional<VmId> = 0;
 
--- a/include/sapphirespool/Controller/controller.h
+++ b/include/sapphirespool/Controller/controller.h
@@ -1,9 +1,11 @@
 // controller.h: the control role of a VM: what a leading control VM does with the replicated state.
 #pragma once
 
+#include "sapphirespool/Configuration/reader.h"
 #include "sapphirespool/Consensus/replicatedlog.h"
 #include "sapphirespool/Control/controlservice.h"
 #include "sapphirespool/Platform/groupoperator.h"
+#include "sapphirespool/Promotion/timing.h"
 #include "sapphirespool/State/clusterstate.h"
 #include "sapphirespool/Support/types.h"
 
@@ -32,6 +34,10 @@
     std::function<TimePoint()> clock;
     /// Runs work on the control thread later; called from any thread.
     std::function<void(std::function<void()>)> post;
+    /// Language of the operators' text.
+    std::shared_ptr<const configuration::Reader> reader = configuration::makeYamlReader();
+    /// How often members of database groups announce themselves.
+    std::chrono::milliseconds announcementInterval = promotion::usualAnnouncementInterval;
 };
 
 /// Lives on the control thread. On a VM that does not lead it only hands out the view.
--- /dev/null
+++ b/include/sapphirespool/Http/liveness.h
@@ -0,0 +1,16 @@
+// liveness.h: finds out that the peer of a connection is gone.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace sapphirespool::http
+{
+
+/// Has the kernel end the connection when its peer does not answer any more, and send small messages at once.
+///
+/// A peer that lost its power or its way sends nothing, not even a reset: whoever reads from it would wait for ever, and an idle
+/// connection would look usable. Bytes without an acknowledgement end it after some seconds, probes do so while it is idle.
+/// An option that the system does not know is left out; the time limits of each exchange still hold then.
+auto detectDeadPeers(boost::asio::ip::tcp::socket &socket) -> void;
+
+} // namespace sapphirespool::http
--- a/include/sapphirespool/Membership/clusterview.h
+++ b/include/sapphirespool/Membership/clusterview.h
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -53,12 +54,29 @@
     /// Ended and current terms, ascending; decides whether a session's position still stands.
     std::vector<TermStart> history;
     std::vector<UpstreamView> members;
+    /// Connections that each member accepts from all proxies together; 0: as the member announces.
+    std::uint32_t connectionLimit = 0;
 
     auto operator==(const GroupView &) const -> bool = default;
     [[nodiscard]] auto findMember(const UpstreamId &member) const -> const UpstreamView *;
     [[nodiscard]] auto primaryMember() const -> const UpstreamView *;
 };
 
+/// What the reads of a service may miss.
+enum class Consistency : std::uint8_t {
+    /// Whatever the request itself says.
+    PerRequest,
+    /// Nothing: a read sees each write that was acknowledged before it.
+    Strong,
+    /// Writes younger than the read age.
+    BoundedStaleness,
+    /// Writes younger than the read age, but none of the caller's own session.
+    ReadYourWrites,
+};
+
+/// \return the consistency that is encoded as \p number; an unknown number gives the strictest one
+[[nodiscard]] auto consistencyOf(std::uint8_t number) -> Consistency;
+
 /// A service of the operators' text, with defaults filled in.
 struct ServiceView
 {
@@ -73,6 +91,13 @@
     std::uint32_t queueLimit = 256;
     /// Retries that one first attempt earns, 0 to 1.
     double retryRatio = 0.1;
+    Consistency consistency = Consistency::PerRequest;
+    /// Time within which a caller wants a whole operation served; zero: as long as the timeout.
+    std::chrono::milliseconds objective{0};
+    /// 0 is served first.
+    std::uint32_t priority = 0;
+    /// A transaction whose caller says nothing for this long may be rolled back; zero: as the proxy's limits say.
+    std::chrono::milliseconds transactionIdle{0};
 
     auto operator==(const ServiceView &) const -> bool = default;
 };
@@ -119,6 +144,10 @@
     /// Extends the lease to \p expiry; an earlier expiry than the present one is ignored.
     auto extendLease(TimePoint expiry) -> void;
 
+    /// Has \p listener called after each new view, on the thread that brought it. One
+    /// listener; an empty one removes it.
+    auto onChange(std::function<void()> listener) -> void;
+
     /// \return the newest view; never null
     [[nodiscard]] auto current() const -> std::shared_ptr<const ClusterView>;
 
@@ -129,6 +158,9 @@
     mutable std::mutex mutex;
     std::shared_ptr<const ClusterView> view = std::make_shared<const ClusterView>();
     TimePoint leaseExpiry{};
+    std::function<void()> listener;
+
+    auto notify() const -> void;
 };
 
 } // namespace sapphirespool::membership
--- a/include/sapphirespool/Node/node.h
+++ b/include/sapphirespool/Node/node.h
@@ -35,7 +35,10 @@
     virtual auto drain() -> void = 0;
 };
 
+class Edge;
+
+/// \param edge protocols of the world around; null for the project's own
 /// \return the VM, not started
-[[nodiscard]] auto makeNode(settings::Settings settings) -> std::unique_ptr<Node>;
+[[nodiscard]] auto makeNode(settings::Settings settings, std::shared_ptr<Edge> edge = nullptr) -> std::unique_ptr<Node>;
 
 } // namespace sapphirespool::node
--- a/include/sapphirespool/Platform/messages.h
+++ b/include/sapphirespool/Platform/messages.h
@@ -37,6 +37,7 @@
     std::string zone;
     std::uint64_t incarnation = 0;
     /// Highest term that the member has seen.
+    /// 0: the member does not tell; what it last answered holds.
     std::uint64_t term = 0;
     Role role = Role::Replica;
     /// Term of the last entry in its log.
@@ -45,6 +46,11 @@
     std::uint32_t slots = 1;
     std::uint32_t connectionLimit = 1;
     bool leaving = false;
+    /// The member has ended for good. Not part of the message of a member, which just falls silent.
+    bool gone = false;
+    /// Rises with each announcement of a process, so that one that was held up on its way is known as old; 0: not numbered. Not part of
+    /// the message of a member.
+    std::uint64_t sequence = 0;
 };
 BOOST_DESCRIBE_STRUCT(Announcement, (), (group, id, address, port, zone, incarnation, term, role, lastTerm, position, slots, connectionLimit, leaving))
 
@@ -130,6 +136,10 @@
 struct PromoteRequest
 {
     std::uint64_t term = 0;
+    /// Who orders the promotion, and a number that is higher than that of each earlier order and never given to another VM. Not part of
+    /// the message to a member, which goes by the term; for a platform that promotes on the orders of several VMs.
+    VmId orderedBy;
+    std::uint64_t fencingToken = 0;
 };
 BOOST_DESCRIBE_STRUCT(PromoteRequest, (), (term))
 
--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -33,7 +33,8 @@
 {
 public:
     /// \param since when this VM became control leader
-    explicit GroupPromotion(TimePoint since);
+    /// \param silence time without an announcement after which a member counts as lost
+    explicit GroupPromotion(TimePoint since, std::chrono::milliseconds silence = silenceLimit);
 
     auto note(const Announced &event, TimePoint now) -> void;
     auto note(const Suspected &event, TimePoint now) -> void;
@@ -56,6 +57,7 @@
 
     auto enterTerm(const state::GroupRecord &group, Revision current, TimePoint now) -> void;
     auto elect(const state::GroupRecord &group, TimePoint now) -> Actions;
+    auto adopt(const state::GroupRecord &group, TimePoint now) -> Actions;
     auto fenceMembers(const state::GroupRecord &group, TimePoint now) -> Actions;
     auto choose(const state::GroupRecord &group, TimePoint now) -> Actions;
     auto lead(const state::GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions;
@@ -80,6 +82,7 @@
     auto tryPropose(TimePoint now) -> bool;
 
     TimePoint since;
+    std::chrono::milliseconds silence;
     MemberTable members;
     PromotionPause pause;
     /// Term that the fields below belong to.
--- a/include/sapphirespool/Promotion/membertable.h
+++ b/include/sapphirespool/Promotion/membertable.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "sapphirespool/Platform/messages.h"
+#include "sapphirespool/Promotion/timing.h"
 #include "sapphirespool/Support/types.h"
 
 #include <map>
@@ -32,21 +33,31 @@
 class MemberTable
 {
 public:
+    /// \param silence time without an announcement after which a member does not count as live
+    explicit MemberTable(std::chrono::milliseconds silence = silenceLimit);
+
     auto note(const platform::Announcement &announcement, TimePoint now) -> void;
     auto note(const platform::PositionReport &report, TimePoint now) -> void;
 
     /// \return null if the member never said anything
     [[nodiscard]] auto find(const UpstreamId &member) const -> const MemberState *;
 
-    /// \return whether the member's announcement arrived within silenceLimit
+    /// \return whether an announcement of the member arrived lately
     [[nodiscard]] auto isLive(const UpstreamId &member, TimePoint now) const -> bool;
 
+    /// \return the one live member that calls itself primary without a term; nothing if there is none, or two
+    [[nodiscard]] auto selfAppointed(TimePoint now) const -> std::optional<UpstreamId>;
+
     /// \return the highest term that any member has seen
     [[nodiscard]] auto highestTerm() const -> Term;
 
 private:
+    /// Takes in what a member said that does not tell terms.
+    /// \return false if nothing better is known of the member than what it said
+    auto noteWithoutTerm(const platform::Announcement &announcement, TimePoint now) -> bool;
     auto update(const UpstreamId &id, const MemberState &news, TimePoint now) -> MemberState *;
 
+    std::chrono::milliseconds silence;
     std::map<UpstreamId, MemberState> members;
 };
 
--- a/include/sapphirespool/Promotion/promoter.h
+++ b/include/sapphirespool/Promotion/promoter.h
@@ -3,6 +3,7 @@
 
 #include "sapphirespool/Promotion/grouppromotion.h"
 #include "sapphirespool/Promotion/messages.h"
+#include "sapphirespool/Promotion/timing.h"
 #include "sapphirespool/State/clusterstate.h"
 #include "sapphirespool/Support/types.h"
 
@@ -17,7 +18,8 @@
 {
 public:
     /// \param state is read at each call and must outlive the promoter
-    Promoter(const state::ClusterState &state, TimePoint since);
+    /// \param silence time without an announcement after which a member counts as lost
+    Promoter(const state::ClusterState &state, TimePoint since, std::chrono::milliseconds silence = silenceLimit);
 
     auto handle(const Event &event, TimePoint now) -> Actions;
 
@@ -33,6 +35,7 @@
 
     const state::ClusterState &state;
     TimePoint since;
+    std::chrono::milliseconds silence;
     ProxyStanding proxies;
     std::map<GroupId, GroupPromotion> groups;
 };
--- a/include/sapphirespool/Promotion/timing.h
+++ b/include/sapphirespool/Promotion/timing.h
@@ -1,15 +1,28 @@
 // timing.h: the times of promotion and their grounds.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 
 namespace sapphirespool::promotion
 {
 
+/// How often members announce themselves unless the settings say otherwise.
+constexpr auto usualAnnouncementInterval = std::chrono::milliseconds(200);
+
 /// Members announce themselves every 200 ms. Four in a row are missing at the end of this time: a lost segment, which TCP sends
 /// again after 200 to 400 ms, or a stall of half a second does not cost a promotion; the gap stays far below the 7 s allowed.
 constexpr auto silenceLimit = std::chrono::milliseconds(1'000);
 
+/// \return how long a member may be silent that announces itself every \p interval
+///
+/// Two announcements in a row are missing at the end of two and a half intervals, so that one that was lost or is late costs no
+/// promotion. Where announcements are that rare, the proxies' suspicions are what finds a dead primary early.
+constexpr auto silenceAfter(std::chrono::milliseconds interval) -> std::chrono::milliseconds
+{
+    return std::max(silenceLimit, interval * 5 / 2);
+}
+
 /// Length of a proxy's lease on its view. It outlasts an election of control, which takes up to about 2 s, so that acknowledging does
 /// not stop with each lost control VM. A promotion waits this long at most for a proxy that is lost or cut off at the same time, and
 /// not at all while all proxies answer; with the detection before it that stays below the 7 s allowed.
--- a/include/sapphirespool/Settings/settings.h
+++ b/include/sapphirespool/Settings/settings.h
@@ -34,6 +34,8 @@
     std::chrono::milliseconds balancerDelay{2'000};
     /// Time after which requests and transactions that still run are cut.
     std::chrono::milliseconds drainTimeout{30'000};
+    /// Time from the signal to stop until the process is killed; zero if nobody kills it. The two others are parts of it if it is set.
+    std::chrono::milliseconds grace{0};
 };
 
 /// The checked settings of one VM.
@@ -47,11 +49,21 @@
     Endpoint callers;
     /// Where other proxies connect; set for a proxy.
     Endpoint peers;
+    /// Where the balancer asks whether the VM is ready; port 0 if it asks where callers connect.
+    Endpoint readiness;
+    /// Where operators and upstreams call a control VM; port 0 if they call the proxies.
+    Endpoint operators;
+    /// Where the metrics are served; port 0 if they are served where callers connect.
+    Endpoint metrics;
+    /// Where orders to promote go if a platform carries them out; port 0 if the members take them.
+    Endpoint promotionService;
     /// Folder of the durable state; set for a VM of the control group.
     std::string dataFolder;
     /// The VMs of the control group at its first start, and where proxies first ask.
     std::vector<ControlAddress> controlMembers;
     std::uint32_t trafficThreads = 1;
+    /// How often upstreams announce themselves.
+    std::chrono::milliseconds announcementInterval{200};
     support::LogFormat logFormat = support::LogFormat::Text;
     http::ServerLimits limits;
     Shutdown shutdown;
--- a/include/sapphirespool/State/clusterstate.h
+++ b/include/sapphirespool/State/clusterstate.h
@@ -59,8 +59,10 @@
     auto run(const ChoosePrimary &command) -> Result;
     auto run(const RegisterVm &command) -> Result;
     auto run(const ForgetVm &command) -> Result;
+    auto run(const ForgetUpstream &command) -> Result;
 
     auto decide(const ChangeConfiguration &command) -> Result;
+    auto replace(const ChangeConfiguration &command) -> Result;
     auto adopt(const ChangeConfiguration &command) -> void;
     auto remember(const ChangeConfiguration &command, const Result &result) -> void;
     auto group(const GroupId &id) -> GroupRecord *;
--- a/include/sapphirespool/State/commands.h
+++ b/include/sapphirespool/State/commands.h
@@ -59,6 +59,14 @@
     membership::ProxyView vm;
 };
 
+/// Removes a member that has left its group for good.
+struct ForgetUpstream
+{
+    GroupId group;
+    UpstreamId upstream;
+    Incarnation incarnation;
+};
+
 /// Removes a VM that has been silent for long.
 struct ForgetVm
 {
@@ -66,7 +74,7 @@
     Incarnation incarnation;
 };
 
-using Command = std::variant<ChangeConfiguration, RegisterUpstream, BeginTerm, ChoosePrimary, RegisterVm, ForgetVm>;
+using Command = std::variant<ChangeConfiguration, RegisterUpstream, BeginTerm, ChoosePrimary, RegisterVm, ForgetVm, ForgetUpstream>;
 
 /// The text is the configuration of this revision, or was when the change was first sent.
 struct Accepted
--- a/include/sapphirespool/State/records.h
+++ b/include/sapphirespool/State/records.h
@@ -70,6 +70,8 @@
 
     Revision revision;
     Revision configuration;
+    /// Number of the text, if the operators number their texts; 0 before the first one.
+    ConfigurationVersion version;
     std::string text;
     std::vector<membership::ServiceView> services;
     std::vector<GroupRecord> groups;
--- a/include/sapphirespool/Support/events.h
+++ b/include/sapphirespool/Support/events.h
@@ -23,6 +23,7 @@
     SettingsRejected = 1004,
     ListenFailed = 1005,
     CallerRequestRefused = 1101,
+    CallerConnectionRefused = 1102,
     UpstreamConnectionClosed = 1201,
     ControlLeaderChanged = 2001,
     GroupFounded = 2002,
@@ -31,6 +32,7 @@
     ConfigurationAccepted = 2201,
     TermEnded = 2401,
     PrimaryChosen = 2402,
+    OrderNotDelivered = 2403,
     StandinStarted = 3001,
 };
 
--- a/include/sapphirespool/Support/types.h
+++ b/include/sapphirespool/Support/types.h
@@ -16,6 +16,8 @@
 using LogPosition = support::StrongType<struct LogPositionTag, std::uint64_t>;
 /// Version of the control state; rises with each accepted change and never falls.
 using Revision = support::StrongType<struct RevisionTag, std::uint64_t>;
+/// Number that an operator gave to a text of the configuration; the highest one wins.
+using ConfigurationVersion = support::StrongType<struct ConfigurationVersionTag, std::uint64_t>;
 /// Number drawn anew at each start of a process; tells a restarted process from the one before it at the same address.
 using Incarnation = support::StrongType<struct IncarnationTag, std::uint64_t>;
 /// Number of a request on one connection, from 1.
--- a/lib/Consensus/replica.cpp
+++ b/lib/Consensus/replica.cpp
@@ -7,6 +7,7 @@
 #include "sapphirespool/Consensus/core.h"
 #include "sapphirespool/Consensus/replicastore.h"
 #include "sapphirespool/Storage/folder.h"
+#include "sapphirespool/Support/clock.h"
 #include "sapphirespool/Support/log.h"
 
 #include <algorithm>
@@ -39,7 +40,7 @@
 
 auto clockNow() -> TimePoint
 {
-    return std::chrono::steady_clock::now();
+    return support::now();
 }
 
 class ReplicaNode : public Replica, private kj::TaskSet::ErrorHandler
@@ -57,6 +58,7 @@
     auto propose(Bytes command, ProposalDone done) -> void override;
     auto confirmRead(ReadDone done) -> void override;
     [[nodiscard]] auto holdsLeaderLease(TimePoint now) const -> bool override;
+    [[nodiscard]] auto leadershipNumber() const -> std::uint64_t override;
     [[nodiscard]] auto leader() const -> std::optional<VmId> override;
     auto addLearner(ControlMember member, ProposalDone done) -> void override;
     auto promoteLearner(VmId vm, ProposalDone done) -> void override;
@@ -409,6 +411,11 @@
     return this->core->holdsLeaderLease(now);
 }
 
+auto ReplicaNode::leadershipNumber() const -> std::uint64_t
+{
+    return this->core->term().value();
+}
+
 auto ReplicaNode::leader() const -> std::optional<VmId>
 {
     const auto replica = this->core->leader();
--- a/lib/Control/codec.cpp
+++ b/lib/Control/codec.cpp
@@ -100,6 +100,7 @@
     out.setPrimary(group.primary ? group.primary->value() : std::string());
     writeEach(group.history, out.initHistory(sizeOf(group.history)));
     writeEach(group.members, out.initMembers(sizeOf(group.members)));
+    out.setConnectionLimit(group.connectionLimit);
 }
 
 auto read(schema::GroupView::Reader in) -> membership::GroupView
@@ -114,6 +115,7 @@
     for (const auto member : in.getMembers()) {
         group.members.push_back(read(member));
     }
+    group.connectionLimit = in.getConnectionLimit();
     return group;
 }
 
@@ -126,6 +128,10 @@
     out.setTimeoutMs(static_cast<std::uint64_t>(service.timeout.count()));
     out.setQueueLimit(service.queueLimit);
     out.setRetryRatio(service.retryRatio);
+    out.setConsistency(static_cast<std::uint8_t>(service.consistency));
+    out.setObjectiveMs(static_cast<std::uint64_t>(service.objective.count()));
+    out.setPriority(service.priority);
+    out.setTransactionIdleMs(static_cast<std::uint64_t>(service.transactionIdle.count()));
 }
 
 auto read(schema::ServiceView::Reader in) -> membership::ServiceView
@@ -136,7 +142,11 @@
             std::chrono::milliseconds(in.getReadAgeMs()),
             std::chrono::milliseconds(in.getTimeoutMs()),
             in.getQueueLimit(),
-            in.getRetryRatio()};
+            in.getRetryRatio(),
+            membership::consistencyOf(in.getConsistency()),
+            std::chrono::milliseconds(in.getObjectiveMs()),
+            in.getPriority(),
+            std::chrono::milliseconds(in.getTransactionIdleMs())};
 }
 
 auto write(const membership::ProxyView &proxy, schema::ProxyView::Builder out) -> void
@@ -169,6 +179,8 @@
     out.setSlots(announcement.slots);
     out.setConnectionLimit(announcement.connectionLimit);
     out.setLeaving(announcement.leaving);
+    out.setGone(announcement.gone);
+    out.setSequence(announcement.sequence);
 }
 
 auto read(schema::Announcement::Reader in) -> platform::Announcement
@@ -185,7 +197,9 @@
             in.getPosition(),
             in.getSlots(),
             in.getConnectionLimit(),
-            in.getLeaving()};
+            in.getLeaving(),
+            in.getGone(),
+            in.getSequence()};
 }
 
 auto write(const membership::Suspicion &suspicion, schema::Suspicion::Builder out) -> void
--- a/lib/Control/controlserver.cpp
+++ b/lib/Control/controlserver.cpp
@@ -1,6 +1,7 @@
 #include "sapphirespool/Control/controlserver.h"
 
 #include "codec.h"
+#include "sapphirespool/Support/clock.h"
 #include "sapphirespool/Support/log.h"
 
 #include <capnp/rpc-twoparty.h>
@@ -55,7 +56,7 @@
     /// \return whether this VM may answer for the group now
     [[nodiscard]] auto leads() const -> bool
     {
-        return !this->detached && this->replica.holdsLeaderLease(std::chrono::steady_clock::now());
+        return !this->detached && this->replica.holdsLeaderLease(support::now());
     }
 
     auto writeRedirect(schema::Redirect::Builder out) const -> void
--- a/lib/Control/linkloop.cpp
+++ b/lib/Control/linkloop.cpp
@@ -1,6 +1,7 @@
 #include "linkloop.h"
 
 #include "codec.h"
+#include "sapphirespool/Support/clock.h"
 
 #include <chrono>
 #include <utility>
@@ -118,7 +119,7 @@
 {
     auto request = control.heartbeatRequest();
     write(this->takeHeartbeat(), request.initHeartbeat());
-    const auto sentAt = std::chrono::steady_clock::now();
+    const auto sentAt = support::now();
     return this->context.timer.timeoutAfter(heartbeatLimit, request.send())
         .then([this, sentAt](capnp::Response<schema::Control::HeartbeatResults> &&response) {
             this->takeAnswer(response.getAnswer(), sentAt);
--- a/lib/Controller/controller.cpp
+++ b/lib/Controller/controller.cpp
@@ -2,6 +2,7 @@
 
 #include "changelimiter.h"
 #include "leadership.h"
+#include "numberedchanges.h"
 
 #include "sapphirespool/Configuration/configuration.h"
 #include "sapphirespool/Support/log.h"
@@ -17,8 +18,6 @@
 namespace
 {
 
-/// Name of the text in reports; the command line puts the file's name in its place.
-constexpr auto textName = std::string_view("configuration");
 constexpr auto changeIdLimit = std::size_t{128};
 constexpr auto limiterPause = std::chrono::milliseconds(1'000);
 
@@ -27,14 +26,14 @@
 
 using CheckedText = std::variant<configuration::Configuration, NotRun>;
 
-auto check(const ConfigurationChange &change) -> CheckedText
+auto check(const configuration::Reader &reader, const ConfigurationChange &change) -> CheckedText
 {
     if (change.change.value().empty() || change.change.value().size() > changeIdLimit) {
         return NotRun{RefusalReason::MalformedRequest, "a change id has 1 to 128 characters"};
     }
     return boost::leaf::try_handle_all(
-        [&change]() -> boost::leaf::result<CheckedText> {
-            BOOST_LEAF_AUTO(configuration, configuration::parseConfiguration(textName, change.text));
+        [&reader, &change]() -> boost::leaf::result<CheckedText> {
+            BOOST_LEAF_AUTO(configuration, reader.read(change.text));
             return CheckedText(std::move(configuration));
         },
         [](const support::TextProblems &problems) {
@@ -115,23 +114,21 @@
 
     auto changeConfiguration(ConfigurationChange change, std::function<void(ConfigurationOutcome)> done) -> void override
     {
-        auto checked = check(change);
+        auto checked = check(*this->parts.reader, change);
         if (const auto *const refusal = std::get_if<NotRun>(&checked)) {
             done(*refusal);
             return;
         }
+        auto command = state::ChangeConfiguration{change.change, change.base, change.text, std::get<configuration::Configuration>(std::move(checked))};
+        if (command.content.version) {
+            this->changeNumbered(std::move(command), std::move(done));
+            return;
+        }
         if (!this->limiter.tryTake(this->parts.clock())) {
             done(NotRun{RefusalReason::QueueFull, "more than 20 changes of the configuration in a second", limiterPause});
             return;
         }
-        auto command = state::ChangeConfiguration{change.change, change.base, change.text, std::get<configuration::Configuration>(std::move(checked))};
-        this->parts.log.propose(encode(state::Command(std::move(command))), [change, done = std::move(done)](const consensus::ProposalOutcome &result) {
-            const auto outcome = outcomeOf(change, result);
-            if (const auto *const accepted = std::get_if<membership::ConfigurationAccepted>(&outcome)) {
-                support::log(support::Event::ConfigurationAccepted, {{"change", change.change.value()}, {"revision", accepted->revision.value()}});
-            }
-            done(outcome);
-        });
+        this->propose(std::move(command), std::move(done));
     }
 
     auto readConfiguration(std::function<void(membership::ConfigurationReadOutcome)> done) -> void override
@@ -170,6 +167,48 @@
     }
 
 private:
+    auto propose(state::ChangeConfiguration command, std::function<void(ConfigurationOutcome)> done) -> void
+    {
+        const auto change = ConfigurationChange{command.change, command.base, {}};
+        this->parts.log.propose(encode(state::Command(std::move(command))), [change, done = std::move(done)](const consensus::ProposalOutcome &result) {
+            const auto outcome = outcomeOf(change, result);
+            if (const auto *const accepted = std::get_if<membership::ConfigurationAccepted>(&outcome)) {
+                support::log(support::Event::ConfigurationAccepted, {{"change", change.change.value()}, {"revision", accepted->revision.value()}});
+            }
+            done(outcome);
+        });
+    }
+
+    auto changeNumbered(state::ChangeConfiguration command, std::function<void(ConfigurationOutcome)> done) -> void
+    {
+        if (!this->numbered.hasRoom()) {
+            done(NotRun{RefusalReason::QueueFull, "too many changes of the configuration wait for their commit", limiterPause});
+            return;
+        }
+        if (auto first = this->numbered.add(std::move(command), std::move(done))) {
+            this->proposeNumbered(std::move(*first));
+        }
+    }
+
+    auto proposeNumbered(state::ChangeConfiguration command) -> void
+    {
+        this->propose(std::move(command), [weak = this->weak_from_this(), post = this->parts.post](ConfigurationOutcome outcome) {
+            // Later, not at once: a log that fails each proposal in the call itself would recurse once for each waiting change.
+            post([weak, outcome = std::move(outcome)] {
+                if (const auto self = weak.lock()) {
+                    self->finishNumbered(outcome);
+                }
+            });
+        });
+    }
+
+    auto finishNumbered(const ConfigurationOutcome &outcome) -> void
+    {
+        if (auto next = this->numbered.finish(outcome)) {
+            this->proposeNumbered(std::move(*next));
+        }
+    }
+
     /// \return what is kept while this VM leads; begun or dropped as the lead comes and goes
     auto lead() -> std::shared_ptr<Leadership>
     {
@@ -183,6 +222,7 @@
 
     ControllerParts parts;
     ChangeLimiter limiter;
+    NumberedChanges numbered;
     std::shared_ptr<Leadership> leadership;
 };
 
--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -14,6 +14,19 @@
 /// A registration that did not change the state in this time is proposed again with the next heartbeat.
 constexpr auto proposalLife = std::chrono::milliseconds(1'000);
 
+/// Terms of one group that fit below the number of a leadership in a token: at five promotions a day more than a century's.
+constexpr auto termBits = 20U;
+
+/// \return a number for an order to promote
+///
+/// An order whose answer was lost may be carried out seconds later, after orders of the next control leader. The receiver drops an
+/// order below the highest that it has seen: so each order of a later leader must be higher, also one for the same term, and two
+/// leaders must never use the same number.
+auto fencingToken(std::uint64_t leadership, std::uint64_t term) -> std::uint64_t
+{
+    return (leadership << termBits) | (term & ((std::uint64_t{1} << termBits) - 1));
+}
+
 auto viewOf(const control::VmHeartbeat &heartbeat) -> membership::ProxyView
 {
     return {heartbeat.vm, heartbeat.zone, heartbeat.incarnation, heartbeat.callers, heartbeat.peers, heartbeat.leaving};
@@ -49,7 +62,7 @@
 Leadership::Leadership(const ControllerParts &parts)
     : parts(parts)
     , vms(parts.state.view()->proxies, parts.clock())
-    , promoter(parts.state, parts.clock())
+    , promoter(parts.state, parts.clock(), promotion::silenceAfter(parts.announcementInterval))
 {
 }
 
@@ -122,6 +135,10 @@
 
 auto Leadership::registerUpstream(const platform::Announcement &announcement) -> void
 {
+    if (announcement.gone) {
+        this->forgetUpstream(announcement);
+        return;
+    }
     const auto wanted = viewOf(announcement);
     const auto *const group = this->parts.state.findGroup(GroupId(announcement.group));
     if (group == nullptr) {
@@ -135,6 +152,16 @@
     this->propose(state::RegisterUpstream{group->view.id, wanted}, group->view.id);
 }
 
+auto Leadership::forgetUpstream(const platform::Announcement &announcement) -> void
+{
+    const auto *const group = this->parts.state.findGroup(GroupId(announcement.group));
+    const auto *const known = group == nullptr ? nullptr : group->view.findMember(UpstreamId(announcement.id));
+    if (known == nullptr || !this->tryRegister("gone " + announcement.id)) {
+        return;
+    }
+    this->propose(state::ForgetUpstream{group->view.id, known->id, known->incarnation}, group->view.id);
+}
+
 auto Leadership::forgetSilentVms() -> void
 {
     const auto view = this->parts.state.view();
@@ -166,19 +193,22 @@
 auto Leadership::carryOut(const promotion::SendFence &action) -> void
 {
     this->parts.groupOperator->fence(
-        action.endpoint, action.request, this->answerTo(promotion::Order::Fence, action.group, action.request.term, action.member));
+        this->addressOf(action.group, action.member, action.endpoint), action.request, this->answerTo(promotion::Order::Fence, action.group, action.request.term, action.member));
 }
 
 auto Leadership::carryOut(const promotion::SendPromote &action) -> void
 {
+    auto request = action.request;
+    request.orderedBy = this->parts.vm;
+    request.fencingToken = fencingToken(this->parts.log.leadershipNumber(), action.request.term);
     this->parts.groupOperator->promote(
-        action.endpoint, action.request, this->answerTo(promotion::Order::Promote, action.group, action.request.term, action.member));
+        this->addressOf(action.group, action.member, action.endpoint), request, this->answerTo(promotion::Order::Promote, action.group, action.request.term, action.member));
 }
 
 auto Leadership::carryOut(const promotion::SendFollow &action) -> void
 {
     this->parts.groupOperator->follow(
-        action.endpoint, action.request, this->answerTo(promotion::Order::Follow, action.group, action.request.term, action.member));
+        this->addressOf(action.group, action.member, action.endpoint), action.request, this->answerTo(promotion::Order::Follow, action.group, action.request.term, action.member));
 }
 
 auto Leadership::carryOut(const promotion::ProposeTerm &action) -> void
@@ -198,6 +228,13 @@
     this->propose(action.command, action.command.group);
 }
 
+auto Leadership::addressOf(const GroupId &group, const UpstreamId &member, const Endpoint &endpoint) const -> platform::MemberAddress
+{
+    const auto *const record = this->parts.state.findGroup(group);
+    const auto *const known = record == nullptr ? nullptr : record->view.findMember(member);
+    return {group, member, endpoint, known == nullptr ? Incarnation() : known->incarnation};
+}
+
 auto Leadership::answerTo(promotion::Order order, const GroupId &group, std::uint64_t term, const UpstreamId &member) -> platform::ReportCallback
 {
     return [weak = this->weak_from_this(), post = this->parts.post, order, group, term, member](std::optional<platform::PositionReport> report) {
--- a/lib/Controller/leadership.h
+++ b/lib/Controller/leadership.h
@@ -27,6 +27,7 @@
     auto grant() const -> control::LeaseGrant;
     auto registerVm(const control::VmHeartbeat &heartbeat) -> void;
     auto registerUpstream(const platform::Announcement &announcement) -> void;
+    auto forgetUpstream(const platform::Announcement &announcement) -> void;
     auto forgetSilentVms() -> void;
     auto handle(const promotion::Event &event) -> void;
     auto carryOut(const promotion::Actions &actions) -> void;
@@ -35,6 +36,7 @@
     auto carryOut(const promotion::SendFollow &action) -> void;
     auto carryOut(const promotion::ProposeTerm &action) -> void;
     auto carryOut(const promotion::ProposePrimary &action) -> void;
+    [[nodiscard]] auto addressOf(const GroupId &group, const UpstreamId &member, const Endpoint &endpoint) const -> platform::MemberAddress;
     /// \return a callback that brings the report to the control thread
     auto answerTo(promotion::Order order, const GroupId &group, std::uint64_t term, const UpstreamId &member) -> platform::ReportCallback;
     auto propose(const state::Command &command, const GroupId &group) -> void;
--- /dev/null
+++ b/lib/Interactive/positionproofs.cpp
@@ -0,0 +1,39 @@
+#include "sapphirespool/Interactive/positionproofs.h"
+
+#include <algorithm>
+
+namespace sapphirespool::interactive
+{
+
+auto PositionProofs::note(TimePoint sent, const DataPosition &position) -> void
+{
+    while (!this->proofs.empty() && sent - this->proofs.front().sent > longestAge) {
+        this->proofs.pop_front();
+    }
+    if (this->proofs.empty()) {
+        this->proofs.push_back({sent, position});
+        return;
+    }
+    auto &last = this->proofs.back();
+    // Answers overtake each other. One to an earlier request says nothing that a later request's does not, and a lower position
+    // than a known one comes from a primary whose log ended before the present one's began.
+    if (sent < last.sent + spacing || position < last.position) {
+        return;
+    }
+    this->proofs.push_back({sent, position});
+}
+
+auto PositionProofs::covering(TimePoint moment) const -> std::optional<DataPosition>
+{
+    const auto first = std::find_if(this->proofs.begin(), this->proofs.end(), [moment](const Proof &proof) {
+        return proof.sent >= moment;
+    });
+    return first == this->proofs.end() ? std::nullopt : std::optional(first->position);
+}
+
+auto PositionProofs::newest() const -> std::optional<DataPosition>
+{
+    return this->proofs.empty() ? std::nullopt : std::optional(this->proofs.back().position);
+}
+
+} // namespace sapphirespool::interactive
--- /dev/null
+++ b/lib/Interactive/sessioncore.h
@@ -0,0 +1,79 @@
+// sessioncore.h: what the sessions of one proxy share.
+#pragma once
+
+#include "sapphirespool/Interactive/positionproofs.h"
+#include "sapphirespool/Interactive/session.h"
+#include "sapphirespool/Interactive/upstreamload.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace sapphirespool::interactive
+{
+
+/// A member of a group, as the view shows it at a moment.
+struct Member
+{
+    GroupId group;
+    Term term;
+    membership::UpstreamView upstream;
+    bool isPrimary = false;
+};
+
+/// The view in the form in which sessions ask for it, what is known of the groups' logs, and how the upstreams did lately.
+class SessionCore : public std::enable_shared_from_this<SessionCore>
+{
+public:
+    explicit SessionCore(SessionServiceParts parts);
+
+    auto viewChanged() -> void;
+
+    /// \return the service that callers know as \p database; null if there is none
+    [[nodiscard]] auto findService(std::string_view database) const -> const membership::ServiceView *;
+
+    /// \return whether control has given a view and vouches for it still
+    [[nodiscard]] auto hasCurrentView() const -> bool;
+
+    [[nodiscard]] auto primaryOf(const GroupId &group) const -> std::optional<Member>;
+
+    /// \return the members that may serve a read now, the primary among them
+    [[nodiscard]] auto readersOf(const GroupId &group) const -> std::vector<Member>;
+
+    /// Waits until the group has a primary other than \p refuted, which turned out not to be one, for \p patience at most.
+    ///
+    /// A promotion is over within a second or so, and no other proxy can serve a write before it is. A caller who is sent away uses up
+    /// its attempts in that time; one that waits here is served by the first link to the new primary.
+    auto awaitPrimary(GroupId group, std::optional<Member> refuted, Duration patience) -> boost::asio::awaitable<std::optional<Member>>;
+
+    /// Tells control that a primary does not serve.
+    auto suspect(const Member &member) -> void;
+
+    auto proofsOf(const GroupId &group) -> PositionProofs &;
+
+    SessionServiceParts parts;
+    UpstreamLoad load;
+    bool refusesNewWork = false;
+    bool abortsTransactions = false;
+    SessionCounts counts;
+
+private:
+    [[nodiscard]] auto findGroup(const GroupId &group) const -> const membership::GroupView *;
+    auto boundLinks(const membership::ClusterView &former) -> void;
+
+    std::shared_ptr<const membership::ClusterView> view;
+    std::unordered_map<std::string_view, const membership::ServiceView *> services;
+    std::map<GroupId, PositionProofs> proofs;
+    std::map<UpstreamId, TimePoint> suspected;
+    /// Coroutines that wait for another view.
+    std::set<boost::asio::steady_timer *> waiting;
+};
+
+} // namespace sapphirespool::interactive
--- /dev/null
+++ b/lib/Interactive/sessionservice.cpp
@@ -0,0 +1,69 @@
+#include "sapphirespool/Interactive/session.h"
+
+#include "callersession.h"
+#include "sessioncore.h"
+
+#include <string>
+#include <utility>
+
+namespace sapphirespool::interactive
+{
+
+namespace
+{
+
+/// When a caller comes back that no proxy could serve yet: control gives a started proxy its view within some hundred milliseconds.
+constexpr auto noViewRetry = std::chrono::milliseconds(500);
+
+class PlainSessionService : public SessionService
+{
+public:
+    explicit PlainSessionService(SessionServiceParts parts)
+        : core(std::make_shared<SessionCore>(std::move(parts)))
+    {
+    }
+
+    [[nodiscard]] auto open(std::string_view database) -> OpenResult override
+    {
+        if (this->core->findService(database) != nullptr) {
+            return std::make_shared<CallerSession>(this->core, std::string(database));
+        }
+        // A proxy without a current view cannot tell a name that is new from one that does not exist.
+        if (!this->core->hasCurrentView()) {
+            return FailureReply{Failure::Busy, "the proxy has no current view of the configuration", noViewRetry};
+        }
+        return FailureReply{Failure::UnknownDatabase, "no service is called " + std::string(database), {}};
+    }
+
+    auto viewChanged() -> void override
+    {
+        this->core->viewChanged();
+    }
+
+    auto refuseNewWork() -> void override
+    {
+        this->core->refusesNewWork = true;
+    }
+
+    auto abortTransactions() -> void override
+    {
+        this->core->abortsTransactions = true;
+    }
+
+    [[nodiscard]] auto counts() const -> SessionCounts override
+    {
+        return this->core->counts;
+    }
+
+private:
+    std::shared_ptr<SessionCore> core;
+};
+
+} // namespace
+
+auto makeSessionService(SessionServiceParts parts) -> std::shared_ptr<SessionService>
+{
+    return std::make_shared<PlainSessionService>(std::move(parts));
+}
+
+} // namespace sapphirespool::interactive
--- /dev/null
+++ b/lib/Interactive/statementrun.cpp
@@ -0,0 +1,124 @@
+#include "statementrun.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphirespool::interactive
+{
+
+namespace
+{
+
+auto setValue(const std::string &name, const std::string &value) -> Command
+{
+    auto command = Command();
+    command.kind = CommandKind::SetValue;
+    command.name = name;
+    command.text = value;
+    return command;
+}
+
+auto discard() -> Command
+{
+    auto command = Command();
+    command.kind = CommandKind::Discard;
+    return command;
+}
+
+auto prepare(const PreparedShape &shape, std::size_t number) -> Command
+{
+    auto command = Command();
+    command.kind = CommandKind::Prepare;
+    command.name = "p" + std::to_string(number);
+    command.shape = shape;
+    return command;
+}
+
+/// \return whether the link has a value that the session does not have; values can be changed one by one, but not taken away
+auto hasForeignValue(const LinkState &link, const SessionState &session) -> bool
+{
+    return std::any_of(link.values.begin(), link.values.end(), [&session](const auto &value) {
+        return !session.values.contains(value.first);
+    });
+}
+
+} // namespace
+
+auto stateCommands(const LinkState &link, const SessionState &session, const PreparedShape *shape) -> std::vector<Command>
+{
+    auto commands = std::vector<Command>();
+    const auto needsShape = shape != nullptr && !link.prepared.contains(*shape);
+    const auto clears = hasForeignValue(link, session) || (needsShape && link.prepared.size() >= preparedLimit);
+    if (clears) {
+        commands.push_back(discard());
+    }
+    for (const auto &[name, value] : session.values) {
+        const auto present = link.values.find(name);
+        if (clears || present == link.values.end() || present->second != value) {
+            commands.push_back(setValue(name, value));
+        }
+    }
+    if (shape != nullptr && (clears || needsShape)) {
+        commands.push_back(prepare(*shape, clears ? 1 : link.prepared.size() + 1));
+    }
+    return commands;
+}
+
+auto noteDone(LinkState &link, const Command &command) -> void
+{
+    switch (command.kind) {
+    case CommandKind::Discard:
+        link = LinkState();
+        return;
+    case CommandKind::SetValue:
+        link.values.insert_or_assign(command.name, command.text);
+        return;
+    case CommandKind::Prepare:
+        link.prepared.insert_or_assign(command.shape, command.name);
+        return;
+    case CommandKind::Begin:
+    case CommandKind::BeginReadOnly:
+    case CommandKind::Commit:
+    case CommandKind::Rollback:
+    case CommandKind::Execute:
+    case CommandKind::Run:
+        return;
+    }
+}
+
+auto commandOf(const Statement &statement, const LinkState &link, const PreparedShape *shape) -> Command
+{
+    auto command = Command();
+    command.id = statement.id;
+    command.text = statement.text;
+    if (shape != nullptr) {
+        command.kind = CommandKind::Execute;
+        command.name = link.prepared.at(*shape);
+    }
+    return command;
+}
+
+auto prepareLink(UpstreamLink &link, const SessionState &session, const PreparedShape *shape, std::optional<Command> last, Duration limit)
+    -> boost::asio::awaitable<std::optional<FailureReply>>
+{
+    auto commands = stateCommands(link.state, session, shape);
+    if (last) {
+        commands.push_back(*std::move(last));
+    }
+    if (commands.empty()) {
+        co_return std::nullopt;
+    }
+    const auto exchange = co_await link.exchange(commands, limit);
+    for (std::size_t place = 0; place < exchange.results.size(); ++place) {
+        if (exchange.results[place].failure) {
+            co_return exchange.results[place].failure;
+        }
+        noteDone(link.state, commands[place]);
+    }
+    if (exchange.broken || exchange.results.size() < commands.size()) {
+        co_return FailureReply{Failure::Busy, "the connection broke before the statement was sent", {}};
+    }
+    co_return std::nullopt;
+}
+
+} // namespace sapphirespool::interactive
--- /dev/null
+++ b/lib/Interactive/upstreamload.cpp
@@ -0,0 +1,60 @@
+#include "sapphirespool/Interactive/upstreamload.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sapphirespool::interactive
+{
+
+namespace
+{
+
+auto inMs(Duration time) -> double
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+} // namespace
+
+auto UpstreamLoad::served(const UpstreamId &upstream, Duration time, TimePoint now) -> void
+{
+    auto &member = this->members[upstream];
+    const auto ms = inMs(time);
+    // A time above the average counts at once: queues grow faster than they drain.
+    member.averageMs = ms > member.averageMs ? (member.averageMs + ms) / 2 : member.averageMs + newest * (ms - member.averageMs);
+    member.noted = now;
+    member.rest = std::chrono::milliseconds(0);
+    member.restsUntil = TimePoint{};
+}
+
+auto UpstreamLoad::failed(const UpstreamId &upstream, TimePoint now) -> void
+{
+    auto &member = this->members[upstream];
+    member.rest = std::clamp(member.rest * 2, firstRest, longestRest);
+    member.restsUntil = now + member.rest;
+}
+
+auto UpstreamLoad::choose(std::span<const ReadCandidate> candidates, TimePoint now) const -> const ReadCandidate *
+{
+    const auto found = std::min_element(candidates.begin(), candidates.end(), [this, now](const ReadCandidate &left, const ReadCandidate &right) {
+        return this->expectedMs(left, now) < this->expectedMs(right, now);
+    });
+    return found == candidates.end() ? nullptr : &*found;
+}
+
+auto UpstreamLoad::expectedMs(const ReadCandidate &candidate, TimePoint now) const -> double
+{
+    constexpr auto resting = 1'000'000.0;
+    auto average = inMs(floor);
+    auto penalty = candidate.inOwnZone ? 0.0 : inMs(otherZone);
+    if (const auto found = this->members.find(candidate.upstream); found != this->members.end()) {
+        const auto &member = found->second;
+        const auto faded = member.averageMs * std::exp2(-inMs(now - member.noted) / inMs(halfLife));
+        average = std::max(average, faded);
+        penalty += now < member.restsUntil ? resting : 0.0;
+    }
+    const auto weight = candidate.isPrimary ? primaryWeight : 1.0;
+    return weight * average * static_cast<double>(candidate.inUse + 1) + penalty;
+}
+
+} // namespace sapphirespool::interactive
--- a/lib/Membership/clusterview.cpp
+++ b/lib/Membership/clusterview.cpp
@@ -21,6 +21,12 @@
 
 } // namespace
 
+auto consistencyOf(std::uint8_t number) -> Consistency
+{
+    const auto known = number <= static_cast<std::uint8_t>(Consistency::ReadYourWrites);
+    return known ? static_cast<Consistency>(number) : Consistency::Strong;
+}
+
 auto GroupView::findMember(const UpstreamId &member) const -> const UpstreamView *
 {
     return findById(this->members, member);
@@ -49,14 +55,35 @@
 auto ViewHolder::publish(std::shared_ptr<const ClusterView> view) -> bool
 {
     assert(view != nullptr && "a view to publish");
-    const auto guard = std::lock_guard(this->mutex);
-    if (view->revision < this->view->revision) {
-        return false;
+    {
+        const auto guard = std::lock_guard(this->mutex);
+        if (view->revision < this->view->revision) {
+            return false;
+        }
+        this->view = std::move(view);
     }
-    this->view = std::move(view);
+    this->notify();
     return true;
 }
 
+auto ViewHolder::onChange(std::function<void()> newListener) -> void
+{
+    const auto guard = std::lock_guard(this->mutex);
+    this->listener = std::move(newListener);
+}
+
+auto ViewHolder::notify() const -> void
+{
+    auto present = std::function<void()>();
+    {
+        const auto guard = std::lock_guard(this->mutex);
+        present = this->listener;
+    }
+    if (present) {
+        present();
+    }
+}
+
 auto ViewHolder::extendLease(TimePoint expiry) -> void
 {
     const auto guard = std::lock_guard(this->mutex);
--- /dev/null
+++ b/lib/Node/controlaccess.cpp
@@ -0,0 +1,33 @@
+#include "controlaccess.h"
+
+#include "sapphirespool/Control/proxylink.h"
+
+#include <utility>
+
+namespace sapphirespool::node
+{
+
+auto linkToControl(rpc::LoopThread &loop,
+                   const settings::Settings &settings,
+                   const VmId &vm,
+                   Incarnation incarnation,
+                   std::shared_ptr<membership::ViewHolder> views) -> std::shared_ptr<membership::ControlLink>
+{
+    auto about = control::ProxyLinkSettings();
+    about.vm = vm;
+    about.zone = settings.zone;
+    about.incarnation = incarnation;
+    about.callers = settings.callers;
+    about.peers = settings.peers;
+    for (const auto &member : settings.controlMembers) {
+        about.controlVms.push_back(member.endpoint);
+    }
+    auto link = control::makeProxyLink(loop, std::move(about), *views);
+    auto *const plain = link.get();
+    return {plain, [link = std::move(link), views = std::move(views)](membership::ControlLink *) mutable {
+                link.reset();
+                views.reset();
+            }};
+}
+
+} // namespace sapphirespool::node
--- a/lib/Node/controlpart.cpp
+++ b/lib/Node/controlpart.cpp
@@ -5,6 +5,7 @@
 #include "sapphirespool/Controller/controller.h"
 #include "sapphirespool/Node/node.h"
 #include "sapphirespool/State/clusterstate.h"
+#include "sapphirespool/Support/clock.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <kj/async.h>
@@ -45,11 +46,11 @@
     OnLoop(rpc::LoopContext &context,
            rpc::LoopThread &loop,
            const settings::Settings &settings,
-           std::shared_ptr<platform::GroupOperator> groupOperator,
+           ControlEdge edge,
            std::uint64_t seed)
         : timer(context.timer)
         , replica(openOrThrow(context, replicaSettings(settings, seed), this->state))
-        , controller(controller::makeController(this->controllerParts(loop, settings.vm, std::move(groupOperator))))
+        , controller(controller::makeController(this->controllerParts(loop, settings, std::move(edge))))
         , server(control::serveControl(context, *settings.controlEndpoint(), *this->replica, *this->controller))
     {
         this->replica->start();
@@ -71,20 +72,20 @@
             });
     }
 
-    auto controllerParts(rpc::LoopThread &loop, const VmId &vm, std::shared_ptr<platform::GroupOperator> groupOperator) -> controller::ControllerParts
+    auto controllerParts(rpc::LoopThread &loop, const settings::Settings &settings, ControlEdge edge) -> controller::ControllerParts
     {
-        return {vm,
+        return {settings.vm,
                 *this->replica,
                 this->state,
-                std::move(groupOperator),
-                [] {
-                    return std::chrono::steady_clock::now();
-                },
+                std::move(edge.groupOperator),
+                support::now,
                 [&loop](std::function<void()> work) {
                     loop.post([work = std::move(work)](rpc::LoopContext &) {
                         work();
                     });
-                }};
+                },
+                std::move(edge.reader),
+                settings.announcementInterval};
     }
 
     auto tickForever() -> kj::Promise<void>
@@ -103,14 +104,14 @@
     kj::Promise<void> ticking = nullptr;
 };
 
-ControlPart::ControlPart(rpc::LoopThread &loop, const settings::Settings &settings, std::shared_ptr<platform::GroupOperator> groupOperator, std::uint64_t seed)
+ControlPart::ControlPart(rpc::LoopThread &loop, const settings::Settings &settings, ControlEdge edge, std::uint64_t seed)
     : loop(loop)
 {
     auto made = std::make_shared<std::promise<std::shared_ptr<OnLoop>>>();
     auto ready = made->get_future();
-    loop.post([made, &loop, &settings, groupOperator = std::move(groupOperator), seed](rpc::LoopContext &context) {
+    loop.post([made, &loop, &settings, edge = std::move(edge), seed](rpc::LoopContext &context) {
         try {
-            made->set_value(std::make_shared<OnLoop>(context, loop, settings, groupOperator, seed));
+            made->set_value(std::make_shared<OnLoop>(context, loop, settings, edge, seed));
         } catch (const std::exception &) {
             made->set_exception(std::current_exception());
         }
--- a/lib/Node/controlpart.h
+++ b/lib/Node/controlpart.h
@@ -1,6 +1,7 @@
 // controlpart.h: the control role of a VM on its control thread.
 #pragma once
 
+#include "sapphirespool/Configuration/reader.h"
 #include "sapphirespool/Platform/groupoperator.h"
 #include "sapphirespool/Rpc/loopthread.h"
 #include "sapphirespool/Settings/settings.h"
@@ -11,12 +12,19 @@
 namespace sapphirespool::node
 {
 
+/// What the control role meets the world with.
+struct ControlEdge
+{
+    std::shared_ptr<platform::GroupOperator> groupOperator;
+    std::shared_ptr<const configuration::Reader> reader;
+};
+
 /// Replica, replicated state, controller and RPC server. Made and destroyed on any thread; everything in it lives on the loop.
 class ControlPart
 {
 public:
     /// \throws StartFailure if the data folder cannot be used
-    ControlPart(rpc::LoopThread &loop, const settings::Settings &settings, std::shared_ptr<platform::GroupOperator> groupOperator, std::uint64_t seed);
+    ControlPart(rpc::LoopThread &loop, const settings::Settings &settings, ControlEdge edge, std::uint64_t seed);
     ~ControlPart();
     ControlPart(const ControlPart &) = delete;
     auto operator=(const ControlPart &) -> ControlPart & = delete;
--- a/lib/Node/node.cpp
+++ b/lib/Node/node.cpp
@@ -1,9 +1,12 @@
 #include "sapphirespool/Node/node.h"
 
+#include "controlapi.h"
 #include "controlpart.h"
+#include "interactivepart.h"
 #include "proxypart.h"
 #include "trafficthreads.h"
 
+#include "sapphirespool/Node/edge.h"
 #include "sapphirespool/Platform/httpgroupoperator.h"
 #include "sapphirespool/Rpc/loopthread.h"
 #include "sapphirespool/Support/log.h"
@@ -29,8 +32,9 @@
 class OneNode : public Node
 {
 public:
-    explicit OneNode(settings::Settings settings)
+    OneNode(settings::Settings settings, std::shared_ptr<Edge> edge)
         : settings(std::move(settings))
+        , edge(std::move(edge))
         , traffic(this->settings.trafficThreads)
     {
     }
@@ -60,6 +64,9 @@
         if (this->proxyPart) {
             this->proxyPart->drain();
         }
+        if (this->interactivePart) {
+            this->interactivePart->drain();
+        }
         this->close();
         support::log(support::Event::ProcessStopped, {{"vm", this->settings.vm.value()}});
     }
@@ -68,41 +75,66 @@
     auto startParts() -> void
     {
         if (this->settings.control) {
-            this->controlPart
-                = std::make_unique<ControlPart>(this->controlLoop, this->settings, platform::makeHttpGroupOperator(this->orders.dispatch()), drawNumber());
+            this->controlPart = std::make_unique<ControlPart>(this->controlLoop, this->settings, this->controlEdge(), drawNumber());
+        }
+        if (this->settings.control && this->edge && this->settings.operators.port != 0) {
+            this->controlApi = std::make_unique<ControlApi>(this->controlLoop, this->traffic, this->settings, Incarnation(drawNumber()), *this->edge);
         }
-        if (this->settings.proxy) {
+        if (this->settings.proxy && this->edge) {
+            this->interactivePart
+                = std::make_unique<InteractivePart>(this->controlLoop, this->traffic, this->settings, Incarnation(drawNumber()), *this->edge);
+            this->interactivePart->start();
+        } else if (this->settings.proxy) {
             this->proxyPart = std::make_unique<ProxyPart>(this->controlLoop, this->traffic, this->settings, Incarnation(drawNumber()));
             this->proxyPart->start();
         }
     }
 
+    auto controlEdge() -> ControlEdge
+    {
+        if (this->edge) {
+            return {this->edge->groupOperator(this->orders.dispatch(), this->settings), this->edge->configurationReader()};
+        }
+        return {platform::makeHttpGroupOperator(this->orders.dispatch()), configuration::makeYamlReader()};
+    }
+
     /// The threads end before the parts that they work on.
     auto close() -> void
     {
         if (this->proxyPart) {
             this->proxyPart->close();
         }
+        if (this->interactivePart) {
+            this->interactivePart->close();
+        }
+        if (this->controlApi) {
+            this->controlApi->close();
+        }
         this->traffic.stop();
         this->orders.stop();
         this->proxyPart.reset();
+        this->interactivePart.reset();
+        this->controlApi.reset();
         this->controlPart.reset();
     }
 
     settings::Settings settings;
+    std::shared_ptr<Edge> edge;
     rpc::LoopThread controlLoop;
     /// Carries the orders to members of database groups, which a busy dispatch thread would hold up.
     TrafficThreads orders{1};
     TrafficThreads traffic;
     std::unique_ptr<ControlPart> controlPart;
     std::unique_ptr<ProxyPart> proxyPart;
+    std::unique_ptr<InteractivePart> interactivePart;
+    std::unique_ptr<ControlApi> controlApi;
 };
 
 } // namespace
 
-auto makeNode(settings::Settings settings) -> std::unique_ptr<Node>
+auto makeNode(settings::Settings settings, std::shared_ptr<Edge> edge) -> std::unique_ptr<Node>
 {
-    return std::make_unique<OneNode>(std::move(settings));
+    return std::make_unique<OneNode>(std::move(settings), std::move(edge));
 }
 
 } // namespace sapphirespool::node
--- a/lib/Node/proxypart.cpp
+++ b/lib/Node/proxypart.cpp
@@ -1,8 +1,8 @@
 #include "proxypart.h"
 
+#include "controlaccess.h"
 #include "trafficthreads.h"
 
-#include "sapphirespool/Control/proxylink.h"
 #include "sapphirespool/Decisions/factory.h"
 #include "sapphirespool/Membership/clusterview.h"
 #include "sapphirespool/Metrics/handler.h"
@@ -30,33 +30,6 @@
 
 namespace asio = boost::asio;
 
-auto linkSettings(const settings::Settings &settings, Incarnation incarnation) -> control::ProxyLinkSettings
-{
-    auto link = control::ProxyLinkSettings();
-    link.vm = settings.vm;
-    link.zone = settings.zone;
-    link.incarnation = incarnation;
-    link.callers = settings.callers;
-    link.peers = settings.peers;
-    for (const auto &member : settings.controlMembers) {
-        link.controlVms.push_back(member.endpoint);
-    }
-    return link;
-}
-
-/// Requests that still run hold the link, and the link writes to the holder from its own thread: a holder that went with the role
-/// would be written to after its end, so it goes with the link.
-auto linkTo(rpc::LoopThread &loop, control::ProxyLinkSettings settings, std::shared_ptr<membership::ViewHolder> views)
-    -> std::shared_ptr<membership::ControlLink>
-{
-    auto link = control::makeProxyLink(loop, std::move(settings), *views);
-    auto *const plain = link.get();
-    return {plain, [link = std::move(link), views = std::move(views)](membership::ControlLink *) mutable {
-                link.reset();
-                views.reset();
-            }};
-}
-
 auto roleSettings(const settings::Settings &settings, Incarnation incarnation) -> proxy::ProxyRoleSettings
 {
     auto role = proxy::ProxyRoleSettings();
@@ -88,7 +61,7 @@
     Parts(rpc::LoopThread &controlLoop, TrafficThreads &traffic, const settings::Settings &settings, Incarnation incarnation)
         : traffic(traffic)
         , views(std::make_shared<membership::ViewHolder>())
-        , link(linkTo(controlLoop, linkSettings(settings, incarnation), this->views))
+        , link(linkToControl(controlLoop, settings, settings.vm, incarnation, this->views))
         , role(proxy::makeProxyRole(roleSettings(settings, incarnation), this->roleParts(settings)))
     {
     }
--- a/lib/Operators/handler.cpp
+++ b/lib/Operators/handler.cpp
@@ -1,6 +1,6 @@
 #include "sapphirespool/Operators/handler.h"
 
-#include "awaitcallback.h"
+#include "sapphirespool/Operators/awaitcallback.h"
 #include "json.h"
 
 #include <charconv>
--- a/lib/Platform/httpgroupoperator.cpp
+++ b/lib/Platform/httpgroupoperator.cpp
@@ -58,19 +58,19 @@
     {
     }
 
-    auto fence(const Endpoint &member, FenceRequest request, ReportCallback done) -> void override
+    auto fence(const MemberAddress &member, FenceRequest request, ReportCallback done) -> void override
     {
-        this->call(member, "/v1/fence", toJson(request), std::move(done));
+        this->call(member.endpoint, "/v1/fence", toJson(request), std::move(done));
     }
 
-    auto promote(const Endpoint &member, PromoteRequest request, ReportCallback done) -> void override
+    auto promote(const MemberAddress &member, PromoteRequest request, ReportCallback done) -> void override
     {
-        this->call(member, "/v1/promote", toJson(request), std::move(done));
+        this->call(member.endpoint, "/v1/promote", toJson(request), std::move(done));
     }
 
-    auto follow(const Endpoint &member, FollowRequest request, ReportCallback done) -> void override
+    auto follow(const MemberAddress &member, FollowRequest request, ReportCallback done) -> void override
     {
-        this->call(member, "/v1/follow", toJson(request), std::move(done));
+        this->call(member.endpoint, "/v1/follow", toJson(request), std::move(done));
     }
 
 private:
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -38,8 +38,10 @@
 
 } // namespace
 
-GroupPromotion::GroupPromotion(TimePoint since)
+GroupPromotion::GroupPromotion(TimePoint since, std::chrono::milliseconds silence)
     : since(since)
+    , silence(silence)
+    , members(silence)
     , wake(since)
 {
 }
@@ -82,7 +84,7 @@
     if (!this->inMotion && group.view.primary) {
         const auto *const primary = this->members.find(*group.view.primary);
         const auto heard = primary != nullptr && primary->heard ? *primary->heard : this->since;
-        this->wake = std::max(this->wake, heard + silenceLimit);
+        this->wake = std::max(this->wake, heard + this->silence);
     }
     return actions;
 }
@@ -118,6 +120,9 @@
     if (this->members.highestTerm() > group.view.term) {
         return this->endTerm(group, TermEnd::Overtaken, now);
     }
+    if (group.view.history.empty() && this->members.selfAppointed(now)) {
+        return this->adopt(group, now);
+    }
     auto actions = this->fenceMembers(group, now);
     for (auto &action : this->choose(group, now)) {
         actions.push_back(std::move(action));
@@ -125,6 +130,17 @@
     return actions;
 }
 
+auto GroupPromotion::adopt(const GroupRecord &group, TimePoint now) -> Actions
+{
+    // A group that is handed to the system while it serves has a primary already, and no proxy knows of it yet. Fencing it would
+    // stop its callers for nothing, and its members know no term that they could be fenced at.
+    const auto primary = *this->members.selfAppointed(now);
+    if (group.view.findMember(primary) == nullptr || !this->tryPropose(now)) {
+        return {};
+    }
+    return {ProposePrimary{{group.view.id, group.view.term, primary, this->incarnationOf(group, primary), LogPosition()}}};
+}
+
 auto GroupPromotion::fenceMembers(const GroupRecord &group, TimePoint now) -> Actions
 {
     auto actions = Actions();
@@ -245,7 +261,7 @@
     // A new control leader has heard nobody yet; it counts from its own beginning, or it would replace every primary.
     const auto *const state = this->members.find(primary);
     const auto heard = state != nullptr && state->heard ? std::max(*state->heard, this->since) : this->since;
-    return now - heard >= silenceLimit;
+    return now - heard >= this->silence;
 }
 
 auto GroupPromotion::isSuspected(std::size_t proxyZones, TimePoint now) const -> bool
--- a/lib/Promotion/membertable.cpp
+++ b/lib/Promotion/membertable.cpp
@@ -7,8 +7,16 @@
 namespace sapphirespool::promotion
 {
 
+MemberTable::MemberTable(std::chrono::milliseconds silence)
+    : silence(silence)
+{
+}
+
 auto MemberTable::note(const platform::Announcement &announcement, TimePoint now) -> void
 {
+    if (announcement.term == 0 && this->noteWithoutTerm(announcement, now)) {
+        return;
+    }
     auto news = MemberState();
     news.incarnation = Incarnation(announcement.incarnation);
     news.term = Term(announcement.term);
@@ -22,6 +30,18 @@
     }
 }
 
+auto MemberTable::noteWithoutTerm(const platform::Announcement &announcement, TimePoint now) -> bool
+{
+    const auto found = this->members.find(UpstreamId(announcement.id));
+    const auto sameProcess = found != this->members.end() && found->second.incarnation == Incarnation(announcement.incarnation);
+    if (!sameProcess || found->second.term == Term(0)) {
+        return false;
+    }
+    found->second.heard = now;
+    found->second.leaving = announcement.leaving;
+    return true;
+}
+
 auto MemberTable::note(const platform::PositionReport &report, TimePoint now) -> void
 {
     auto news = MemberState();
@@ -70,7 +90,22 @@
 auto MemberTable::isLive(const UpstreamId &member, TimePoint now) const -> bool
 {
     const auto *const state = this->find(member);
-    return state != nullptr && state->heard && now - *state->heard < silenceLimit;
+    return state != nullptr && state->heard && now - *state->heard < this->silence;
+}
+
+auto MemberTable::selfAppointed(TimePoint now) const -> std::optional<UpstreamId>
+{
+    auto primary = std::optional<UpstreamId>();
+    for (const auto &[id, member] : this->members) {
+        if (member.role != platform::Role::Primary || member.term != Term(0) || !this->isLive(id, now)) {
+            continue;
+        }
+        if (primary) {
+            return std::nullopt;
+        }
+        primary = id;
+    }
+    return primary;
 }
 
 auto MemberTable::highestTerm() const -> Term
--- a/lib/Promotion/promoter.cpp
+++ b/lib/Promotion/promoter.cpp
@@ -60,9 +60,10 @@
     return "unknown";
 }
 
-Promoter::Promoter(const state::ClusterState &state, TimePoint since)
+Promoter::Promoter(const state::ClusterState &state, TimePoint since, std::chrono::milliseconds silence)
     : state(state)
     , since(since)
+    , silence(silence)
 {
 }
 
@@ -106,7 +107,7 @@
 
 auto Promoter::promotionOf(const GroupId &group) -> GroupPromotion &
 {
-    return this->groups.try_emplace(group, this->since).first->second;
+    return this->groups.try_emplace(group, this->since, this->silence).first->second;
 }
 
 } // namespace sapphirespool::promotion
--- a/lib/Proxy/upstreamaccess.cpp
+++ b/lib/Proxy/upstreamaccess.cpp
@@ -1,4 +1,5 @@
 #include "upstreamaccess.h"
+#include "sapphirespool/Support/clock.h"
 
 #include "sapphirespool/Decisions/retrybudget.h"
 
@@ -136,7 +137,7 @@
 {
     // Nobody is promoted before the leases on the old term have run out. So what an upstream of the viewed term shows is at
     // most as old as the lease is over, and a read that accepts this age may still be served.
-    return this->views->leaseLive(std::chrono::steady_clock::now() - age);
+    return this->views->leaseLive(support::now() - age);
 }
 
 auto UpstreamAccess::suspect(const Grant &grant) -> void
--- a/lib/Proxy/viewfollower.cpp
+++ b/lib/Proxy/viewfollower.cpp
@@ -1,4 +1,5 @@
 #include "viewfollower.h"
+#include "sapphirespool/Support/clock.h"
 
 #include <algorithm>
 #include <utility>
@@ -55,7 +56,7 @@
 
 auto ViewFollower::followLease(const membership::ClusterView &view, TimePoint now) -> void
 {
-    if (!this->views->leaseLive(now)) {
+    if (!this->views->leaseLive(support::now())) {
         this->leaseLapsed = true;
         return;
     }
--- a/lib/ProxyRole/proxyrole.cpp
+++ b/lib/ProxyRole/proxyrole.cpp
@@ -7,6 +7,7 @@
 #include "sapphirespool/Proxy/trafficpath.h"
 #include "sapphirespool/ProxyRole/gracefulshutdown.h"
 #include "sapphirespool/Support/log.h"
+#include "sapphirespool/Support/clock.h"
 #include "sapphirespool/Upstreams/pool.h"
 
 #include <boost/asio/post.hpp>
@@ -149,7 +150,7 @@
     auto followReadiness() -> void
     {
         const auto hasView = this->parts.views->current()->revision > Revision(0);
-        const auto hasLease = this->parts.views->leaseLive(std::chrono::steady_clock::now());
+        const auto hasLease = this->parts.views->leaseLive(support::now());
         this->readiness->ready = this->shutdown.phase() == ShutdownPhase::Serving && hasView && hasLease;
     }
 
--- a/lib/Settings/settings.cpp
+++ b/lib/Settings/settings.cpp
@@ -29,8 +29,12 @@
 constexpr auto connectionRange = support::NumberRange{1, 1'000'000};
 constexpr auto timeoutRange = support::DurationRange{10ms, 3'600'000ms};
 constexpr auto keyWarmupRange = support::DurationRange{0ms, 600'000ms};
+/// An announcement a minute finds a lost upstream after two and a half.
+constexpr auto announcementRange = support::DurationRange{50ms, 60'000ms};
+constexpr auto graceRange = support::DurationRange{0ms, 3'600'000ms};
 constexpr auto balancerDelayRange = support::DurationRange{0ms, 60'000ms};
 /// Five voters bear the loss of two VMs, seven that of three; more only slow the commits down.
+constexpr auto portRange = support::NumberRange{1, 65'535};
 constexpr auto controlMemberLimit = std::size_t{7};
 
 /// \return the endpoint in for example `127.0.0.1:8480` or `[::1]:8480`
@@ -68,6 +72,11 @@
     return endpoint.value_or(Endpoint());
 }
 
+auto readOptionalEndpoint(YamlMap &map, std::string_view name) -> Endpoint
+{
+    return map.has(name) ? readEndpoint(map, name) : Endpoint();
+}
+
 auto readRoles(YamlMap &map, Settings &settings) -> void
 {
     for (const auto &role : map.texts("roles")) {
@@ -84,9 +93,26 @@
     }
 }
 
-auto readControlMembers(YamlMap &map) -> std::vector<ControlAddress>
+/// Reads `control_seeds`, addresses of some control VMs at which others than this system's processes call them. Among themselves the
+/// control VMs use one port, and each is named by its address: the seeds may be all that is known of them.
+auto readControlSeeds(YamlMap &map) -> std::vector<ControlAddress>
 {
     auto members = std::vector<ControlAddress>();
+    const auto port = map.has("control_port") ? map.number("control_port", portRange, 0) : 0;
+    for (const auto &text : map.texts("control_seeds")) {
+        const auto seed = parseEndpoint(text);
+        if (!seed || port == 0) {
+            map.report("control_seeds", "control seed '" + text + "' cannot be used", "use an IP address and a port, and add control_port");
+            continue;
+        }
+        members.push_back({VmId(seed->address), {seed->address, static_cast<std::uint16_t>(port)}});
+    }
+    return members;
+}
+
+auto readControlMembers(YamlMap &map) -> std::vector<ControlAddress>
+{
+    auto members = readControlSeeds(map);
     for (auto &entry : map.maps("control_members")) {
         auto member = ControlAddress{VmId(entry.text("vm")), readEndpoint(entry, "address")};
         entry.rejectOthers();
@@ -123,6 +149,14 @@
     return limits;
 }
 
+/// A third of the grace lets the balancer see, by two probes a second apart, that nothing more is to be sent. Half of it is what callers
+/// are told that an open transaction has. The last sixth is left for closing, so that the process has ended before it is killed.
+auto splitGrace(Shutdown &shutdown) -> void
+{
+    shutdown.balancerDelay = shutdown.grace / 3;
+    shutdown.drainTimeout = shutdown.grace / 2;
+}
+
 auto readShutdown(YamlMap &map) -> Shutdown
 {
     auto shutdown = Shutdown();
@@ -132,6 +166,10 @@
     }
     shutdown.balancerDelay = section->duration("balancer_delay", balancerDelayRange, shutdown.balancerDelay);
     shutdown.drainTimeout = section->duration("drain_timeout", timeoutRange, shutdown.drainTimeout);
+    shutdown.grace = section->duration("grace", graceRange, shutdown.grace);
+    if (shutdown.grace > 0ms) {
+        splitGrace(shutdown);
+    }
     section->rejectOthers();
     return shutdown;
 }
@@ -142,10 +180,14 @@
     if (settings.proxy) {
         settings.callers = readEndpoint(map, "callers");
         settings.peers = readEndpoint(map, "peers");
+        settings.readiness = readOptionalEndpoint(map, "readiness");
         settings.keyWarmup = map.duration("key_warmup", keyWarmupRange, settings.keyWarmup);
     }
     if (settings.control) {
         settings.dataFolder = map.text("data");
+        settings.operators = readOptionalEndpoint(map, "operators");
+        settings.promotionService = readOptionalEndpoint(map, "promotion_service");
+        settings.announcementInterval = map.duration("announcement_interval", announcementRange, settings.announcementInterval);
         if (!settings.controlEndpoint()) {
             map.report("vm", "the VM has the control role and is no control member", "add it to control_members or remove the role");
         }
@@ -163,6 +205,7 @@
     readRoleFields(map, settings);
     settings.trafficThreads = static_cast<std::uint32_t>(map.number("traffic_threads", trafficThreadRange, settings.trafficThreads));
     settings.logFormat = map.choice("log_format", formats, 0) == 0 ? support::LogFormat::Text : support::LogFormat::Json;
+    settings.metrics = readOptionalEndpoint(map, "metrics");
     settings.limits = readLimits(map);
     settings.shutdown = readShutdown(map);
     map.rejectOthers();
--- a/lib/State/clusterstate.cpp
+++ b/lib/State/clusterstate.cpp
@@ -120,6 +120,9 @@
 
 auto ClusterState::run(const ChangeConfiguration &command) -> Result
 {
+    if (command.content.version) {
+        return this->replace(command);
+    }
     // An operator who lost the answer sends the change again. Judged anew it would meet the base that it itself has changed and be
     // called a conflict, and the operator would apply it a second time on the new base. The first answer is kept by change id.
     if (const auto *const known = this->content.changes.find(command.change)) {
@@ -131,6 +134,18 @@
     return result;
 }
 
+auto ClusterState::replace(const ChangeConfiguration &command) -> Result
+{
+    // Two operators may give one number to different texts, and an older text may be sent again. Only a higher number changes what is
+    // in force, so that it neither goes back nor depends on which copy came last. A text that was overtaken counts as accepted: its
+    // operator need not send it again.
+    if (*command.content.version > this->content.version) {
+        this->content.version = *command.content.version;
+        this->adopt(command);
+    }
+    return Accepted{this->content.configuration};
+}
+
 auto ClusterState::decide(const ChangeConfiguration &command) -> Result
 {
     if (command.base != this->content.configuration) {
@@ -149,11 +164,13 @@
         const auto place = placeOf(this->content.groups, group.id, groupName);
         if (place != this->content.groups.end() && place->view.id == group.id) {
             place->size = group.size;
+            place->view.connectionLimit = group.connectionLimit;
             continue;
         }
         auto record = GroupRecord();
         record.view.id = group.id;
         record.size = group.size;
+        record.view.connectionLimit = group.connectionLimit;
         this->content.groups.insert(place, std::move(record));
     }
     this->changed();
@@ -247,6 +264,21 @@
     return this->changed();
 }
 
+auto ClusterState::run(const ForgetUpstream &command) -> Result
+{
+    auto *const record = this->group(command.group);
+    if (record == nullptr) {
+        return Ignored();
+    }
+    auto &members = record->view.members;
+    const auto place = placeOf(members, command.upstream, upstreamName);
+    if (place == members.end() || place->id != command.upstream || place->incarnation != command.incarnation) {
+        return Ignored();
+    }
+    members.erase(place);
+    return this->changed();
+}
+
 auto ClusterState::group(const GroupId &id) -> GroupRecord *
 {
     const auto place = placeOf(this->content.groups, id, groupName);
--- a/lib/State/commandcodec.cpp
+++ b/lib/State/commandcodec.cpp
@@ -23,12 +23,14 @@
         builder.setChange(command.change.value());
         builder.setBase(command.base.value());
         builder.setText(command.text);
+        builder.setVersion(command.content.version.value_or(ConfigurationVersion()).value());
         writeAll(builder.initServices(static_cast<unsigned>(command.content.services.size())), command.content.services);
         auto groups = builder.initGroups(static_cast<unsigned>(command.content.groups.size()));
         auto place = 0U;
         for (const auto &group : command.content.groups) {
             groups[place].setId(group.id.value());
             groups[place].setSize(group.size);
+            groups[place].setConnectionLimit(group.connectionLimit);
             ++place;
         }
     }
@@ -69,6 +71,14 @@
         builder.setVm(command.vm.value());
         builder.setIncarnation(command.incarnation.value());
     }
+
+    auto operator()(const ForgetUpstream &command) -> void
+    {
+        auto builder = this->to.initForgetUpstream();
+        builder.setGroup(command.group.value());
+        builder.setUpstream(command.upstream.value());
+        builder.setIncarnation(command.incarnation.value());
+    }
 };
 
 auto readChange(schema::Command::ChangeConfiguration::Reader from) -> ChangeConfiguration
@@ -77,9 +87,12 @@
     command.change = ChangeId(read(from.getChange()));
     command.base = Revision(from.getBase());
     command.text = read(from.getText());
+    if (from.getVersion() != 0) {
+        command.content.version = ConfigurationVersion(from.getVersion());
+    }
     command.content.services = readAll<membership::ServiceView>(from.getServices());
     for (const auto group : from.getGroups()) {
-        command.content.groups.push_back({GroupId(read(group.getId())), group.getSize()});
+        command.content.groups.push_back({GroupId(read(group.getId())), group.getSize(), group.getConnectionLimit()});
     }
     return command;
 }
@@ -108,6 +121,10 @@
         return RegisterVm{read(from.getRegisterVm())};
     case schema::Command::FORGET_VM:
         return ForgetVm{VmId(read(from.getForgetVm().getVm())), Incarnation(from.getForgetVm().getIncarnation())};
+    case schema::Command::FORGET_UPSTREAM:
+        return ForgetUpstream{GroupId(read(from.getForgetUpstream().getGroup())),
+                              UpstreamId(read(from.getForgetUpstream().getUpstream())),
+                              Incarnation(from.getForgetUpstream().getIncarnation())};
     }
     return std::nullopt;
 }
--- a/lib/State/recordcodec.cpp
+++ b/lib/State/recordcodec.cpp
@@ -28,6 +28,10 @@
     to.setTimeoutMs(static_cast<std::uint64_t>(from.timeout.count()));
     to.setQueueLimit(from.queueLimit);
     to.setRetryRatio(from.retryRatio);
+    to.setConsistency(static_cast<std::uint8_t>(from.consistency));
+    to.setObjectiveMs(static_cast<std::uint64_t>(from.objective.count()));
+    to.setPriority(from.priority);
+    to.setTransactionIdleMs(static_cast<std::uint64_t>(from.transactionIdle.count()));
 }
 
 auto write(schema::Upstream::Builder to, const membership::UpstreamView &from) -> void
@@ -108,6 +112,10 @@
     service.timeout = std::chrono::milliseconds(from.getTimeoutMs());
     service.queueLimit = from.getQueueLimit();
     service.retryRatio = from.getRetryRatio();
+    service.consistency = membership::consistencyOf(from.getConsistency());
+    service.objective = std::chrono::milliseconds(from.getObjectiveMs());
+    service.priority = from.getPriority();
+    service.transactionIdle = std::chrono::milliseconds(from.getTransactionIdleMs());
     return service;
 }
 
--- a/lib/State/snapshotcodec.cpp
+++ b/lib/State/snapshotcodec.cpp
@@ -34,6 +34,7 @@
         write(history[place], start);
         ++place;
     }
+    to.setConnectionLimit(from.view.connectionLimit);
     writeAll(to.initMembers(static_cast<unsigned>(from.view.members.size())), from.view.members);
 }
 
@@ -58,6 +59,7 @@
     for (const auto start : from.getHistory()) {
         group.view.history.push_back({Term(start.getTerm()), LogPosition(start.getKeptUpTo())});
     }
+    group.view.connectionLimit = from.getConnectionLimit();
     group.view.members = readAll<membership::UpstreamView>(from.getMembers());
     return group;
 }
@@ -72,6 +74,7 @@
     auto content = StateContent(changeLimit);
     content.revision = Revision(from.getRevision());
     content.configuration = Revision(from.getConfiguration());
+    content.version = ConfigurationVersion(from.getVersion());
     content.text = state::read(from.getText());
     content.services = readAll<membership::ServiceView>(from.getServices());
     for (const auto group : from.getGroups()) {
@@ -92,6 +95,7 @@
     auto root = message.initRoot<schema::Snapshot>();
     root.setRevision(content.revision.value());
     root.setConfiguration(content.configuration.value());
+    root.setVersion(content.version.value());
     root.setText(content.text);
     writeAll(root.initServices(static_cast<unsigned>(content.services.size())), content.services);
     auto groups = root.initGroups(static_cast<unsigned>(content.groups.size()));
--- a/lib/Support/events.cpp
+++ b/lib/Support/events.cpp
@@ -17,6 +17,7 @@
     {Event::SettingsRejected, Severity::Error, "settings rejected"},
     {Event::ListenFailed, Severity::Error, "listen failed"},
     {Event::CallerRequestRefused, Severity::Warning, "caller request refused"},
+    {Event::CallerConnectionRefused, Severity::Warning, "caller connection refused"},
     {Event::UpstreamConnectionClosed, Severity::Warning, "upstream connection closed"},
     {Event::ControlLeaderChanged, Severity::Info, "control leader changed"},
     {Event::GroupFounded, Severity::Info, "control group founded"},
@@ -25,6 +26,7 @@
     {Event::ConfigurationAccepted, Severity::Info, "configuration accepted"},
     {Event::TermEnded, Severity::Warning, "term ended"},
     {Event::PrimaryChosen, Severity::Info, "primary chosen"},
+    {Event::OrderNotDelivered, Severity::Warning, "order not delivered"},
     {Event::StandinStarted, Severity::Info, "stand-in started"},
 });
 
--- a/schema/control.capnp
+++ b/schema/control.capnp
@@ -27,6 +27,8 @@
   primary @2 :Text;
   history @3 :List(TermStart);
   members @4 :List(UpstreamView);
+  # 0: as each member announces.
+  connectionLimit @5 :UInt32;
 }
 
 struct ServiceView {
@@ -37,6 +39,11 @@
   timeoutMs @4 :UInt64;
   queueLimit @5 :UInt32;
   retryRatio @6 :Float64;
+  # membership::Consistency.
+  consistency @7 :UInt8;
+  objectiveMs @8 :UInt64;
+  priority @9 :UInt32;
+  transactionIdleMs @10 :UInt64;
 }
 
 struct ProxyView {
@@ -79,6 +86,8 @@
   slots @10 :UInt32;
   connectionLimit @11 :UInt32;
   leaving @12 :Bool;
+  gone @13 :Bool;
+  sequence @14 :UInt64;
 }
 
 struct Suspicion {
--- a/schema/state.capnp
+++ b/schema/state.capnp
@@ -17,11 +17,18 @@
   timeoutMs @4 :UInt64;
   queueLimit @5 :UInt32;
   retryRatio @6 :Float64;
+  # membership::Consistency.
+  consistency @7 :UInt8;
+  objectiveMs @8 :UInt64;
+  priority @9 :UInt32;
+  transactionIdleMs @10 :UInt64;
 }
 
 struct GroupSize {
   id @0 :Text;
   size @1 :UInt32;
+  # 0: as each member announces.
+  connectionLimit @2 :UInt32;
 }
 
 struct Upstream {
@@ -51,6 +58,8 @@
       text @2 :Text;
       services @3 :List(Service);
       groups @4 :List(GroupSize);
+      # 0: the change is bound to its base.
+      version @18 :UInt64;
     }
     registerUpstream :group {
       group @5 :Text;
@@ -73,6 +82,11 @@
       vm @16 :Text;
       incarnation @17 :UInt64;
     }
+    forgetUpstream :group {
+      group @19 :Text;
+      upstream @20 :Text;
+      incarnation @21 :UInt64;
+    }
   }
 }
 
@@ -106,6 +120,7 @@
   primaryIncarnation @4 :UInt64;
   history @5 :List(TermStart);
   members @6 :List(Upstream);
+  connectionLimit @7 :UInt32;
 }
 
 struct Snapshot {
@@ -116,4 +131,5 @@
   groups @4 :List(Group);
   vms @5 :List(Vm);
   changes @6 :List(Change);
+  version @7 :UInt64;
 }
--- a/tools/sapphirespool/commands.h
+++ b/tools/sapphirespool/commands.h
@@ -33,6 +33,9 @@
 /// Serves one VM by its settings.
 auto runServe(Arguments arguments) -> ExitCode;
 
+/// Serves one VM by its settings in the world of the users' platform.
+auto runServePlatform(Arguments arguments) -> ExitCode;
+
 /// Serves one stand-in member of a database group.
 auto runStandin(Arguments arguments) -> ExitCode;
 
--- a/tools/sapphirespool/main.cpp
+++ b/tools/sapphirespool/main.cpp
@@ -27,6 +27,7 @@
     {"demo", "serve a whole system in one process", runDemo},
     {"load", "drive callers against a running system and report what they received", runLoad},
     {"serve", "serve one VM by its settings", runServe},
+    {"serve-platform", "serve one VM by its settings on the users' platform", runServePlatform},
     {"standin", "serve one member of a database group, for trials", runStandin},
     {"status", "show the revision that each VM serves under", runStatus},
     {"version", "print the version", runVersion},
--- a/tools/sapphirespool/servecommand.cpp
+++ b/tools/sapphirespool/servecommand.cpp
@@ -3,6 +3,7 @@
 #include "options.h"
 #include "stopsignal.h"
 
+#include "platform/edge.h"
 #include "sapphirespool/Node/node.h"
 #include "sapphirespool/Settings/settings.h"
 #include "sapphirespool/Support/log.h"
@@ -11,6 +12,8 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include <iostream>
+#include <memory>
+#include <utility>
 #include <variant>
 
 namespace sapphirespool::tool
@@ -20,8 +23,9 @@
 {
 
 constexpr auto help = R"(usage: sapphirespool serve --settings FILE [--check]
+       sapphirespool serve-platform --settings FILE [--check]
 
-Serves one VM until SIGTERM or SIGINT, then lets running requests and transactions end and stops.
+Serves one VM, by the project's own protocols or by those of the users' platform, until SIGTERM or SIGINT, then lets running requests and transactions end and stops.
 
   --settings FILE   the VM's settings; etc/ holds whole deployments as samples
   --check           read the settings, open no port, and end
@@ -47,10 +51,10 @@
         });
 }
 
-auto serve(const settings::Settings &settings) -> ExitCode
+auto serve(const settings::Settings &settings, std::shared_ptr<node::Edge> edge) -> ExitCode
 {
     auto stop = StopSignal();
-    const auto node = node::makeNode(settings);
+    const auto node = node::makeNode(settings, std::move(edge));
     try {
         node->start();
     } catch (const node::StartFailure &failure) {
@@ -62,9 +66,7 @@
     return ExitCode::Success;
 }
 
-} // namespace
-
-auto runServe(Arguments arguments) -> ExitCode
+auto runServe(Arguments arguments, std::shared_ptr<node::Edge> edge) -> ExitCode
 {
     auto options = Options(arguments, help, {{"settings", true}, {"check", false}});
     if (options.verdict()) {
@@ -84,7 +86,19 @@
         return ExitCode::Success;
     }
     support::configureLog(settings.logFormat);
-    return serve(settings);
+    return serve(settings, std::move(edge));
+}
+
+} // namespace
+
+auto runServe(Arguments arguments) -> ExitCode
+{
+    return runServe(arguments, nullptr);
+}
+
+auto runServePlatform(Arguments arguments) -> ExitCode
+{
+    return runServe(arguments, adapter::makeEdge());
 }
 
 } // namespace sapphirespool::tool
--- a/unittests/Control/proxylinktest.cpp
+++ b/unittests/Control/proxylinktest.cpp
@@ -40,6 +40,11 @@
         return this->leads;
     }
 
+    [[nodiscard]] auto leadershipNumber() const -> std::uint64_t override
+    {
+        return 1;
+    }
+
     [[nodiscard]] auto leader() const -> std::optional<VmId> override
     {
         return VmId("leader");
--- a/unittests/Controller/controllertest.cpp
+++ b/unittests/Controller/controllertest.cpp
@@ -43,6 +43,11 @@
         return this->leads;
     }
 
+    [[nodiscard]] auto leadershipNumber() const -> std::uint64_t override
+    {
+        return 1;
+    }
+
     [[nodiscard]] auto leader() const -> std::optional<VmId> override
     {
         return std::nullopt;
@@ -78,16 +83,16 @@
 class SilentMembers : public platform::GroupOperator
 {
 public:
-    auto fence(const Endpoint &, platform::FenceRequest, platform::ReportCallback) -> void override
+    auto fence(const platform::MemberAddress &, platform::FenceRequest, platform::ReportCallback) -> void override
     {
         ++this->fences;
     }
 
-    auto promote(const Endpoint &, platform::PromoteRequest, platform::ReportCallback) -> void override
+    auto promote(const platform::MemberAddress &, platform::PromoteRequest, platform::ReportCallback) -> void override
     {
     }
 
-    auto follow(const Endpoint &, platform::FollowRequest, platform::ReportCallback) -> void override
+    auto follow(const platform::MemberAddress &, platform::FollowRequest, platform::ReportCallback) -> void override
     {
     }
 
--- a/unittests/Platform/platformtest.cpp
+++ b/unittests/Platform/platformtest.cpp
@@ -63,6 +63,11 @@
     }
 };
 
+auto addressOf(const Endpoint &endpoint) -> MemberAddress
+{
+    return {GroupId("orders-1"), UpstreamId("a"), endpoint};
+}
+
 } // namespace
 
 TEST_CASE("a group is fenced, promoted and followed over HTTP")
@@ -80,19 +85,19 @@
         });
         answer.done = false;
     };
-    caller->fence(primary, {1}, answer.callback());
+    caller->fence(addressOf(primary), {1}, answer.callback());
     finish();
     REQUIRE(answer.report);
     CHECK(answer.report->role == Role::Fenced);
-    caller->promote(primary, {1}, answer.callback());
+    caller->promote(addressOf(primary), {1}, answer.callback());
     finish();
     REQUIRE(answer.report);
     CHECK(answer.report->role == Role::Primary);
-    caller->follow(replica, {1, "a", primary.address, primary.port, 0}, answer.callback());
+    caller->follow(addressOf(replica), {1, "a", primary.address, primary.port, 0}, answer.callback());
     finish();
     REQUIRE(answer.report);
     CHECK(answer.report->role == Role::Replica);
-    caller->promote(replica, {0}, answer.callback());
+    caller->promote(addressOf(replica), {0}, answer.callback());
     finish();
     CHECK_FALSE(answer.report);
 }
@@ -108,14 +113,14 @@
     frozen.member = standin::MemberFault::Frozen;
     member->setFaults(frozen);
     auto answer = Answered();
-    caller->fence(endpoint, {1}, answer.callback());
+    caller->fence(addressOf(endpoint), {1}, answer.callback());
     runUntil(io, [&answer] {
         return answer.done;
     });
     CHECK_FALSE(answer.report);
     member->stop();
     answer.done = false;
-    caller->fence(endpoint, {1}, answer.callback());
+    caller->fence(addressOf(endpoint), {1}, answer.callback());
     runUntil(io, [&answer] {
         return answer.done;
     });
