--- a/include/sapphirespool/Interactive/linkpool.h
+++ b/include/sapphirespool/Interactive/linkpool.h
@@ -67,10 +67,10 @@
     auto operator=(const LinkPool &) -> LinkPool & = delete;
     virtual ~LinkPool() = default;
 
-    /// Takes a link, the one whose values are those of \p wanted if there is one; opens one if the limit allows; else waits.
+    /// Takes a link, the one that has the values \p wanted if there is one; opens one if the limit allows; else waits.
     /// \param patience longest wait for a link to come free
     /// \param connectLimit time that opening one may take
-    virtual auto acquire(GroupId group, membership::UpstreamView upstream, const LinkState &wanted, Duration patience, Duration connectLimit)
+    virtual auto acquire(GroupId group, membership::UpstreamView upstream, const SessionValues &wanted, Duration patience, Duration connectLimit)
         -> boost::asio::awaitable<LeaseResult> = 0;
 
     /// \param limit links that this proxy may have open to \p upstream
--- a/include/sapphirespool/Interactive/upstreamlink.h
+++ b/include/sapphirespool/Interactive/upstreamlink.h
@@ -72,10 +72,13 @@
     TimePoint sentAt{};
 };
 
+/// Values of a session, or of a connection, by their names.
+using SessionValues = std::map<std::string, std::string>;
+
 /// Values and prepared statements of a connection.
 struct LinkState
 {
-    std::map<std::string, std::string> values;
+    SessionValues values;
     /// Name on the connection of each shape that was prepared on it.
     std::map<PreparedShape, std::string> prepared;
 };
--- a/lib/Interactive/callersession.cpp
+++ b/lib/Interactive/callersession.cpp
@@ -70,9 +70,23 @@
     return std::min(objective, service.timeout) / queuePart;
 }
 
+// g++ 12 destroys a braced temporary twice when it stands in a co_await or co_return expression, so that such values are made by
+// functions or named first.
+auto makeReply(TransactionStatus status) -> Reply
+{
+    auto reply = Reply();
+    reply.status = status;
+    return reply;
+}
+
+auto makeFailure(Failure failure, std::string detail, std::optional<std::chrono::milliseconds> retryAfter = std::nullopt) -> FailureReply
+{
+    return {failure, std::move(detail), retryAfter};
+}
+
 auto brokenReply() -> FailureReply
 {
-    return {Failure::Busy, "the connection to the upstream broke before the statement was sent", {}};
+    return makeFailure(Failure::Busy, "the connection to the upstream broke before the statement was sent");
 }
 
 /// \return whether the upstream says that it did not run the statement, so that another one may
@@ -105,6 +119,16 @@
     return this->shape ? &*this->shape : nullptr;
 }
 
+auto CallerSession::elsewhere(FailureReply why, bool refuted) -> TryElsewhere
+{
+    return {std::move(why), refuted};
+}
+
+auto CallerSession::targetAt(Member member, std::optional<DataPosition> after) -> Target
+{
+    return {std::move(member), after};
+}
+
 CallerSession::CallerSession(std::shared_ptr<SessionCore> core, std::string database)
     : core(std::move(core))
     , database(std::move(database))
@@ -152,7 +176,7 @@
 auto CallerSession::dispatch(Statement statement) -> asio::awaitable<Reply>
 {
     if (this->transactionStatus == TransactionStatus::Failed && statement.kind != StatementKind::Rollback && statement.kind != StatementKind::Commit) {
-        co_return this->failed({Failure::Malformed, "the transaction failed; end it first", {}});
+        co_return this->failed(makeFailure(Failure::Malformed, "the transaction failed; end it first"));
     }
     switch (statement.kind) {
     case StatementKind::SetValue:
@@ -173,51 +197,51 @@
     case StatementKind::Execute:
         co_return co_await this->run(std::move(statement));
     }
-    co_return this->failed({Failure::Malformed, "unknown kind of statement", {}});
+    co_return this->failed(makeFailure(Failure::Malformed, "unknown kind of statement"));
 }
 
 auto CallerSession::setValue(const Statement &statement) -> Reply
 {
     if (this->state.values.size() >= valueLimit && !this->state.values.contains(statement.name)) {
-        return this->failed({Failure::Malformed, "a session keeps at most 64 values", {}});
+        return this->failed(makeFailure(Failure::Malformed, "a session keeps at most 64 values"));
     }
     this->state.values.insert_or_assign(statement.name, statement.text);
-    return {{}, {}, {}, this->transactionStatus, {}};
+    return makeReply(this->transactionStatus);
 }
 
 auto CallerSession::prepare(const Statement &statement) -> Reply
 {
     if (this->state.prepared.size() >= nameLimit && !this->state.prepared.contains(statement.name)) {
-        return this->failed({Failure::Malformed, "a session keeps at most 256 prepared names", {}});
+        return this->failed(makeFailure(Failure::Malformed, "a session keeps at most 256 prepared names"));
     }
     this->state.prepared.insert_or_assign(statement.name, statement.shape);
-    return {{}, {}, {}, this->transactionStatus, {}};
+    return makeReply(this->transactionStatus);
 }
 
 auto CallerSession::deallocate(const Statement &statement) -> Reply
 {
     this->state.prepared.erase(statement.name);
-    return {{}, {}, {}, this->transactionStatus, {}};
+    return makeReply(this->transactionStatus);
 }
 
 auto CallerSession::begin(const Statement &statement) -> Reply
 {
     if (this->transactionStatus != TransactionStatus::None) {
-        return this->failed({Failure::Malformed, "a transaction is open", {}});
+        return this->failed(makeFailure(Failure::Malformed, "a transaction is open"));
     }
     if (this->core->refusesNewWork) {
-        return this->failed({Failure::Busy, "the proxy is stopping; connect again", std::chrono::milliseconds(0)});
+        return this->failed(makeFailure(Failure::Busy, "the proxy is stopping; connect again", std::chrono::milliseconds(0)));
     }
     const auto *const service = this->core->findService(this->database);
     if (service == nullptr) {
-        return this->failed({Failure::UnknownDatabase, "no service is called " + this->database, {}});
+        return this->failed(makeFailure(Failure::UnknownDatabase, "no service is called " + this->database));
     }
     // The upstream hears of the transaction with its first statement: a caller that pauses before it holds no connection.
     this->transaction = std::make_unique<Transaction>();
     this->transaction->service = *service;
     this->transaction->readOnly = statement.kind == StatementKind::BeginReadOnly;
     this->transactionStatus = TransactionStatus::Open;
-    return {{}, {}, {}, this->transactionStatus, {}};
+    return makeReply(this->transactionStatus);
 }
 
 auto CallerSession::rollback() -> asio::awaitable<Reply>
@@ -230,17 +254,17 @@
     }
     this->transaction.reset();
     this->transactionStatus = TransactionStatus::None;
-    co_return Reply{{}, {}, {}, TransactionStatus::None, {}};
+    co_return makeReply(TransactionStatus::None);
 }
 
 auto CallerSession::commit(Statement statement) -> asio::awaitable<Reply>
 {
     if (this->transactionStatus == TransactionStatus::None) {
-        co_return this->failed({Failure::Malformed, "no transaction is open", {}});
+        co_return this->failed(makeFailure(Failure::Malformed, "no transaction is open"));
     }
     if (this->transactionStatus == TransactionStatus::Failed) {
         co_await this->rollback();
-        co_return this->failed({Failure::Aborted, "the transaction had failed and was rolled back", {}});
+        co_return this->failed(makeFailure(Failure::Aborted, "the transaction had failed and was rolled back"));
     }
     auto work = this->workOf(std::move(statement), this->transaction->service);
     if (!this->transaction->lease) {
@@ -256,30 +280,32 @@
 auto CallerSession::run(Statement statement) -> asio::awaitable<Reply>
 {
     if (statement.kind == StatementKind::Execute && !this->state.prepared.contains(statement.name)) {
-        auto why = FailureReply{Failure::UnknownName, "no statement was prepared as " + statement.name, {}};
+        auto why = makeFailure(Failure::UnknownName, "no statement was prepared as " + statement.name);
         co_return this->transactionStatus == TransactionStatus::Open ? this->failTransaction(std::move(why)) : this->failed(std::move(why));
     }
     if (this->transactionStatus == TransactionStatus::Open) {
-        co_return co_await this->runInTransaction(this->workOf(std::move(statement), this->transaction->service));
+        const auto work = this->workOf(std::move(statement), this->transaction->service);
+        co_return co_await this->runInTransaction(work);
     }
     if (this->core->refusesNewWork) {
-        co_return this->failed({Failure::Busy, "the proxy is stopping; connect again", std::chrono::milliseconds(0)});
+        co_return this->failed(makeFailure(Failure::Busy, "the proxy is stopping; connect again", std::chrono::milliseconds(0)));
     }
     const auto *const service = this->core->findService(this->database);
     if (service == nullptr) {
-        co_return this->failed({Failure::UnknownDatabase, "no service is called " + this->database, {}});
+        co_return this->failed(makeFailure(Failure::UnknownDatabase, "no service is called " + this->database));
     }
-    co_return co_await this->runSingle(this->workOf(std::move(statement), *service));
+    const auto work = this->workOf(std::move(statement), *service);
+    co_return co_await this->runSingle(work);
 }
 
-auto CallerSession::runSingle(Work work) -> asio::awaitable<Reply>
+auto CallerSession::runSingle(const Work &work) -> asio::awaitable<Reply>
 {
     const auto began = SteadyClock::now();
     auto excluded = std::set<UpstreamId>();
     auto refuted = std::optional<Member>();
-    auto why = FailureReply{Failure::Busy, "no upstream could take the statement in time", promotionRetry};
+    auto why = makeFailure(Failure::Busy, "no upstream could take the statement in time", promotionRetry);
     for (auto attempt = 0; attempt < attempts && work.left() > Duration(0); ++attempt) {
-        auto picked = work.access == Access::Write ? co_await this->pickPrimary(work, refuted) : co_await this->pickReader(work, excluded, refuted);
+        auto picked = co_await this->pick(work.access == Access::Write, work, excluded, refuted);
         if (auto *const none = std::get_if<FailureReply>(&picked)) {
             why = std::move(*none);
             break;
@@ -292,11 +318,11 @@
             }
             co_return std::move(*reply);
         }
-        auto &elsewhere = std::get<TryElsewhere>(result);
-        why = std::move(elsewhere.why);
+        auto &notRun = std::get<TryElsewhere>(result);
+        why = std::move(notRun.why);
         this->core->parts.recorder->retried(work.service.id, why.failure);
         excluded.insert(target.member.upstream.id);
-        if (elsewhere.refuted) {
+        if (notRun.refuted) {
             refuted = target.member;
         } else if (work.access == Access::Write && why.failure == Failure::Busy) {
             // Only the primary can take it, and its links or its queue are full: waiting longer would only lengthen the queue.
@@ -310,7 +336,7 @@
 {
     auto leased = co_await this->acquire(target, work);
     if (auto *const none = std::get_if<FailureReply>(&leased)) {
-        co_return TryElsewhere{std::move(*none)};
+        co_return elsewhere(std::move(*none));
     }
     auto lease = std::get<LinkLease>(std::move(leased));
     if (work.access == Access::Write) {
@@ -324,24 +350,24 @@
 
 auto CallerSession::runWrite(LinkLease lease, const Target &target, const Work &work) -> asio::awaitable<RunResult>
 {
-    if (auto why = co_await prepareLink(lease.link(), this->state, work.shapePointer(), std::nullopt, work.left())) {
+    if (auto why = co_await prepareLink(lease.link(), this->state, work.shapePointer(), nullptr, work.left())) {
         this->core->suspect(target.member);
-        co_return TryElsewhere{*std::move(why)};
+        co_return elsewhere(*std::move(why));
     }
     const auto commands = std::vector<Command>{commandOf(work.statement, lease.link().state, work.shapePointer())};
     const auto exchange = co_await lease.link().exchange(commands, work.left());
     if (exchange.results.empty()) {
         this->core->suspect(target.member);
         if (!exchange.sent) {
-            co_return TryElsewhere{brokenReply()};
+            co_return elsewhere(brokenReply());
         }
         // The write may have reached the upstream before the connection broke. Sent again it could run twice.
-        co_return this->failed({Failure::InDoubt, "the answer to the write did not come", {}});
+        co_return this->failed(makeFailure(Failure::InDoubt, "the answer to the write did not come"));
     }
     const auto &result = exchange.results.front();
     if (result.failure && mayGoElsewhere(result.failure->failure)) {
         lease.giveBack();
-        co_return TryElsewhere{*result.failure, result.failure->failure == Failure::ReadOnly};
+        co_return elsewhere(*result.failure, result.failure->failure == Failure::ReadOnly);
     }
     if (!result.failure) {
         this->noteWrite(target.member.group, result.position);
@@ -354,9 +380,9 @@
 auto CallerSession::runReplicaRead(LinkLease lease, const Target &target, const Work &work) -> asio::awaitable<RunResult>
 {
     const auto &upstream = target.member.upstream.id;
-    if (auto why = co_await prepareLink(lease.link(), this->state, work.shapePointer(), std::nullopt, work.left())) {
+    if (auto why = co_await prepareLink(lease.link(), this->state, work.shapePointer(), nullptr, work.left())) {
         this->core->load.failed(upstream, support::now());
-        co_return TryElsewhere{*std::move(why)};
+        co_return elsewhere(*std::move(why));
     }
     auto command = commandOf(work.statement, lease.link().state, work.shapePointer());
     command.after = target.after;
@@ -366,9 +392,9 @@
         this->core->load.failed(upstream, support::now());
         // A read changes nothing: it may run again elsewhere, while there is time.
         if (work.left() > Duration(0)) {
-            co_return TryElsewhere{brokenReply()};
+            co_return elsewhere(brokenReply());
         }
-        co_return this->failed({Failure::TimedOut, "the upstream did not answer within the route's time", {}});
+        co_return this->failed(makeFailure(Failure::TimedOut, "the upstream did not answer within the route's time"));
     }
     const auto &result = exchange.results.front();
     lease.giveBack();
@@ -376,7 +402,7 @@
         if (result.failure->failure == Failure::Busy) {
             this->core->load.failed(upstream, support::now());
         }
-        co_return TryElsewhere{*result.failure};
+        co_return elsewhere(*result.failure);
     }
     this->core->load.served(upstream, support::now() - exchange.sentAt, support::now());
     co_return replyOf(result, TransactionStatus::None);
@@ -387,14 +413,15 @@
     // A primary that was replaced without this proxy's knowledge would answer a plain read with old data. It refuses to begin a
     // transaction that may write, and any statement in one. So the read runs in such a transaction, and is sent only once that has
     // begun: sent together with the beginning, it would run on its own where the beginning is refused.
-    if (auto why = co_await prepareLink(lease.link(), this->state, work.shapePointer(), commandOfKind(CommandKind::Begin), work.left())) {
+    const auto begin = commandOfKind(CommandKind::Begin);
+    if (auto why = co_await prepareLink(lease.link(), this->state, work.shapePointer(), &begin, work.left())) {
         const auto refuted = why->failure == Failure::ReadOnly;
         if (refuted) {
             lease.giveBack();
         } else {
             this->core->suspect(target.member);
         }
-        co_return TryElsewhere{*std::move(why), refuted};
+        co_return elsewhere(*std::move(why), refuted);
     }
     const auto commands = std::vector<Command>{commandOf(work.statement, lease.link().state, work.shapePointer()), commandOfKind(CommandKind::Rollback)};
     const auto exchange = co_await lease.link().exchange(commands, work.left());
@@ -402,16 +429,16 @@
         this->core->suspect(target.member);
         this->core->load.failed(target.member.upstream.id, support::now());
         if (work.left() > Duration(0)) {
-            co_return TryElsewhere{brokenReply()};
+            co_return elsewhere(brokenReply());
         }
-        co_return this->failed({Failure::TimedOut, "the upstream did not answer within the route's time", {}});
+        co_return this->failed(makeFailure(Failure::TimedOut, "the upstream did not answer within the route's time"));
     }
     const auto &result = exchange.results.front();
     if (exchange.results.size() == commands.size() && exchange.results.back().status == TransactionStatus::None) {
         lease.giveBack();
     }
     if (result.failure && mayGoElsewhere(result.failure->failure)) {
-        co_return TryElsewhere{*result.failure, result.failure->failure == Failure::ReadOnly};
+        co_return elsewhere(*result.failure, result.failure->failure == Failure::ReadOnly);
     }
     if (!result.failure) {
         this->noteProof(target.member, exchange.sentAt, result.position);
@@ -424,22 +451,22 @@
 {
     auto excluded = std::set<UpstreamId>();
     auto refuted = std::optional<Member>();
-    auto why = FailureReply{Failure::Busy, "no upstream could take the transaction in time", promotionRetry};
+    auto why = makeFailure(Failure::Busy, "no upstream could take the transaction in time", promotionRetry);
     for (auto attempt = 0; attempt < attempts && work.left() > Duration(0); ++attempt) {
-        auto picked = this->transaction->readOnly ? co_await this->pickReader(work, excluded, refuted) : co_await this->pickPrimary(work, refuted);
+        auto picked = co_await this->pick(!this->transaction->readOnly, work, excluded, refuted);
         if (auto *const none = std::get_if<FailureReply>(&picked)) {
             co_return std::move(*none);
         }
         const auto &target = std::get<Target>(picked);
-        auto elsewhere = co_await this->openAt(target, work);
-        if (!elsewhere) {
+        auto notOpened = co_await this->openAt(target, work);
+        if (!notOpened) {
             ++this->core->counts.transactions;
             co_return std::nullopt;
         }
-        why = std::move(elsewhere->why);
+        why = std::move(notOpened->why);
         this->core->parts.recorder->retried(work.service.id, why.failure);
         excluded.insert(target.member.upstream.id);
-        if (elsewhere->refuted) {
+        if (notOpened->refuted) {
             refuted = target.member;
         } else if (target.member.isPrimary && why.failure == Failure::Busy && !this->transaction->readOnly) {
             break;
@@ -452,13 +479,13 @@
 {
     auto leased = co_await this->acquire(target, work);
     if (auto *const none = std::get_if<FailureReply>(&leased)) {
-        co_return TryElsewhere{std::move(*none)};
+        co_return elsewhere(std::move(*none));
     }
     auto lease = std::get<LinkLease>(std::move(leased));
     // At a primary also a transaction that only reads begins as one that may write: a primary that was replaced refuses that.
     auto begin = commandOfKind(target.member.isPrimary ? CommandKind::Begin : CommandKind::BeginReadOnly);
     begin.after = target.after;
-    if (auto why = co_await prepareLink(lease.link(), this->state, work.shapePointer(), std::move(begin), work.left())) {
+    if (auto why = co_await prepareLink(lease.link(), this->state, work.shapePointer(), &begin, work.left())) {
         const auto refuted = why->failure == Failure::ReadOnly;
         if (refuted || why->failure == Failure::Lagging) {
             lease.giveBack();
@@ -466,7 +493,7 @@
             this->core->suspect(target.member);
             this->core->load.failed(target.member.upstream.id, support::now());
         }
-        co_return TryElsewhere{*std::move(why), refuted && target.member.isPrimary};
+        co_return elsewhere(*std::move(why), refuted && target.member.isPrimary);
     }
     this->transaction->member = target.member;
     this->transaction->lease.emplace(std::move(lease));
@@ -476,18 +503,18 @@
 auto CallerSession::runInTransaction(const Work &work) -> asio::awaitable<Reply>
 {
     if (this->core->abortsTransactions) {
-        co_return this->failTransaction({Failure::Aborted, "the proxy is stopping; connect again", std::chrono::milliseconds(0)});
+        co_return this->failTransaction(makeFailure(Failure::Aborted, "the proxy is stopping; connect again", std::chrono::milliseconds(0)));
     }
     if (work.access == Access::Write && this->transaction->readOnly) {
-        co_return this->failTransaction({Failure::ReadOnly, "the transaction was begun for reading only", {}});
+        co_return this->failTransaction(makeFailure(Failure::ReadOnly, "the transaction was begun for reading only"));
     }
     if (!this->transaction->lease) {
         if (auto why = co_await this->openTransaction(work)) {
             co_return this->failTransaction(*std::move(why));
         }
-    } else if (auto why = co_await prepareLink(this->transaction->lease->link(), this->state, work.shapePointer(), std::nullopt, work.left())) {
+    } else if (auto why = co_await prepareLink(this->transaction->lease->link(), this->state, work.shapePointer(), nullptr, work.left())) {
         this->core->suspect(this->transaction->member);
-        co_return this->failTransaction({Failure::Aborted, "the connection broke; the transaction was rolled back", {}});
+        co_return this->failTransaction(makeFailure(Failure::Aborted, "the connection broke; the transaction was rolled back"));
     }
     const auto command = commandOf(work.statement, this->transaction->lease->link().state, work.shapePointer());
     this->transaction->wrote = this->transaction->wrote || work.access == Access::Write;
@@ -495,20 +522,20 @@
     if (exchange.results.empty()) {
         this->core->suspect(this->transaction->member);
         // Without a commit nothing is kept: the upstream rolls back when its connection ends.
-        co_return this->failTransaction({Failure::Aborted, "no answer from the upstream; the transaction was rolled back", {}});
+        co_return this->failTransaction(makeFailure(Failure::Aborted, "no answer from the upstream; the transaction was rolled back"));
     }
     const auto &result = exchange.results.front();
     if (result.failure) {
         auto why = *result.failure;
         if (result.status != TransactionStatus::Failed && mayGoElsewhere(why.failure)) {
-            why = {Failure::Aborted, "the upstream took no statement in time; the transaction was rolled back", why.retryAfter};
+            why = makeFailure(Failure::Aborted, "the upstream took no statement in time; the transaction was rolled back", why.retryAfter);
         }
         auto reply = this->failTransaction(std::move(why));
         reply.position = result.position;
         co_return reply;
     }
     if (result.status != TransactionStatus::Open) {
-        co_return this->failTransaction({Failure::Aborted, "the upstream ended the transaction", {}});
+        co_return this->failTransaction(makeFailure(Failure::Aborted, "the upstream ended the transaction"));
     }
     if (this->transaction->member.isPrimary) {
         this->noteProof(this->transaction->member, exchange.sentAt, result.position);
@@ -537,16 +564,17 @@
 
 auto CallerSession::runCommit(const Work &work) -> asio::awaitable<Reply>
 {
-    const auto exchange = co_await this->exchangeInTransaction(work, commandOfKind(CommandKind::Commit, work.statement.id));
+    const auto command = commandOfKind(CommandKind::Commit, work.statement.id);
+    const auto exchange = co_await this->exchangeInTransaction(work, command);
     const auto ended = std::move(this->transaction);
     this->transactionStatus = TransactionStatus::None;
     --this->core->counts.transactions;
     if (exchange.results.empty()) {
         this->core->suspect(ended->member);
         if (!exchange.sent || !ended->wrote) {
-            co_return this->failed({Failure::Aborted, "the connection broke; nothing was written", {}});
+            co_return this->failed(makeFailure(Failure::Aborted, "the connection broke; nothing was written"));
         }
-        co_return this->failed({Failure::InDoubt, "the answer to the commit did not come", {}});
+        co_return this->failed(makeFailure(Failure::InDoubt, "the answer to the commit did not come"));
     }
     const auto &result = exchange.results.front();
     if (result.status == TransactionStatus::None) {
@@ -600,17 +628,23 @@
             return;
         }
         // A caller that rests in a transaction holds a connection that others wait for, and the locks of what it wrote.
-        self->failTransaction({Failure::Aborted, "the transaction was idle for too long", {}});
+        self->failTransaction(makeFailure(Failure::Aborted, "the transaction was idle for too long"));
     });
 }
 
+auto CallerSession::pick(bool needsPrimary, const Work &work, const std::set<UpstreamId> &excluded, const std::optional<Member> &refuted)
+    -> asio::awaitable<TargetResult>
+{
+    return needsPrimary ? this->pickPrimary(work, refuted) : this->pickReader(work, excluded, refuted);
+}
+
 auto CallerSession::pickPrimary(const Work &work, const std::optional<Member> &refuted) -> asio::awaitable<TargetResult>
 {
     auto primary = co_await this->core->awaitPrimary(work.service.group, refuted, std::min<Duration>(work.left(), work.service.timeout / promotionPart));
     if (!primary) {
-        co_return FailureReply{Failure::Busy, "group " + work.service.group.value() + " has no primary", promotionRetry};
+        co_return makeFailure(Failure::Busy, "group " + work.service.group.value() + " has no primary", promotionRetry);
     }
-    co_return Target{*std::move(primary), std::nullopt};
+    co_return targetAt(*std::move(primary), std::nullopt);
 }
 
 auto CallerSession::pickReader(const Work &work, const std::set<UpstreamId> &excluded, const std::optional<Member> &refuted) -> asio::awaitable<TargetResult>
@@ -635,7 +669,7 @@
     const auto member = std::find_if(members.begin(), members.end(), [chosen](const Member &candidate) {
         return candidate.upstream.id == chosen->upstream;
     });
-    co_return Target{*member, member->isPrimary ? std::nullopt : needed};
+    co_return targetAt(*member, member->isPrimary ? std::nullopt : needed);
 }
 
 auto CallerSession::neededPosition(const membership::ServiceView &service) const -> std::optional<DataPosition>
@@ -654,8 +688,8 @@
 auto CallerSession::acquire(const Target &target, const Work &work) -> asio::awaitable<LeaseResult>
 {
     const auto patience = std::min<Duration>(queuePatience(work.service), work.left());
-    auto result = co_await this->core->parts.pool->acquire(
-        target.member.group, target.member.upstream, LinkState{this->state.values, {}}, patience, std::min<Duration>(connectLimit, work.left()));
+    const auto connectTime = std::min<Duration>(connectLimit, work.left());
+    auto result = co_await this->core->parts.pool->acquire(target.member.group, target.member.upstream, this->state.values, patience, connectTime);
     if (const auto *const why = std::get_if<FailureReply>(&result); why != nullptr && why->failure != Failure::Busy) {
         this->core->load.failed(target.member.upstream.id, support::now());
         this->core->suspect(target.member);
--- a/lib/Interactive/callersession.h
+++ b/lib/Interactive/callersession.h
@@ -73,6 +73,9 @@
     using TargetResult = std::variant<Target, FailureReply>;
     using RunResult = std::variant<Reply, TryElsewhere>;
 
+    [[nodiscard]] static auto elsewhere(FailureReply why, bool refuted = false) -> TryElsewhere;
+    [[nodiscard]] static auto targetAt(Member member, std::optional<DataPosition> after) -> Target;
+
     auto dispatch(Statement statement) -> boost::asio::awaitable<Reply>;
     auto setValue(const Statement &statement) -> Reply;
     auto prepare(const Statement &statement) -> Reply;
@@ -82,7 +85,7 @@
     auto commit(Statement statement) -> boost::asio::awaitable<Reply>;
     auto run(Statement statement) -> boost::asio::awaitable<Reply>;
 
-    auto runSingle(Work work) -> boost::asio::awaitable<Reply>;
+    auto runSingle(const Work &work) -> boost::asio::awaitable<Reply>;
     auto runAt(const Target &target, const Work &work) -> boost::asio::awaitable<RunResult>;
     auto runWrite(LinkLease lease, const Target &target, const Work &work) -> boost::asio::awaitable<RunResult>;
     auto runReplicaRead(LinkLease lease, const Target &target, const Work &work) -> boost::asio::awaitable<RunResult>;
@@ -98,6 +101,8 @@
     auto watchIdle() -> void;
 
     /// \param refuted member that turned out not to be the primary
+    auto pick(bool needsPrimary, const Work &work, const std::set<UpstreamId> &excluded, const std::optional<Member> &refuted)
+        -> boost::asio::awaitable<TargetResult>;
     auto pickPrimary(const Work &work, const std::optional<Member> &refuted) -> boost::asio::awaitable<TargetResult>;
     auto pickReader(const Work &work, const std::set<UpstreamId> &excluded, const std::optional<Member> &refuted) -> boost::asio::awaitable<TargetResult>;
     [[nodiscard]] auto neededPosition(const membership::ServiceView &service) const -> std::optional<DataPosition>;
--- a/lib/Interactive/linkpool.cpp
+++ b/lib/Interactive/linkpool.cpp
@@ -70,7 +70,7 @@
     {
     }
 
-    auto acquire(GroupId group, membership::UpstreamView upstream, const LinkState &wanted, Duration patience, Duration connectLimit)
+    auto acquire(GroupId group, membership::UpstreamView upstream, const SessionValues &wanted, Duration patience, Duration connectLimit)
         -> asio::awaitable<LeaseResult> override
     {
         const auto self = this->shared_from_this();
@@ -156,7 +156,7 @@
         return {place.idle.size(), place.busy, place.waiters.size()};
     }
 
-    static auto takeIdle(Place &place, const LinkState &wanted) -> std::shared_ptr<UpstreamLink>
+    static auto takeIdle(Place &place, const SessionValues &wanted) -> std::shared_ptr<UpstreamLink>
     {
         std::erase_if(place.idle, [](const std::shared_ptr<UpstreamLink> &link) {
             if (!link->isUsable()) {
@@ -169,7 +169,7 @@
             return nullptr;
         }
         auto found = std::find_if(place.idle.rbegin(), place.idle.rend(), [&wanted](const std::shared_ptr<UpstreamLink> &link) {
-            return link->state.values == wanted.values;
+            return link->state.values == wanted;
         });
         if (found == place.idle.rend()) {
             found = place.idle.rbegin();
--- a/lib/Interactive/statementrun.cpp
+++ b/lib/Interactive/statementrun.cpp
@@ -98,12 +98,12 @@
     return command;
 }
 
-auto prepareLink(UpstreamLink &link, const SessionState &session, const PreparedShape *shape, std::optional<Command> last, Duration limit)
+auto prepareLink(UpstreamLink &link, const SessionState &session, const PreparedShape *shape, const Command *last, Duration limit)
     -> boost::asio::awaitable<std::optional<FailureReply>>
 {
     auto commands = stateCommands(link.state, session, shape);
-    if (last) {
-        commands.push_back(*std::move(last));
+    if (last != nullptr) {
+        commands.push_back(*last);
     }
     if (commands.empty()) {
         co_return std::nullopt;
@@ -116,7 +116,8 @@
         noteDone(link.state, commands[place]);
     }
     if (exchange.broken || exchange.results.size() < commands.size()) {
-        co_return FailureReply{Failure::Busy, "the connection broke before the statement was sent", {}};
+        auto why = FailureReply{Failure::Busy, "the connection broke before the statement was sent", {}};
+        co_return why;
     }
     co_return std::nullopt;
 }
--- a/lib/Interactive/statementrun.h
+++ b/lib/Interactive/statementrun.h
@@ -17,7 +17,7 @@
 /// Values and prepared names of a caller's session, as they were acknowledged to the caller.
 struct SessionState
 {
-    std::map<std::string, std::string> values;
+    SessionValues values;
     std::map<std::string, PreparedShape> prepared;
 };
 
@@ -38,11 +38,11 @@
 /// \return \p statement as it is sent on a link in state \p link
 [[nodiscard]] auto commandOf(const Statement &statement, const LinkState &link, const PreparedShape *shape) -> Command;
 
-/// Sends what brings \p link to the state of \p session, and \p last after it.
+/// Sends what brings \p link to the state of \p session, and \p last after it if there is one.
 /// \return the failure of the first command that failed; nothing if all succeeded
 ///
 /// Nothing of the caller's is among the commands, so that after a failure nothing of it can have run.
-auto prepareLink(UpstreamLink &link, const SessionState &session, const PreparedShape *shape, std::optional<Command> last, Duration limit)
+auto prepareLink(UpstreamLink &link, const SessionState &session, const PreparedShape *shape, const Command *last, Duration limit)
     -> boost::asio::awaitable<std::optional<FailureReply>>;
 
 } // namespace sapphirespool::interactive
--- /dev/null
+++ b/unittests/Interactive/sessionfixture.h
@@ -0,0 +1,157 @@
+// sessionfixture.h: sessions of one proxy before a fake group.
+#pragma once
+
+#include "Interactive/fakedatabases.h"
+
+#include "sapphirespool/Interactive/session.h"
+#include "sapphirespool/Support/clock.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace sapphirespool::interactive
+{
+
+class SilentRecorder : public SessionRecorder
+{
+public:
+    auto served(const ServiceId &, Access, bool byPrimary, Duration) -> void override
+    {
+        ++(byPrimary ? this->byPrimary : this->byReplica);
+    }
+
+    auto refused(const ServiceId &, Failure) -> void override
+    {
+    }
+
+    auto retried(const ServiceId &, Failure) -> void override
+    {
+        ++this->retries;
+    }
+
+    std::size_t byPrimary = 0;
+    std::size_t byReplica = 0;
+    std::size_t retries = 0;
+};
+
+/// One proxy with its sessions.
+struct Proxy
+{
+    explicit Proxy(membership::Consistency consistency, std::chrono::milliseconds readAge = std::chrono::milliseconds(0))
+    {
+        this->databases.service.consistency = consistency;
+        this->databases.service.readAge = readAge;
+        this->publish();
+        auto parts = SessionServiceParts();
+        parts.zone = ZoneId("zone-b");
+        parts.views = this->views;
+        parts.pool = makeLinkPool(this->databases.connector(), this->io.get_executor());
+        parts.recorder = this->recorder;
+        parts.executor = this->io.get_executor();
+        this->pool = parts.pool;
+        this->service = makeSessionService(std::move(parts));
+    }
+
+    /// Gives the proxy the view that the databases' fields describe.
+    auto publish() -> void
+    {
+        this->views->publish(this->databases.view());
+        this->views->extendLease(support::now() + std::chrono::hours(1));
+        if (this->service != nullptr) {
+            this->service->viewChanged();
+        }
+    }
+
+    auto open() -> std::shared_ptr<Session>
+    {
+        return std::get<std::shared_ptr<Session>>(this->service->open("orders"));
+    }
+
+    /// Starts \p statement; the answer is there once the loop has run.
+    auto start(const std::shared_ptr<Session> &session, Statement statement) -> std::shared_ptr<std::optional<Reply>>
+    {
+        auto place = std::make_shared<std::optional<Reply>>();
+        boost::asio::co_spawn(this->io, execute(session, std::move(statement), place), boost::asio::detached);
+        return place;
+    }
+
+    auto run(const std::shared_ptr<Session> &session, Statement statement) -> Reply
+    {
+        const auto place = this->start(session, std::move(statement));
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        while (!place->has_value() && std::chrono::steady_clock::now() < end) {
+            this->io.restart();
+            this->io.run_one_for(std::chrono::milliseconds(10));
+        }
+        return place->value();
+    }
+
+    /// Lets what is ready run, and time pass.
+    auto pass(std::chrono::milliseconds time) -> void
+    {
+        this->io.restart();
+        this->io.run_for(time);
+    }
+
+    boost::asio::io_context io;
+    FakeDatabases databases;
+    std::shared_ptr<membership::ViewHolder> views = std::make_shared<membership::ViewHolder>();
+    std::shared_ptr<SilentRecorder> recorder = std::make_shared<SilentRecorder>();
+    std::shared_ptr<LinkPool> pool;
+    std::shared_ptr<SessionService> service;
+
+private:
+    static auto execute(std::shared_ptr<Session> session, Statement statement, std::shared_ptr<std::optional<Reply>> place) -> boost::asio::awaitable<void>
+    {
+        *place = co_await session->execute(std::move(statement));
+    }
+};
+
+inline auto statementOf(StatementKind kind, std::string text = {}) -> Statement
+{
+    auto statement = Statement();
+    statement.id = "s1";
+    statement.kind = kind;
+    statement.text = std::move(text);
+    return statement;
+}
+
+inline auto store(const std::string &item, const std::string &data) -> Statement
+{
+    return statementOf(StatementKind::Write, "STORE " + item + " " + data);
+}
+
+inline auto fetch(const std::string &item) -> Statement
+{
+    return statementOf(StatementKind::Read, "FETCH " + item);
+}
+
+inline auto setValue(const std::string &name, const std::string &value) -> Statement
+{
+    auto statement = statementOf(StatementKind::SetValue, value);
+    statement.name = name;
+    return statement;
+}
+
+inline auto prepareShape(const std::string &name, bool writes, const std::string &shape) -> Statement
+{
+    auto statement = statementOf(StatementKind::Prepare);
+    statement.name = name;
+    statement.shape = {writes, shape};
+    return statement;
+}
+
+inline auto executePrepared(const std::string &name, const std::string &arguments) -> Statement
+{
+    auto statement = statementOf(StatementKind::Execute, arguments);
+    statement.name = name;
+    return statement;
+}
+
+} // namespace sapphirespool::interactive
