--- a/include/sapphirespool/Consensus/core.h
+++ b/include/sapphirespool/Consensus/core.h
@@ -39,6 +39,8 @@
 
     [[nodiscard]] auto role() const -> CoreRole;
     [[nodiscard]] auto term() const -> ElectionTerm;
+    /// \return for how long this leader has heard nothing from \p replica; of use while it leads
+    [[nodiscard]] auto silence(ReplicaId replica) const -> Duration;
     [[nodiscard]] auto leader() const -> std::optional<ReplicaId>;
     [[nodiscard]] auto commitIndex() const -> LogIndex;
     [[nodiscard]] auto log() const -> const LogWindow &;
--- a/include/sapphirespool/Membership/controllink.h
+++ b/include/sapphirespool/Membership/controllink.h
@@ -86,6 +86,9 @@
 
     virtual auto suspect(Suspicion suspicion) -> void = 0;
 
+    /// Says where control VMs can be found, in place of what was said before.
+    virtual auto setControlVms(std::vector<Endpoint> controlVms) -> void = 0;
+
     /// Says that this proxy takes no new work.
     virtual auto leave() -> void = 0;
 
--- a/include/sapphirespool/Node/node.h
+++ b/include/sapphirespool/Node/node.h
@@ -31,6 +31,9 @@
     /// \throws StartFailure
     virtual auto start() -> void = 0;
 
+    /// Takes over what may change in the settings while the VM serves: where control VMs are found. The rest waits for a restart.
+    virtual auto reload(const settings::Settings &settings) -> void = 0;
+
     /// Graceful shutdown: cuts no request. Returns once all work is done and everything is closed.
     virtual auto drain() -> void = 0;
 };
--- a/include/sapphirespool/Settings/settings.h
+++ b/include/sapphirespool/Settings/settings.h
@@ -45,6 +45,8 @@
     ZoneId zone;
     bool proxy = false;
     bool control = false;
+    /// Serves operators and upstreams beside the control VMs, without state of its own.
+    bool operatorsOnly = false;
     /// Where callers and operators connect; set for a proxy.
     Endpoint callers;
     /// Where other proxies connect; set for a proxy.
@@ -61,6 +63,14 @@
     std::string dataFolder;
     /// The VMs of the control group at its first start, and where proxies first ask.
     std::vector<ControlAddress> controlMembers;
+    /// Whether \a controlMembers are only some of the control VMs, by which the others are found.
+    bool controlFoundBySeeds = false;
+    /// Where this VM's control role listens if no entry of \a controlMembers says it.
+    Endpoint controlAddress;
+    /// Whether this may be the very first start of the system, at which the control group is founded.
+    bool mayFoundGroup = true;
+    /// Control VMs that may be lost at once.
+    std::uint32_t controlLosses = 3;
     std::uint32_t trafficThreads = 1;
     /// How often upstreams announce themselves.
     std::chrono::milliseconds announcementInterval{200};
--- a/include/sapphirespool/Support/events.h
+++ b/include/sapphirespool/Support/events.h
@@ -22,6 +22,7 @@
     ProcessStopped = 1003,
     SettingsRejected = 1004,
     ListenFailed = 1005,
+    SettingsReloaded = 1006,
     CallerRequestRefused = 1101,
     CallerConnectionRefused = 1102,
     UpstreamConnectionClosed = 1201,
--- a/lib/Consensus/formation.cpp
+++ b/lib/Consensus/formation.cpp
@@ -22,9 +22,11 @@
 
 } // namespace
 
-Formation::Formation(VmId self, std::vector<ControlMember> initialMembers)
+Formation::Formation(VmId self, std::vector<ControlMember> initialMembers, bool mayFound, bool openToOthers)
     : self(std::move(self))
     , initialMembers(std::move(initialMembers))
+    , mayFound(mayFound)
+    , openToOthers(openToOthers)
 {
 }
 
@@ -39,7 +41,7 @@
 
 auto Formation::shouldFound() const -> bool
 {
-    if (this->initialMembers.empty() || this->initialMembers.front().vm != this->self) {
+    if (!this->mayFound || this->initialMembers.empty() || this->initialMembers.front().vm != this->self) {
         return false;
     }
     return std::all_of(this->initialMembers.begin(), this->initialMembers.end(), [this](const ControlMember &member) {
@@ -49,7 +51,7 @@
 
 auto Formation::noteRequest(const JoinRequest &request, const Members &group, TimePoint now) -> void
 {
-    if (contains(this->initialMembers, request.vm) || contains(group.members, request.vm)) {
+    if (this->openToOthers || contains(this->initialMembers, request.vm) || contains(group.members, request.vm)) {
         this->wanting[request.vm] = DatedRequest{request, now};
     }
 }
--- a/lib/Consensus/formation.h
+++ b/lib/Consensus/formation.h
@@ -17,7 +17,9 @@
 class Formation
 {
 public:
-    Formation(VmId self, std::vector<ControlMember> initialMembers);
+    /// \param mayFound whether this may be the very first start of the system
+    /// \param openToOthers whether VMs may join that neither the settings nor the group name
+    Formation(VmId self, std::vector<ControlMember> initialMembers, bool mayFound = true, bool openToOthers = false);
 
     /// Notes that \p vm answered whether it is of no group.
     auto noteAnswer(const VmId &vm, bool empty) -> void;
@@ -25,7 +27,7 @@
     /// \return whether this VM has to found the group; meaningful while it is of none
     [[nodiscard]] auto shouldFound() const -> bool;
 
-    /// Notes a request to join. One of a VM that is neither in the settings nor in \p group is dropped.
+    /// Notes a request to join. One of a VM that is neither in the settings nor in \p group is dropped, unless others may join.
     auto noteRequest(const JoinRequest &request, const Members &group, TimePoint now) -> void;
 
     /// \return the requests that were repeated lately
@@ -40,6 +42,8 @@
 
     VmId self;
     std::vector<ControlMember> initialMembers;
+    bool mayFound;
+    bool openToOthers;
     std::set<VmId> emptyVms;
     std::map<VmId, DatedRequest> wanting;
 };
--- a/lib/Consensus/membership.cpp
+++ b/lib/Consensus/membership.cpp
@@ -49,6 +49,12 @@
     return lately && peer.match >= this->commit && peer.match >= this->termStart;
 }
 
+auto Core::silence(ReplicaId replica) const -> Duration
+{
+    const auto found = this->progress.find(replica);
+    return found == this->progress.end() ? Duration(0) : this->now - found->second.heardAt;
+}
+
 auto Core::mayBecome(const Members &next) const -> bool
 {
     auto changes = std::size_t(0);
--- a/lib/Consensus/peerlink.cpp
+++ b/lib/Consensus/peerlink.cpp
@@ -102,7 +102,7 @@
     }));
 }
 
-auto PeerLink::join(const ControlMember &self, std::function<void(bool)> answered) -> void
+auto PeerLink::join(const ControlMember &self, std::function<void(JoinAnswer)> answered) -> void
 {
     if (!this->ready()) {
         return;
@@ -112,7 +112,11 @@
     ++this->unanswered;
     this->tasks.add(request.send().then([this, answered = std::move(answered)](auto &&answer) {
         this->noteAnswer();
-        answered(answer.getEmpty());
+        auto heard = JoinAnswer{answer.getEmpty(), {}};
+        for (const auto member : answer.getMembers()) {
+            heard.members.push_back(read(member));
+        }
+        answered(std::move(heard));
     }));
 }
 
--- a/lib/Consensus/peerlink.h
+++ b/lib/Consensus/peerlink.h
@@ -14,6 +14,15 @@
 namespace sapphirespool::consensus
 {
 
+/// What a control VM says to one that wants to join.
+struct JoinAnswer
+{
+    /// Whether it is of no group itself.
+    bool empty = false;
+    /// The group that it is of.
+    std::vector<ControlMember> members;
+};
+
 /// Connects when there is something to send, and again after a failure. Messages that cannot be sent are dropped: the core sends
 /// again what matters.
 class PeerLink : private kj::TaskSet::ErrorHandler
@@ -27,8 +36,8 @@
     /// Gives the message to the VM at the other end; \p write fills it.
     auto deliver(const std::function<void(schema::Message::Builder)> &write) -> void;
 
-    /// Asks to be taken in; \p answered gets whether the other VM is of no group either.
-    auto join(const ControlMember &self, std::function<void(bool)> answered) -> void;
+    /// Asks to be taken in; \p answered gets what the other VM says.
+    auto join(const ControlMember &self, std::function<void(JoinAnswer)> answered) -> void;
 
 private:
     auto taskFailed(kj::Exception &&exception) -> void override;
--- a/lib/Consensus/repair.cpp
+++ b/lib/Consensus/repair.cpp
@@ -44,7 +44,27 @@
     });
 }
 
-auto changeForLearner(const MemberList &members, const std::function<bool(ReplicaId)> &caughtUp) -> std::optional<MemberList>
+auto voterCount(const MemberList &members) -> std::size_t
+{
+    const auto count = std::count_if(members.begin(), members.end(), [](const ControlMember &member) {
+        return member.voter;
+    });
+    return static_cast<std::size_t>(count);
+}
+
+/// \return a member that is lost and is a voter or not, as asked
+auto lostMember(const MemberList &members, bool voter, const RepairRules &rules) -> const ControlMember *
+{
+    if (!rules.lost) {
+        return nullptr;
+    }
+    const auto found = std::find_if(members.begin(), members.end(), [voter, &rules](const ControlMember &member) {
+        return member.voter == voter && rules.lost(member.replica);
+    });
+    return found == members.end() ? nullptr : &*found;
+}
+
+auto changeForLearner(const MemberList &members, const std::function<bool(ReplicaId)> &caughtUp, const RepairRules &rules) -> std::optional<MemberList>
 {
     for (const auto &member : members) {
         if (member.voter || !caughtUp(member.replica)) {
@@ -53,21 +73,31 @@
         if (const auto *const former = formerReplica(members, member)) {
             return without(members, former->replica);
         }
-        return promoted(members, member.replica);
+        if (voterCount(members) < rules.voters) {
+            return promoted(members, member.replica);
+        }
+        if (const auto *const lost = lostMember(members, true, rules)) {
+            return without(members, lost->replica);
+        }
     }
     return std::nullopt;
 }
 
 } // namespace
 
-auto nextMemberChange(const Members &group, std::span<const JoinRequest> requests, const std::function<bool(ReplicaId)> &caughtUp)
-    -> std::optional<std::vector<ControlMember>>
+auto nextMemberChange(const Members &group,
+                      std::span<const JoinRequest> requests,
+                      const std::function<bool(ReplicaId)> &caughtUp,
+                      const RepairRules &rules) -> std::optional<std::vector<ControlMember>>
 {
-    if (auto change = changeForLearner(group.members, caughtUp)) {
+    if (auto change = changeForLearner(group.members, caughtUp, rules)) {
         return change;
     }
+    if (const auto *const lost = lostMember(group.members, false, rules)) {
+        return without(group.members, lost->replica);
+    }
     for (const auto &request : requests) {
-        if (contains(group.members, request.replica)) {
+        if (contains(group.members, request.replica) || group.members.size() >= rules.members) {
             continue;
         }
         auto next = group.members;
--- a/lib/Consensus/replica.cpp
+++ b/lib/Consensus/replica.cpp
@@ -30,6 +30,10 @@
 /// Or after this many bytes of commands, so that large commands do not fill the memory.
 constexpr auto snapshotBytes = std::size_t(8 * 1024 * 1024);
 
+/// A voter that is silent for so long gives its place to a learner, if there is one. A VM that restarts is back within this time; one
+/// that comes back later joins again as a learner.
+constexpr auto replaceAfter = std::chrono::milliseconds(4'000);
+
 using ProposalDone = std::function<void(ProposalOutcome)>;
 using ReadDone = std::function<void(std::optional<ProposalFailure>)>;
 
@@ -87,6 +91,7 @@
     auto snapshotIfDue() -> void;
     auto runFormation() -> void;
     auto askToJoin() -> void;
+    [[nodiscard]] auto repairRules() const -> RepairRules;
     auto proposeMembers(std::vector<ControlMember> members, ProposalDone done) -> void;
     auto linkTo(const VmId &vm) -> PeerLink *;
     auto vmOf(ReplicaId replica) const -> std::optional<VmId>;
@@ -100,6 +105,8 @@
     ReplicaId self;
     std::unique_ptr<Core> core;
     Formation formation;
+    /// Members of the group, as others told this VM while it is of none.
+    std::vector<ControlMember> heardOf;
     std::unique_ptr<DiskThread> disk;
 
     std::vector<DiskWrite> waitingWrites;
@@ -134,7 +141,13 @@
 
     auto join(JoinContext call) -> kj::Promise<void> override
     {
-        call.getResults().setEmpty(this->node.joinAsked(read(call.getParams().getMember())));
+        auto answer = call.getResults();
+        answer.setEmpty(this->node.joinAsked(read(call.getParams().getMember())));
+        const auto members = this->node.members();
+        auto list = answer.initMembers(static_cast<unsigned>(members.size()));
+        for (auto place = 0U; place < list.size(); ++place) {
+            write(members[place], list[place]);
+        }
         return kj::READY_NOW;
     }
 
@@ -149,7 +162,7 @@
     , machine(machine)
     , folder(std::move(folder))
     , self(store->replica())
-    , formation(this->settings.vm, this->settings.initialMembers)
+    , formation(this->settings.vm, this->settings.initialMembers, this->settings.mayFound, this->settings.openToOthers)
     , tasks(*this)
 {
     auto coreSettings = CoreSettings();
@@ -310,9 +323,10 @@
         }
     } else if (this->core->acceptsMemberChange()) {
         const auto requests = this->formation.requests(clockNow());
-        const auto change = nextMemberChange(this->core->members(), requests, [this](ReplicaId replica) {
+        const auto caughtUp = [this](ReplicaId replica) {
             return this->core->caughtUp(replica);
-        });
+        };
+        const auto change = nextMemberChange(this->core->members(), requests, caughtUp, this->repairRules());
         if (change) {
             this->proposeMembers(*change, [](const ProposalOutcome &) {});
         }
@@ -324,16 +338,35 @@
 
 auto ReplicaNode::askToJoin() -> void
 {
-    for (const auto &member : this->settings.initialMembers) {
+    auto asked = this->settings.initialMembers;
+    asked.insert(asked.end(), this->heardOf.begin(), this->heardOf.end());
+    for (const auto &member : asked) {
         if (member.vm == this->settings.vm) {
             continue;
         }
-        this->linkTo(member.vm)->join(this->selfMember(), [this, vm = member.vm](bool empty) {
-            this->formation.noteAnswer(vm, empty);
+        this->linkTo(member.vm)->join(this->selfMember(), [this, vm = member.vm](JoinAnswer answer) {
+            this->formation.noteAnswer(vm, answer.empty);
+            // Only the leader takes VMs in, and the settings may not name it.
+            if (!answer.members.empty()) {
+                this->heardOf = std::move(answer.members);
+            }
         });
     }
 }
 
+auto ReplicaNode::repairRules() const -> RepairRules
+{
+    auto rules = RepairRules();
+    rules.voters = this->settings.voters;
+    if (this->settings.openToOthers) {
+        rules.members = 2 * this->settings.voters;
+        rules.lost = [this](ReplicaId replica) {
+            return replica != this->self && this->core->silence(replica) > replaceAfter;
+        };
+    }
+    return rules;
+}
+
 auto ReplicaNode::joinAsked(const ControlMember &member) -> bool
 {
     this->formation.noteRequest(JoinRequest{member.vm, member.endpoint, member.replica}, this->core->members(), clockNow());
@@ -369,6 +402,7 @@
     }
     auto candidates = this->core->members().members;
     candidates.insert(candidates.end(), this->settings.initialMembers.begin(), this->settings.initialMembers.end());
+    candidates.insert(candidates.end(), this->heardOf.begin(), this->heardOf.end());
     for (const auto &member : candidates) {
         if (member.vm == vm) {
             return this->links.emplace(vm, std::make_unique<PeerLink>(this->context, member.endpoint)).first->second.get();
--- a/lib/Control/controlserver.cpp
+++ b/lib/Control/controlserver.cpp
@@ -72,6 +72,16 @@
         }
     }
 
+    template <typename Lease>
+    auto writeControlVms(Lease lease) const -> void
+    {
+        const auto members = this->replica.members();
+        auto list = lease.initControlVms(static_cast<unsigned>(members.size()));
+        for (auto place = 0U; place < list.size(); ++place) {
+            write(members[place].endpoint, list[place]);
+        }
+    }
+
     /// \return a promise fulfilled at the next change of the view, or when it is time to answer anyway
     auto awaitChange() -> kj::Promise<void>
     {
@@ -196,6 +206,7 @@
                 auto lease = answer.initLease();
                 lease.setLengthMs(static_cast<std::uint64_t>(grant->length.count()));
                 lease.setFloor(grant->floor.value());
+                this->shared->writeControlVms(lease);
             } else {
                 write(std::get<NotRun>(given), answer.initRefused());
             }
--- a/lib/Control/linkloop.cpp
+++ b/lib/Control/linkloop.cpp
@@ -61,8 +61,10 @@
     if (this->redirected) {
         return *std::exchange(this->redirected, std::nullopt);
     }
-    const auto &vms = this->settings.controlVms;
-    return vms.at(this->nextVm++ % vms.size());
+    // Those of the settings and those that the group named: the settings may name VMs that have been replaced since.
+    const auto &given = this->settings.controlVms;
+    const auto place = this->nextVm++ % (given.size() + this->heardOf.size());
+    return place < given.size() ? given[place] : this->heardOf[place - given.size()];
 }
 
 auto LinkLoop::runSessions() -> kj::Promise<void>
@@ -149,6 +151,10 @@
     this->suspicions.erase(this->suspicions.begin(), this->suspicions.begin() + static_cast<std::ptrdiff_t>(this->suspicionsSent));
     if (answer.isLease()) {
         const auto lease = answer.getLease();
+        this->heardOf.clear();
+        for (const auto endpoint : lease.getControlVms()) {
+            this->heardOf.push_back(read(endpoint));
+        }
         this->leases.granted(sentAt + std::chrono::milliseconds(lease.getLengthMs()), Revision(lease.getFloor()));
     }
 }
@@ -220,6 +226,11 @@
     this->wakeHeartbeat();
 }
 
+auto LinkLoop::setControlVms(std::vector<Endpoint> controlVms) -> void
+{
+    this->settings.controlVms = std::move(controlVms);
+}
+
 auto LinkLoop::leave() -> void
 {
     this->leaving = true;
--- a/lib/Control/linkloop.h
+++ b/lib/Control/linkloop.h
@@ -32,6 +32,7 @@
 
     auto announce(platform::Announcement announcement) -> void;
     auto suspect(membership::Suspicion suspicion) -> void;
+    auto setControlVms(std::vector<Endpoint> controlVms) -> void;
     auto leave() -> void;
     auto changeConfiguration(membership::ConfigurationChange change, std::function<void(membership::ConfigurationOutcome)> done) -> void;
     auto readConfiguration(std::function<void(membership::ConfigurationReadOutcome)> done) -> void;
@@ -67,6 +68,8 @@
     ProxyLinkSettings settings;
     membership::ViewHolder &holder;
     LeaseKeeper leases;
+    /// Control VMs that the group named last.
+    std::vector<Endpoint> heardOf;
     std::size_t nextVm = 0;
     std::optional<Endpoint> redirected;
     kj::Maybe<schema::Control::Client> client;
--- a/lib/Control/proxylink.cpp
+++ b/lib/Control/proxylink.cpp
@@ -47,6 +47,13 @@
         });
     }
 
+    auto setControlVms(std::vector<Endpoint> controlVms) -> void override
+    {
+        this->post([controlVms = std::move(controlVms)](LinkLoop &link) {
+            link.setControlVms(controlVms);
+        });
+    }
+
     auto leave() -> void override
     {
         this->post([](LinkLoop &link) {
--- a/lib/Node/controlapi.cpp
+++ b/lib/Node/controlapi.cpp
@@ -31,6 +31,11 @@
     });
 }
 
+auto ControlApi::setControlVms(const std::vector<Endpoint> &controlVms) -> void
+{
+    this->control->setControlVms(controlVms);
+}
+
 auto ControlApi::close() -> void
 {
     this->traffic.runOnDispatch([this] {
--- a/lib/Node/controlapi.h
+++ b/lib/Node/controlapi.h
@@ -9,6 +9,7 @@
 #include "sapphirespool/Support/types.h"
 
 #include <memory>
+#include <vector>
 
 namespace sapphirespool::node
 {
@@ -20,6 +21,8 @@
     /// Starts to listen.
     ControlApi(rpc::LoopThread &controlLoop, TrafficThreads &traffic, const settings::Settings &settings, Incarnation incarnation, Edge &edge);
 
+    auto setControlVms(const std::vector<Endpoint> &controlVms) -> void;
+
     auto close() -> void;
 
 private:
--- a/lib/Node/interactivepart.cpp
+++ b/lib/Node/interactivepart.cpp
@@ -68,6 +68,11 @@
         });
     }
 
+    auto setControlVms(const std::vector<Endpoint> &controlVms) -> void
+    {
+        this->control->setControlVms(controlVms);
+    }
+
     auto drain() -> void
     {
         auto drained = std::make_shared<std::promise<void>>();
@@ -202,6 +207,11 @@
     this->parts->start();
 }
 
+auto InteractivePart::setControlVms(const std::vector<Endpoint> &controlVms) -> void
+{
+    this->parts->setControlVms(controlVms);
+}
+
 auto InteractivePart::drain() -> void
 {
     this->parts->drain();
--- a/lib/Node/interactivepart.h
+++ b/lib/Node/interactivepart.h
@@ -9,6 +9,7 @@
 #include "sapphirespool/Support/types.h"
 
 #include <memory>
+#include <vector>
 
 namespace sapphirespool::node
 {
@@ -25,6 +26,8 @@
     /// Opens the ports.
     auto start() -> void;
 
+    auto setControlVms(const std::vector<Endpoint> &controlVms) -> void;
+
     /// Drains and then returns.
     auto drain() -> void;
 
--- a/lib/Node/node.cpp
+++ b/lib/Node/node.cpp
@@ -58,6 +58,21 @@
         support::log(support::Event::ProcessStarted, {{"vm", this->settings.vm.value()}, {"zone", this->settings.zone.value()}});
     }
 
+    auto reload(const settings::Settings &changed) -> void override
+    {
+        auto controlVms = std::vector<Endpoint>();
+        for (const auto &member : changed.controlMembers) {
+            controlVms.push_back(member.endpoint);
+        }
+        if (this->interactivePart) {
+            this->interactivePart->setControlVms(controlVms);
+        }
+        if (this->controlApi) {
+            this->controlApi->setControlVms(controlVms);
+        }
+        support::log(support::Event::SettingsReloaded, {{"vm", this->settings.vm.value()}, {"control_vms", std::uint64_t{controlVms.size()}}});
+    }
+
     auto drain() -> void override
     {
         support::log(support::Event::ProcessDraining, {{"vm", this->settings.vm.value()}});
@@ -77,7 +92,7 @@
         if (this->settings.control) {
             this->controlPart = std::make_unique<ControlPart>(this->controlLoop, this->settings, this->controlEdge(), drawNumber());
         }
-        if (this->settings.control && this->edge && this->settings.operators.port != 0) {
+        if (this->edge && this->settings.operators.port != 0) {
             this->controlApi = std::make_unique<ControlApi>(this->controlLoop, this->traffic, this->settings, Incarnation(drawNumber()), *this->edge);
         }
         if (this->settings.proxy && this->edge) {
--- a/lib/Settings/settings.cpp
+++ b/lib/Settings/settings.cpp
@@ -35,6 +35,9 @@
 constexpr auto balancerDelayRange = support::DurationRange{0ms, 60'000ms};
 /// Five voters bear the loss of two VMs, seven that of three; more only slow the commits down.
 constexpr auto portRange = support::NumberRange{1, 65'535};
+/// Three losses need seven voters.
+constexpr auto lossesRange = support::NumberRange{1, 3};
+constexpr auto yesOrNo = std::to_array<std::string_view>({"true", "false"});
 constexpr auto controlMemberLimit = std::size_t{7};
 
 /// \return the endpoint in for example `127.0.0.1:8480` or `[::1]:8480`
@@ -84,12 +87,14 @@
             settings.proxy = true;
         } else if (role == "control") {
             settings.control = true;
+        } else if (role == "operators") {
+            settings.operatorsOnly = true;
         } else {
-            map.report("roles", "unknown role '" + role + "'", "use proxy, control or both");
+            map.report("roles", "unknown role '" + role + "'", "use proxy, control, operators or some of them");
         }
     }
-    if (!settings.proxy && !settings.control) {
-        map.report("roles", "the VM has no role", "add roles: [proxy], [control] or both");
+    if (!settings.proxy && !settings.control && !settings.operatorsOnly) {
+        map.report("roles", "the VM has no role", "add roles: [proxy], [control] or [operators]");
     }
 }
 
@@ -113,6 +118,9 @@
 auto readControlMembers(YamlMap &map) -> std::vector<ControlAddress>
 {
     auto members = readControlSeeds(map);
+    if (!members.empty()) {
+        return members;
+    }
     for (auto &entry : map.maps("control_members")) {
         auto member = ControlAddress{VmId(entry.text("vm")), readEndpoint(entry, "address")};
         entry.rejectOthers();
@@ -183,11 +191,16 @@
         settings.readiness = readOptionalEndpoint(map, "readiness");
         settings.keyWarmup = map.duration("key_warmup", keyWarmupRange, settings.keyWarmup);
     }
+    if (settings.control || settings.operatorsOnly) {
+        settings.operators = readOptionalEndpoint(map, "operators");
+    }
     if (settings.control) {
         settings.dataFolder = map.text("data");
-        settings.operators = readOptionalEndpoint(map, "operators");
         settings.promotionService = readOptionalEndpoint(map, "promotion_service");
         settings.announcementInterval = map.duration("announcement_interval", announcementRange, settings.announcementInterval);
+        settings.controlAddress = readOptionalEndpoint(map, "control");
+        settings.mayFoundGroup = map.choice("first_start", yesOrNo, 0) == 0;
+        settings.controlLosses = static_cast<std::uint32_t>(map.number("control_losses", lossesRange, settings.controlLosses));
         if (!settings.controlEndpoint()) {
             map.report("vm", "the VM has the control role and is no control member", "add it to control_members or remove the role");
         }
@@ -201,6 +214,7 @@
     settings.vm = VmId(map.text("vm"));
     settings.zone = ZoneId(map.text("zone"));
     readRoles(map, settings);
+    settings.controlFoundBySeeds = map.has("control_seeds");
     settings.controlMembers = readControlMembers(map);
     readRoleFields(map, settings);
     settings.trafficThreads = static_cast<std::uint32_t>(map.number("traffic_threads", trafficThreadRange, settings.trafficThreads));
@@ -229,10 +243,13 @@
     const auto found = std::find_if(this->controlMembers.begin(), this->controlMembers.end(), [this](const ControlAddress &member) {
         return member.vm == this->vm;
     });
-    if (!this->control || found == this->controlMembers.end()) {
+    if (!this->control) {
         return std::nullopt;
     }
-    return found->endpoint;
+    if (this->controlAddress.port != 0) {
+        return this->controlAddress;
+    }
+    return found == this->controlMembers.end() ? std::nullopt : std::optional(found->endpoint);
 }
 
 auto parseSettings(std::string_view file, std::string_view text) -> boost::leaf::result<Settings>
--- a/lib/Support/events.cpp
+++ b/lib/Support/events.cpp
@@ -16,6 +16,7 @@
     {Event::ProcessStopped, Severity::Info, "process stopped"},
     {Event::SettingsRejected, Severity::Error, "settings rejected"},
     {Event::ListenFailed, Severity::Error, "listen failed"},
+    {Event::SettingsReloaded, Severity::Info, "settings reloaded"},
     {Event::CallerRequestRefused, Severity::Warning, "caller request refused"},
     {Event::CallerConnectionRefused, Severity::Warning, "caller connection refused"},
     {Event::UpstreamConnectionClosed, Severity::Warning, "upstream connection closed"},
--- a/schema/consensus.capnp
+++ b/schema/consensus.capnp
@@ -113,5 +113,5 @@
   deliver @0 (message :Message) -> ();
   # Asked by a VM that finds itself in no group: it wants to be taken in. The answer says whether this VM is of no group
   # either, so that the first of the initial members may found one.
-  join @1 (member :ControlMember) -> (empty :Bool);
+  join @1 (member :ControlMember) -> (empty :Bool, members :List(ControlMember));
 }
--- a/schema/control.capnp
+++ b/schema/control.capnp
@@ -154,6 +154,8 @@
     lease :group {
       lengthMs @2 :UInt64;
       floor @3 :UInt64;
+      # Where the control VMs are reached now.
+      controlVms @4 :List(Consensus.Endpoint);
     }
   }
 }
--- a/tools/sapphirespool/democommand.cpp
+++ b/tools/sapphirespool/democommand.cpp
@@ -151,7 +151,7 @@
         return ExitCode::Failed;
     }
     printLines(port, *members);
-    stop.wait();
+    stop.waitForStop();
     // Proxies first, while control still leads: they hand their leases back.
     for (const auto &node : nodes) {
         node->drain();
--- a/tools/sapphirespool/servecommand.cpp
+++ b/tools/sapphirespool/servecommand.cpp
@@ -11,6 +11,8 @@
 
 #include <boost/leaf/handle_errors.hpp>
 
+#include <chrono>
+#include <filesystem>
 #include <iostream>
 #include <memory>
 #include <utility>
@@ -51,7 +53,41 @@
         });
 }
 
-auto serve(const settings::Settings &settings, std::shared_ptr<node::Edge> edge) -> ExitCode
+/// How often the settings are looked at: they may change without a signal, and what is read anew is only of use after a loss.
+constexpr auto settingsInterval = std::chrono::seconds(5);
+
+/// \return when \p file was last written; the epoch if it cannot be had
+auto writtenAt(const std::string &file) -> std::filesystem::file_time_type
+{
+    auto error = std::error_code();
+    const auto time = std::filesystem::last_write_time(file, error);
+    return error ? std::filesystem::file_time_type() : time;
+}
+
+/// Reads the settings anew when they change, until the process is asked to stop.
+auto waitForStop(StopSignal &stop, node::Node &node, const std::string &file) -> void
+{
+    auto known = writtenAt(file);
+    while (true) {
+        const auto wake = stop.wait(settingsInterval);
+        if (wake == Wake::Stop) {
+            return;
+        }
+        const auto present = writtenAt(file);
+        if (wake == Wake::Timeout && present == known) {
+            continue;
+        }
+        known = present;
+        const auto checked = readChecked(file);
+        if (const auto *const settings = std::get_if<settings::Settings>(&checked)) {
+            node.reload(*settings);
+        } else {
+            support::log(support::Event::SettingsRejected, {{"file", file}});
+        }
+    }
+}
+
+auto serve(const std::string &file, const settings::Settings &settings, std::shared_ptr<node::Edge> edge) -> ExitCode
 {
     auto stop = StopSignal();
     const auto node = node::makeNode(settings, std::move(edge));
@@ -61,7 +97,7 @@
         std::cerr << failure.what() << "\n";
         return ExitCode::Failed;
     }
-    stop.wait();
+    waitForStop(stop, *node, file);
     node->drain();
     return ExitCode::Success;
 }
@@ -86,7 +122,7 @@
         return ExitCode::Success;
     }
     support::configureLog(settings.logFormat);
-    return serve(settings, std::move(edge));
+    return serve(*file, settings, std::move(edge));
 }
 
 } // namespace
--- a/tools/sapphirespool/stopsignal.h
+++ b/tools/sapphirespool/stopsignal.h
@@ -1,12 +1,23 @@
-// stopsignal.h: waits for the request to stop.
+// stopsignal.h: waits for the request to stop, and for changes of the settings.
 #pragma once
 
+#include <chrono>
 #include <csignal>
+#include <ctime>
 
 namespace sapphirespool::tool
 {
 
-/// Blocks SIGINT and SIGTERM for this thread and those that it starts; make it before the first thread.
+/// What ended a wait.
+enum class Wake {
+    Stop,
+    /// SIGHUP: the settings have changed.
+    Reload,
+    /// The time ran out.
+    Timeout,
+};
+
+/// Blocks SIGINT, SIGTERM and SIGHUP for this thread and those that it starts; make it before the first thread.
 class StopSignal
 {
 public:
@@ -15,14 +26,30 @@
         sigemptyset(&this->signals);
         sigaddset(&this->signals, SIGINT);
         sigaddset(&this->signals, SIGTERM);
+        sigaddset(&this->signals, SIGHUP);
         pthread_sigmask(SIG_BLOCK, &this->signals, nullptr);
     }
 
-    /// Returns once one of the signals has come.
-    auto wait() -> void
+    /// Returns once one of the signals has come, or after \p limit.
+    auto wait(std::chrono::seconds limit) -> Wake
+    {
+        const auto time = timespec{limit.count(), 0};
+        switch (sigtimedwait(&this->signals, nullptr, &time)) {
+        case SIGINT:
+        case SIGTERM:
+            return Wake::Stop;
+        case SIGHUP:
+            return Wake::Reload;
+        default:
+            return Wake::Timeout;
+        }
+    }
+
+    /// Returns once the process is asked to stop.
+    auto waitForStop() -> void
     {
-        auto received = 0;
-        sigwait(&this->signals, &received);
+        while (this->wait(std::chrono::hours(1)) != Wake::Stop) {
+        }
     }
 
 private:
--- a/unittests/Operators/operatorstest.cpp
+++ b/unittests/Operators/operatorstest.cpp
@@ -25,6 +25,10 @@
     {
     }
 
+    auto setControlVms(std::vector<Endpoint>) -> void override
+    {
+    }
+
     auto leave() -> void override
     {
     }
