--- a/include/sapphirespool/Configuration/configuration.h
+++ b/include/sapphirespool/Configuration/configuration.h
@@ -26,6 +26,11 @@
     std::uint32_t size = usualGroupSize;
     /// Connections that each member accepts from all proxies together; 0: as the member announces.
     std::uint32_t connectionLimit = 0;
+    /// Whether the members see to their replication themselves: they name a primary, and acknowledge a write by rules of their own.
+    /// Members may come and go then, and no proxy confirms a write by a second member.
+    bool selfReplicating = false;
+    /// Replicas of a self-replicating group that have a write before it is acknowledged.
+    std::uint32_t confirmations = 0;
 };
 
 /// A text without mistakes.
--- a/include/sapphirespool/Consensus/replica.h
+++ b/include/sapphirespool/Consensus/replica.h
@@ -28,15 +28,15 @@
     /// The control VMs of the settings, this one among them. The first of them founds the group once all others are seen to be
     /// empty; the group takes in the others, and later each of them that comes back with an empty folder, by itself.
     std::vector<ControlMember> initialMembers;
+    std::filesystem::path dataFolder;
+    /// Seed of the election timeouts and of the identity of a new data folder; must differ between VMs and starts.
+    std::uint64_t seed = 0;
     /// Whether this may be the very first start of the system. Else the group exists somewhere, and is only ever joined.
     bool mayFound = true;
     /// Whether a VM may join that neither the settings nor the group name; where the settings name only some control VMs.
     bool openToOthers = false;
     /// Voters that the group has at most; further members are learners, ready to take the place of a voter that is lost.
     std::size_t voters = usualVoters;
-    std::filesystem::path dataFolder;
-    /// Seed of the election timeouts and of the identity of a new data folder; must differ between VMs and starts.
-    std::uint64_t seed = 0;
 };
 
 /// A ReplicatedLog that takes part in the group. Lives on the control thread; stops when destroyed.
--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -65,7 +65,8 @@
     auto endTerm(const state::GroupRecord &group, TermEnd reason, TimePoint now) -> Actions;
 
     [[nodiscard]] auto reasonToEnd(const state::GroupRecord &group, std::size_t proxyZones, TimePoint now) const -> std::optional<TermEnd>;
-    [[nodiscard]] auto isSilent(const UpstreamId &primary, TimePoint now) const -> bool;
+    [[nodiscard]] auto isSilent(const state::GroupRecord &group, TimePoint now) const -> bool;
+    [[nodiscard]] auto mayImprove(const state::GroupRecord &group, bool avoided, TimePoint now) const -> bool;
     [[nodiscard]] auto isSuspected(std::size_t proxyZones, TimePoint now) const -> bool;
     [[nodiscard]] auto isReleased(const state::GroupRecord &group, const ProxyStanding &proxies, TimePoint now) const -> bool;
     [[nodiscard]] auto isReadyForHandover(const state::GroupRecord &group, TimePoint now) const -> bool;
@@ -93,6 +94,8 @@
     Revision termRevision;
     /// Reports of the members that were fenced at the term.
     std::map<UpstreamId, platform::PositionReport> fenced;
+    /// Members that could not be fenced at the term when they were last told to.
+    std::set<UpstreamId> unreached;
     std::optional<TimePoint> quorumSince;
     std::map<UpstreamId, SentOrder> orders;
     std::optional<TimePoint> proposed;
--- a/include/sapphirespool/Promotion/timing.h
+++ b/include/sapphirespool/Promotion/timing.h
@@ -46,6 +46,15 @@
 /// fences go out at the same time, so that the last answer is a sync behind the others.
 constexpr auto choiceGrace = std::chrono::milliseconds(60);
 
+/// How long the choice in a self-replicating group waits for the reports of members that have neither answered nor failed to. Nobody
+/// promises that any one of them holds the last acknowledged writes, so that each further report may save some; an order takes a few
+/// milliseconds, or some hundred where the member's slots are taken.
+constexpr auto reportGrace = std::chrono::milliseconds(300);
+
+/// A silent primary that no proxy suspects is replaced after this many times the usual silence: announcements may be cut off from
+/// control alone while proxies are served.
+constexpr auto unsuspectedSilence = 4;
+
 /// A leaving primary is quiet when its position has not moved for this time: longer than an announcement takes from each member.
 constexpr auto handoverQuiet = std::chrono::milliseconds(300);
 
--- a/include/sapphirespool/State/records.h
+++ b/include/sapphirespool/State/records.h
@@ -23,6 +23,9 @@
     membership::GroupView view;
     /// Members that the group has, whether or not all of them have announced themselves.
     std::uint32_t size = configuration::usualGroupSize;
+    /// As the configuration says.
+    bool selfReplicating = false;
+    std::uint32_t confirmations = 0;
     /// Process of the primary when it was chosen. A restart ends the term: a member that comes back with less than it answered would
     /// give positions of the term to other writes, and their confirmation would be taken for one of the lost writes.
     Incarnation primaryIncarnation;
--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -27,6 +27,9 @@
     return (leadership << termBits) | (term & ((std::uint64_t{1} << termBits) - 1));
 }
 
+/// How often it is looked for members that are gone; a member that was replaced refuses what is meant for another one.
+constexpr auto goneInterval = std::chrono::milliseconds(200);
+
 auto viewOf(const control::VmHeartbeat &heartbeat) -> membership::ProxyView
 {
     return {heartbeat.vm, heartbeat.zone, heartbeat.incarnation, heartbeat.callers, heartbeat.peers, heartbeat.leaving};
@@ -63,6 +66,7 @@
     : parts(parts)
     , vms(parts.state.view()->proxies, parts.clock())
     , promoter(parts.state, parts.clock(), promotion::silenceAfter(parts.announcementInterval))
+    , registry(parts.clock())
 {
 }
 
@@ -71,6 +75,7 @@
     const auto now = this->parts.clock();
     this->noteProxies(now);
     this->forgetSilentVms();
+    this->forgetGoneUpstreams(now);
     this->carryOut(this->promoter.tick(now));
 }
 
@@ -82,6 +87,9 @@
     }
     this->registerVm(heartbeat);
     for (const auto &announcement : heartbeat.announcements) {
+        if (!this->isNews(announcement)) {
+            continue;
+        }
         this->registerUpstream(announcement);
         this->handle(promotion::Announced{announcement});
     }
@@ -136,7 +144,7 @@
 auto Leadership::registerUpstream(const platform::Announcement &announcement) -> void
 {
     if (announcement.gone) {
-        this->forgetUpstream(announcement);
+        this->forgetUpstream(GroupId(announcement.group), UpstreamId(announcement.id));
         return;
     }
     const auto wanted = viewOf(announcement);
@@ -145,21 +153,42 @@
         return;
     }
     const auto *const known = group->view.findMember(wanted.id);
-    const auto full = known == nullptr && group->view.members.size() >= group->size;
+    const auto full = known == nullptr && !group->selfReplicating && group->view.members.size() >= group->size;
     if (full || (known != nullptr && isSame(*known, wanted)) || !this->tryRegister("upstream " + announcement.id)) {
         return;
     }
     this->propose(state::RegisterUpstream{group->view.id, wanted}, group->view.id);
 }
 
-auto Leadership::forgetUpstream(const platform::Announcement &announcement) -> void
+auto Leadership::isNews(const platform::Announcement &announcement) -> bool
 {
     const auto *const group = this->parts.state.findGroup(GroupId(announcement.group));
-    const auto *const known = group == nullptr ? nullptr : group->view.findMember(UpstreamId(announcement.id));
-    if (known == nullptr || !this->tryRegister("gone " + announcement.id)) {
+    return group == nullptr || !group->selfReplicating || this->registry.note(announcement, this->parts.clock());
+}
+
+auto Leadership::forgetUpstream(const GroupId &group, const UpstreamId &upstream) -> void
+{
+    const auto *const record = this->parts.state.findGroup(group);
+    const auto *const known = record == nullptr ? nullptr : record->view.findMember(upstream);
+    if (known != nullptr && this->tryRegister("gone " + upstream.value())) {
+        this->propose(state::ForgetUpstream{group, upstream, known->incarnation}, group);
+    }
+}
+
+auto Leadership::forgetGoneUpstreams(TimePoint now) -> void
+{
+    if (now - this->lookedForGone < goneInterval) {
         return;
     }
-    this->propose(state::ForgetUpstream{group->view.id, known->id, known->incarnation}, group->view.id);
+    this->lookedForGone = now;
+    for (const auto &group : this->parts.state.groups()) {
+        if (!group.selfReplicating) {
+            continue;
+        }
+        for (const auto &upstream : this->registry.gone(group, now)) {
+            this->forgetUpstream(group.view.id, upstream);
+        }
+    }
 }
 
 auto Leadership::forgetSilentVms() -> void
--- a/lib/Controller/leadership.h
+++ b/lib/Controller/leadership.h
@@ -1,6 +1,8 @@
 // leadership.h: what a control VM keeps while it leads, and loses with the lead.
 #pragma once
 
+#include "memberregistry.h"
+
 #include "sapphirespool/Controller/controller.h"
 #include "sapphirespool/Controller/vmtable.h"
 #include "sapphirespool/Promotion/promoter.h"
@@ -27,7 +29,10 @@
     auto grant() const -> control::LeaseGrant;
     auto registerVm(const control::VmHeartbeat &heartbeat) -> void;
     auto registerUpstream(const platform::Announcement &announcement) -> void;
-    auto forgetUpstream(const platform::Announcement &announcement) -> void;
+    auto forgetUpstream(const GroupId &group, const UpstreamId &upstream) -> void;
+    auto forgetGoneUpstreams(TimePoint now) -> void;
+    /// \return whether the announcement may change anything
+    auto isNews(const platform::Announcement &announcement) -> bool;
     auto forgetSilentVms() -> void;
     auto handle(const promotion::Event &event) -> void;
     auto carryOut(const promotion::Actions &actions) -> void;
@@ -46,6 +51,8 @@
     const ControllerParts &parts;
     VmTable vms;
     promotion::Promoter promoter;
+    MemberRegistry registry;
+    TimePoint lookedForGone{};
     std::map<std::string, TimePoint> registrations;
 };
 
--- /dev/null
+++ b/lib/Controller/memberregistry.cpp
@@ -0,0 +1,69 @@
+#include "memberregistry.h"
+
+#include <algorithm>
+
+namespace sapphirespool::controller
+{
+
+namespace
+{
+
+/// Members that a group keeps however silent they are: a primary and one that could take its place.
+constexpr auto membersKept = std::size_t{2};
+
+} // namespace
+
+MemberRegistry::MemberRegistry(TimePoint since)
+    : since(since)
+{
+}
+
+auto MemberRegistry::note(const platform::Announcement &announcement, TimePoint now) -> bool
+{
+    const auto id = UpstreamId(announcement.id);
+    const auto incarnation = Incarnation(announcement.incarnation);
+    auto &heard = this->members[id];
+    if (incarnation < heard.incarnation) {
+        return false;
+    }
+    if (incarnation == heard.incarnation) {
+        if (heard.ended || (announcement.sequence != 0 && announcement.sequence <= heard.sequence)) {
+            return announcement.gone && heard.ended;
+        }
+    }
+    heard = {incarnation, announcement.sequence, now, announcement.gone};
+    if (announcement.gone) {
+        return true;
+    }
+    // A process that began earlier than the one that has the address now has ended, whatever it says.
+    const auto endpoint = Endpoint{announcement.address, announcement.port};
+    const auto [place, added] = this->tenants.try_emplace(endpoint, Tenant{id, incarnation});
+    if (!added && place->second.id != id && incarnation < place->second.incarnation) {
+        return false;
+    }
+    place->second = {id, incarnation};
+    return true;
+}
+
+auto MemberRegistry::gone(const state::GroupRecord &group, TimePoint now) const -> std::vector<UpstreamId>
+{
+    auto gone = std::vector<UpstreamId>();
+    for (const auto &member : group.view.members) {
+        const auto tenant = this->tenants.find(member.endpoint);
+        const auto replaced = tenant != this->tenants.end() && tenant->second.id != member.id;
+        const auto mayForget = group.view.primary != member.id && group.view.members.size() > membersKept + gone.size();
+        if (replaced || (mayForget && this->isSilent(member.id, now))) {
+            gone.push_back(member.id);
+        }
+    }
+    return gone;
+}
+
+auto MemberRegistry::isSilent(const UpstreamId &member, TimePoint now) const -> bool
+{
+    const auto found = this->members.find(member);
+    const auto last = found == this->members.end() ? this->since : std::max(this->since, found->second.at);
+    return now - last >= forgetAfter;
+}
+
+} // namespace sapphirespool::controller
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -63,6 +63,9 @@
 {
     // Another process may have taken over the address of a member; its log says nothing of the member's.
     if (!event.report || event.report->id != event.member.value()) {
+        if (event.order == Order::Fence && event.term == this->term) {
+            this->unreached.insert(event.member);
+        }
         return;
     }
     this->members.note(*event.report, now);
@@ -108,6 +111,7 @@
     this->suspicions.clear();
     this->leavingSince.reset();
     this->fenced.clear();
+    this->unreached.clear();
 }
 
 auto GroupPromotion::elect(const GroupRecord &group, TimePoint now) -> Actions
@@ -165,14 +169,25 @@
     if (!this->quorumSince) {
         this->quorumSince = now;
     }
-    const auto mayImprove = choice->avoided && reports.size() < group.view.members.size();
-    if ((mayImprove && now - *this->quorumSince < choiceGrace) || !this->tryPropose(now)) {
+    if (this->mayImprove(group, choice->avoided, now) || !this->tryPropose(now)) {
         return {};
     }
     const auto &report = choice->report;
     return {ProposePrimary{{group.view.id, group.view.term, UpstreamId(report.id), Incarnation(report.incarnation), LogPosition(report.position)}}};
 }
 
+auto GroupPromotion::mayImprove(const GroupRecord &group, bool avoided, TimePoint now) const -> bool
+{
+    const auto waited = now - *this->quorumSince;
+    if (!group.selfReplicating) {
+        return avoided && this->fenced.size() < group.view.members.size() && waited < choiceGrace;
+    }
+    const auto open = std::any_of(group.view.members.begin(), group.view.members.end(), [this](const membership::UpstreamView &member) {
+        return !this->fenced.contains(member.id) && !this->unreached.contains(member.id);
+    });
+    return open && waited < reportGrace;
+}
+
 auto GroupPromotion::lead(const GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions
 {
     const auto &primary = *group.view.primary;
@@ -244,7 +259,7 @@
     if (this->members.highestTerm() > group.view.term) {
         return TermEnd::Overtaken;
     }
-    if (this->isSilent(primary, now)) {
+    if (this->isSilent(group, now)) {
         return TermEnd::Silent;
     }
     if (this->isSuspected(proxyZones, now)) {
@@ -256,12 +271,17 @@
     return std::nullopt;
 }
 
-auto GroupPromotion::isSilent(const UpstreamId &primary, TimePoint now) const -> bool
+auto GroupPromotion::isSilent(const GroupRecord &group, TimePoint now) const -> bool
 {
+    const auto &primary = *group.view.primary;
     // A new control leader has heard nobody yet; it counts from its own beginning, or it would replace every primary.
     const auto *const state = this->members.find(primary);
     const auto heard = state != nullptr && state->heard ? std::max(*state->heard, this->since) : this->since;
-    return now - heard >= this->silence;
+    const auto suspected = std::any_of(this->suspicions.begin(), this->suspicions.end(), [now](const auto &suspicion) {
+        return now - suspicion.second < suspicionLife;
+    });
+    const auto limit = group.selfReplicating && !suspected ? this->silence * unsuspectedSilence : this->silence;
+    return now - heard >= limit;
 }
 
 auto GroupPromotion::isSuspected(std::size_t proxyZones, TimePoint now) const -> bool
--- a/lib/State/changelog.cpp
+++ b/lib/State/changelog.cpp
@@ -7,6 +7,11 @@
 
 auto GroupRecord::quorum() const -> std::uint32_t
 {
+    if (this->selfReplicating) {
+        // Each acknowledged write is on the primary and on as many replicas as confirm. So many members meet each such set; without
+        // confirmations none but the primary is sure to have it, and whoever is left goes on.
+        return this->confirmations == 0 || this->confirmations >= this->size ? 1 : this->size - this->confirmations;
+    }
     return this->size / 2 + 1;
 }
 
--- a/lib/State/clusterstate.cpp
+++ b/lib/State/clusterstate.cpp
@@ -51,6 +51,14 @@
     return group.view.id;
 }
 
+auto applyConfiguration(GroupRecord &record, const configuration::GroupConfiguration &group) -> void
+{
+    record.size = group.size;
+    record.selfReplicating = group.selfReplicating;
+    record.confirmations = group.confirmations;
+    record.view.connectionLimit = group.connectionLimit;
+}
+
 auto digestOf(const std::string &text) -> std::uint64_t
 {
     return XXH64(text.data(), text.size(), 0);
@@ -163,14 +171,12 @@
     for (const auto &group : command.content.groups) {
         const auto place = placeOf(this->content.groups, group.id, groupName);
         if (place != this->content.groups.end() && place->view.id == group.id) {
-            place->size = group.size;
-            place->view.connectionLimit = group.connectionLimit;
+            applyConfiguration(*place, group);
             continue;
         }
         auto record = GroupRecord();
         record.view.id = group.id;
-        record.size = group.size;
-        record.view.connectionLimit = group.connectionLimit;
+        applyConfiguration(record, group);
         this->content.groups.insert(place, std::move(record));
     }
     this->changed();
@@ -201,7 +207,7 @@
         return this->changed();
     }
     // A member beyond the size would not be met by every quorum, and an acknowledged write on it and one other could be lost.
-    if (members.size() >= record->size) {
+    if (members.size() >= record->size && !record->selfReplicating) {
         return Ignored();
     }
     members.insert(place, command.upstream);
--- a/lib/State/commandcodec.cpp
+++ b/lib/State/commandcodec.cpp
@@ -31,6 +31,8 @@
             groups[place].setId(group.id.value());
             groups[place].setSize(group.size);
             groups[place].setConnectionLimit(group.connectionLimit);
+            groups[place].setSelfReplicating(group.selfReplicating);
+            groups[place].setConfirmations(group.confirmations);
             ++place;
         }
     }
@@ -92,7 +94,7 @@
     }
     command.content.services = readAll<membership::ServiceView>(from.getServices());
     for (const auto group : from.getGroups()) {
-        command.content.groups.push_back({GroupId(read(group.getId())), group.getSize(), group.getConnectionLimit()});
+        command.content.groups.push_back({GroupId(read(group.getId())), group.getSize(), group.getConnectionLimit(), group.getSelfReplicating(), group.getConfirmations()});
     }
     return command;
 }
--- a/lib/State/snapshotcodec.cpp
+++ b/lib/State/snapshotcodec.cpp
@@ -35,6 +35,8 @@
         ++place;
     }
     to.setConnectionLimit(from.view.connectionLimit);
+    to.setSelfReplicating(from.selfReplicating);
+    to.setConfirmations(from.confirmations);
     writeAll(to.initMembers(static_cast<unsigned>(from.view.members.size())), from.view.members);
 }
 
@@ -60,6 +62,8 @@
         group.view.history.push_back({Term(start.getTerm()), LogPosition(start.getKeptUpTo())});
     }
     group.view.connectionLimit = from.getConnectionLimit();
+    group.selfReplicating = from.getSelfReplicating();
+    group.confirmations = from.getConfirmations();
     group.view.members = readAll<membership::UpstreamView>(from.getMembers());
     return group;
 }
--- a/schema/state.capnp
+++ b/schema/state.capnp
@@ -29,6 +29,8 @@
   size @1 :UInt32;
   # 0: as each member announces.
   connectionLimit @2 :UInt32;
+  selfReplicating @3 :Bool;
+  confirmations @4 :UInt32;
 }
 
 struct Upstream {
@@ -121,6 +123,8 @@
   history @5 :List(TermStart);
   members @6 :List(Upstream);
   connectionLimit @7 :UInt32;
+  selfReplicating @8 :Bool;
+  confirmations @9 :UInt32;
 }
 
 struct Snapshot {
