A leaving primary of a self-replicating group is replaced at once; its heir waits for what it acknowledged

Cause: the handover waited until a replica reported the position of the primary; these members report none, so that only the deadline of 5 s ended the wait, and a change of the control leader began it anew: work reached the primary 9 s after it had said that it leaves. Now the term ends at once, the primary steps down with its last position, and the choice waits for a replica that has it.

--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -14,6 +14,7 @@
 // The spec's transitions of the same names stand in spec/promotion.pml.
 #pragma once
 
+#include "sapphirespool/Promotion/choice.h"
 #include "sapphirespool/Promotion/membertable.h"
 #include "sapphirespool/Promotion/messages.h"
 #include "sapphirespool/Promotion/pause.h"
@@ -66,7 +67,13 @@
 
     [[nodiscard]] auto reasonToEnd(const state::GroupRecord &group, std::size_t proxyZones, TimePoint now) const -> std::optional<TermEnd>;
     [[nodiscard]] auto isSilent(const state::GroupRecord &group, TimePoint now) const -> bool;
-    [[nodiscard]] auto mayImprove(const state::GroupRecord &group, bool avoided, TimePoint now) const -> bool;
+    [[nodiscard]] auto mayImprove(const state::GroupRecord &group, const Choice &choice, TimePoint now) const -> bool;
+    /// \return whether a member that is not to be primary reported more than \p choice has
+    [[nodiscard]] auto isBehind(const platform::PositionReport &choice) const -> bool;
+    /// Has the members asked again that lack what another one reported.
+    auto askLaggingAgain(const state::GroupRecord &group) -> void;
+    [[nodiscard]] auto isLeaving(const state::GroupRecord &group, const UpstreamId &member) const -> bool;
+    [[nodiscard]] auto hasSuccessor(const state::GroupRecord &group, TimePoint now) const -> bool;
     [[nodiscard]] auto isSuspected(std::size_t proxyZones, TimePoint now) const -> bool;
     [[nodiscard]] auto isReleased(const state::GroupRecord &group, const ProxyStanding &proxies, TimePoint now) const -> bool;
     [[nodiscard]] auto isReadyForHandover(const state::GroupRecord &group, TimePoint now) const -> bool;
@@ -78,8 +85,9 @@
     [[nodiscard]] auto isFollowing(const UpstreamId &member, Term term) const -> bool;
     [[nodiscard]] auto membersToAvoid(const state::GroupRecord &group) const -> std::set<UpstreamId>;
 
+    /// \param retry time after which the same order may be sent again
     /// \return whether \p order may be sent to \p member now; notes that it is
-    auto tryOpen(const UpstreamId &member, Order order, Term term, TimePoint now) -> bool;
+    auto tryOpen(const UpstreamId &member, Order order, Term term, TimePoint now, Duration retry = orderRetry) -> bool;
     auto tryPropose(TimePoint now) -> bool;
 
     TimePoint since;
--- a/include/sapphirespool/Promotion/timing.h
+++ b/include/sapphirespool/Promotion/timing.h
@@ -51,6 +51,12 @@
 /// milliseconds, or some hundred where the member's slots are taken.
 constexpr auto reportGrace = std::chrono::milliseconds(300);
 
+/// How long the choice waits for a replica to receive what the former primary acknowledged before it stepped down, and how often the
+/// replicas are asked meanwhile. What was acknowledged is on its way to them already, some milliseconds behind; a replica that has not
+/// received it after a second is cut off from the former primary.
+constexpr auto catchUpGrace = std::chrono::milliseconds(1'000);
+constexpr auto catchUpRetry = std::chrono::milliseconds(40);
+
 /// A silent primary that no proxy suspects is replaced after this many times the usual silence: announcements may be cut off from
 /// control alone while proxies are served.
 constexpr auto unsuspectedSilence = 4;
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -4,6 +4,7 @@
 #include "sapphirespool/Promotion/timing.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -147,9 +148,10 @@
 
 auto GroupPromotion::fenceMembers(const GroupRecord &group, TimePoint now) -> Actions
 {
+    const auto retry = group.selfReplicating && !this->fenced.empty() ? catchUpRetry : orderRetry;
     auto actions = Actions();
     for (const auto &member : group.view.members) {
-        if (!this->isFenced(member.id) && this->tryOpen(member.id, Order::Fence, group.view.term, now)) {
+        if (!this->isFenced(member.id) && this->tryOpen(member.id, Order::Fence, group.view.term, now, retry)) {
             actions.emplace_back(fenceOf(group, member));
         }
     }
@@ -169,30 +171,65 @@
     if (!this->quorumSince) {
         this->quorumSince = now;
     }
-    if (this->mayImprove(group, choice->avoided, now) || !this->tryPropose(now)) {
+    if (this->mayImprove(group, *choice, now)) {
+        this->askLaggingAgain(group);
+        return {};
+    }
+    if (!this->tryPropose(now)) {
         return {};
     }
     const auto &report = choice->report;
     return {ProposePrimary{{group.view.id, group.view.term, UpstreamId(report.id), Incarnation(report.incarnation), LogPosition(report.position)}}};
 }
 
-auto GroupPromotion::mayImprove(const GroupRecord &group, bool avoided, TimePoint now) const -> bool
+auto GroupPromotion::mayImprove(const GroupRecord &group, const Choice &choice, TimePoint now) const -> bool
 {
     const auto waited = now - *this->quorumSince;
     if (!group.selfReplicating) {
-        return avoided && this->fenced.size() < group.view.members.size() && waited < choiceGrace;
+        return choice.avoided && this->fenced.size() < group.view.members.size() && waited < choiceGrace;
     }
     const auto open = std::any_of(group.view.members.begin(), group.view.members.end(), [this](const membership::UpstreamView &member) {
         return !this->fenced.contains(member.id) && !this->unreached.contains(member.id);
     });
-    return open && waited < reportGrace;
+    return (open && waited < reportGrace) || (this->isBehind(choice.report) && waited < catchUpGrace);
+}
+
+auto GroupPromotion::isBehind(const platform::PositionReport &choice) const -> bool
+{
+    return std::any_of(this->fenced.begin(), this->fenced.end(), [&choice](const auto &member) {
+        const auto &report = member.second;
+        return std::tuple(report.lastTerm, report.position) > std::tuple(choice.lastTerm, choice.position);
+    });
+}
+
+auto GroupPromotion::askLaggingAgain(const GroupRecord &group) -> void
+{
+    if (!group.selfReplicating) {
+        return;
+    }
+    std::erase_if(this->fenced, [this](const auto &member) {
+        return this->isBehind(member.second);
+    });
+}
+
+auto GroupPromotion::isLeaving(const GroupRecord &group, const UpstreamId &member) const -> bool
+{
+    const auto *const state = this->members.find(member);
+    const auto *const known = group.view.findMember(member);
+    return (state != nullptr && state->leaving) || (known != nullptr && known->leaving);
+}
+
+auto GroupPromotion::hasSuccessor(const GroupRecord &group, TimePoint now) const -> bool
+{
+    return std::any_of(group.view.members.begin(), group.view.members.end(), [this, &group, now](const membership::UpstreamView &member) {
+        return member.id != group.view.primary && !this->isLeaving(group, member.id) && this->members.isLive(member.id, now);
+    });
 }
 
 auto GroupPromotion::lead(const GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions
 {
     const auto &primary = *group.view.primary;
-    const auto *const state = this->members.find(primary);
-    const auto leaving = state != nullptr && state->leaving;
+    const auto leaving = this->isLeaving(group, primary);
     if (leaving && !this->leavingSince) {
         this->leavingSince = now;
     } else if (!leaving) {
@@ -200,7 +237,9 @@
     }
     const auto reason = this->reasonToEnd(group, proxies.zones, now);
     this->inMotion = reason || leaving || !this->suspicions.empty() || !this->isPrimary(primary, this->term, group.primaryIncarnation);
-    if (reason && this->pause.allows(now)) {
+    // A member that leaves is gone after a few seconds whether or not another promotion has just been; it does not flap.
+    const auto leavesSoon = group.selfReplicating && reason == TermEnd::Leaving;
+    if (reason && (leavesSoon || this->pause.allows(now))) {
         return this->endTerm(group, *reason, now);
     }
     return this->orderMembers(group, proxies, now);
@@ -219,6 +258,9 @@
         return this->tryOpen(primary->id, Order::Promote, this->term, now) ? Actions{promoteOf(group, *primary)} : Actions();
     }
     auto actions = Actions();
+    if (group.selfReplicating) {
+        return actions;
+    }
     for (const auto &member : group.view.members) {
         if (member.id == primary->id || this->isFollowing(member.id, this->term)) {
             continue;
@@ -305,6 +347,11 @@
 
 auto GroupPromotion::isReadyForHandover(const GroupRecord &group, TimePoint now) const -> bool
 {
+    if (group.selfReplicating) {
+        // The members do not tell how far they are. The old primary says so when it steps down, and the choice waits for a replica
+        // that has it all.
+        return this->leavingSince && this->hasSuccessor(group, now);
+    }
     const auto *const primary = this->members.find(*group.view.primary);
     if (!this->leavingSince || primary == nullptr || !this->hasCaughtUp(group, *primary, now)) {
         return false;
@@ -372,12 +419,12 @@
     return avoid;
 }
 
-auto GroupPromotion::tryOpen(const UpstreamId &member, Order order, Term inTerm, TimePoint now) -> bool
+auto GroupPromotion::tryOpen(const UpstreamId &member, Order order, Term inTerm, TimePoint now, Duration retry) -> bool
 {
     // Also an order that was answered waits: a control leader that is behind the state may ask for what the member is past, and would
     // ask again as fast as the answers come.
     const auto found = this->orders.find(member);
-    const auto waits = found != this->orders.end() && found->second.order == order && found->second.term == inTerm && now - found->second.sent < orderRetry;
+    const auto waits = found != this->orders.end() && found->second.order == order && found->second.term == inTerm && now - found->second.sent < retry;
     if (waits) {
         return false;
     }
