--- /dev/null
+++ b/include/sapphirespool/Forwarding/ownership.h
@@ -0,0 +1,58 @@
+// ownership.h: decides which proxies hold the connections to an upstream.
+#pragma once
+
+#include "sapphirespool/Membership/clusterview.h"
+#include "sapphirespool/Support/types.h"
+
+#include <cstddef>
+#include <vector>
+
+namespace sapphirespool::forwarding
+{
+
+/// Gives the connections of an upstream to a few proxies, its owners; the others send them their statements.
+///
+/// Load pattern: a fleet with more proxies than an upstream takes connections, or few more connections than proxies. In equal parts each
+/// proxy has one or none; one that has many callers refuses while the connections of its peers idle, and each transaction that rests
+/// blocks a whole proxy. A few owners share the connections among all callers, keep the limit exactly, and cost the others one way to
+/// a proxy and back.
+class Ownership
+{
+public:
+    /// Owners of an upstream. Two are left when one is lost, and both of its neighbours in a rolling restart; each has a third of the
+    /// connections, which still is a pool worth sharing.
+    static constexpr auto ownersPerUpstream = std::size_t{3};
+    /// Equal parts of at least this many connections are not gathered at owners: a proxy with so many seldom has all of them taken while
+    /// its peers have some free, and saves the way to them.
+    static constexpr auto enoughForEach = std::size_t{3};
+    /// Connections that are left for the control group, which asks members for their state while it promotes.
+    static constexpr auto reserved = std::uint32_t{2};
+
+    Ownership(VmId self, ZoneId zone);
+
+    /// Follows a view.
+    auto viewChanged(const membership::ClusterView &view) -> void;
+
+    /// \return the owners of \p upstream, in the order in which this proxy had better ask them; empty if each proxy holds its own
+    ///         connections
+    [[nodiscard]] auto ownersOf(const membership::GroupView &group, const membership::UpstreamView &upstream) const -> std::vector<VmId>;
+
+    /// \return connections that this proxy may have to \p upstream
+    [[nodiscard]] auto share(const membership::GroupView &group, const membership::UpstreamView &upstream) const -> std::size_t;
+
+private:
+    struct Proxy
+    {
+        VmId vm;
+        ZoneId zone;
+    };
+
+    [[nodiscard]] auto usable(const membership::GroupView &group, const membership::UpstreamView &upstream) const -> std::size_t;
+
+    VmId self;
+    ZoneId zone;
+    /// Proxies that take callers and do not leave, ordered by their names.
+    std::vector<Proxy> proxies;
+};
+
+} // namespace sapphirespool::forwarding
--- a/include/sapphirespool/Interactive/linkpool.h
+++ b/include/sapphirespool/Interactive/linkpool.h
@@ -73,7 +73,7 @@
     virtual auto acquire(GroupId group, membership::UpstreamView upstream, const SessionValues &wanted, Duration patience, Duration connectLimit)
         -> boost::asio::awaitable<LeaseResult> = 0;
 
-    /// \param limit links that this proxy may have open to \p upstream
+    /// \param limit links that this proxy may have open to \p upstream; with 0 nothing of it is kept
     virtual auto setLimit(const UpstreamId &upstream, std::size_t limit) -> void = 0;
 
     /// Closes the idle links to \p upstream, and the others as they are given back.
--- /dev/null
+++ b/lib/Forwarding/codec.cpp
@@ -0,0 +1,319 @@
+#include "codec.h"
+
+#include <capnp/serialize-packed.h>
+#include <forwarding.capnp.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+#include <utility>
+
+namespace sapphirespool::forwarding
+{
+
+namespace
+{
+
+using interactive::Command;
+using interactive::CommandKind;
+using interactive::CommandResult;
+using interactive::DataPosition;
+using interactive::Failure;
+using interactive::FailureReply;
+using interactive::LinkState;
+using interactive::PreparedShape;
+using interactive::SessionValues;
+using interactive::TransactionStatus;
+
+template <typename Elements>
+auto sizeOf(const Elements &elements) -> unsigned
+{
+    return static_cast<unsigned>(elements.size());
+}
+
+auto text(capnp::Text::Reader from) -> std::string
+{
+    return {from.begin(), from.size()};
+}
+
+/// \return the value numbered \p number, or \p highest if it is above that
+template <typename Enum>
+auto enumOf(std::uint8_t number, Enum highest) -> Enum
+{
+    return number <= static_cast<std::uint8_t>(highest) ? static_cast<Enum>(number) : highest;
+}
+
+auto write(schema::Position::Builder to, const DataPosition &from) -> void
+{
+    to.setTerm(from.term.value());
+    to.setNumber(from.number.value());
+}
+
+auto read(schema::Position::Reader from) -> DataPosition
+{
+    return {Term(from.getTerm()), LogPosition(from.getNumber())};
+}
+
+auto write(schema::Shape::Builder to, const PreparedShape &from) -> void
+{
+    to.setWrites(from.writes);
+    to.setShape(from.shape);
+}
+
+auto read(schema::Shape::Reader from) -> PreparedShape
+{
+    return {from.getWrites(), text(from.getShape())};
+}
+
+auto write(capnp::List<schema::Value>::Builder to, const SessionValues &from) -> void
+{
+    auto place = 0U;
+    for (const auto &[name, value] : from) {
+        to[place].setName(name);
+        to[place].setValue(value);
+        ++place;
+    }
+}
+
+auto read(capnp::List<schema::Value>::Reader from) -> SessionValues
+{
+    auto values = SessionValues();
+    for (const auto value : from) {
+        values.insert_or_assign(text(value.getName()), text(value.getValue()));
+    }
+    return values;
+}
+
+template <typename Builder>
+auto writeState(Builder to, const LinkState &from) -> void
+{
+    write(to.initValues(sizeOf(from.values)), from.values);
+    auto prepared = to.initPrepared(sizeOf(from.prepared));
+    auto place = 0U;
+    for (const auto &[shape, name] : from.prepared) {
+        write(prepared[place].initShape(), shape);
+        prepared[place].setName(name);
+        ++place;
+    }
+}
+
+template <typename Reader>
+auto readState(Reader from) -> LinkState
+{
+    auto state = LinkState{read(from.getValues()), {}};
+    for (const auto prepared : from.getPrepared()) {
+        state.prepared.insert_or_assign(read(prepared.getShape()), text(prepared.getName()));
+    }
+    return state;
+}
+
+auto write(schema::Failure::Builder to, const FailureReply &from) -> void
+{
+    to.setFailure(static_cast<std::uint8_t>(from.failure));
+    to.setDetail(from.detail);
+    to.setRetryAfterMs(static_cast<std::uint64_t>(from.retryAfter.value_or(std::chrono::milliseconds(0)).count()));
+}
+
+auto read(schema::Failure::Reader from) -> FailureReply
+{
+    auto failure = FailureReply{enumOf(from.getFailure(), Failure::UnknownName), text(from.getDetail()), {}};
+    if (from.getRetryAfterMs() > 0) {
+        failure.retryAfter = std::chrono::milliseconds(from.getRetryAfterMs());
+    }
+    return failure;
+}
+
+auto write(schema::Command::Builder to, const Command &from) -> void
+{
+    to.setKind(static_cast<std::uint8_t>(from.kind));
+    to.setId(from.id);
+    to.setName(from.name);
+    to.setText(from.text);
+    if (from.kind == CommandKind::Prepare) {
+        write(to.initShape(), from.shape);
+    }
+    if (from.after) {
+        write(to.initAfter(), *from.after);
+    }
+}
+
+auto read(schema::Command::Reader from) -> Command
+{
+    auto command = Command();
+    command.kind = enumOf(from.getKind(), CommandKind::Run);
+    command.id = text(from.getId());
+    command.name = text(from.getName());
+    command.text = text(from.getText());
+    if (from.hasShape()) {
+        command.shape = read(from.getShape());
+    }
+    if (from.hasAfter()) {
+        command.after = read(from.getAfter());
+    }
+    return command;
+}
+
+auto write(schema::CommandResult::Builder to, const CommandResult &from) -> void
+{
+    auto rows = to.initRows(sizeOf(from.rows));
+    for (auto place = 0U; place < rows.size(); ++place) {
+        rows.set(place, from.rows[place]);
+    }
+    to.setSignature(from.signature);
+    to.setStatus(static_cast<std::uint8_t>(from.status));
+    if (from.failure) {
+        write(to.initFailure(), *from.failure);
+    }
+    if (from.position) {
+        write(to.initPosition(), *from.position);
+    }
+}
+
+auto read(schema::CommandResult::Reader from) -> CommandResult
+{
+    auto result = CommandResult();
+    for (const auto row : from.getRows()) {
+        result.rows.push_back(text(row));
+    }
+    result.signature = text(from.getSignature());
+    result.status = enumOf(from.getStatus(), TransactionStatus::Failed);
+    if (from.hasFailure()) {
+        result.failure = read(from.getFailure());
+    }
+    if (from.hasPosition()) {
+        result.position = read(from.getPosition());
+    }
+    return result;
+}
+
+struct BodyWriter
+{
+    schema::Message::Builder to;
+
+    auto operator()(const Acquire &body) -> void
+    {
+        auto out = this->to.initAcquire();
+        out.setGroup(body.group.value());
+        out.setUpstream(body.upstream.value());
+        write(out.initValues(sizeOf(body.values)), body.values);
+        out.setPatienceMs(static_cast<std::uint64_t>(body.patience.count()));
+        out.setConnectMs(static_cast<std::uint64_t>(body.connectLimit.count()));
+    }
+
+    auto operator()(const Acquired &body) -> void
+    {
+        auto out = this->to.initAcquired();
+        writeState(out, body.state);
+        out.setLoad(body.load);
+    }
+
+    auto operator()(const Refused &body) -> void
+    {
+        write(this->to.initRefused(), body.why);
+    }
+
+    auto operator()(const Exchange &body) -> void
+    {
+        auto out = this->to.initExchange();
+        auto commands = out.initCommands(sizeOf(body.commands));
+        for (auto place = 0U; place < commands.size(); ++place) {
+            write(commands[place], body.commands[place]);
+        }
+        out.setLimitMs(static_cast<std::uint64_t>(body.limit.count()));
+    }
+
+    auto operator()(const Exchanged &body) -> void
+    {
+        auto out = this->to.initExchanged();
+        auto results = out.initResults(sizeOf(body.result.results));
+        for (auto place = 0U; place < results.size(); ++place) {
+            write(results[place], body.result.results[place]);
+        }
+        out.setSent(body.result.sent);
+        out.setBroken(body.result.broken);
+    }
+
+    auto operator()(const Release &body) -> void
+    {
+        auto out = this->to.initRelease();
+        out.setClean(body.clean);
+        writeState(out, body.state);
+    }
+};
+
+auto readAcquire(schema::Message::Acquire::Reader from) -> Acquire
+{
+    return {GroupId(text(from.getGroup())),
+            UpstreamId(text(from.getUpstream())),
+            read(from.getValues()),
+            std::chrono::milliseconds(from.getPatienceMs()),
+            std::chrono::milliseconds(from.getConnectMs())};
+}
+
+auto readExchange(schema::Message::Exchange::Reader from) -> Exchange
+{
+    auto exchange = Exchange{{}, std::chrono::milliseconds(from.getLimitMs())};
+    for (const auto command : from.getCommands()) {
+        exchange.commands.push_back(read(command));
+    }
+    return exchange;
+}
+
+auto readExchanged(schema::Message::Exchanged::Reader from) -> Exchanged
+{
+    auto exchanged = Exchanged();
+    for (const auto result : from.getResults()) {
+        exchanged.result.results.push_back(read(result));
+    }
+    exchanged.result.sent = from.getSent();
+    exchanged.result.broken = from.getBroken();
+    return exchanged;
+}
+
+auto readBody(schema::Message::Reader from) -> std::optional<Body>
+{
+    switch (from.which()) {
+    case schema::Message::ACQUIRE:
+        return readAcquire(from.getAcquire());
+    case schema::Message::ACQUIRED:
+        return Acquired{readState(from.getAcquired()), from.getAcquired().getLoad()};
+    case schema::Message::REFUSED:
+        return Refused{read(from.getRefused())};
+    case schema::Message::EXCHANGE:
+        return readExchange(from.getExchange());
+    case schema::Message::EXCHANGED:
+        return readExchanged(from.getExchanged());
+    case schema::Message::RELEASE:
+        return Release{from.getRelease().getClean(), readState(from.getRelease())};
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+auto encode(const Message &message) -> std::string
+{
+    auto builder = capnp::MallocMessageBuilder();
+    auto root = builder.initRoot<schema::Message>();
+    root.setLease(message.lease);
+    std::visit(BodyWriter{root}, message.body);
+    auto stream = kj::VectorOutputStream();
+    capnp::writePackedMessage(stream, builder);
+    const auto bytes = stream.getArray();
+    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
+}
+
+auto decode(std::string_view bytes) -> std::optional<Message>
+{
+    auto message = std::optional<Message>();
+    const auto failure = kj::runCatchingExceptions([&] {
+        auto stream = kj::ArrayInputStream(kj::arrayPtr(reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()));
+        auto reader = capnp::PackedMessageReader(stream);
+        const auto root = reader.getRoot<schema::Message>();
+        if (auto body = readBody(root)) {
+            message = Message{root.getLease(), *std::move(body)};
+        }
+    });
+    return failure == nullptr ? message : std::nullopt;
+}
+
+} // namespace sapphirespool::forwarding
--- /dev/null
+++ b/lib/Forwarding/codec.h
@@ -0,0 +1,71 @@
+// codec.h: the messages between proxies and their Cap'n Proto form.
+#pragma once
+
+#include "sapphirespool/Interactive/upstreamlink.h"
+#include "sapphirespool/Support/types.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace sapphirespool::forwarding
+{
+
+/// Asks for a link.
+struct Acquire
+{
+    GroupId group;
+    UpstreamId upstream;
+    interactive::SessionValues values;
+    std::chrono::milliseconds patience{0};
+    std::chrono::milliseconds connectLimit{0};
+};
+
+struct Acquired
+{
+    interactive::LinkState state;
+    /// Statements that the owner has at the upstream, or that wait for it.
+    std::uint32_t load = 0;
+};
+
+/// No link; nothing was run.
+struct Refused
+{
+    interactive::FailureReply why;
+};
+
+struct Exchange
+{
+    std::vector<interactive::Command> commands;
+    std::chrono::milliseconds limit{0};
+};
+
+struct Exchanged
+{
+    interactive::ExchangeResult result;
+};
+
+struct Release
+{
+    bool clean = false;
+    interactive::LinkState state;
+};
+
+using Body = std::variant<Acquire, Acquired, Refused, Exchange, Exchanged, Release>;
+
+struct Message
+{
+    /// Number of the lease, drawn by the proxy that asks.
+    std::uint64_t lease = 0;
+    Body body;
+};
+
+[[nodiscard]] auto encode(const Message &message) -> std::string;
+
+/// \return the message, or nothing if the bytes are none
+[[nodiscard]] auto decode(std::string_view bytes) -> std::optional<Message>;
+
+} // namespace sapphirespool::forwarding
--- /dev/null
+++ b/lib/Forwarding/forwardingpool.cpp
@@ -0,0 +1,305 @@
+#include "sapphirespool/Forwarding/forwardingpool.h"
+
+#include "ownerchannel.h"
+#include "ownerserver.h"
+
+#include "sapphirespool/Http/liveness.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace sapphirespool::forwarding
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
+/// Pause after a failed accept, which mostly means that the descriptors are used up.
+constexpr auto acceptPause = std::chrono::milliseconds(100);
+
+using interactive::FailureReply;
+using interactive::LeaseResult;
+using interactive::LinkCounts;
+using interactive::LinkPool;
+
+/// What this proxy uses of one upstream through others, and what they last said of their load there.
+struct RemoteUse
+{
+    std::size_t busy = 0;
+    std::map<VmId, std::uint32_t> loads;
+};
+
+class OwnersPool : public ForwardingPool, public std::enable_shared_from_this<OwnersPool>
+{
+public:
+    OwnersPool(VmId self, ZoneId zone, std::shared_ptr<LinkPool> own, const asio::any_io_executor &executor)
+        : self(self)
+        , ownership(std::move(self), std::move(zone))
+        , own(std::move(own))
+        , executor(executor)
+        , acceptor(executor)
+    {
+    }
+
+    auto listen(const Endpoint &endpoint) -> Endpoint override
+    {
+        const auto address = tcp::endpoint(asio::ip::make_address(endpoint.address), endpoint.port);
+        this->acceptor.open(address.protocol());
+        this->acceptor.set_option(tcp::acceptor::reuse_address(true));
+        this->acceptor.bind(address);
+        this->acceptor.listen();
+        asio::co_spawn(this->executor, accept(this->shared_from_this()), asio::detached);
+        return {endpoint.address, this->acceptor.local_endpoint().port()};
+    }
+
+    auto viewChanged(std::shared_ptr<const membership::ClusterView> newView) -> void override
+    {
+        const auto former = std::exchange(this->view, std::move(newView));
+        this->ownership.viewChanged(*this->view);
+        for (const auto &group : this->view->groups) {
+            for (const auto &member : group.members) {
+                this->own->setLimit(member.id, this->ownership.share(group, member));
+            }
+        }
+        this->forgetGone(former.get());
+        std::erase_if(this->channels, [this](const auto &channel) {
+            const auto *const proxy = this->view->findProxy(channel.first);
+            const auto stays = proxy != nullptr && proxy->peers == channel.second.endpoint;
+            if (!stays) {
+                channel.second.channel->close();
+            }
+            return !stays;
+        });
+    }
+
+    auto close() -> void override
+    {
+        auto ignored = boost::system::error_code();
+        this->acceptor.close(ignored);
+        for (const auto &[vm, channel] : this->channels) {
+            channel.channel->close();
+        }
+        const auto present = std::vector<std::shared_ptr<OwnerConnection>>(this->served.begin(), this->served.end());
+        for (const auto &connection : present) {
+            connection->close();
+        }
+    }
+
+    auto acquire(GroupId group, membership::UpstreamView upstream, const interactive::SessionValues &wanted, Duration patience, Duration connectLimit)
+        -> asio::awaitable<LeaseResult> override
+    {
+        const auto keep = this->shared_from_this();
+        const auto *const known = this->view == nullptr ? nullptr : this->view->findGroup(group);
+        const auto owners = known == nullptr ? std::vector<VmId>() : this->ownership.ownersOf(*known, upstream);
+        if (owners.empty()) {
+            co_return co_await this->own->acquire(group, upstream, wanted, patience, connectLimit);
+        }
+        const auto request = Acquire{group,
+                                     upstream.id,
+                                     wanted,
+                                     std::chrono::ceil<std::chrono::milliseconds>(patience),
+                                     std::chrono::ceil<std::chrono::milliseconds>(connectLimit)};
+        const auto order = this->orderOf(owners, upstream.id);
+        auto why = FailureReply{interactive::Failure::Busy, "no proxy that owns connections to " + upstream.id.value() + " answers", std::chrono::milliseconds(100)};
+        for (const auto &owner : order) {
+            if (owner == this->self) {
+                co_return co_await this->own->acquire(group, upstream, wanted, patience, connectLimit);
+            }
+            const auto channel = this->channelTo(owner);
+            if (channel == nullptr) {
+                continue;
+            }
+            auto &use = this->uses[upstream.id];
+            ++use.busy;
+            auto result = co_await channel->acquire(request);
+            auto &after = this->uses[upstream.id];
+            if (auto *const link = std::get_if<std::shared_ptr<interactive::UpstreamLink>>(&result.link)) {
+                after.loads[owner] = result.load;
+                co_return interactive::LinkLease(this->weak_from_this(), upstream.id, std::move(*link));
+            }
+            --after.busy;
+            why = std::get<FailureReply>(std::move(result.link));
+            if (result.answered) {
+                // The owner has said what it knows of the upstream; its neighbours would say the same a little later.
+                after.loads[owner] = fullLoad;
+                co_return why;
+            }
+        }
+        co_return why;
+    }
+
+    auto setLimit(const UpstreamId &, std::size_t) -> void override
+    {
+        // Limits follow from the view.
+    }
+
+    auto retire(const UpstreamId &upstream) -> void override
+    {
+        this->own->retire(upstream);
+        if (const auto found = this->uses.find(upstream); found != this->uses.end() && found->second.busy == 0) {
+            this->uses.erase(found);
+        }
+    }
+
+    [[nodiscard]] auto counts(const UpstreamId &upstream) const -> LinkCounts override
+    {
+        auto counts = this->own->counts(upstream);
+        if (const auto found = this->uses.find(upstream); found != this->uses.end()) {
+            counts.busy += found->second.busy;
+        }
+        return counts;
+    }
+
+    [[nodiscard]] auto counts() const -> LinkCounts override
+    {
+        return this->own->counts();
+    }
+
+private:
+    /// Load that is noted of an owner that had no link free.
+    static constexpr auto fullLoad = std::uint32_t{1'000};
+
+    struct Channel
+    {
+        Endpoint endpoint;
+        std::shared_ptr<OwnerChannel> channel;
+    };
+
+    /// Keeps nothing of the members that were in \p former and are not in the view.
+    auto forgetGone(const membership::ClusterView *former) -> void
+    {
+        if (former == nullptr) {
+            return;
+        }
+        for (const auto &group : former->groups) {
+            const auto *const present = this->view->findGroup(group.id);
+            for (const auto &member : group.members) {
+                if (present == nullptr || present->findMember(member.id) == nullptr) {
+                    this->own->setLimit(member.id, 0);
+                }
+            }
+        }
+    }
+
+    static auto accept(std::shared_ptr<OwnersPool> self) -> asio::awaitable<void>
+    {
+        auto pause = asio::steady_timer(self->executor);
+        while (self->acceptor.is_open()) {
+            auto [error, socket] = co_await self->acceptor.async_accept(awaitTuple);
+            if (error) {
+                pause.expires_after(acceptPause);
+                co_await pause.async_wait(awaitTuple);
+                continue;
+            }
+            self->serve(std::move(socket));
+        }
+    }
+
+    auto serve(tcp::socket socket) -> void
+    {
+        auto framed = std::make_shared<FramedConnection>(std::move(socket));
+        const auto find = [weak = this->weak_from_this()](const GroupId &group, const UpstreamId &upstream) {
+            const auto pool = weak.lock();
+            return pool == nullptr ? std::nullopt : pool->findOwned(group, upstream);
+        };
+        const auto connection = std::make_shared<OwnerConnection>(std::move(framed), this->own, find);
+        this->served.insert(connection);
+        connection->start([weak = this->weak_from_this(), plain = std::weak_ptr(connection)] {
+            if (const auto pool = weak.lock()) {
+                pool->served.erase(plain.lock());
+            }
+        });
+    }
+
+    /// \return the upstream, if this proxy may have links to it
+    [[nodiscard]] auto findOwned(const GroupId &group, const UpstreamId &upstream) const -> std::optional<membership::UpstreamView>
+    {
+        const auto *const known = this->view == nullptr ? nullptr : this->view->findGroup(group);
+        const auto *const member = known == nullptr ? nullptr : known->findMember(upstream);
+        if (member == nullptr || this->ownership.share(*known, *member) == 0) {
+            return std::nullopt;
+        }
+        return *member;
+    }
+
+    /// \return the owners that do not rest first, then the ones with less load; else in the order of \p owners
+    auto orderOf(const std::vector<VmId> &owners, const UpstreamId &upstream) -> std::vector<VmId>
+    {
+        auto &loads = this->uses[upstream].loads;
+        const auto rank = [this, &loads](const VmId &owner) {
+            const auto channel = owner == this->self ? nullptr : this->channelTo(owner);
+            const auto rests = channel != nullptr && !channel->isWorthAsking();
+            // What an owner last said fades: a load that is halved with each look is forgotten after some statements.
+            auto &load = loads[owner];
+            const auto present = load;
+            load /= 2;
+            return std::pair(rests, present);
+        };
+        auto ranked = std::vector<std::pair<std::pair<bool, std::uint32_t>, VmId>>();
+        for (const auto &owner : owners) {
+            ranked.emplace_back(rank(owner), owner);
+        }
+        std::stable_sort(ranked.begin(), ranked.end(), [](const auto &left, const auto &right) {
+            return left.first < right.first;
+        });
+        auto order = std::vector<VmId>();
+        for (auto &entry : ranked) {
+            order.push_back(std::move(entry.second));
+        }
+        return order;
+    }
+
+    auto channelTo(const VmId &owner) -> std::shared_ptr<OwnerChannel>
+    {
+        if (const auto found = this->channels.find(owner); found != this->channels.end()) {
+            return found->second.channel;
+        }
+        const auto *const proxy = this->view->findProxy(owner);
+        if (proxy == nullptr) {
+            return nullptr;
+        }
+        const auto channel = std::make_shared<OwnerChannel>(this->executor, proxy->peers);
+        this->channels.emplace(owner, Channel{proxy->peers, channel});
+        return channel;
+    }
+
+    auto returned(const UpstreamId &upstream, std::shared_ptr<interactive::UpstreamLink> link, bool clean) -> void override
+    {
+        if (const auto found = this->uses.find(upstream); found != this->uses.end() && found->second.busy > 0) {
+            --found->second.busy;
+        }
+        giveBack(*link, clean);
+    }
+
+    VmId self;
+    Ownership ownership;
+    std::shared_ptr<LinkPool> own;
+    asio::any_io_executor executor;
+    tcp::acceptor acceptor;
+    std::shared_ptr<const membership::ClusterView> view;
+    std::map<VmId, Channel> channels;
+    std::map<UpstreamId, RemoteUse> uses;
+    std::set<std::shared_ptr<OwnerConnection>> served;
+};
+
+} // namespace
+
+auto makeForwardingPool(VmId self, ZoneId zone, std::shared_ptr<LinkPool> own, const asio::any_io_executor &executor) -> std::shared_ptr<ForwardingPool>
+{
+    return std::make_shared<OwnersPool>(std::move(self), std::move(zone), std::move(own), executor);
+}
+
+} // namespace sapphirespool::forwarding
--- /dev/null
+++ b/lib/Forwarding/ownerchannel.cpp
@@ -0,0 +1,273 @@
+#include "ownerchannel.h"
+
+#include "sapphirespool/Support/clock.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphirespool::forwarding
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
+
+/// A way between zones and back takes some milliseconds; a proxy that does not take a connection in this time is down or cut off.
+constexpr auto connectLimit = std::chrono::milliseconds(400);
+/// What an answer may take beyond the time that the owner was given: the way, and a busy processor.
+constexpr auto answerSlack = std::chrono::milliseconds(250);
+/// An owner that failed is left alone for this long, twice as long after each further failure.
+constexpr auto firstRest = std::chrono::milliseconds(200);
+constexpr auto longestRest = std::chrono::milliseconds(2'000);
+
+auto busy(std::string detail) -> interactive::FailureReply
+{
+    constexpr auto comeBack = std::chrono::milliseconds(100);
+    return {interactive::Failure::Busy, std::move(detail), comeBack};
+}
+
+/// A link that another proxy holds.
+class RemoteLink : public interactive::UpstreamLink
+{
+public:
+    RemoteLink(std::shared_ptr<OwnerChannel> channel, std::uint64_t lease)
+        : channel(std::move(channel))
+        , lease(lease)
+        , generation(this->channel->generation())
+    {
+    }
+
+    ~RemoteLink() override
+    {
+        this->give(false);
+    }
+
+    auto exchange(std::span<const interactive::Command> commands, Duration limit) -> asio::awaitable<interactive::ExchangeResult> override
+    {
+        const auto sentAt = support::now();
+        auto result = interactive::ExchangeResult();
+        if (!this->isUsable()) {
+            result.broken = true;
+            result.sentAt = sentAt;
+            co_return result;
+        }
+        auto request = Exchange{{commands.begin(), commands.end()}, std::chrono::ceil<std::chrono::milliseconds>(limit)};
+        result = co_await this->channel->exchange(this->lease, std::move(request));
+        // The owner's clock is another one; the moment of sending here is the earlier one, and so the safe one for what it proves.
+        result.sentAt = sentAt;
+        this->broken = this->broken || result.broken;
+        co_return result;
+    }
+
+    auto close() -> void override
+    {
+        this->give(false);
+    }
+
+    [[nodiscard]] auto isUsable() const -> bool override
+    {
+        return !this->given && !this->broken && this->channel->generation() == this->generation;
+    }
+
+    /// Returns the link to its owner.
+    auto give(bool clean) -> void
+    {
+        if (!std::exchange(this->given, true) && this->channel->generation() == this->generation) {
+            this->channel->release(this->lease, Release{clean && !this->broken, clean ? this->state : interactive::LinkState()});
+        }
+    }
+
+private:
+    std::shared_ptr<OwnerChannel> channel;
+    std::uint64_t lease;
+    std::uint64_t generation;
+    bool broken = false;
+    bool given = false;
+};
+
+} // namespace
+
+auto giveBack(interactive::UpstreamLink &link, bool clean) -> void
+{
+    if (auto *const remote = dynamic_cast<RemoteLink *>(&link)) {
+        remote->give(clean);
+    }
+}
+
+OwnerChannel::OwnerChannel(const asio::any_io_executor &executor, Endpoint endpoint)
+    : executor(executor)
+    , endpoint(std::move(endpoint))
+{
+}
+
+auto OwnerChannel::acquire(Acquire request) -> asio::awaitable<AcquireResult>
+{
+    const auto self = this->shared_from_this();
+    auto result = AcquireResult();
+    result.link = busy("the proxy that owns the connections does not answer");
+    const auto connected = co_await this->connect(connectLimit);
+    if (!connected) {
+        co_return result;
+    }
+    const auto limit = std::max<Duration>(request.patience, request.connectLimit) + answerSlack;
+    const auto lease = ++this->lastLease;
+    const auto generation = this->generation();
+    auto message = Message{lease, std::move(request)};
+    auto answer = co_await this->ask(std::move(message), limit);
+    if (!answer) {
+        if (generation == this->generation()) {
+            this->release(lease, Release());
+            this->noteFailure();
+        }
+        co_return result;
+    }
+    result.answered = true;
+    this->rest = std::chrono::milliseconds(0);
+    if (auto *const refused = std::get_if<Refused>(&answer->body)) {
+        result.link = std::move(refused->why);
+        co_return result;
+    }
+    if (auto *const acquired = std::get_if<Acquired>(&answer->body)) {
+        const auto link = std::make_shared<RemoteLink>(self, lease);
+        link->state = std::move(acquired->state);
+        result.load = acquired->load;
+        result.link = std::static_pointer_cast<interactive::UpstreamLink>(link);
+    }
+    co_return result;
+}
+
+auto OwnerChannel::exchange(std::uint64_t lease, Exchange request) -> asio::awaitable<interactive::ExchangeResult>
+{
+    const auto self = this->shared_from_this();
+    const auto limit = request.limit + answerSlack;
+    auto message = Message{lease, std::move(request)};
+    auto answer = co_await this->ask(std::move(message), limit);
+    if (answer) {
+        if (auto *const exchanged = std::get_if<Exchanged>(&answer->body)) {
+            co_return std::move(exchanged->result);
+        }
+    }
+    // Without an answer the commands may have reached the upstream through the owner.
+    auto lost = interactive::ExchangeResult();
+    lost.sent = true;
+    lost.broken = true;
+    co_return lost;
+}
+
+auto OwnerChannel::release(std::uint64_t lease, Release request) -> void
+{
+    if (this->connection != nullptr) {
+        this->connection->send(Message{lease, std::move(request)});
+    }
+}
+
+auto OwnerChannel::close() -> void
+{
+    if (this->connection != nullptr) {
+        this->connection->close();
+    }
+}
+
+auto OwnerChannel::isWorthAsking() const -> bool
+{
+    return support::now() >= this->restsUntil;
+}
+
+auto OwnerChannel::generation() const -> std::uint64_t
+{
+    return this->connection == nullptr ? 0 : this->connectionNumber;
+}
+
+auto OwnerChannel::connect(Duration limit) -> asio::awaitable<bool>
+{
+    const auto self = this->shared_from_this();
+    if (this->connection != nullptr) {
+        co_return true;
+    }
+    if (this->connecting != nullptr) {
+        const auto pending = this->connecting;
+        co_await pending->async_wait(awaitTuple);
+        co_return this->connection != nullptr;
+    }
+    auto error = boost::system::error_code();
+    const auto address = asio::ip::make_address(this->endpoint.address, error);
+    if (error) {
+        co_return false;
+    }
+    this->connecting = std::make_shared<asio::steady_timer>(this->executor, limit);
+    const auto socket = std::make_shared<tcp::socket>(this->executor);
+    this->connecting->async_wait([socket](const boost::system::error_code &waitError) {
+        if (!waitError) {
+            auto ignored = boost::system::error_code();
+            socket->close(ignored);
+        }
+    });
+    const auto [connectError] = co_await socket->async_connect(tcp::endpoint(address, this->endpoint.port), awaitTuple);
+    const auto pending = std::exchange(this->connecting, nullptr);
+    if (connectError || !socket->is_open()) {
+        pending->cancel();
+        this->noteFailure();
+        co_return false;
+    }
+    this->connection = std::make_shared<FramedConnection>(std::move(*socket));
+    ++this->connectionNumber;
+    this->connection->start(
+        [weak = this->weak_from_this()](Message message) {
+            if (const auto owner = weak.lock()) {
+                owner->received(std::move(message));
+            }
+        },
+        [weak = this->weak_from_this()] {
+            if (const auto owner = weak.lock()) {
+                owner->ended();
+            }
+        });
+    pending->cancel();
+    co_return true;
+}
+
+auto OwnerChannel::received(Message message) -> void
+{
+    const auto found = this->waiters.find(message.lease);
+    if (found == this->waiters.end()) {
+        return;
+    }
+    found->second->answer = std::move(message);
+    found->second->timer.cancel();
+}
+
+auto OwnerChannel::ended() -> void
+{
+    this->connection.reset();
+    for (const auto &[lease, waiter] : this->waiters) {
+        waiter->timer.cancel();
+    }
+}
+
+auto OwnerChannel::noteFailure() -> void
+{
+    this->rest = std::clamp(this->rest * 2, firstRest, longestRest);
+    this->restsUntil = support::now() + this->rest;
+}
+
+auto OwnerChannel::ask(Message message, Duration limit) -> asio::awaitable<std::optional<Message>>
+{
+    const auto waiter = std::make_shared<Waiter>(this->executor);
+    waiter->timer.expires_after(limit);
+    this->waiters.insert_or_assign(message.lease, waiter);
+    const auto lease = message.lease;
+    if (this->connection != nullptr && this->connection->send(message)) {
+        co_await waiter->timer.async_wait(awaitTuple);
+    }
+    this->waiters.erase(lease);
+    co_return std::move(waiter->answer);
+}
+
+} // namespace sapphirespool::forwarding
--- /dev/null
+++ b/lib/Forwarding/ownerchannel.h
@@ -0,0 +1,89 @@
+// ownerchannel.h: this proxy's connection to another one that owns links.
+#pragma once
+
+#include "framedconnection.h"
+
+#include "sapphirespool/Interactive/upstreamlink.h"
+#include "sapphirespool/Support/types.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <variant>
+
+namespace sapphirespool::forwarding
+{
+
+/// Returns a link that another proxy holds; does nothing with other links.
+auto giveBack(interactive::UpstreamLink &link, bool clean) -> void;
+
+/// Asks one owner for links and runs commands on them. Connects when it is first needed, and again after a failure.
+class OwnerChannel : public std::enable_shared_from_this<OwnerChannel>
+{
+public:
+    /// A link, or why there is none, with the owner's load at the upstream.
+    struct AcquireResult
+    {
+        std::variant<std::shared_ptr<interactive::UpstreamLink>, interactive::FailureReply> link;
+        /// Whether the owner answered at all.
+        bool answered = false;
+        std::uint32_t load = 0;
+    };
+
+    OwnerChannel(const boost::asio::any_io_executor &executor, Endpoint endpoint);
+
+    auto acquire(Acquire request) -> boost::asio::awaitable<AcquireResult>;
+
+    /// Runs commands on the link of \p lease.
+    auto exchange(std::uint64_t lease, Exchange request) -> boost::asio::awaitable<interactive::ExchangeResult>;
+
+    auto release(std::uint64_t lease, Release request) -> void;
+
+    auto close() -> void;
+
+    /// \return whether the owner is worth asking: it did not fail a moment ago
+    [[nodiscard]] auto isWorthAsking() const -> bool;
+
+    /// \return number of the connection, which leases do not outlive; 0 while there is none
+    [[nodiscard]] auto generation() const -> std::uint64_t;
+
+private:
+    /// A coroutine that waits for an answer.
+    struct Waiter
+    {
+        explicit Waiter(const boost::asio::any_io_executor &executor)
+            : timer(executor)
+        {
+        }
+
+        boost::asio::steady_timer timer;
+        std::optional<Message> answer;
+    };
+
+    /// \return whether there is a connection
+    auto connect(Duration limit) -> boost::asio::awaitable<bool>;
+    auto received(Message message) -> void;
+    auto ended() -> void;
+    auto noteFailure() -> void;
+    /// Sends \p message and waits for its answer.
+    /// \return nothing if none came in time
+    auto ask(Message message, Duration limit) -> boost::asio::awaitable<std::optional<Message>>;
+
+    boost::asio::any_io_executor executor;
+    Endpoint endpoint;
+    std::shared_ptr<FramedConnection> connection;
+    std::uint64_t connectionNumber = 0;
+    std::uint64_t lastLease = 0;
+    std::map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
+    /// Coroutines that wait for the connection that is being made.
+    std::shared_ptr<boost::asio::steady_timer> connecting;
+    TimePoint restsUntil{};
+    std::chrono::milliseconds rest{0};
+};
+
+} // namespace sapphirespool::forwarding
--- /dev/null
+++ b/lib/Forwarding/ownerserver.cpp
@@ -0,0 +1,142 @@
+#include "ownerserver.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <map>
+#include <set>
+#include <utility>
+
+namespace sapphirespool::forwarding
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+} // namespace
+
+class OwnerConnection::Leases
+{
+public:
+    std::map<std::uint64_t, interactive::LinkLease> held;
+    /// Leases that were given back before they were had.
+    std::set<std::uint64_t> unwanted;
+    /// Leases on which an exchange runs; their release waits for its end.
+    std::set<std::uint64_t> running;
+};
+
+OwnerConnection::OwnerConnection(std::shared_ptr<FramedConnection> connection, std::shared_ptr<interactive::LinkPool> pool, FindUpstream find)
+    : connection(std::move(connection))
+    , pool(std::move(pool))
+    , find(std::move(find))
+    , leases(std::make_unique<Leases>())
+{
+}
+
+OwnerConnection::~OwnerConnection() = default;
+
+auto OwnerConnection::start(std::function<void()> closed) -> void
+{
+    const auto self = this->shared_from_this();
+    this->connection->start(
+        [self](Message message) {
+            self->receive(std::move(message));
+        },
+        [self, closed = std::move(closed)] {
+            self->leases->held.clear();
+            closed();
+        });
+}
+
+auto OwnerConnection::close() -> void
+{
+    this->connection->close();
+}
+
+auto OwnerConnection::receive(Message message) -> void
+{
+    const auto self = this->shared_from_this();
+    if (auto *const request = std::get_if<Acquire>(&message.body)) {
+        asio::co_spawn(this->connection->executor(), acquire(self, message.lease, std::move(*request)), asio::detached);
+    } else if (auto *const commands = std::get_if<Exchange>(&message.body)) {
+        asio::co_spawn(this->connection->executor(), exchange(self, message.lease, std::move(*commands)), asio::detached);
+    } else if (auto *const ending = std::get_if<Release>(&message.body)) {
+        this->release(message.lease, std::move(*ending));
+    } else {
+        // Only an owner answers; a peer that sends answers is not in step with this one.
+        this->connection->close();
+    }
+}
+
+auto OwnerConnection::acquire(std::shared_ptr<OwnerConnection> self, std::uint64_t lease, Acquire request) -> asio::awaitable<void>
+{
+    auto upstream = self->find(request.group, request.upstream);
+    if (!upstream) {
+        auto why = interactive::FailureReply{interactive::Failure::Busy, "the owner does not know upstream " + request.upstream.value(), {}};
+        self->refuse(lease, std::move(why));
+        co_return;
+    }
+    auto result = co_await self->pool->acquire(request.group, *std::move(upstream), request.values, request.patience, request.connectLimit);
+    if (auto *const why = std::get_if<interactive::FailureReply>(&result)) {
+        self->refuse(lease, std::move(*why));
+        co_return;
+    }
+    auto held = std::get<interactive::LinkLease>(std::move(result));
+    if (!self->connection->isOpen() || self->leases->unwanted.erase(lease) > 0) {
+        held.giveBack();
+        co_return;
+    }
+    const auto counts = self->pool->counts(request.upstream);
+    auto answer = Message{lease, Acquired{held.link().state, static_cast<std::uint32_t>(counts.busy + counts.waiting)}};
+    self->leases->held.insert_or_assign(lease, std::move(held));
+    self->connection->send(answer);
+}
+
+auto OwnerConnection::exchange(std::shared_ptr<OwnerConnection> self, std::uint64_t lease, Exchange request) -> asio::awaitable<void>
+{
+    auto answer = Message{lease, Exchanged()};
+    auto &result = std::get<Exchanged>(answer.body).result;
+    const auto found = self->leases->held.find(lease);
+    if (found == self->leases->held.end()) {
+        result.broken = true;
+        self->connection->send(answer);
+        co_return;
+    }
+    // Taken out while it runs: the connection may end meanwhile, and with it all leases.
+    auto held = std::move(found->second);
+    self->leases->held.erase(found);
+    self->leases->running.insert(lease);
+    result = co_await held.link().exchange(request.commands, request.limit);
+    self->leases->running.erase(lease);
+    const auto unwanted = self->leases->unwanted.erase(lease) > 0;
+    if (self->connection->isOpen() && !unwanted) {
+        self->leases->held.insert_or_assign(lease, std::move(held));
+        self->connection->send(answer);
+    }
+}
+
+auto OwnerConnection::release(std::uint64_t lease, Release request) -> void
+{
+    const auto found = this->leases->held.find(lease);
+    if (found == this->leases->held.end()) {
+        this->leases->unwanted.insert(lease);
+        return;
+    }
+    auto held = std::move(found->second);
+    this->leases->held.erase(found);
+    if (request.clean) {
+        held.link().state = std::move(request.state);
+        held.giveBack();
+    }
+}
+
+auto OwnerConnection::refuse(std::uint64_t lease, interactive::FailureReply why) -> void
+{
+    if (this->leases->unwanted.erase(lease) == 0) {
+        this->connection->send(Message{lease, Refused{std::move(why)}});
+    }
+}
+
+} // namespace sapphirespool::forwarding
--- a/lib/Interactive/linkpool.cpp
+++ b/lib/Interactive/linkpool.cpp
@@ -113,6 +113,7 @@
             place.idle.erase(place.idle.begin());
         }
         this->serveWaiters(place);
+        this->forgetIfUnused(upstream);
     }
 
     auto retire(const UpstreamId &upstream) -> void override
@@ -127,9 +128,6 @@
             link->close();
         }
         place.idle.clear();
-        if (place.busy == 0 && place.waiters.empty()) {
-            this->places.erase(found);
-        }
     }
 
     [[nodiscard]] auto counts(const UpstreamId &upstream) const -> LinkCounts override
@@ -209,7 +207,13 @@
             link->close();
         }
         this->serveWaiters(place);
-        if (place.retired && place.busy == 0 && place.waiters.empty()) {
+        this->forgetIfUnused(upstream);
+    }
+
+    auto forgetIfUnused(const UpstreamId &upstream) -> void
+    {
+        const auto &place = this->places[upstream];
+        if (place.limit == 0 && place.idle.empty() && place.busy == 0 && place.waiters.empty()) {
             this->places.erase(upstream);
         }
     }
--- a/lib/Interactive/sessioncore.cpp
+++ b/lib/Interactive/sessioncore.cpp
@@ -21,26 +21,6 @@
 /// Control counts suspicions of two seconds together; more than a few of them in that time say nothing new.
 constexpr auto suspicionSpacing = std::chrono::milliseconds(300);
 
-/// Connections of each upstream that are left for the control group, which asks members for their state while it promotes.
-constexpr auto controlConnections = std::uint32_t{2};
-
-/// \return links that one proxy may have to a member: equal parts of what the member accepts, but one at least
-auto linkShare(const membership::GroupView &group, const membership::UpstreamView &member, std::size_t proxies) -> std::size_t
-{
-    const auto limit = group.connectionLimit > 0 ? group.connectionLimit : member.connectionLimit;
-    const auto usable = limit > controlConnections ? limit - controlConnections : limit;
-    return std::max<std::size_t>(1, usable / std::max<std::size_t>(1, proxies));
-}
-
-/// \return proxies that take callers; the links of control VMs to the group are listed beside them
-auto proxyCount(const membership::ClusterView &view) -> std::size_t
-{
-    const auto count = std::count_if(view.proxies.begin(), view.proxies.end(), [](const membership::ProxyView &proxy) {
-        return proxy.callers.port != 0;
-    });
-    return static_cast<std::size_t>(count);
-}
-
 auto memberOf(const membership::GroupView &group, const membership::UpstreamView &upstream) -> Member
 {
     return {group.id, group.term, upstream, group.primary == upstream.id};
@@ -62,7 +42,7 @@
     for (const auto &service : this->view->services) {
         this->services.emplace(service.id.value(), &service);
     }
-    this->boundLinks(*former);
+    this->retireLinks(*former);
     for (auto *const timer : this->waiting) {
         timer->cancel();
     }
@@ -146,7 +126,7 @@
     return this->view->findGroup(group);
 }
 
-auto SessionCore::boundLinks(const membership::ClusterView &former) -> void
+auto SessionCore::retireLinks(const membership::ClusterView &former) -> void
 {
     for (const auto &group : former.groups) {
         const auto *const present = this->findGroup(group.id);
@@ -157,14 +137,11 @@
             }
         }
     }
-    const auto proxies = proxyCount(*this->view);
     for (const auto &group : this->view->groups) {
         for (const auto &member : group.members) {
             // A primary that leaves is the only one that takes writes until another one is promoted.
             if (member.leaving && group.primary != member.id) {
                 this->parts.pool->retire(member.id);
-            } else {
-                this->parts.pool->setLimit(member.id, linkShare(group, member, proxies));
             }
         }
     }
--- a/lib/Interactive/sessioncore.h
+++ b/lib/Interactive/sessioncore.h
@@ -66,7 +66,7 @@
 
 private:
     [[nodiscard]] auto findGroup(const GroupId &group) const -> const membership::GroupView *;
-    auto boundLinks(const membership::ClusterView &former) -> void;
+    auto retireLinks(const membership::ClusterView &former) -> void;
 
     std::shared_ptr<const membership::ClusterView> view;
     std::unordered_map<std::string_view, const membership::ServiceView *> services;
--- a/lib/Node/interactivepart.cpp
+++ b/lib/Node/interactivepart.cpp
@@ -4,6 +4,7 @@
 #include "sessionmetrics.h"
 
 #include "sapphirespool/Callers/handler.h"
+#include "sapphirespool/Forwarding/forwardingpool.h"
 #include "sapphirespool/Http/router.h"
 #include "sapphirespool/Http/server.h"
 #include "sapphirespool/Metrics/handler.h"
@@ -41,7 +42,8 @@
         , views(std::make_shared<membership::ViewHolder>())
         , control(linkToControl(controlLoop, settings, settings.vm, incarnation, this->views))
         , metrics(std::make_shared<metrics::Metrics>())
-        , pool(interactive::makeLinkPool(edge.linkConnector(traffic.dispatch()), traffic.dispatch()))
+        , pool(forwarding::makeForwardingPool(
+              settings.vm, settings.zone, interactive::makeLinkPool(edge.linkConnector(traffic.dispatch()), traffic.dispatch()), traffic.dispatch()))
         , sessions(interactive::makeSessionService(this->sessionParts()))
         , callers(edge.callerServer(traffic.dispatch(), this->sessions))
         , readiness(std::make_shared<callers::Readiness>())
@@ -61,6 +63,8 @@
                     }
                 });
             });
+            this->pool->viewChanged(this->views->current());
+            this->pool->listen(this->settings.peers);
             this->callers->listen(this->settings.callers);
             this->serveHttp(this->settings.readiness, "/", callers::makeHealthHandler(this->readiness));
             this->serveHttp(this->settings.metrics, "/metrics", metrics::makeMetricsHandler(this->metrics));
@@ -92,6 +96,7 @@
             this->drainTimer.cancel();
             this->countTimer.cancel();
             this->callers->close();
+            this->pool->close();
             for (const auto &server : this->servers) {
                 server->close();
             }
@@ -131,6 +136,7 @@
 
     auto viewChanged() -> void
     {
+        this->pool->viewChanged(this->views->current());
         this->sessions->viewChanged();
         // A proxy that has once had a configuration keeps serving under it: the balancer asks each proxy alike, so that a readiness
         // that followed the link to control would take all of them out at the moment at which control is lost.
@@ -184,7 +190,7 @@
     std::shared_ptr<membership::ViewHolder> views;
     std::shared_ptr<membership::ControlLink> control;
     std::shared_ptr<metrics::Metrics> metrics;
-    std::shared_ptr<interactive::LinkPool> pool;
+    std::shared_ptr<forwarding::ForwardingPool> pool;
     std::shared_ptr<interactive::SessionService> sessions;
     std::shared_ptr<CallerServer> callers;
     std::shared_ptr<callers::Readiness> readiness;
--- a/unittests/Interactive/sessionfixture.h
+++ b/unittests/Interactive/sessionfixture.h
@@ -55,6 +55,9 @@
         parts.recorder = this->recorder;
         parts.executor = this->io.get_executor();
         this->pool = parts.pool;
+        for (const auto &member : this->databases.members) {
+            this->pool->setLimit(UpstreamId(member.id), 10);
+        }
         this->service = makeSessionService(std::move(parts));
     }
 
