--- a/include/sapphirespool/Rpc/connection.h
+++ b/include/sapphirespool/Rpc/connection.h
@@ -25,6 +25,9 @@
 private:
     kj::Own<kj::AsyncIoStream> stream;
     capnp::TwoPartyClient client;
+    /// Asked for once. Asking again after the peer has ended throws out of whatever is under way, while calls on the capability then only
+    /// fail.
+    capnp::Capability::Client peer;
 };
 
 /// Connects to \p endpoint, or fails after \p limit.
--- a/lib/Rpc/connection.cpp
+++ b/lib/Rpc/connection.cpp
@@ -6,12 +6,13 @@
 Connection::Connection(kj::Own<kj::AsyncIoStream> stream)
     : stream(kj::mv(stream))
     , client(*this->stream)
+    , peer(this->client.bootstrap())
 {
 }
 
 auto Connection::bootstrap() -> capnp::Capability::Client
 {
-    return this->client.bootstrap();
+    return this->peer;
 }
 
 auto Connection::onDisconnect() -> kj::Promise<void>
