--- a/include/sapphirespool/Consensus/repair.h
+++ b/include/sapphirespool/Consensus/repair.h
@@ -37,9 +37,8 @@
 /// Without it a group that lost a disk would run with one voter less until somebody noticed, and the next loss would stop it.
 /// \param caughtUp whether a learner holds all that is committed
 /// \return the next group, or nothing if none is due
-[[nodiscard]] auto nextMemberChange(const Members &group,
-                                    std::span<const JoinRequest> requests,
-                                    const std::function<bool(ReplicaId)> &caughtUp,
-                                    const RepairRules &rules = {}) -> std::optional<std::vector<ControlMember>>;
+[[nodiscard]] auto
+nextMemberChange(const Members &group, std::span<const JoinRequest> requests, const std::function<bool(ReplicaId)> &caughtUp, const RepairRules &rules = {})
+    -> std::optional<std::vector<ControlMember>>;
 
 } // namespace sapphirespool::consensus
--- a/include/sapphirespool/Interactive/linkpool.h
+++ b/include/sapphirespool/Interactive/linkpool.h
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <variant>
 
 namespace sapphirespool::interactive
@@ -71,7 +72,12 @@
     /// \param patience longest wait for a link to come free
     /// \param connectLimit time that opening one may take
     virtual auto acquire(GroupId group, membership::UpstreamView upstream, const SessionValues &wanted, Duration patience, Duration connectLimit)
-        -> boost::asio::awaitable<LeaseResult> = 0;
+        -> boost::asio::awaitable<LeaseResult>
+        = 0;
+
+    /// Opens a connection to \p upstream beside the pool, and closes it at once.
+    /// \return why it did not come about; nothing if it did
+    virtual auto probe(GroupId group, membership::UpstreamView upstream, Duration limit) -> boost::asio::awaitable<std::optional<FailureReply>> = 0;
 
     /// \param limit links that this proxy may have open to \p upstream; with 0 nothing of it is kept
     virtual auto setLimit(const UpstreamId &upstream, std::size_t limit) -> void = 0;
--- a/include/sapphirespool/Interactive/reply.h
+++ b/include/sapphirespool/Interactive/reply.h
@@ -35,6 +35,8 @@
     WrongUpstream,
     /// Nothing was run: the upstream takes no further connection.
     ConnectionLimit,
+    /// Nothing was run: no connection to the upstream came about, or it broke before anything was sent.
+    Unreachable,
     /// A write or a commit was sent, and its answer did not come: it may have taken effect.
     InDoubt,
     /// A read was sent, and no answer came in time.
--- a/include/sapphirespool/Node/edge.h
+++ b/include/sapphirespool/Node/edge.h
@@ -54,16 +54,19 @@
 
     /// \return what carries orders to the members of database groups
     [[nodiscard]] virtual auto groupOperator(const boost::asio::any_io_executor &executor, const settings::Settings &settings)
-        -> std::shared_ptr<platform::GroupOperator> = 0;
+        -> std::shared_ptr<platform::GroupOperator>
+        = 0;
 
     /// \return what answers the operators and the upstreams at a control VM
     [[nodiscard]] virtual auto controlHandler(std::shared_ptr<membership::ControlLink> control, std::shared_ptr<membership::ViewHolder> views)
-        -> std::shared_ptr<http::Handler> = 0;
+        -> std::shared_ptr<http::Handler>
+        = 0;
 
     [[nodiscard]] virtual auto linkConnector(const boost::asio::any_io_executor &executor) -> std::shared_ptr<interactive::LinkConnector> = 0;
 
     [[nodiscard]] virtual auto callerServer(const boost::asio::any_io_executor &executor, std::shared_ptr<interactive::SessionService> sessions)
-        -> std::shared_ptr<CallerServer> = 0;
+        -> std::shared_ptr<CallerServer>
+        = 0;
 };
 
 } // namespace sapphirespool::node
--- a/include/sapphirespool/Support/log.h
+++ b/include/sapphirespool/Support/log.h
@@ -29,7 +29,7 @@
     LogField(std::string_view name, std::uint64_t value);
 };
 
-/// Sends all events of the process to standard error in \p format. Call once, before the first event.
+/// Sends all events of the process to standard output in \p format. Call once, before the first event.
 auto configureLog(LogFormat format) -> void;
 
 /// Writes \p event with \p fields, for example `SP1203 upstream ejected upstream=u2 reason=slow`.
--- a/lib/Consensus/repair.cpp
+++ b/lib/Consensus/repair.cpp
@@ -85,10 +85,8 @@
 
 } // namespace
 
-auto nextMemberChange(const Members &group,
-                      std::span<const JoinRequest> requests,
-                      const std::function<bool(ReplicaId)> &caughtUp,
-                      const RepairRules &rules) -> std::optional<std::vector<ControlMember>>
+auto nextMemberChange(const Members &group, std::span<const JoinRequest> requests, const std::function<bool(ReplicaId)> &caughtUp, const RepairRules &rules)
+    -> std::optional<std::vector<ControlMember>>
 {
     if (auto change = changeForLearner(group.members, caughtUp, rules)) {
         return change;
--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -221,8 +221,9 @@
 
 auto Leadership::carryOut(const promotion::SendFence &action) -> void
 {
-    this->parts.groupOperator->fence(
-        this->addressOf(action.group, action.member, action.endpoint), action.request, this->answerTo(promotion::Order::Fence, action.group, action.request.term, action.member));
+    this->parts.groupOperator->fence(this->addressOf(action.group, action.member, action.endpoint),
+                                     action.request,
+                                     this->answerTo(promotion::Order::Fence, action.group, action.request.term, action.member));
 }
 
 auto Leadership::carryOut(const promotion::SendPromote &action) -> void
@@ -230,14 +231,16 @@
     auto request = action.request;
     request.orderedBy = this->parts.vm;
     request.fencingToken = fencingToken(this->parts.log.leadershipNumber(), action.request.term);
-    this->parts.groupOperator->promote(
-        this->addressOf(action.group, action.member, action.endpoint), request, this->answerTo(promotion::Order::Promote, action.group, action.request.term, action.member));
+    this->parts.groupOperator->promote(this->addressOf(action.group, action.member, action.endpoint),
+                                       request,
+                                       this->answerTo(promotion::Order::Promote, action.group, action.request.term, action.member));
 }
 
 auto Leadership::carryOut(const promotion::SendFollow &action) -> void
 {
-    this->parts.groupOperator->follow(
-        this->addressOf(action.group, action.member, action.endpoint), action.request, this->answerTo(promotion::Order::Follow, action.group, action.request.term, action.member));
+    this->parts.groupOperator->follow(this->addressOf(action.group, action.member, action.endpoint),
+                                      action.request,
+                                      this->answerTo(promotion::Order::Follow, action.group, action.request.term, action.member));
 }
 
 auto Leadership::carryOut(const promotion::ProposeTerm &action) -> void
--- a/lib/Forwarding/forwardingpool.cpp
+++ b/lib/Forwarding/forwardingpool.cpp
@@ -107,13 +107,11 @@
         if (owners.empty()) {
             co_return co_await this->own->acquire(group, upstream, wanted, patience, connectLimit);
         }
-        const auto request = Acquire{group,
-                                     upstream.id,
-                                     wanted,
-                                     std::chrono::ceil<std::chrono::milliseconds>(patience),
-                                     std::chrono::ceil<std::chrono::milliseconds>(connectLimit)};
+        const auto request = Acquire{
+            group, upstream.id, wanted, std::chrono::ceil<std::chrono::milliseconds>(patience), std::chrono::ceil<std::chrono::milliseconds>(connectLimit)};
         const auto order = this->orderOf(owners, upstream.id);
-        auto why = FailureReply{interactive::Failure::Busy, "no proxy that owns connections to " + upstream.id.value() + " answers", std::chrono::milliseconds(100)};
+        auto why
+            = FailureReply{interactive::Failure::Busy, "no proxy that owns connections to " + upstream.id.value() + " answers", std::chrono::milliseconds(100)};
         for (const auto &owner : order) {
             if (owner == this->self) {
                 co_return co_await this->own->acquire(group, upstream, wanted, patience, connectLimit);
@@ -141,6 +139,11 @@
         co_return why;
     }
 
+    auto probe(GroupId group, membership::UpstreamView upstream, Duration limit) -> asio::awaitable<std::optional<FailureReply>> override
+    {
+        return this->own->probe(std::move(group), std::move(upstream), limit);
+    }
+
     auto setLimit(const UpstreamId &, std::size_t) -> void override
     {
         // Limits follow from the view.
--- a/lib/Interactive/callersession.cpp
+++ b/lib/Interactive/callersession.cpp
@@ -1,10 +1,11 @@
 #include "callersession.h"
 
 #include "sapphirespool/Support/clock.h"
+#include "sapphirespool/Support/log.h"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -100,8 +101,8 @@
 {
     const auto commands = std::vector<Command>{commandOfKind(CommandKind::Rollback)};
     const auto exchange = co_await lease->link().exchange(commands, rollbackLimit);
-    const auto clean = !exchange.broken && exchange.results.size() == 1 && !exchange.results.front().failure
-        && exchange.results.front().status == TransactionStatus::None;
+    const auto clean
+        = !exchange.broken && exchange.results.size() == 1 && !exchange.results.front().failure && exchange.results.front().status == TransactionStatus::None;
     if (clean) {
         lease->giveBack();
     }
@@ -150,6 +151,9 @@
 {
     const auto self = this->shared_from_this();
     this->executing = true;
+    this->currentId = statement.id;
+    this->currentSince = SteadyClock::now();
+    this->currentUpstream.clear();
     ++this->core->counts.statements;
     auto reply = co_await this->dispatch(std::move(statement));
     --this->core->counts.statements;
@@ -314,13 +318,13 @@
         auto result = co_await this->runAt(target, work);
         if (auto *const reply = std::get_if<Reply>(&result)) {
             if (!reply->failure) {
-                this->core->parts.recorder->served(work.service.id, work.access, target.member.isPrimary, SteadyClock::now() - began);
+                this->noteServed(work.service.id, work.access, target.member, SteadyClock::now() - began);
             }
             co_return std::move(*reply);
         }
         auto &notRun = std::get<TryElsewhere>(result);
         why = std::move(notRun.why);
-        this->core->parts.recorder->retried(work.service.id, why.failure);
+        this->noteMoved(target.member, why);
         excluded.insert(target.member.upstream.id);
         if (notRun.refuted) {
             refuted = target.member;
@@ -351,13 +355,13 @@
 auto CallerSession::runWrite(LinkLease lease, const Target &target, const Work &work) -> asio::awaitable<RunResult>
 {
     if (auto why = co_await prepareLink(lease.link(), this->state, work.shapePointer(), nullptr, work.left())) {
-        this->core->suspect(target.member);
+        this->core->look(target.member);
         co_return elsewhere(*std::move(why));
     }
     const auto commands = std::vector<Command>{commandOf(work.statement, lease.link().state, work.shapePointer())};
-    const auto exchange = co_await lease.link().exchange(commands, work.left());
+    const auto exchange = co_await this->core->exchange(target.member, lease.link(), commands, work.left());
     if (exchange.results.empty()) {
-        this->core->suspect(target.member);
+        this->core->look(target.member);
         if (!exchange.sent) {
             co_return elsewhere(brokenReply());
         }
@@ -387,7 +391,7 @@
     auto command = commandOf(work.statement, lease.link().state, work.shapePointer());
     command.after = target.after;
     const auto commands = std::vector<Command>{std::move(command)};
-    const auto exchange = co_await lease.link().exchange(commands, work.left());
+    const auto exchange = co_await this->core->exchange(target.member, lease.link(), commands, work.left());
     if (exchange.results.empty()) {
         this->core->load.failed(upstream, support::now());
         // A read changes nothing: it may run again elsewhere, while there is time.
@@ -419,14 +423,14 @@
         if (refuted) {
             lease.giveBack();
         } else {
-            this->core->suspect(target.member);
+            this->core->look(target.member);
         }
         co_return elsewhere(*std::move(why), refuted);
     }
     const auto commands = std::vector<Command>{commandOf(work.statement, lease.link().state, work.shapePointer()), commandOfKind(CommandKind::Rollback)};
-    const auto exchange = co_await lease.link().exchange(commands, work.left());
+    const auto exchange = co_await this->core->exchange(target.member, lease.link(), commands, work.left());
     if (exchange.results.empty()) {
-        this->core->suspect(target.member);
+        this->core->look(target.member);
         this->core->load.failed(target.member.upstream.id, support::now());
         if (work.left() > Duration(0)) {
             co_return elsewhere(brokenReply());
@@ -464,7 +468,7 @@
             co_return std::nullopt;
         }
         why = std::move(notOpened->why);
-        this->core->parts.recorder->retried(work.service.id, why.failure);
+        this->noteMoved(target.member, why);
         excluded.insert(target.member.upstream.id);
         if (notOpened->refuted) {
             refuted = target.member;
@@ -490,7 +494,7 @@
         if (refuted || why->failure == Failure::Lagging) {
             lease.giveBack();
         } else {
-            this->core->suspect(target.member);
+            this->core->look(target.member);
             this->core->load.failed(target.member.upstream.id, support::now());
         }
         co_return elsewhere(*std::move(why), refuted && target.member.isPrimary);
@@ -513,14 +517,14 @@
             co_return this->failTransaction(*std::move(why));
         }
     } else if (auto why = co_await prepareLink(this->transaction->lease->link(), this->state, work.shapePointer(), nullptr, work.left())) {
-        this->core->suspect(this->transaction->member);
+        this->core->look(this->transaction->member);
         co_return this->failTransaction(makeFailure(Failure::Aborted, "the connection broke; the transaction was rolled back"));
     }
     const auto command = commandOf(work.statement, this->transaction->lease->link().state, work.shapePointer());
     this->transaction->wrote = this->transaction->wrote || work.access == Access::Write;
     const auto exchange = co_await this->exchangeInTransaction(work, command);
     if (exchange.results.empty()) {
-        this->core->suspect(this->transaction->member);
+        this->core->look(this->transaction->member);
         // Without a commit nothing is kept: the upstream rolls back when its connection ends.
         co_return this->failTransaction(makeFailure(Failure::Aborted, "no answer from the upstream; the transaction was rolled back"));
     }
@@ -540,7 +544,7 @@
     if (this->transaction->member.isPrimary) {
         this->noteProof(this->transaction->member, exchange.sentAt, result.position);
     }
-    this->core->parts.recorder->served(work.service.id, work.access, this->transaction->member.isPrimary, support::now() - exchange.sentAt);
+    this->noteServed(work.service.id, work.access, this->transaction->member, support::now() - exchange.sentAt);
     co_return replyOf(result, TransactionStatus::Open);
 }
 
@@ -549,7 +553,7 @@
     const auto commands = std::vector<Command>{command};
     auto timer = asio::steady_timer(this->core->parts.executor);
     while (true) {
-        auto exchange = co_await this->transaction->lease->link().exchange(commands, work.left());
+        auto exchange = co_await this->core->exchange(this->transaction->member, this->transaction->lease->link(), commands, work.left());
         // An upstream whose queue is full has not run the statement, and the transaction goes on: what it did so far would be lost
         // for a wait of some milliseconds.
         const auto full = !exchange.results.empty() && exchange.results.front().failure && exchange.results.front().failure->failure == Failure::Busy
@@ -570,7 +574,7 @@
     this->transactionStatus = TransactionStatus::None;
     --this->core->counts.transactions;
     if (exchange.results.empty()) {
-        this->core->suspect(ended->member);
+        this->core->look(ended->member);
         if (!exchange.sent || !ended->wrote) {
             co_return this->failed(makeFailure(Failure::Aborted, "the connection broke; nothing was written"));
         }
@@ -587,7 +591,7 @@
         if (ended->member.isPrimary && ended->wrote) {
             this->noteProof(ended->member, exchange.sentAt, result.position);
         }
-        this->core->parts.recorder->served(work.service.id, ended->wrote ? Access::Write : Access::Read, ended->member.isPrimary, support::now() - exchange.sentAt);
+        this->noteServed(work.service.id, ended->wrote ? Access::Write : Access::Read, ended->member, support::now() - exchange.sentAt);
     }
     // Where the upstream did not end the transaction, dropping the lease closes the connection, which rolls back.
     co_return replyOf(result, TransactionStatus::None);
@@ -692,6 +696,8 @@
     auto result = co_await this->core->parts.pool->acquire(target.member.group, target.member.upstream, this->state.values, patience, connectTime);
     if (const auto *const why = std::get_if<FailureReply>(&result); why != nullptr && why->failure != Failure::Busy) {
         this->core->load.failed(target.member.upstream.id, support::now());
+    }
+    if (const auto *const why = std::get_if<FailureReply>(&result); why != nullptr && why->failure == Failure::Unreachable) {
         this->core->suspect(target.member);
     }
     co_return result;
@@ -726,9 +732,46 @@
     }
 }
 
-auto CallerSession::failed(FailureReply why) const -> Reply
+auto CallerSession::noteMoved(const Member &member, const FailureReply &why) -> void
+{
+    this->currentUpstream = member.upstream.id.value();
+    this->core->parts.recorder->retried(ServiceId(this->database), why.failure);
+    if (this->core->failureLines.tryTake(support::now())) {
+        support::log(support::Event::StatementMoved,
+                     {{"id", this->currentId}, {"database", this->database}, {"upstream", this->currentUpstream}, {"reason", name(why.failure)}, {"detail", why.detail}});
+    }
+}
+
+auto CallerSession::noteServed(const ServiceId &service, Access access, const Member &member, Duration latency) -> void
+{
+    this->core->parts.recorder->served(service, access, member.isPrimary, latency);
+    if (this->core->sampleLines.tryTake(support::now())) {
+        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(latency).count();
+        support::log(support::Event::StatementServed,
+                     {{"id", this->currentId},
+                      {"database", this->database},
+                      {"upstream", member.upstream.id.value()},
+                      {"term", member.term.value()},
+                      {"revision", this->core->revision().value()},
+                      {"ms", static_cast<std::uint64_t>(ms)}});
+    }
+}
+
+auto CallerSession::failed(FailureReply why) -> Reply
 {
     this->core->parts.recorder->refused(ServiceId(this->database), why.failure);
+    if (this->core->failureLines.tryTake(support::now())) {
+        const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(SteadyClock::now() - this->currentSince).count();
+        support::log(support::Event::StatementFailed,
+                     {{"id", this->currentId},
+                      {"database", this->database},
+                      {"reason", name(why.failure)},
+                      {"detail", why.detail},
+                      {"upstream", this->currentUpstream},
+                      {"waited_ms", static_cast<std::uint64_t>(waited)},
+                      {"revision", this->core->revision().value()},
+                      {"lines_left_out", this->core->failureLines.takeDropped()}});
+    }
     return {{}, {}, std::move(why), this->transactionStatus, {}};
 }
 
--- a/lib/Interactive/callersession.h
+++ b/lib/Interactive/callersession.h
@@ -111,7 +111,10 @@
     auto workOf(Statement statement, membership::ServiceView service) const -> Work;
     auto noteWrite(const GroupId &group, const std::optional<DataPosition> &position) -> void;
     auto noteProof(const Member &member, TimePoint sent, const std::optional<DataPosition> &position) -> void;
-    [[nodiscard]] auto failed(FailureReply why) const -> Reply;
+    /// Notes that the statement was tried at \p target and has not run.
+    auto noteMoved(const Member &member, const FailureReply &why) -> void;
+    auto noteServed(const ServiceId &service, Access access, const Member &member, Duration latency) -> void;
+    auto failed(FailureReply why) -> Reply;
 
     std::shared_ptr<SessionCore> core;
     std::string database;
@@ -121,6 +124,10 @@
     /// Fires when the caller has said nothing in a transaction for too long.
     std::unique_ptr<boost::asio::steady_timer> idleTimer;
     bool executing = false;
+    /// The statement under way, for the log: the caller's name for it, when it came, and where it was tried last.
+    std::string currentId;
+    std::chrono::steady_clock::time_point currentSince;
+    std::string currentUpstream;
     bool ended = false;
     /// End of the group's log after the session's last write.
     std::optional<DataPosition> lastWrite;
--- a/lib/Interactive/linkpool.cpp
+++ b/lib/Interactive/linkpool.cpp
@@ -104,6 +104,17 @@
         co_return busyReply("no connection to " + upstream.id.value() + " came free in time");
     }
 
+    auto probe(GroupId group, membership::UpstreamView upstream, Duration limit) -> asio::awaitable<std::optional<FailureReply>> override
+    {
+        const auto self = this->shared_from_this();
+        auto result = co_await this->connector->connect(std::move(group), std::move(upstream), limit);
+        if (auto *const link = std::get_if<std::shared_ptr<UpstreamLink>>(&result)) {
+            (*link)->close();
+            co_return std::nullopt;
+        }
+        co_return std::get<FailureReply>(std::move(result));
+    }
+
     auto setLimit(const UpstreamId &upstream, std::size_t limit) -> void override
     {
         auto &place = this->places[upstream];
--- /dev/null
+++ b/lib/Interactive/primarywatch.cpp
@@ -0,0 +1,47 @@
+#include "primarywatch.h"
+
+namespace sapphirespool::interactive
+{
+
+auto PrimaryWatch::sent(const UpstreamId &upstream, TimePoint now) -> void
+{
+    auto &entry = this->upstreams[upstream];
+    if (entry.outstanding == 0) {
+        entry.since = now;
+    }
+    ++entry.outstanding;
+}
+
+auto PrimaryWatch::ended(const UpstreamId &upstream, bool answered, TimePoint now) -> void
+{
+    const auto found = this->upstreams.find(upstream);
+    if (found == this->upstreams.end()) {
+        return;
+    }
+    --found->second.outstanding;
+    if (answered) {
+        found->second.since = now;
+    }
+    if (found->second.outstanding == 0) {
+        this->upstreams.erase(found);
+    }
+}
+
+auto PrimaryWatch::due(TimePoint now) -> std::vector<UpstreamId>
+{
+    auto silent = std::vector<UpstreamId>();
+    for (auto &[id, upstream] : this->upstreams) {
+        if (now - upstream.since >= silence) {
+            upstream.since = now;
+            silent.push_back(id);
+        }
+    }
+    return silent;
+}
+
+auto PrimaryWatch::isActive() const -> bool
+{
+    return !this->upstreams.empty();
+}
+
+} // namespace sapphirespool::interactive
--- a/lib/Interactive/reply.cpp
+++ b/lib/Interactive/reply.cpp
@@ -18,6 +18,8 @@
         return "wrong_upstream";
     case Failure::ConnectionLimit:
         return "connection_limit";
+    case Failure::Unreachable:
+        return "unreachable";
     case Failure::InDoubt:
         return "in_doubt";
     case Failure::TimedOut:
@@ -43,6 +45,7 @@
     case Failure::ReadOnly:
     case Failure::WrongUpstream:
     case Failure::ConnectionLimit:
+    case Failure::Unreachable:
         return true;
     case Failure::InDoubt:
     case Failure::TimedOut:
--- a/lib/Interactive/sessioncore.cpp
+++ b/lib/Interactive/sessioncore.cpp
@@ -1,8 +1,11 @@
 #include "sessioncore.h"
 
 #include "sapphirespool/Support/clock.h"
+#include "sapphirespool/Support/log.h"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -19,6 +22,13 @@
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 
 /// Control counts suspicions of two seconds together; more than a few of them in that time say nothing new.
+/// How often it is looked for upstreams that fell silent, while statements are under way.
+constexpr auto watchInterval = std::chrono::milliseconds(100);
+
+/// A healthy upstream takes a connection within some tens of milliseconds, a full one within some more; the sum of this and the silence
+/// before it stays well below the second that a promotion itself takes.
+constexpr auto lookLimit = std::chrono::milliseconds(400);
+
 constexpr auto suspicionSpacing = std::chrono::milliseconds(300);
 
 auto memberOf(const membership::GroupView &group, const membership::UpstreamView &upstream) -> Member
@@ -31,6 +41,7 @@
 SessionCore::SessionCore(SessionServiceParts givenParts)
     : parts(std::move(givenParts))
     , view(this->parts.views->current())
+    , watchTimer(this->parts.executor)
 {
     this->viewChanged();
 }
@@ -38,6 +49,9 @@
 auto SessionCore::viewChanged() -> void
 {
     const auto former = std::exchange(this->view, this->parts.views->current());
+    if (former->revision != this->view->revision) {
+        support::log(support::Event::ViewFollowed, {{"revision", this->view->revision.value()}, {"configuration", this->view->configuration.value()}});
+    }
     this->services.clear();
     for (const auto &service : this->view->services) {
         this->services.emplace(service.id.value(), &service);
@@ -59,6 +73,11 @@
     return this->view->configuration > Revision(0) && this->parts.views->leaseLive(support::now());
 }
 
+auto SessionCore::revision() const -> Revision
+{
+    return this->view->revision;
+}
+
 auto SessionCore::primaryOf(const GroupId &group) const -> std::optional<Member>
 {
     const auto *const found = this->findGroup(group);
@@ -113,9 +132,74 @@
         return;
     }
     last = now;
+    support::log(support::Event::PrimarySuspected, {{"group", member.group.value()}, {"upstream", member.upstream.id.value()}, {"term", member.term.value()}});
     this->parts.control->suspect({member.group, member.term, member.upstream.id});
 }
 
+auto SessionCore::look(const Member &member) -> void
+{
+    if (member.isPrimary && this->lookedAt.insert(member.upstream.id).second) {
+        asio::co_spawn(this->parts.executor, connectTo(this->shared_from_this(), member), asio::detached);
+    }
+}
+
+auto SessionCore::connectTo(std::shared_ptr<SessionCore> self, Member member) -> asio::awaitable<void>
+{
+    const auto why = co_await self->parts.pool->probe(member.group, member.upstream, lookLimit);
+    self->lookedAt.erase(member.upstream.id);
+    if (why && why->failure == Failure::Unreachable) {
+        self->suspect(member);
+    }
+}
+
+auto SessionCore::exchange(const Member &member, UpstreamLink &link, std::span<const Command> commands, Duration limit) -> asio::awaitable<ExchangeResult>
+{
+    const auto self = this->shared_from_this();
+    const auto upstream = member.upstream.id;
+    if (member.isPrimary) {
+        this->watch.sent(upstream, support::now());
+        this->watchOn();
+    }
+    auto result = co_await link.exchange(commands, limit);
+    if (member.isPrimary) {
+        this->watch.ended(upstream, !result.results.empty(), support::now());
+    }
+    co_return result;
+}
+
+auto SessionCore::watchOn() -> void
+{
+    if (std::exchange(this->watching, true)) {
+        return;
+    }
+    this->watchTimer.expires_after(watchInterval);
+    this->watchTimer.async_wait([weak = this->weak_from_this()](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (error || self == nullptr) {
+            return;
+        }
+        self->watching = false;
+        for (const auto &upstream : self->watch.due(support::now())) {
+            if (const auto member = self->findMember(upstream)) {
+                self->look(*member);
+            }
+        }
+        if (self->watch.isActive()) {
+            self->watchOn();
+        }
+    });
+}
+
+auto SessionCore::findMember(const UpstreamId &upstream) const -> std::optional<Member>
+{
+    for (const auto &group : this->view->groups) {
+        if (const auto *const found = group.findMember(upstream)) {
+            return memberOf(group, *found);
+        }
+    }
+    return std::nullopt;
+}
+
 auto SessionCore::proofsOf(const GroupId &group) -> PositionProofs &
 {
     return this->proofs[group];
--- a/lib/Interactive/sessioncore.h
+++ b/lib/Interactive/sessioncore.h
@@ -1,16 +1,21 @@
 // sessioncore.h: what the sessions of one proxy share.
 #pragma once
 
+#include "primarywatch.h"
+
 #include "sapphirespool/Interactive/positionproofs.h"
 #include "sapphirespool/Interactive/session.h"
 #include "sapphirespool/Interactive/upstreamload.h"
 
+#include "sapphirespool/Support/logbudget.h"
+
 #include <boost/asio/steady_timer.hpp>
 
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -42,6 +47,9 @@
     /// \return whether control has given a view and vouches for it still
     [[nodiscard]] auto hasCurrentView() const -> bool;
 
+    /// \return revision of the view that sessions go by
+    [[nodiscard]] auto revision() const -> Revision;
+
     [[nodiscard]] auto primaryOf(const GroupId &group) const -> std::optional<Member>;
 
     /// \return the members that may serve a read now, the primary among them
@@ -53,9 +61,15 @@
     /// its attempts in that time; one that waits here is served by the first link to the new primary.
     auto awaitPrimary(GroupId group, std::optional<Member> refuted, Duration patience) -> boost::asio::awaitable<std::optional<Member>>;
 
-    /// Tells control that a primary does not serve.
+    /// Tells control that a primary cannot be reached.
     auto suspect(const Member &member) -> void;
 
+    /// Looks whether \p member takes a connection, and suspects it if it does not and is a primary.
+    auto look(const Member &member) -> void;
+
+    /// Runs commands on a link to \p member, and watches for its silence.
+    auto exchange(const Member &member, UpstreamLink &link, std::span<const Command> commands, Duration limit) -> boost::asio::awaitable<ExchangeResult>;
+
     auto proofsOf(const GroupId &group) -> PositionProofs &;
 
     SessionServiceParts parts;
@@ -63,15 +77,27 @@
     bool refusesNewWork = false;
     bool abortsTransactions = false;
     SessionCounts counts;
+    /// Failures come in crowds, of which the first lines tell the cause.
+    support::LogBudget failureLines{20.0};
+    /// Statements that are served are sampled.
+    support::LogBudget sampleLines{2.0};
 
 private:
     [[nodiscard]] auto findGroup(const GroupId &group) const -> const membership::GroupView *;
+    static auto connectTo(std::shared_ptr<SessionCore> self, Member member) -> boost::asio::awaitable<void>;
+    auto watchOn() -> void;
+    [[nodiscard]] auto findMember(const UpstreamId &upstream) const -> std::optional<Member>;
     auto retireLinks(const membership::ClusterView &former) -> void;
 
     std::shared_ptr<const membership::ClusterView> view;
     std::unordered_map<std::string_view, const membership::ServiceView *> services;
     std::map<GroupId, PositionProofs> proofs;
     std::map<UpstreamId, TimePoint> suspected;
+    PrimaryWatch watch;
+    boost::asio::steady_timer watchTimer;
+    bool watching = false;
+    /// Members that are being looked at.
+    std::set<UpstreamId> lookedAt;
     /// Coroutines that wait for another view.
     std::set<boost::asio::steady_timer *> waiting;
 };
--- a/lib/Node/controlaccess.h
+++ b/lib/Node/controlaccess.h
@@ -17,10 +17,8 @@
 ///
 /// Requests that still run hold the link, and the link writes to the holder from its own thread: a holder that went before the link
 /// would be written to after its end, so it goes with the link.
-[[nodiscard]] auto linkToControl(rpc::LoopThread &loop,
-                                 const settings::Settings &settings,
-                                 const VmId &vm,
-                                 Incarnation incarnation,
-                                 std::shared_ptr<membership::ViewHolder> views) -> std::shared_ptr<membership::ControlLink>;
+[[nodiscard]] auto
+linkToControl(rpc::LoopThread &loop, const settings::Settings &settings, const VmId &vm, Incarnation incarnation, std::shared_ptr<membership::ViewHolder> views)
+    -> std::shared_ptr<membership::ControlLink>;
 
 } // namespace sapphirespool::node
--- a/lib/Node/controlpart.cpp
+++ b/lib/Node/controlpart.cpp
@@ -46,11 +46,7 @@
 class ControlPart::OnLoop
 {
 public:
-    OnLoop(rpc::LoopContext &context,
-           rpc::LoopThread &loop,
-           const settings::Settings &settings,
-           ControlEdge edge,
-           std::uint64_t seed)
+    OnLoop(rpc::LoopContext &context, rpc::LoopThread &loop, const settings::Settings &settings, ControlEdge edge, std::uint64_t seed)
         : timer(context.timer)
         , replica(openOrThrow(context, replicaSettings(settings, seed), this->state))
         , controller(controller::makeController(this->controllerParts(loop, settings, std::move(edge))))
--- a/lib/Node/node.cpp
+++ b/lib/Node/node.cpp
@@ -96,8 +96,7 @@
             this->controlApi = std::make_unique<ControlApi>(this->controlLoop, this->traffic, this->settings, Incarnation(drawNumber()), *this->edge);
         }
         if (this->settings.proxy && this->edge) {
-            this->interactivePart
-                = std::make_unique<InteractivePart>(this->controlLoop, this->traffic, this->settings, Incarnation(drawNumber()), *this->edge);
+            this->interactivePart = std::make_unique<InteractivePart>(this->controlLoop, this->traffic, this->settings, Incarnation(drawNumber()), *this->edge);
             this->interactivePart->start();
         } else if (this->settings.proxy) {
             this->proxyPart = std::make_unique<ProxyPart>(this->controlLoop, this->traffic, this->settings, Incarnation(drawNumber()));
--- a/lib/Node/sessionmetrics.cpp
+++ b/lib/Node/sessionmetrics.cpp
@@ -23,6 +23,7 @@
     case Failure::ReadOnly:
         return RefusalReason::NoPrimary;
     case Failure::WrongUpstream:
+    case Failure::Unreachable:
         return RefusalReason::ConnectFailed;
     case Failure::ConnectionLimit:
         return RefusalReason::ConnectionLimit;
@@ -52,6 +53,7 @@
     case Failure::TimedOut:
         return metrics::RetryReason::ReadAnswerLost;
     case Failure::WrongUpstream:
+    case Failure::Unreachable:
         return metrics::RetryReason::ConnectFailed;
     default:
         return metrics::RetryReason::NotSent;
--- a/lib/Operators/handler.cpp
+++ b/lib/Operators/handler.cpp
@@ -1,7 +1,7 @@
 #include "sapphirespool/Operators/handler.h"
 
-#include "sapphirespool/Operators/awaitcallback.h"
 #include "json.h"
+#include "sapphirespool/Operators/awaitcallback.h"
 
 #include <charconv>
 #include <optional>
--- a/lib/ProxyRole/proxyrole.cpp
+++ b/lib/ProxyRole/proxyrole.cpp
@@ -6,8 +6,8 @@
 #include "sapphirespool/Peers/peernetwork.h"
 #include "sapphirespool/Proxy/trafficpath.h"
 #include "sapphirespool/ProxyRole/gracefulshutdown.h"
-#include "sapphirespool/Support/log.h"
 #include "sapphirespool/Support/clock.h"
+#include "sapphirespool/Support/log.h"
 #include "sapphirespool/Upstreams/pool.h"
 
 #include <boost/asio/post.hpp>
--- a/lib/State/commandcodec.cpp
+++ b/lib/State/commandcodec.cpp
@@ -94,7 +94,8 @@
     }
     command.content.services = readAll<membership::ServiceView>(from.getServices());
     for (const auto group : from.getGroups()) {
-        command.content.groups.push_back({GroupId(read(group.getId())), group.getSize(), group.getConnectionLimit(), group.getSelfReplicating(), group.getConfirmations()});
+        command.content.groups.push_back(
+            {GroupId(read(group.getId())), group.getSize(), group.getConnectionLimit(), group.getSelfReplicating(), group.getConfirmations()});
     }
     return command;
 }
--- a/lib/Support/log.cpp
+++ b/lib/Support/log.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/json/serialize.hpp>
 #include <boost/json/string.hpp>
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
@@ -16,6 +17,9 @@
 namespace
 {
 
+/// Lines that may wait for the output: some seconds of a busy process.
+constexpr auto bufferedLines = 2'000;
+
 std::atomic<LogFormat> currentFormat = LogFormat::Text;
 
 auto logger() -> const log4cxx::LoggerPtr &
@@ -101,7 +105,13 @@
     const auto *const pattern
         = format == LogFormat::Json ? R"({"time":"%d{yyyy-MM-ddTHH:mm:ss.SSS}Z","level":"%p",%m}%n)" : "%d{yyyy-MM-ddTHH:mm:ss.SSS}Z %p %m%n";
     const auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    const auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
+    // A reader of the output that stands still would hold up whoever logs next, and with it callers. The lines wait beside the threads
+    // that write them; when too many do, further ones are dropped and counted in a line of their own.
+    const auto appender = std::make_shared<log4cxx::AsyncAppender>();
+    appender->addAppender(console);
+    appender->setBufferSize(bufferedLines);
+    appender->setBlocking(false);
     log4cxx::BasicConfigurator::configure(appender);
 }
 
--- a/tools/sapphirespool/stopsignal.h
+++ b/tools/sapphirespool/stopsignal.h
@@ -48,8 +48,7 @@
     /// Returns once the process is asked to stop.
     auto waitForStop() -> void
     {
-        while (this->wait(std::chrono::hours(1)) != Wake::Stop) {
-        }
+        while (this->wait(std::chrono::hours(1)) != Wake::Stop) { }
     }
 
 private:
--- a/unittests/Interactive/fakedatabases.cpp
+++ b/unittests/Interactive/fakedatabases.cpp
@@ -231,7 +231,7 @@
     {
         auto &member = this->databases.member(upstream.id.value());
         if (!member.reachable || member.connections >= member.connectionLimit) {
-            auto why = FailureReply{Failure::ConnectionLimit, "no connection", {}};
+            auto why = FailureReply{member.reachable ? Failure::ConnectionLimit : Failure::Unreachable, "no connection", {}};
             co_return why;
         }
         co_return std::make_shared<FakeLink>(this->databases, member.id, ++this->databases.connectionsMade);
--- a/unittests/Settings/settingstest.cpp
+++ b/unittests/Settings/settingstest.cpp
@@ -79,7 +79,8 @@
     CHECK(parse(with("callers:", "caller:")).problems.find("field 'callers' is missing; add it") != std::string::npos);
     CHECK(parse(with("callers:", "caller:")).problems.find("vm.yaml:4: unknown field 'caller'") != std::string::npos);
     CHECK(parse(with("[proxy, control]", "[proxy]")).problems.find("unknown field 'data'") != std::string::npos);
-    CHECK(parse(with("[proxy, control]", "[router]")).problems.find("unknown role 'router'; use proxy, control, operators or some of them") != std::string::npos);
+    CHECK(parse(with("[proxy, control]", "[router]")).problems.find("unknown role 'router'; use proxy, control, operators or some of them")
+          != std::string::npos);
     CHECK(parse(with("vm: hobart-1\n", "vm: hobart-2\n")).problems.find("is no control member") != std::string::npos);
     CHECK(parse(with("launceston-1, address: \"127.1.2.1", "launceston-1, address: \"127.1.1.1")).problems.find("repeats a VM or an address")
           != std::string::npos);
