--- a/include/sapphirespool/Interactive/upstreamload.h
+++ b/include/sapphirespool/Interactive/upstreamload.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <map>
+#include <set>
 #include <span>
 
 namespace sapphirespool::interactive
@@ -36,6 +37,9 @@
     /// A failed member is asked last for this long; doubled for each further failure, up to the limit.
     static constexpr auto firstRest = std::chrono::milliseconds(100);
     static constexpr auto longestRest = std::chrono::milliseconds(2'000);
+    /// A member that lacks what a read must see is asked last for this long: it catches up in steps of about its replication delay, and
+    /// each read that asks it meanwhile loses a way there and back, and takes a connection from those that it could serve.
+    static constexpr auto laggingRest = std::chrono::milliseconds(60);
     /// Least expected time, so that the way between zones, some milliseconds, counts against an idle member elsewhere.
     static constexpr auto floor = std::chrono::milliseconds(5);
     /// What a member in another zone costs on top: the way there and back, and traffic between zones that is paid for.
@@ -50,6 +54,12 @@
     /// Notes that \p upstream did not serve: it was unreachable, full or silent.
     auto failed(const UpstreamId &upstream, TimePoint now) -> void;
 
+    /// Notes that \p upstream lacked what a read had to see.
+    auto lagged(const UpstreamId &upstream, TimePoint now) -> void;
+
+    /// Keeps nothing of the upstreams that are not among \p present.
+    auto keepOnly(const std::set<UpstreamId> &present) -> void;
+
     /// \return the candidate that is likely to be done first; null if there is none
     [[nodiscard]] auto choose(std::span<const ReadCandidate> candidates, TimePoint now) const -> const ReadCandidate *;
 
--- a/lib/Interactive/callersession.cpp
+++ b/lib/Interactive/callersession.cpp
@@ -405,6 +405,8 @@
     if (result.failure && mayGoElsewhere(result.failure->failure)) {
         if (result.failure->failure == Failure::Busy) {
             this->core->load.failed(upstream, support::now());
+        } else if (result.failure->failure == Failure::Lagging) {
+            this->core->load.lagged(upstream, support::now());
         }
         co_return elsewhere(*result.failure);
     }
@@ -492,6 +494,7 @@
     if (auto why = co_await prepareLink(lease.link(), this->state, work.shapePointer(), &begin, work.left())) {
         const auto refuted = why->failure == Failure::ReadOnly;
         if (refuted || why->failure == Failure::Lagging) {
+            this->core->load.lagged(target.member.upstream.id, support::now());
             lease.giveBack();
         } else {
             this->core->look(target.member);
@@ -738,7 +741,11 @@
     this->core->parts.recorder->retried(ServiceId(this->database), why.failure);
     if (this->core->failureLines.tryTake(support::now())) {
         support::log(support::Event::StatementMoved,
-                     {{"id", this->currentId}, {"database", this->database}, {"upstream", this->currentUpstream}, {"reason", name(why.failure)}, {"detail", why.detail}});
+                     {{"id", this->currentId},
+                      {"database", this->database},
+                      {"upstream", this->currentUpstream},
+                      {"reason", name(why.failure)},
+                      {"detail", why.detail}});
     }
 }
 
--- a/lib/Interactive/sessioncore.cpp
+++ b/lib/Interactive/sessioncore.cpp
@@ -31,6 +31,17 @@
 
 constexpr auto suspicionSpacing = std::chrono::milliseconds(300);
 
+auto presentUpstreams(const membership::ClusterView &view) -> std::set<UpstreamId>
+{
+    auto present = std::set<UpstreamId>();
+    for (const auto &group : view.groups) {
+        for (const auto &member : group.members) {
+            present.insert(member.id);
+        }
+    }
+    return present;
+}
+
 auto memberOf(const membership::GroupView &group, const membership::UpstreamView &upstream) -> Member
 {
     return {group.id, group.term, upstream, group.primary == upstream.id};
@@ -57,6 +68,7 @@
         this->services.emplace(service.id.value(), &service);
     }
     this->retireLinks(*former);
+    this->load.keepOnly(presentUpstreams(*this->view));
     for (auto *const timer : this->waiting) {
         timer->cancel();
     }
--- a/lib/Interactive/upstreamload.cpp
+++ b/lib/Interactive/upstreamload.cpp
@@ -34,6 +34,19 @@
     member.restsUntil = now + member.rest;
 }
 
+auto UpstreamLoad::lagged(const UpstreamId &upstream, TimePoint now) -> void
+{
+    auto &member = this->members[upstream];
+    member.restsUntil = std::max(member.restsUntil, now + laggingRest);
+}
+
+auto UpstreamLoad::keepOnly(const std::set<UpstreamId> &present) -> void
+{
+    std::erase_if(this->members, [&present](const auto &member) {
+        return !present.contains(member.first);
+    });
+}
+
 auto UpstreamLoad::choose(std::span<const ReadCandidate> candidates, TimePoint now) const -> const ReadCandidate *
 {
     const auto found = std::min_element(candidates.begin(), candidates.end(), [this, now](const ReadCandidate &left, const ReadCandidate &right) {
