A leaving primary is not chosen again while a replica catches up; no wait once the former primary has told all it had

Cause: while the replicas were asked again, the leaving primary's own report was the only one, and was chosen (found by the test 'a leaving primary is replaced at once').

--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -188,7 +188,11 @@
     if (!group.selfReplicating) {
         return choice.avoided && this->fenced.size() < group.view.members.size() && waited < choiceGrace;
     }
-    if (this->isBehind(choice.report)) {
+    const auto open = std::any_of(group.view.members.begin(), group.view.members.end(), [this](const membership::UpstreamView &member) {
+        return !this->fenced.contains(member.id) && !this->unreached.contains(member.id);
+    });
+    // A member that leaves or is suspected had better not be primary again while another one may still catch up with it.
+    if (this->isBehind(choice.report) || (choice.avoided && open)) {
         return waited < catchUpGrace;
     }
     // The former primary has stepped down and told all that it had, so that no further report could show more.
@@ -196,9 +200,6 @@
     const auto complete = std::any_of(this->fenced.begin(), this->fenced.end(), [&avoid](const auto &member) {
         return avoid.contains(member.first);
     });
-    const auto open = std::any_of(group.view.members.begin(), group.view.members.end(), [this](const membership::UpstreamView &member) {
-        return !this->fenced.contains(member.id) && !this->unreached.contains(member.id);
-    });
     return !complete && open && waited < reportGrace;
 }
 
