--- a/lib/Interactive/callersession.cpp
+++ b/lib/Interactive/callersession.cpp
@@ -324,7 +324,7 @@
         }
         auto &notRun = std::get<TryElsewhere>(result);
         why = std::move(notRun.why);
-        this->noteMoved(target.member, why);
+        this->noteMoved(why);
         excluded.insert(target.member.upstream.id);
         if (notRun.refuted) {
             refuted = target.member;
@@ -338,6 +338,7 @@
 
 auto CallerSession::runAt(const Target &target, const Work &work) -> asio::awaitable<RunResult>
 {
+    this->currentUpstream = target.member.upstream.id.value();
     auto leased = co_await this->acquire(target, work);
     if (auto *const none = std::get_if<FailureReply>(&leased)) {
         co_return elsewhere(std::move(*none));
@@ -470,7 +471,7 @@
             co_return std::nullopt;
         }
         why = std::move(notOpened->why);
-        this->noteMoved(target.member, why);
+        this->noteMoved(why);
         excluded.insert(target.member.upstream.id);
         if (notOpened->refuted) {
             refuted = target.member;
@@ -483,6 +484,7 @@
 
 auto CallerSession::openAt(const Target &target, const Work &work) -> asio::awaitable<std::optional<TryElsewhere>>
 {
+    this->currentUpstream = target.member.upstream.id.value();
     auto leased = co_await this->acquire(target, work);
     if (auto *const none = std::get_if<FailureReply>(&leased)) {
         co_return elsewhere(std::move(*none));
@@ -553,6 +555,7 @@
 
 auto CallerSession::exchangeInTransaction(const Work &work, const Command &command) -> asio::awaitable<ExchangeResult>
 {
+    this->currentUpstream = this->transaction->member.upstream.id.value();
     const auto commands = std::vector<Command>{command};
     auto timer = asio::steady_timer(this->core->parts.executor);
     while (true) {
@@ -735,9 +738,8 @@
     }
 }
 
-auto CallerSession::noteMoved(const Member &member, const FailureReply &why) -> void
+auto CallerSession::noteMoved(const FailureReply &why) -> void
 {
-    this->currentUpstream = member.upstream.id.value();
     this->core->parts.recorder->retried(ServiceId(this->database), why.failure);
     if (this->core->failureLines.tryTake(support::now())) {
         support::log(support::Event::StatementMoved,
--- a/lib/Interactive/callersession.h
+++ b/lib/Interactive/callersession.h
@@ -111,8 +111,8 @@
     auto workOf(Statement statement, membership::ServiceView service) const -> Work;
     auto noteWrite(const GroupId &group, const std::optional<DataPosition> &position) -> void;
     auto noteProof(const Member &member, TimePoint sent, const std::optional<DataPosition> &position) -> void;
-    /// Notes that the statement was tried at \p target and has not run.
-    auto noteMoved(const Member &member, const FailureReply &why) -> void;
+    /// Notes that the statement has not run where it was tried last.
+    auto noteMoved(const FailureReply &why) -> void;
     auto noteServed(const ServiceId &service, Access access, const Member &member, Duration latency) -> void;
     auto failed(FailureReply why) -> Reply;
 
