--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -189,7 +189,7 @@
         return choice.avoided && this->fenced.size() < group.view.members.size() && waited < choiceGrace;
     }
     const auto open = std::any_of(group.view.members.begin(), group.view.members.end(), [this](const membership::UpstreamView &member) {
-        return !this->fenced.contains(member.id) && !this->unreached.contains(member.id);
+        return this->suspect != member.id && !this->fenced.contains(member.id) && !this->unreached.contains(member.id);
     });
     // A member that leaves or is suspected had better not be primary again while another one may still catch up with it.
     if (this->isBehind(choice.report) || (choice.avoided && open)) {
--- a/unittests/Promotion/selfreplicatingtest.cpp
+++ b/unittests/Promotion/selfreplicatingtest.cpp
@@ -162,6 +162,27 @@
     CHECK(find<ProposePrimary>(chosen)->command.primary == UpstreamId("b"));
 }
 
+TEST_CASE("the choice does not wait for the member that is suspected")
+{
+    // The primary's VM has lost its power; its order stays without an answer. Each moment in which the choice waits for it is one in
+    // which no caller of the group can write.
+    auto group = Group(1);
+    group.lead("a");
+    group.advance(start);
+    for (const auto *const zone : {"z1", "z2"}) {
+        group.promotion.note(Suspected{ZoneId(zone), {GroupId("g"), Term(1), UpstreamId("a")}}, start + 1ms);
+    }
+    REQUIRE(find<ProposeTerm>(group.advance(start + 1ms)) != nullptr);
+    group.record.view.term = Term(2);
+    group.record.view.primary.reset();
+    group.advance(start + 10ms);
+    group.promotion.note(fenced("b", 48), start + 20ms);
+    group.promotion.note(fenced("c", 49), start + 20ms);
+    const auto chosen = group.advance(start + 20ms);
+    REQUIRE(find<ProposePrimary>(chosen) != nullptr);
+    CHECK(find<ProposePrimary>(chosen)->command.primary == UpstreamId("c"));
+}
+
 TEST_CASE("where a replica confirms each write, one report is not enough")
 {
     // The write that was acknowledged last is on the lost primary and on one replica, which may be the one that has not answered.
