--- /dev/null
+++ b/lib/Interactive/runvalues.cpp
@@ -0,0 +1,65 @@
+#include "runvalues.h"
+
+#include <utility>
+#include <vector>
+
+namespace sapphirespool::interactive
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+/// Time for a rollback on a link that is to be used again; a link that does not answer is closed instead, which rolls back as well.
+constexpr auto rollbackLimit = std::chrono::milliseconds(1'000);
+
+} // namespace
+
+auto commandOfKind(CommandKind kind, std::string id) -> Command
+{
+    auto command = Command();
+    command.kind = kind;
+    command.id = std::move(id);
+    return command;
+}
+
+auto replyOf(const CommandResult &result, TransactionStatus status) -> Reply
+{
+    return {result.rows, result.signature, result.failure, status, result.position};
+}
+
+auto makeReply(TransactionStatus status) -> Reply
+{
+    auto reply = Reply();
+    reply.status = status;
+    return reply;
+}
+
+auto makeFailure(Failure failure, std::string detail, std::optional<std::chrono::milliseconds> retryAfter) -> FailureReply
+{
+    return {failure, std::move(detail), retryAfter};
+}
+
+auto brokenReply() -> FailureReply
+{
+    return makeFailure(Failure::Busy, "the connection to the upstream broke before the statement was sent");
+}
+
+auto mayGoElsewhere(Failure failure) -> bool
+{
+    return promisesNothingKept(failure) && failure != Failure::Aborted;
+}
+
+auto rollBack(std::shared_ptr<LinkLease> lease) -> asio::awaitable<void>
+{
+    const auto commands = std::vector<Command>{commandOfKind(CommandKind::Rollback)};
+    const auto exchange = co_await lease->link().exchange(commands, rollbackLimit);
+    const auto clean
+        = !exchange.broken && exchange.results.size() == 1 && !exchange.results.front().failure && exchange.results.front().status == TransactionStatus::None;
+    if (clean) {
+        lease->giveBack();
+    }
+}
+
+} // namespace sapphirespool::interactive
--- /dev/null
+++ b/lib/Interactive/sessiontransaction.cpp
@@ -0,0 +1,220 @@
+// Transactions of a caller's session: one link from the first statement to the end.
+#include "callersession.h"
+#include "runvalues.h"
+
+#include "sapphirespool/Support/clock.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace sapphirespool::interactive
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
+
+/// Pause before a statement of an open transaction is sent again to an upstream whose queue was full.
+constexpr auto fullQueuePause = std::chrono::milliseconds(20);
+
+/// Transaction idle time where the service names none.
+constexpr auto usualIdleLimit = std::chrono::milliseconds(10'000);
+
+} // namespace
+
+auto CallerSession::openTransaction(const Work &work) -> asio::awaitable<std::optional<FailureReply>>
+{
+    auto excluded = std::set<UpstreamId>();
+    auto refuted = std::optional<Member>();
+    auto why = makeFailure(Failure::Busy, "no upstream could take the transaction in time", promotionRetry);
+    for (auto attempt = 0; attempt < attempts && work.left() > Duration(0); ++attempt) {
+        auto picked = co_await this->pick(!this->transaction->readOnly, work, excluded, refuted);
+        if (auto *const none = std::get_if<FailureReply>(&picked)) {
+            co_return std::move(*none);
+        }
+        const auto &target = std::get<Target>(picked);
+        auto notOpened = co_await this->openAt(target, work);
+        if (!notOpened) {
+            ++this->core->counts.transactions;
+            co_return std::nullopt;
+        }
+        why = std::move(notOpened->why);
+        this->noteMoved(why);
+        excluded.insert(target.member.upstream.id);
+        if (notOpened->refuted) {
+            refuted = target.member;
+        } else if (target.member.isPrimary && why.failure == Failure::Busy && !this->transaction->readOnly) {
+            break;
+        }
+    }
+    co_return why;
+}
+
+auto CallerSession::openAt(const Target &target, const Work &work) -> asio::awaitable<std::optional<TryElsewhere>>
+{
+    this->currentUpstream = target.member.upstream.id.value();
+    auto leased = co_await this->acquire(target, work);
+    if (auto *const none = std::get_if<FailureReply>(&leased)) {
+        co_return elsewhere(std::move(*none));
+    }
+    auto lease = std::get<LinkLease>(std::move(leased));
+    // At a primary also a transaction that only reads begins as one that may write: a primary that was replaced refuses that.
+    auto begin = commandOfKind(target.member.isPrimary ? CommandKind::Begin : CommandKind::BeginReadOnly);
+    begin.after = target.after;
+    if (auto why = co_await prepareLink(lease.link(), this->state, work.shapePointer(), &begin, work.left())) {
+        const auto refuted = why->failure == Failure::ReadOnly;
+        if (refuted || why->failure == Failure::Lagging) {
+            this->core->load.lagged(target.member.upstream.id, support::now());
+            lease.giveBack();
+        } else {
+            this->core->look(target.member);
+            this->core->load.failed(target.member.upstream.id, support::now());
+        }
+        co_return elsewhere(*std::move(why), refuted && target.member.isPrimary);
+    }
+    this->transaction->member = target.member;
+    this->transaction->lease.emplace(std::move(lease));
+    co_return std::nullopt;
+}
+
+auto CallerSession::runInTransaction(const Work &work) -> asio::awaitable<Reply>
+{
+    if (this->core->abortsTransactions) {
+        co_return this->failTransaction(makeFailure(Failure::Aborted, "the proxy is stopping; connect again", std::chrono::milliseconds(0)));
+    }
+    if (work.access == Access::Write && this->transaction->readOnly) {
+        co_return this->failTransaction(makeFailure(Failure::ReadOnly, "the transaction was begun for reading only"));
+    }
+    if (!this->transaction->lease) {
+        if (auto why = co_await this->openTransaction(work)) {
+            co_return this->failTransaction(*std::move(why));
+        }
+    } else if (auto why = co_await prepareLink(this->transaction->lease->link(), this->state, work.shapePointer(), nullptr, work.left())) {
+        this->core->look(this->transaction->member);
+        co_return this->failTransaction(makeFailure(Failure::Aborted, "the connection broke; the transaction was rolled back"));
+    }
+    const auto command = commandOf(work.statement, this->transaction->lease->link().state, work.shapePointer());
+    this->transaction->wrote = this->transaction->wrote || work.access == Access::Write;
+    const auto exchange = co_await this->exchangeInTransaction(work, command);
+    if (exchange.results.empty()) {
+        this->core->look(this->transaction->member);
+        // Without a commit nothing is kept: the upstream rolls back when its connection ends.
+        co_return this->failTransaction(makeFailure(Failure::Aborted, "no answer from the upstream; the transaction was rolled back"));
+    }
+    const auto &result = exchange.results.front();
+    if (result.failure) {
+        auto why = *result.failure;
+        if (result.status != TransactionStatus::Failed && mayGoElsewhere(why.failure)) {
+            why = makeFailure(Failure::Aborted, "the upstream took no statement in time; the transaction was rolled back", why.retryAfter);
+        }
+        auto reply = this->failTransaction(std::move(why));
+        reply.position = result.position;
+        co_return reply;
+    }
+    if (result.status != TransactionStatus::Open) {
+        co_return this->failTransaction(makeFailure(Failure::Aborted, "the upstream ended the transaction"));
+    }
+    if (this->transaction->member.isPrimary) {
+        this->noteProof(this->transaction->member, exchange.sentAt, result.position);
+    }
+    this->noteServed(work.service.id, work.access, this->transaction->member, support::now() - exchange.sentAt);
+    co_return replyOf(result, TransactionStatus::Open);
+}
+
+auto CallerSession::exchangeInTransaction(const Work &work, const Command &command) -> asio::awaitable<ExchangeResult>
+{
+    this->currentUpstream = this->transaction->member.upstream.id.value();
+    const auto commands = std::vector<Command>{command};
+    auto timer = asio::steady_timer(this->core->parts.executor);
+    while (true) {
+        auto exchange = co_await this->core->exchange(this->transaction->member, this->transaction->lease->link(), commands, work.left());
+        // An upstream whose queue is full has not run the statement, and the transaction goes on: what it did so far would be lost
+        // for a wait of some milliseconds.
+        const auto full = !exchange.results.empty() && exchange.results.front().failure && exchange.results.front().failure->failure == Failure::Busy
+            && exchange.results.front().status == TransactionStatus::Open;
+        if (!full || work.left() <= fullQueuePause) {
+            co_return exchange;
+        }
+        timer.expires_after(fullQueuePause);
+        co_await timer.async_wait(awaitTuple);
+    }
+}
+
+auto CallerSession::runCommit(const Work &work) -> asio::awaitable<Reply>
+{
+    const auto command = commandOfKind(CommandKind::Commit, work.statement.id);
+    const auto exchange = co_await this->exchangeInTransaction(work, command);
+    const auto ended = std::move(this->transaction);
+    this->transactionStatus = TransactionStatus::None;
+    --this->core->counts.transactions;
+    if (exchange.results.empty()) {
+        this->core->look(ended->member);
+        if (!exchange.sent || !ended->wrote) {
+            co_return this->failed(makeFailure(Failure::Aborted, "the connection broke; nothing was written"));
+        }
+        co_return this->failed(makeFailure(Failure::InDoubt, "the answer to the commit did not come"));
+    }
+    const auto &result = exchange.results.front();
+    if (result.status == TransactionStatus::None) {
+        ended->lease->giveBack();
+    }
+    if (!result.failure) {
+        if (ended->wrote) {
+            this->noteWrite(ended->member.group, result.position);
+        }
+        if (ended->member.isPrimary && ended->wrote) {
+            this->noteProof(ended->member, exchange.sentAt, result.position);
+        }
+        this->noteServed(work.service.id, ended->wrote ? Access::Write : Access::Read, ended->member, support::now() - exchange.sentAt);
+    }
+    // Where the upstream did not end the transaction, dropping the lease closes the connection, which rolls back.
+    co_return replyOf(result, TransactionStatus::None);
+}
+
+auto CallerSession::failTransaction(FailureReply why) -> Reply
+{
+    this->abandon();
+    this->transactionStatus = TransactionStatus::Failed;
+    return this->failed(std::move(why));
+}
+
+auto CallerSession::abandon() -> void
+{
+    if (this->transaction != nullptr && this->transaction->lease) {
+        auto lease = std::make_shared<LinkLease>(*std::move(this->transaction->lease));
+        this->transaction->lease.reset();
+        --this->core->counts.transactions;
+        asio::co_spawn(this->core->parts.executor, rollBack(std::move(lease)), asio::detached);
+    }
+    this->transaction.reset();
+}
+
+auto CallerSession::watchIdle() -> void
+{
+    if (this->transaction == nullptr || !this->transaction->lease) {
+        this->idleTimer.reset();
+        return;
+    }
+    if (this->idleTimer == nullptr) {
+        this->idleTimer = std::make_unique<asio::steady_timer>(this->core->parts.executor);
+    }
+    const auto &service = this->transaction->service;
+    this->idleTimer->expires_after(service.transactionIdle.count() > 0 ? service.transactionIdle : usualIdleLimit);
+    this->idleTimer->async_wait([weak = this->weak_from_this()](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (error || self == nullptr || self->executing || self->transaction == nullptr) {
+            return;
+        }
+        // A caller that rests in a transaction holds a connection that others wait for, and the locks of what it wrote.
+        self->failTransaction(makeFailure(Failure::Aborted, "the transaction was idle for too long"));
+    });
+}
+
+} // namespace sapphirespool::interactive
