Statements wait at the holder of the links by urgency and need, few more of them at the database than it has slots

Cause: each owner sent up to 19 statements at once to a database of 6 slots, where they queued in order of arrival: while the replicas of a group lagged, bookings of 11 ms waited 180 ms behind reads of 33 and 55 ms, and a quarter of the objective later callers were sent away, to come back to the same queue. Ruled out: too few links (none were short; the slots were). Now the pool lets two statements a slot go, orders the rest by priority and objective, puts those that are late behind those that can be in time, refuses at once what would wait beyond its patience, and says when to come back by the queue's length. A transaction whose caller pauses holds a link and no slot.

--- a/include/sapphirespool/Forwarding/ownership.h
+++ b/include/sapphirespool/Forwarding/ownership.h
@@ -1,6 +1,7 @@
 // ownership.h: decides which proxies hold the connections to an upstream.
 #pragma once
 
+#include "sapphirespool/Interactive/linkpool.h"
 #include "sapphirespool/Membership/clusterview.h"
 #include "sapphirespool/Support/types.h"
 
@@ -28,6 +29,12 @@
     /// Connections that are left for the control group, which asks members for their state while it promotes.
     static constexpr auto reserved = std::uint32_t{2};
 
+    /// Statements under way for each slot, all holders together. A statement holds its place for its ways between proxies too, which with
+    /// short statements last as long as their work: with one for each slot the slots would idle half of the time.
+    static constexpr auto statementsPerSlot = std::size_t{2};
+    /// Statements that one holder has under way at least, so that two callers who come at once need not wait for each other while slots idle.
+    static constexpr auto leastStatements = std::size_t{2};
+
     Ownership(VmId self, ZoneId zone);
 
     /// Follows a view.
@@ -37,8 +44,8 @@
     ///         connections
     [[nodiscard]] auto ownersOf(const membership::GroupView &group, const membership::UpstreamView &upstream) const -> std::vector<VmId>;
 
-    /// \return connections that this proxy may have to \p upstream
-    [[nodiscard]] auto share(const membership::GroupView &group, const membership::UpstreamView &upstream) const -> std::size_t;
+    /// \return what this proxy may use of \p upstream
+    [[nodiscard]] auto share(const membership::GroupView &group, const membership::UpstreamView &upstream) const -> interactive::LinkLimits;
 
 private:
     struct Proxy
--- a/include/sapphirespool/Interactive/linkpool.h
+++ b/include/sapphirespool/Interactive/linkpool.h
@@ -8,7 +8,9 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <variant>
@@ -44,6 +46,31 @@
     std::shared_ptr<UpstreamLink> held;
 };
 
+/// What a statement wants of a link, and how its wait is ordered among others'.
+struct LinkClaim
+{
+    /// A link that has these values is preferred.
+    SessionValues values;
+    /// Longest wait for a link to come free.
+    Duration patience{};
+    /// Time that opening one may take.
+    Duration connectLimit{};
+    /// Time until the caller wants the answer.
+    Duration objective = std::chrono::hours(1);
+    /// As the service says; 0 is served first.
+    std::uint32_t priority = 0;
+    /// Whether what runs first on the link takes one of the upstream's slots.
+    bool takesSlot = true;
+};
+
+/// How much of an upstream one proxy may use at a time.
+struct LinkLimits
+{
+    std::size_t links = 0;
+    /// Statements that it works on. Few more than it has slots: what waits there waits in its order, not in that of the callers' need.
+    std::size_t statements = 0;
+};
+
 /// A lease, or why there is none; nothing was run then.
 using LeaseResult = std::variant<LinkLease, FailureReply>;
 
@@ -54,27 +81,21 @@
     /// In use or being opened.
     std::size_t busy = 0;
     std::size_t waiting = 0;
+    /// Busy links that rest inside a transaction whose caller pauses.
+    std::size_t resting = 0;
 };
 
 /// Links by upstream, never more than the limit of each. All calls come on the executor.
 class LinkPool
 {
 public:
-    /// Requests that may wait for a link to one upstream. Some hundred statements of tens of milliseconds on a handful of links are
-    /// seconds of work: who would wait behind them is better served elsewhere.
-    static constexpr auto waitingLimit = std::size_t{128};
-
     LinkPool() = default;
     LinkPool(const LinkPool &) = delete;
     auto operator=(const LinkPool &) -> LinkPool & = delete;
     virtual ~LinkPool() = default;
 
-    /// Takes a link, the one that has the values \p wanted if there is one; opens one if the limit allows; else waits.
-    /// \param patience longest wait for a link to come free
-    /// \param connectLimit time that opening one may take
-    virtual auto acquire(GroupId group, membership::UpstreamView upstream, const SessionValues &wanted, Duration patience, Duration connectLimit)
-        -> boost::asio::awaitable<LeaseResult>
-        = 0;
+    /// Takes a link once the upstream has room for another statement; opens one if the limit allows; else waits (decisions::StatementQueue).
+    virtual auto acquire(GroupId group, membership::UpstreamView upstream, LinkClaim claim) -> boost::asio::awaitable<LeaseResult> = 0;
 
     /// Opens a connection to \p upstream beside the pool, and closes it at once.
     /// \return why it did not come about; nothing if it did
@@ -88,8 +109,8 @@
         -> boost::asio::awaitable<std::optional<PositionProof>>
         = 0;
 
-    /// \param limit links that this proxy may have open to \p upstream; with 0 nothing of it is kept
-    virtual auto setLimit(const UpstreamId &upstream, std::size_t limit) -> void = 0;
+    /// \param limits what this proxy may use of \p upstream; with no links nothing of it is kept
+    virtual auto setLimits(const UpstreamId &upstream, const LinkLimits &limits) -> void = 0;
 
     /// Closes the idle links to \p upstream, and the others as they are given back.
     virtual auto retire(const UpstreamId &upstream) -> void = 0;
--- a/lib/Forwarding/codec.cpp
+++ b/lib/Forwarding/codec.cpp
@@ -197,6 +197,8 @@
         write(out.initValues(sizeOf(body.values)), body.values);
         out.setPatienceMs(static_cast<std::uint64_t>(body.patience.count()));
         out.setConnectMs(static_cast<std::uint64_t>(body.connectLimit.count()));
+        out.setObjectiveMs(static_cast<std::uint64_t>(body.objective.count()));
+        out.setPriority(body.priority);
     }
 
     auto operator()(const Acquired &body) -> void
@@ -281,7 +283,9 @@
             UpstreamId(text(from.getUpstream())),
             read(from.getValues()),
             std::chrono::milliseconds(from.getPatienceMs()),
-            std::chrono::milliseconds(from.getConnectMs())};
+            std::chrono::milliseconds(from.getConnectMs()),
+            std::chrono::milliseconds(from.getObjectiveMs()),
+            from.getPriority()};
 }
 
 auto readExchange(schema::Message::Exchange::Reader from) -> Exchange
--- a/lib/Forwarding/codec.h
+++ b/lib/Forwarding/codec.h
@@ -22,6 +22,9 @@
     interactive::SessionValues values;
     std::chrono::milliseconds patience{0};
     std::chrono::milliseconds connectLimit{0};
+    /// Time until the caller wants the answer.
+    std::chrono::milliseconds objective{0};
+    std::uint32_t priority = 0;
 };
 
 struct Acquired
--- a/lib/Forwarding/forwardingpool.cpp
+++ b/lib/Forwarding/forwardingpool.cpp
@@ -71,7 +71,7 @@
         this->ownership.viewChanged(*this->view);
         for (const auto &group : this->view->groups) {
             for (const auto &member : group.members) {
-                this->own->setLimit(member.id, this->ownership.share(group, member));
+                this->own->setLimits(member.id, this->ownership.share(group, member));
             }
         }
         this->forgetGone(former.get());
@@ -98,23 +98,27 @@
         }
     }
 
-    auto acquire(GroupId group, membership::UpstreamView upstream, const interactive::SessionValues &wanted, Duration patience, Duration connectLimit)
-        -> asio::awaitable<LeaseResult> override
+    auto acquire(GroupId group, membership::UpstreamView upstream, interactive::LinkClaim claim) -> asio::awaitable<LeaseResult> override
     {
         const auto keep = this->shared_from_this();
         const auto *const known = this->view == nullptr ? nullptr : this->view->findGroup(group);
         const auto owners = known == nullptr ? std::vector<VmId>() : this->ownership.ownersOf(*known, upstream);
         if (owners.empty()) {
-            co_return co_await this->own->acquire(group, upstream, wanted, patience, connectLimit);
+            co_return co_await this->own->acquire(group, upstream, std::move(claim));
         }
-        const auto request = Acquire{
-            group, upstream.id, wanted, std::chrono::ceil<std::chrono::milliseconds>(patience), std::chrono::ceil<std::chrono::milliseconds>(connectLimit)};
+        const auto request = Acquire{group,
+                                     upstream.id,
+                                     claim.values,
+                                     std::chrono::ceil<std::chrono::milliseconds>(claim.patience),
+                                     std::chrono::ceil<std::chrono::milliseconds>(claim.connectLimit),
+                                     std::chrono::ceil<std::chrono::milliseconds>(claim.objective),
+                                     claim.priority};
         const auto order = this->orderOf(owners, upstream.id);
         auto why
             = FailureReply{interactive::Failure::Busy, "no proxy that owns connections to " + upstream.id.value() + " answers", std::chrono::milliseconds(100)};
         for (const auto &owner : order) {
             if (owner == this->self) {
-                co_return co_await this->own->acquire(group, upstream, wanted, patience, connectLimit);
+                co_return co_await this->own->acquire(group, upstream, std::move(claim));
             }
             const auto channel = this->channelTo(owner);
             if (channel == nullptr) {
@@ -170,7 +174,7 @@
         co_return std::nullopt;
     }
 
-    auto setLimit(const UpstreamId &, std::size_t) -> void override
+    auto setLimits(const UpstreamId &, const interactive::LinkLimits &) -> void override
     {
         // Limits follow from the view.
     }
@@ -217,7 +221,7 @@
             const auto *const present = this->view->findGroup(group.id);
             for (const auto &member : group.members) {
                 if (present == nullptr || present->findMember(member.id) == nullptr) {
-                    this->own->setLimit(member.id, 0);
+                    this->own->setLimits(member.id, interactive::LinkLimits());
                 }
             }
         }
@@ -258,7 +262,7 @@
     {
         const auto *const known = this->view == nullptr ? nullptr : this->view->findGroup(group);
         const auto *const member = known == nullptr ? nullptr : known->findMember(upstream);
-        if (member == nullptr || this->ownership.share(*known, *member) == 0) {
+        if (member == nullptr || this->ownership.share(*known, *member).links == 0) {
             return std::nullopt;
         }
         return *member;
--- a/lib/Forwarding/ownerserver.cpp
+++ b/lib/Forwarding/ownerserver.cpp
@@ -82,7 +82,13 @@
         self->refuse(lease, std::move(why));
         co_return;
     }
-    auto result = co_await self->pool->acquire(request.group, *std::move(upstream), request.values, request.patience, request.connectLimit);
+    auto claim = interactive::LinkClaim();
+    claim.values = std::move(request.values);
+    claim.patience = request.patience;
+    claim.connectLimit = request.connectLimit;
+    claim.objective = request.objective;
+    claim.priority = request.priority;
+    auto result = co_await self->pool->acquire(request.group, *std::move(upstream), std::move(claim));
     if (auto *const why = std::get_if<interactive::FailureReply>(&result)) {
         self->refuse(lease, std::move(*why));
         co_return;
--- a/lib/Forwarding/ownership.cpp
+++ b/lib/Forwarding/ownership.cpp
@@ -52,15 +52,17 @@
     return owners;
 }
 
-auto Ownership::share(const membership::GroupView &group, const membership::UpstreamView &upstream) const -> std::size_t
+auto Ownership::share(const membership::GroupView &group, const membership::UpstreamView &upstream) const -> interactive::LinkLimits
 {
-    const auto limit = this->usable(group, upstream);
     const auto owners = this->ownersOf(group, upstream);
-    if (owners.empty()) {
-        return std::max<std::size_t>(1, limit / std::max<std::size_t>(1, this->proxies.size()));
+    const auto owns = owners.empty() || std::find(owners.begin(), owners.end(), this->self) != owners.end();
+    if (!owns) {
+        return {};
     }
-    const auto owns = std::find(owners.begin(), owners.end(), this->self) != owners.end();
-    return owns ? std::max<std::size_t>(1, limit / owners.size()) : 0;
+    const auto holders = owners.empty() ? std::max<std::size_t>(1, this->proxies.size()) : owners.size();
+    const auto links = std::max<std::size_t>(1, this->usable(group, upstream) / holders);
+    const auto statements = std::max(leastStatements, upstream.slots * statementsPerSlot / holders);
+    return {links, statements};
 }
 
 auto Ownership::usable(const membership::GroupView &group, const membership::UpstreamView &upstream) const -> std::size_t
--- a/lib/Interactive/linkpool.cpp
+++ b/lib/Interactive/linkpool.cpp
@@ -1,8 +1,11 @@
 #include "sapphirespool/Interactive/linkpool.h"
 
+#include "meteredlink.h"
 #include "runvalues.h"
 #include "singleflight.h"
 
+#include "sapphirespool/Decisions/serviceestimate.h"
+#include "sapphirespool/Decisions/statementqueue.h"
 #include "sapphirespool/Support/clock.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -10,7 +13,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <deque>
 #include <map>
 #include <utility>
 #include <vector>
@@ -25,8 +27,10 @@
 
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 
-/// Links that a proxy may open before it knows its share of an upstream's connections.
-constexpr auto firstLimit = std::size_t{1};
+using decisions::StatementQueue;
+
+/// What a proxy may use before it knows its share of an upstream.
+constexpr auto firstLimits = LinkLimits{1, 1};
 
 /// A session that waits for a link.
 struct Waiter
@@ -37,8 +41,9 @@
     }
 
     asio::steady_timer timer;
+    bool takesSlot = true;
     /// The link that came free.
-    std::shared_ptr<UpstreamLink> link;
+    std::shared_ptr<MeteredLink> link;
     /// Whether a place came free in which a link may be opened; the place is taken for this waiter.
     bool mayOpen = false;
 };
@@ -46,29 +51,32 @@
 /// The links to one upstream.
 struct Place
 {
-    std::size_t limit = firstLimit;
+    LinkLimits limits = firstLimits;
     /// Most recently used last.
-    std::vector<std::shared_ptr<UpstreamLink>> idle;
+    std::vector<std::shared_ptr<MeteredLink>> idle;
     std::size_t busy = 0;
-    std::deque<std::shared_ptr<Waiter>> waiters;
+    /// Busy links that take none of the upstream's slots.
+    std::size_t resting = 0;
+    StatementQueue queue;
+    std::map<StatementQueue::Ticket, std::shared_ptr<Waiter>> waiters;
+    /// How long a statement that takes a slot is under way.
+    decisions::ServiceEstimate serviceTime;
     bool retired = false;
     /// The newest that the upstream gave.
     std::optional<PositionProof> proof = {};
 
     [[nodiscard]] auto hasRoom() const -> bool
     {
-        return this->idle.size() + this->busy < this->limit;
+        return this->idle.size() + this->busy < this->limits.links;
     }
-};
 
-auto busyReply(std::string detail) -> FailureReply
-{
-    // A link is held for some statements of tens of milliseconds; a caller that comes back sooner finds the same queue.
-    constexpr auto comeBack = std::chrono::milliseconds(50);
-    return {Failure::Busy, std::move(detail), comeBack};
-}
+    [[nodiscard]] auto hasSlot() const -> bool
+    {
+        return this->busy - this->resting < this->limits.statements;
+    }
+};
 
-class PlainLinkPool : public LinkPool, public std::enable_shared_from_this<PlainLinkPool>
+class PlainLinkPool : public LinkPool, public WorkMeter, public std::enable_shared_from_this<PlainLinkPool>
 {
 public:
     PlainLinkPool(std::shared_ptr<LinkConnector> connector, asio::any_io_executor executor)
@@ -78,38 +86,44 @@
     {
     }
 
-    auto acquire(GroupId group, membership::UpstreamView upstream, const SessionValues &wanted, Duration patience, Duration connectLimit)
-        -> asio::awaitable<LeaseResult> override
+    auto acquire(GroupId group, membership::UpstreamView upstream, LinkClaim claim) -> asio::awaitable<LeaseResult> override
     {
         const auto self = this->shared_from_this();
-        auto &place = this->places[upstream.id];
+        const auto id = upstream.id;
+        auto &place = this->places[id];
         place.retired = false;
-        if (place.waiters.empty()) {
-            if (auto link = takeIdle(place, wanted)) {
-                ++place.busy;
-                co_return this->lease(upstream.id, std::move(link));
+        if (!claim.takesSlot || (place.waiters.empty() && place.hasSlot())) {
+            if (auto link = takeIdle(place, claim.values)) {
+                this->occupy(place, claim.takesSlot);
+                co_return this->lease(id, std::move(link), claim.takesSlot);
             }
             if (place.hasRoom()) {
-                ++place.busy;
-                co_return co_await this->open(std::move(group), std::move(upstream), connectLimit);
+                this->occupy(place, claim.takesSlot);
+                co_return co_await this->open(std::move(group), std::move(upstream), claim);
             }
         }
-        if (place.waiters.size() >= waitingLimit) {
-            co_return busyReply("too many statements wait for a connection to " + upstream.id.value());
+        const auto now = support::now();
+        const auto statement = decisions::QueuedStatement{claim.priority, now + claim.objective, claim.takesSlot};
+        const auto wait = expectedWait(place, statement, now);
+        if (place.queue.size() >= StatementQueue::limit || wait > claim.patience) {
+            co_return busyReply("too many statements wait for " + id.value(), wait);
         }
+        const auto ticket = place.queue.push(statement);
         const auto waiter = std::make_shared<Waiter>(this->executor);
-        place.waiters.push_back(waiter);
-        waiter->timer.expires_after(patience);
+        waiter->takesSlot = claim.takesSlot;
+        place.waiters.emplace(ticket, waiter);
+        waiter->timer.expires_after(claim.patience);
         co_await waiter->timer.async_wait(awaitTuple);
         if (waiter->link != nullptr) {
-            co_return this->lease(upstream.id, std::move(waiter->link));
+            co_return this->lease(id, std::move(waiter->link), claim.takesSlot);
         }
         if (waiter->mayOpen) {
-            co_return co_await this->open(std::move(group), std::move(upstream), connectLimit);
+            co_return co_await this->open(std::move(group), std::move(upstream), claim);
         }
-        auto &waiters = this->places[upstream.id].waiters;
-        std::erase(waiters, waiter);
-        co_return busyReply("no connection to " + upstream.id.value() + " came free in time");
+        auto &left = this->places[id];
+        left.queue.erase(ticket);
+        left.waiters.erase(ticket);
+        co_return busyReply("no connection to " + id.value() + " came free in time", expectedWait(left, statement, support::now()));
     }
 
     auto probe(GroupId group, membership::UpstreamView upstream, Duration limit) -> asio::awaitable<std::optional<FailureReply>> override
@@ -137,7 +151,11 @@
             co_await this->proving.join(id);
             co_return this->provenSince(id, asked - oldest);
         }
-        auto leased = co_await this->acquire(std::move(group), std::move(upstream), SessionValues(), limit, limit);
+        auto claim = LinkClaim();
+        claim.patience = limit;
+        claim.connectLimit = limit;
+        claim.takesSlot = false;
+        auto leased = co_await this->acquire(std::move(group), std::move(upstream), std::move(claim));
         auto *const lease = std::get_if<LinkLease>(&leased);
         if (lease == nullptr) {
             co_return std::nullopt;
@@ -149,11 +167,11 @@
         co_return proof;
     }
 
-    auto setLimit(const UpstreamId &upstream, std::size_t limit) -> void override
+    auto setLimits(const UpstreamId &upstream, const LinkLimits &limits) -> void override
     {
         auto &place = this->places[upstream];
-        place.limit = limit;
-        while (!place.idle.empty() && place.idle.size() + place.busy > limit) {
+        place.limits = limits;
+        while (!place.idle.empty() && place.idle.size() + place.busy > limits.links) {
             place.idle.front()->close();
             place.idle.erase(place.idle.begin());
         }
@@ -189,19 +207,58 @@
             sum.idle += part.idle;
             sum.busy += part.busy;
             sum.waiting += part.waiting;
+            sum.resting += part.resting;
         }
         return sum;
     }
 
+    auto rested(const UpstreamId &upstream) -> void override
+    {
+        auto &place = this->places[upstream];
+        ++place.resting;
+        this->serveWaiters(place);
+    }
+
+    auto resumed(const UpstreamId &upstream) -> void override
+    {
+        --this->places[upstream].resting;
+    }
+
+    auto worked(const UpstreamId &upstream, Duration took) -> void override
+    {
+        this->places[upstream].serviceTime.record(took);
+    }
+
 private:
     static auto countsOf(const Place &place) -> LinkCounts
     {
-        return {place.idle.size(), place.busy, place.waiters.size()};
+        return {place.idle.size(), place.busy, place.waiters.size(), place.resting};
     }
 
-    static auto takeIdle(Place &place, const SessionValues &wanted) -> std::shared_ptr<UpstreamLink>
+    /// \return how long \p statement would wait if it came now and nobody after it went before it
+    static auto expectedWait(const Place &place, const decisions::QueuedStatement &statement, TimePoint now) -> Duration
     {
-        std::erase_if(place.idle, [](const std::shared_ptr<UpstreamLink> &link) {
+        const auto mean = place.serviceTime.mean();
+        const auto servers = static_cast<Duration::rep>(std::max<std::size_t>(1, std::min(place.limits.statements, place.limits.links)));
+        return mean * static_cast<Duration::rep>(place.queue.ahead(statement, now, mean)) / servers;
+    }
+
+    static auto busyReply(std::string detail, Duration wait) -> FailureReply
+    {
+        // Who comes back before the present queue is served finds it again; sooner than this the answer of one statement is hardly there.
+        constexpr auto soonest = std::chrono::milliseconds(50);
+        return {Failure::Busy, std::move(detail), std::max(soonest, std::chrono::ceil<std::chrono::milliseconds>(wait))};
+    }
+
+    auto occupy(Place &place, bool takesSlot) -> void
+    {
+        ++place.busy;
+        place.resting += takesSlot ? 0 : 1;
+    }
+
+    static auto takeIdle(Place &place, const SessionValues &wanted) -> std::shared_ptr<MeteredLink>
+    {
+        std::erase_if(place.idle, [](const std::shared_ptr<MeteredLink> &link) {
             if (!link->isUsable()) {
                 link->close();
                 return true;
@@ -211,7 +268,7 @@
         if (place.idle.empty()) {
             return nullptr;
         }
-        auto found = std::find_if(place.idle.rbegin(), place.idle.rend(), [&wanted](const std::shared_ptr<UpstreamLink> &link) {
+        auto found = std::find_if(place.idle.rbegin(), place.idle.rend(), [&wanted](const std::shared_ptr<MeteredLink> &link) {
             return link->state.values == wanted;
         });
         if (found == place.idle.rend()) {
@@ -244,30 +301,37 @@
         co_return PositionProof{exchange.sentAt, *begun.position};
     }
 
-    auto lease(const UpstreamId &upstream, std::shared_ptr<UpstreamLink> link) -> LeaseResult
+    /// Leases a link in a place that is taken for it.
+    auto lease(const UpstreamId &upstream, std::shared_ptr<MeteredLink> link, bool takesSlot) -> LeaseResult
     {
+        link->resting = !takesSlot;
         return LinkLease(this->weak_from_this(), upstream, std::move(link));
     }
 
     /// Opens a link in a place that is taken for it.
-    auto open(GroupId group, membership::UpstreamView upstream, Duration limit) -> asio::awaitable<LeaseResult>
+    auto open(GroupId group, membership::UpstreamView upstream, LinkClaim claim) -> asio::awaitable<LeaseResult>
     {
         const auto id = upstream.id;
-        auto result = co_await this->connector->connect(std::move(group), std::move(upstream), limit);
+        auto result = co_await this->connector->connect(std::move(group), std::move(upstream), claim.connectLimit);
         if (auto *const link = std::get_if<std::shared_ptr<UpstreamLink>>(&result)) {
-            co_return this->lease(id, std::move(*link));
+            auto metered = std::make_shared<MeteredLink>(std::move(*link), this->weak_from_this(), id);
+            co_return this->lease(id, std::move(metered), claim.takesSlot);
         }
         auto &place = this->places[id];
         --place.busy;
+        place.resting -= claim.takesSlot ? 0 : 1;
         this->serveWaiters(place);
         co_return std::get<FailureReply>(std::move(result));
     }
 
-    auto returned(const UpstreamId &upstream, std::shared_ptr<UpstreamLink> link, bool clean) -> void override
+    auto returned(const UpstreamId &upstream, std::shared_ptr<UpstreamLink> given, bool clean) -> void override
     {
         auto &place = this->places[upstream];
+        // The pool leases no other links.
+        auto link = std::static_pointer_cast<MeteredLink>(std::move(given));
         --place.busy;
-        const auto keep = clean && !place.retired && place.idle.size() + place.busy < place.limit && link->isUsable();
+        place.resting -= std::exchange(link->resting, false) ? 1 : 0;
+        const auto keep = clean && !place.retired && place.idle.size() + place.busy < place.limits.links && link->isUsable();
         if (keep) {
             place.idle.push_back(std::move(link));
         } else {
@@ -280,23 +344,26 @@
     auto forgetIfUnused(const UpstreamId &upstream) -> void
     {
         const auto &place = this->places[upstream];
-        if (place.limit == 0 && place.idle.empty() && place.busy == 0 && place.waiters.empty()) {
+        if (place.limits.links == 0 && place.idle.empty() && place.busy == 0 && place.waiters.empty()) {
             this->places.erase(upstream);
         }
     }
 
     auto serveWaiters(Place &place) -> void
     {
-        while (!place.waiters.empty() && (!place.idle.empty() || place.hasRoom())) {
-            const auto waiter = std::move(place.waiters.front());
-            place.waiters.pop_front();
+        while (!place.idle.empty() || place.hasRoom()) {
+            const auto next = place.queue.pop(support::now(), place.serviceTime.mean(), place.hasSlot());
+            if (!next) {
+                return;
+            }
+            const auto waiter = place.waiters.extract(*next).mapped();
             if (!place.idle.empty()) {
                 waiter->link = std::move(place.idle.back());
                 place.idle.pop_back();
             } else {
                 waiter->mayOpen = true;
             }
-            ++place.busy;
+            this->occupy(place, waiter->takesSlot);
             waiter->timer.cancel();
         }
     }
--- /dev/null
+++ b/lib/Interactive/meteredlink.cpp
@@ -0,0 +1,69 @@
+#include "meteredlink.h"
+
+#include "sapphirespool/Support/clock.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphirespool::interactive
+{
+
+namespace
+{
+
+auto takesSlot(const Command &command) -> bool
+{
+    switch (command.kind) {
+    case CommandKind::Commit:
+    case CommandKind::Execute:
+    case CommandKind::Run:
+        return true;
+    case CommandKind::SetValue:
+    case CommandKind::Prepare:
+    case CommandKind::Discard:
+    case CommandKind::Begin:
+    case CommandKind::BeginReadOnly:
+    case CommandKind::Rollback:
+        return false;
+    }
+    return false;
+}
+
+} // namespace
+
+MeteredLink::MeteredLink(std::shared_ptr<UpstreamLink> inner, std::weak_ptr<WorkMeter> meter, UpstreamId upstream)
+    : inner(std::move(inner))
+    , meter(std::move(meter))
+    , upstream(std::move(upstream))
+{
+}
+
+auto MeteredLink::exchange(std::span<const Command> commands, Duration limit) -> boost::asio::awaitable<ExchangeResult>
+{
+    const auto works = std::any_of(commands.begin(), commands.end(), takesSlot);
+    const auto owner = this->meter.lock();
+    if (works && owner != nullptr && std::exchange(this->resting, false)) {
+        owner->resumed(this->upstream);
+    }
+    const auto began = support::now();
+    auto result = co_await this->inner->exchange(commands, limit);
+    if (works && owner != nullptr && !result.results.empty()) {
+        owner->worked(this->upstream, support::now() - began);
+        if (result.results.back().status == TransactionStatus::Open && !std::exchange(this->resting, true)) {
+            owner->rested(this->upstream);
+        }
+    }
+    co_return result;
+}
+
+auto MeteredLink::close() -> void
+{
+    this->inner->close();
+}
+
+auto MeteredLink::isUsable() const -> bool
+{
+    return this->inner->isUsable();
+}
+
+} // namespace sapphirespool::interactive
--- a/lib/Interactive/sessionplacement.cpp
+++ b/lib/Interactive/sessionplacement.cpp
@@ -16,12 +16,12 @@
 
 namespace asio = boost::asio;
 
-/// Part of the objective that a statement may wait for a link to one member. A caller that is refused then has three quarters left,
-/// enough for another attempt at another proxy.
-constexpr auto queuePart = 4;
+/// Part of the objective that a read waits for a replica before it is tried at another member: three quarters are left for that.
+constexpr auto replicaPart = 4;
 
-/// Part of the route's time that a statement waits for a primary; the other half is for running it.
-constexpr auto promotionPart = 2;
+/// Part of the route's time that a statement waits for the primary, or for there to be one; the other half is for running it. No other
+/// proxy can serve it sooner, and who is sent away only comes back to the same queue, with an attempt less.
+constexpr auto primaryPart = 2;
 
 /// Opening a link takes two ways and the upstream's own handshake, some tens of milliseconds; a packet that was lost takes a second.
 constexpr auto connectLimit = std::chrono::milliseconds(1'500);
@@ -31,10 +31,14 @@
     return service.consistency == membership::Consistency::BoundedStaleness || service.consistency == membership::Consistency::ReadYourWrites;
 }
 
-auto queuePatience(const membership::ServiceView &service) -> Duration
+auto objectiveOf(const membership::ServiceView &service) -> Duration
 {
-    const auto objective = service.objective.count() > 0 ? service.objective : service.timeout;
-    return std::min(objective, service.timeout) / queuePart;
+    return service.objective.count() > 0 ? std::min(service.objective, service.timeout) : service.timeout;
+}
+
+auto queuePatience(const membership::ServiceView &service, bool atPrimary) -> Duration
+{
+    return atPrimary ? service.timeout / primaryPart : objectiveOf(service) / replicaPart;
 }
 
 } // namespace
@@ -47,7 +51,7 @@
 
 auto CallerSession::pickPrimary(const Work &work, const std::optional<Member> &refuted) -> asio::awaitable<TargetResult>
 {
-    auto primary = co_await this->core->awaitPrimary(work.service.group, refuted, std::min<Duration>(work.left(), work.service.timeout / promotionPart));
+    auto primary = co_await this->core->awaitPrimary(work.service.group, refuted, std::min<Duration>(work.left(), work.service.timeout / primaryPart));
     if (!primary) {
         co_return makeFailure(Failure::Busy, "group " + work.service.group.value() + " has no primary", promotionRetry);
     }
@@ -100,9 +104,13 @@
 
 auto CallerSession::acquire(const Target &target, const Work &work) -> asio::awaitable<LeaseResult>
 {
-    const auto patience = std::min<Duration>(queuePatience(work.service), work.left());
-    const auto connectTime = std::min<Duration>(connectLimit, work.left());
-    auto result = co_await this->core->parts.pool->acquire(target.member.group, target.member.upstream, this->state.values, patience, connectTime);
+    auto claim = LinkClaim();
+    claim.values = this->state.values;
+    claim.patience = std::min<Duration>(queuePatience(work.service, target.member.isPrimary), work.left());
+    claim.connectLimit = std::min<Duration>(connectLimit, work.left());
+    claim.objective = objectiveOf(work.service);
+    claim.priority = work.service.priority;
+    auto result = co_await this->core->parts.pool->acquire(target.member.group, target.member.upstream, std::move(claim));
     if (const auto *const why = std::get_if<FailureReply>(&result); why != nullptr && why->failure != Failure::Busy) {
         this->core->load.failed(target.member.upstream.id, support::now());
     }
--- a/schema/forwarding.capnp
+++ b/schema/forwarding.capnp
@@ -62,6 +62,9 @@
       values @3 :List(Value);
       patienceMs @4 :UInt64;
       connectMs @5 :UInt64;
+      # Until the caller wants the answer.
+      objectiveMs @24 :UInt64;
+      priority @25 :UInt32;
     }
     acquired :group {
       values @6 :List(Value);
--- /dev/null
+++ b/unittests/Decisions/statementqueuetest.cpp
@@ -0,0 +1,208 @@
+#include "sapphirespool/Decisions/statementqueue.h"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <queue>
+#include <random>
+#include <vector>
+
+namespace sapphirespool::decisions
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// A kind of caller: how often one comes, how long its statements take, when it wants them done, and how long it waits at most.
+struct CallerKind
+{
+    double perSecond = 0;
+    Duration work{};
+    Duration objective{};
+    Duration patience{};
+    std::uint32_t priority = 0;
+};
+
+struct Outcome
+{
+    std::size_t asked = 0;
+    std::size_t inTime = 0;
+    std::size_t served = 0;
+
+    [[nodiscard]] auto partInTime() const -> double
+    {
+        return static_cast<double>(this->inTime) / static_cast<double>(this->asked);
+    }
+};
+
+enum class Order {
+    Arrival,
+    Queue,
+};
+
+/// An upstream of six slots, and who comes to it: short urgent writes, reads, and long reads that may take their time.
+class Upstream
+{
+public:
+    explicit Upstream(Order order)
+        : order(order)
+    {
+    }
+
+    /// \param load factor on the callers of the overloaded time, which is from 2 s to 8 s of 12 s
+    auto run(const std::vector<CallerKind> &kinds, double load) -> std::vector<Outcome>
+    {
+        this->outcomes.assign(kinds.size(), Outcome());
+        auto random = std::mt19937(7);
+        for (std::size_t kind = 0; kind < kinds.size(); ++kind) {
+            auto at = TimePoint{};
+            while (at < TimePoint{} + 12s) {
+                const auto isOverloaded = at > TimePoint{} + 2s && at < TimePoint{} + 8s;
+                const auto perSecond = kinds[kind].perSecond * (isOverloaded ? load : 0.6);
+                auto spacing = std::exponential_distribution<double>(perSecond);
+                at += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(spacing(random)));
+                this->arrivals.emplace(at, kind);
+            }
+        }
+        for (const auto &[at, kind] : this->arrivals) {
+            this->advance(at);
+            this->arrive(kinds[kind], kind, at);
+        }
+        this->advance(TimePoint{} + 20s);
+        return this->outcomes;
+    }
+
+private:
+    struct Waiting
+    {
+        CallerKind kind;
+        std::size_t number = 0;
+        TimePoint since{};
+    };
+
+    auto arrive(const CallerKind &kind, std::size_t number, TimePoint now) -> void
+    {
+        ++this->outcomes[number].asked;
+        // In order of arrival all have the same rank, so that only their numbers count.
+        const auto statement = this->order == Order::Arrival ? QueuedStatement{0, TimePoint::max(), true} : QueuedStatement{kind.priority, now + kind.objective, true};
+        this->waiting.emplace(this->queue.push(statement), Waiting{kind, number, now});
+        this->fill(now);
+    }
+
+    auto advance(TimePoint until) -> void
+    {
+        while (!this->running.empty() && this->running.top() <= until) {
+            const auto now = this->running.top();
+            this->running.pop();
+            this->fill(now);
+        }
+    }
+
+    auto fill(TimePoint now) -> void
+    {
+        constexpr auto slots = std::size_t{6};
+        while (this->running.size() < slots) {
+            const auto next = this->queue.pop(now, 30ms, true);
+            if (!next) {
+                return;
+            }
+            const auto entry = this->waiting.extract(*next).mapped();
+            if (now - entry.since > entry.kind.patience) {
+                continue;
+            }
+            const auto end = now + entry.kind.work;
+            this->running.push(end);
+            ++this->outcomes[entry.number].served;
+            this->outcomes[entry.number].inTime += end - entry.since <= entry.kind.objective ? 1 : 0;
+        }
+    }
+
+    Order order;
+    StatementQueue queue;
+    std::map<StatementQueue::Ticket, Waiting> waiting;
+    std::priority_queue<TimePoint, std::vector<TimePoint>, std::greater<>> running;
+    std::multimap<TimePoint, std::size_t> arrivals;
+    std::vector<Outcome> outcomes;
+};
+
+/// Short writes with a short objective, reads of half the work, and long reads with a long one; together 5.9 slots at a load of 1.
+auto mixedCallers() -> std::vector<CallerKind>
+{
+    return {{33, 11ms, 200ms, 500ms, 1}, {115, 33ms, 400ms, 500ms, 2}, {33, 55ms, 800ms, 1500ms, 2}};
+}
+
+auto ticketOf(StatementQueue &queue, std::uint32_t priority, Duration due, bool takesSlot = true) -> StatementQueue::Ticket
+{
+    return queue.push({priority, TimePoint{} + due, takesSlot});
+}
+
+} // namespace
+
+TEST_CASE("who is more urgent, and who wants the answer sooner, is served first")
+{
+    auto queue = StatementQueue();
+    const auto patient = ticketOf(queue, 2, 800ms);
+    const auto sooner = ticketOf(queue, 2, 400ms);
+    const auto urgent = ticketOf(queue, 1, 900ms);
+    CHECK(queue.ahead({2, TimePoint{} + 500ms, true}, TimePoint{}, 10ms) == 2);
+    CHECK(queue.pop(TimePoint{}, 10ms, true) == urgent);
+    CHECK(queue.pop(TimePoint{}, 10ms, true) == sooner);
+    CHECK(queue.pop(TimePoint{}, 10ms, true) == patient);
+    CHECK_FALSE(queue.pop(TimePoint{}, 10ms, true));
+}
+
+TEST_CASE("who can no longer be in time waits for those who can")
+{
+    auto queue = StatementQueue();
+    const auto late = ticketOf(queue, 1, 100ms);
+    const auto inTime = ticketOf(queue, 2, 400ms);
+    CHECK(queue.pop(TimePoint{} + 95ms, 10ms, true) == inTime);
+    CHECK(queue.pop(TimePoint{} + 95ms, 10ms, true) == late);
+}
+
+TEST_CASE("what takes no slot is served while all slots are taken, and a withdrawn statement is not")
+{
+    auto queue = StatementQueue();
+    const auto statement = ticketOf(queue, 0, 10ms);
+    const auto question = ticketOf(queue, 2, 10ms, false);
+    CHECK(queue.pop(TimePoint{}, 1ms, false) == question);
+    CHECK_FALSE(queue.pop(TimePoint{}, 1ms, false));
+    queue.erase(statement);
+    CHECK(queue.size() == 0);
+    CHECK_FALSE(queue.pop(TimePoint{}, 1ms, true));
+}
+
+TEST_CASE("load: both replicas lag, and the primary gets a third more work than it can do")
+{
+    // For six seconds all reads of the group go to its primary. In order of arrival each statement waits behind the whole backlog: the
+    // bookings, a twentieth of the work, come late or not at all. In the queue's order they are served as on a calm day, and the
+    // overload is borne by the reads, fewer of which come in time only by as much as there is too much work.
+    const auto byArrival = Upstream(Order::Arrival).run(mixedCallers(), 1.3);
+    const auto byQueue = Upstream(Order::Queue).run(mixedCallers(), 1.3);
+    CHECK(byArrival[0].partInTime() < 0.6);
+    CHECK(byQueue[0].partInTime() > 0.99);
+    CHECK(byQueue[1].partInTime() > byArrival[1].partInTime() + 0.2);
+}
+
+TEST_CASE("load: a burst of three times the capacity for six seconds, and the time after it")
+{
+    // Plain order by deadline would serve those whose time is just over. Here the slots stay with who can be in time.
+    const auto byArrival = Upstream(Order::Arrival).run(mixedCallers(), 3.0);
+    const auto byQueue = Upstream(Order::Queue).run(mixedCallers(), 3.0);
+    CHECK(byQueue[0].partInTime() > 0.95);
+    CHECK(byQueue[0].inTime + byQueue[1].inTime + byQueue[2].inTime > byArrival[0].inTime + byArrival[1].inTime + byArrival[2].inTime);
+}
+
+TEST_CASE("load: without overload nobody loses")
+{
+    const auto byQueue = Upstream(Order::Queue).run(mixedCallers(), 0.7);
+    for (const auto &outcome : byQueue) {
+        CHECK(outcome.partInTime() > 0.99);
+    }
+}
+
+} // namespace sapphirespool::decisions
--- a/unittests/Forwarding/forwardingpooltest.cpp
+++ b/unittests/Forwarding/forwardingpooltest.cpp
@@ -118,8 +118,10 @@
         -> asio::awaitable<void>
     {
         const auto &group = view->groups.front();
-        const auto values = interactive::SessionValues();
-        *result = co_await pool->acquire(group.id, group.members.front(), values, 50ms, 500ms);
+        auto claim = interactive::LinkClaim();
+        claim.patience = 50ms;
+        claim.connectLimit = 500ms;
+        *result = co_await pool->acquire(group.id, group.members.front(), std::move(claim));
     }
 
     static auto ask(std::shared_ptr<ForwardingPool> pool,
--- a/unittests/Forwarding/ownershiptest.cpp
+++ b/unittests/Forwarding/ownershiptest.cpp
@@ -41,7 +41,7 @@
     for (const auto &proxy : view.proxies) {
         auto ownership = Ownership(proxy.id, proxy.zone);
         ownership.viewChanged(view);
-        sum += ownership.share(view.groups.front(), upstream);
+        sum += ownership.share(view.groups.front(), upstream).links;
     }
     return sum;
 }
@@ -110,7 +110,7 @@
     auto ownership = Ownership(VmId("vm-0"), ZoneId("zone-0"));
     ownership.viewChanged(view);
     CHECK(ownership.ownersOf(view.groups.front(), view.groups.front().members.front()).empty());
-    CHECK(ownership.share(view.groups.front(), view.groups.front().members.front()) == 3);
+    CHECK(ownership.share(view.groups.front(), view.groups.front().members.front()).links == 3);
 }
 
 } // namespace sapphirespool::forwarding
--- /dev/null
+++ b/unittests/Interactive/linkpooltest.cpp
@@ -0,0 +1,145 @@
+#include "Interactive/fakedatabases.h"
+
+#include "sapphirespool/Interactive/linkpool.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace sapphirespool::interactive
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+/// A pool whose upstream takes four links and works on one statement.
+struct OneSlot
+{
+    OneSlot()
+        : pool(makeLinkPool(this->databases.connector(), this->io.get_executor()))
+    {
+        this->pool->setLimits(UpstreamId("a"), {4, 1});
+    }
+
+    using Place = std::shared_ptr<std::optional<LeaseResult>>;
+
+    auto acquire(std::uint32_t priority, Duration objective = 1h) -> Place
+    {
+        auto place = std::make_shared<std::optional<LeaseResult>>();
+        asio::co_spawn(this->io, take(*this, priority, objective, place), asio::detached);
+        this->pass();
+        return place;
+    }
+
+    auto run(const Place &place, std::vector<Command> commands) -> void
+    {
+        asio::co_spawn(this->io, send(std::get<LinkLease>(**place), std::move(commands)), asio::detached);
+        this->pass();
+    }
+
+    auto pass() -> void
+    {
+        this->io.restart();
+        this->io.run_for(5ms);
+    }
+
+    static auto isHeld(const Place &place) -> bool
+    {
+        return place->has_value() && std::holds_alternative<LinkLease>(**place);
+    }
+
+    FakeDatabases databases;
+    asio::io_context io;
+    std::shared_ptr<LinkPool> pool;
+
+private:
+    static auto take(OneSlot &self, std::uint32_t priority, Duration objective, Place place) -> asio::awaitable<void>
+    {
+        const auto view = self.databases.view();
+        const auto &group = view->groups.front();
+        auto claim = LinkClaim();
+        claim.patience = 10s;
+        claim.connectLimit = 1s;
+        claim.objective = objective;
+        claim.priority = priority;
+        *place = co_await self.pool->acquire(group.id, group.members.front(), std::move(claim));
+    }
+
+    static auto send(LinkLease &lease, std::vector<Command> commands) -> asio::awaitable<void>
+    {
+        co_await lease.link().exchange(commands, 1s);
+    }
+};
+
+auto commandOf(CommandKind kind, std::string text = {}) -> Command
+{
+    auto command = Command();
+    command.kind = kind;
+    command.id = "s1";
+    command.text = std::move(text);
+    return command;
+}
+
+} // namespace
+
+TEST_CASE("statements beyond the upstream's slots wait in the pool, and the most urgent goes first")
+{
+    // A booking comes while reads wait for the only slot. Sent on, all would wait in the upstream in order of arrival.
+    auto upstream = OneSlot();
+    const auto first = upstream.acquire(2);
+    REQUIRE(OneSlot::isHeld(first));
+    const auto read = upstream.acquire(2, 400ms);
+    const auto booking = upstream.acquire(1, 200ms);
+    CHECK_FALSE(read->has_value());
+    CHECK_FALSE(booking->has_value());
+    std::get<LinkLease>(**first).giveBack();
+    upstream.pass();
+    CHECK(OneSlot::isHeld(booking));
+    CHECK_FALSE(read->has_value());
+    std::get<LinkLease>(**booking).giveBack();
+    upstream.pass();
+    CHECK(OneSlot::isHeld(read));
+}
+
+TEST_CASE("a transaction whose caller pauses keeps its link and no slot")
+{
+    // A caller pauses inside a transaction. It holds a connection, but the upstream does nothing for it; counted as work it would keep all
+    // others out. When it goes on it is served at once, since it holds what others need.
+    auto upstream = OneSlot();
+    const auto paused = upstream.acquire(2);
+    upstream.run(paused, {commandOf(CommandKind::Begin), commandOf(CommandKind::Run, "STORE item 1")});
+    CHECK(upstream.pool->counts().resting == 1);
+    const auto other = upstream.acquire(2);
+    REQUIRE(OneSlot::isHeld(other));
+    upstream.run(paused, {commandOf(CommandKind::Commit)});
+    CHECK(upstream.databases.member("a").items.contains("item"));
+    CHECK(upstream.pool->counts().resting == 0);
+    std::get<LinkLease>(**paused).giveBack();
+    std::get<LinkLease>(**other).giveBack();
+    CHECK(upstream.pool->counts().busy == 0);
+    CHECK(upstream.pool->counts().idle == 2);
+}
+
+TEST_CASE("a link that is dropped while its transaction rests leaves the counts right")
+{
+    auto upstream = OneSlot();
+    {
+        const auto paused = upstream.acquire(2);
+        upstream.run(paused, {commandOf(CommandKind::Begin), commandOf(CommandKind::Run, "STORE item 1")});
+        CHECK(upstream.pool->counts().resting == 1);
+    }
+    CHECK(upstream.pool->counts().resting == 0);
+    CHECK(upstream.pool->counts().busy == 0);
+    CHECK(OneSlot::isHeld(upstream.acquire(2)));
+}
+
+} // namespace sapphirespool::interactive
--- a/unittests/Interactive/sessionfixture.h
+++ b/unittests/Interactive/sessionfixture.h
@@ -56,7 +56,7 @@
         parts.executor = this->io.get_executor();
         this->pool = parts.pool;
         for (const auto &member : this->databases.members) {
-            this->pool->setLimit(UpstreamId(member.id), 10);
+            this->pool->setLimits(UpstreamId(member.id), {10, 10});
         }
         this->service = makeSessionService(std::move(parts));
     }
