A frozen owner costs a statement a moment, not its time; a link that broke is tried at another owner; replicas far behind rest longer

Ruled out: the primary's partition (the group had its new primary after 1.1 s). Now an owner that is quiet for 100 ms is asked for a sign of life and left after 150 ms without one, but for a commit or a write on its own, whose answer is waited for; a broken link leads to the next owner; a replica rests for a quarter of the time it is behind, up to 1 s.

--- a/include/sapphirespool/Interactive/positionproofs.h
+++ b/include/sapphirespool/Interactive/positionproofs.h
@@ -41,6 +41,9 @@
     /// The lowest, since a replica that lags can serve only what it has received.
     [[nodiscard]] auto covering(TimePoint moment) const -> std::optional<DataPosition>;
 
+    /// \return how long ago the log grew beyond \p position, as far as is known; zero if it is not known to have
+    [[nodiscard]] auto behind(const DataPosition &position, TimePoint now) const -> Duration;
+
     /// \return the proof of the latest moment
     [[nodiscard]] auto newest() const -> std::optional<PositionProof>;
 
--- a/include/sapphirespool/Interactive/reply.h
+++ b/include/sapphirespool/Interactive/reply.h
@@ -64,6 +64,8 @@
     std::string detail;
     /// When another attempt has a chance, if that is known.
     std::optional<std::chrono::milliseconds> retryAfter = {};
+    /// Where the upstream's data is too old: how far it has come.
+    std::optional<DataPosition> held = {};
 };
 
 /// Answer to one statement.
--- a/include/sapphirespool/Interactive/upstreamlink.h
+++ b/include/sapphirespool/Interactive/upstreamlink.h
@@ -46,6 +46,9 @@
     PreparedShape shape;
     /// Position that the upstream's log must hold, or it does not run the command.
     std::optional<DataPosition> after;
+    /// Whether what it changes may last although its answer is lost: a commit, or a write on its own. Others can be given up without a
+    /// doubt, since a transaction that is not committed is rolled back.
+    bool lasting = false;
 };
 
 /// Outcome of one command.
--- a/include/sapphirespool/Interactive/upstreamload.h
+++ b/include/sapphirespool/Interactive/upstreamload.h
@@ -37,9 +37,13 @@
     /// A failed member is asked last for this long; doubled for each further failure, up to the limit.
     static constexpr auto firstRest = std::chrono::milliseconds(100);
     static constexpr auto longestRest = std::chrono::milliseconds(2'000);
-    /// A member that lacks what a read must see is asked last for this long: it catches up in steps of about its replication delay, and
-    /// each read that asks it meanwhile loses a way there and back, and takes a connection from those that it could serve.
-    static constexpr auto laggingRest = std::chrono::milliseconds(60);
+    /// A member that lacks what a read must see is asked last for this part of the time that it is behind, within the bounds: one that is
+    /// a replication delay of some tens of milliseconds behind has caught up in the next moment, one that is ten seconds behind has not.
+    /// Each read that asks it in vain loses a way there and back and its place in a queue; the latest that its recovery goes
+    /// unnoticed is the longest rest.
+    static constexpr auto lagPart = 4;
+    static constexpr auto shortestLagRest = std::chrono::milliseconds(60);
+    static constexpr auto longestLagRest = std::chrono::milliseconds(1'000);
     /// Least expected time, so that the way between zones, some milliseconds, counts against an idle member elsewhere.
     static constexpr auto floor = std::chrono::milliseconds(5);
     /// What a member in another zone costs on top: the way there and back, and traffic between zones that is paid for.
@@ -55,7 +59,8 @@
     auto failed(const UpstreamId &upstream, TimePoint now) -> void;
 
     /// Notes that \p upstream lacked what a read had to see.
-    auto lagged(const UpstreamId &upstream, TimePoint now) -> void;
+    /// \param behind how long ago the group's log had already more than the upstream has; zero if that is not known
+    auto lagged(const UpstreamId &upstream, Duration behind, TimePoint now) -> void;
 
     /// Keeps nothing of the upstreams that are not among \p present.
     auto keepOnly(const std::set<UpstreamId> &present) -> void;
--- a/lib/Forwarding/codec.cpp
+++ b/lib/Forwarding/codec.cpp
@@ -258,6 +258,16 @@
         }
         out.setAgeMs(static_cast<std::uint64_t>(body.age.count()));
     }
+
+    auto operator()(const Ping &) -> void
+    {
+        this->to.setPing();
+    }
+
+    auto operator()(const Pong &) -> void
+    {
+        this->to.setPong();
+    }
 };
 
 auto readProve(schema::Message::Prove::Reader from) -> Prove
@@ -327,6 +337,10 @@
         return readProve(from.getProve());
     case schema::Message::PROVED:
         return readProved(from.getProved());
+    case schema::Message::PING:
+        return Ping();
+    case schema::Message::PONG:
+        return Pong();
     }
     return std::nullopt;
 }
--- a/lib/Forwarding/codec.h
+++ b/lib/Forwarding/codec.h
@@ -76,7 +76,16 @@
     std::chrono::milliseconds age{0};
 };
 
-using Body = std::variant<Acquire, Acquired, Refused, Exchange, Exchanged, Release, Prove, Proved>;
+/// Asks whether the receiver is there.
+struct Ping
+{
+};
+
+struct Pong
+{
+};
+
+using Body = std::variant<Acquire, Acquired, Refused, Exchange, Exchanged, Release, Prove, Proved, Ping, Pong>;
 
 struct Message
 {
--- a/lib/Forwarding/forwardingpool.cpp
+++ b/lib/Forwarding/forwardingpool.cpp
@@ -157,7 +157,8 @@
         if (owners.empty()) {
             co_return co_await this->own->prove(group, upstream, oldest, limit);
         }
-        const auto request = Prove{group, upstream.id, std::chrono::floor<std::chrono::milliseconds>(oldest), std::chrono::ceil<std::chrono::milliseconds>(limit)};
+        const auto request
+            = Prove{group, upstream.id, std::chrono::floor<std::chrono::milliseconds>(oldest), std::chrono::ceil<std::chrono::milliseconds>(limit)};
         for (const auto &owner : this->orderOf(owners, upstream.id)) {
             if (owner == this->self) {
                 co_return co_await this->own->prove(group, upstream, oldest, limit);
--- a/lib/Forwarding/ownerchannel.cpp
+++ b/lib/Forwarding/ownerchannel.cpp
@@ -23,6 +23,11 @@
 constexpr auto connectLimit = std::chrono::milliseconds(400);
 /// What an answer may take beyond the time that the owner was given: the way, and a busy processor.
 constexpr auto answerSlack = std::chrono::milliseconds(250);
+/// An owner that has sent nothing for this long while a question waits is asked whether it is there. Owners answer many proxies' statements of
+/// some tens of milliseconds; with a question this often at most, an idle one costs next to nothing.
+constexpr auto quietTime = std::chrono::milliseconds(100);
+/// An owner that is there answers within the way there and back and a turn of a busy processor.
+constexpr auto pongLimit = std::chrono::milliseconds(150);
 /// An owner that failed is left alone for this long, twice as long after each further failure.
 constexpr auto firstRest = std::chrono::milliseconds(200);
 constexpr auto longestRest = std::chrono::milliseconds(2'000);
@@ -120,11 +125,11 @@
     const auto lease = ++this->lastLease;
     const auto generation = this->generation();
     auto message = Message{lease, std::move(request)};
-    auto answer = co_await this->ask(std::move(message), limit);
+    auto answer = co_await this->ask(std::move(message), limit, Silence::GivesUp);
     if (!answer) {
         if (generation == this->generation()) {
             this->release(lease, Release());
-            this->noteFailure();
+            this->noteSilence();
         }
         co_return result;
     }
@@ -147,8 +152,11 @@
 {
     const auto self = this->shared_from_this();
     const auto limit = request.limit + answerSlack;
+    const auto lasts = std::any_of(request.commands.begin(), request.commands.end(), [](const interactive::Command &command) {
+        return command.lasting;
+    });
     auto message = Message{lease, std::move(request)};
-    auto answer = co_await this->ask(std::move(message), limit);
+    auto answer = co_await this->ask(std::move(message), limit, lasts ? Silence::IsEndured : Silence::GivesUp);
     if (answer) {
         if (auto *const exchanged = std::get_if<Exchanged>(&answer->body)) {
             co_return std::move(exchanged->result);
@@ -171,7 +179,7 @@
     const auto asked = support::now();
     const auto limit = request.limit + answerSlack;
     auto message = Message{++this->lastLease, std::move(request)};
-    const auto answer = co_await this->ask(std::move(message), limit);
+    const auto answer = co_await this->ask(std::move(message), limit, Silence::GivesUp);
     const auto *const proved = answer ? std::get_if<Proved>(&answer->body) : nullptr;
     if (proved == nullptr || !proved->position) {
         co_return std::nullopt;
@@ -255,6 +263,7 @@
 
 auto OwnerChannel::received(Message message) -> void
 {
+    this->heardAt = support::now();
     const auto found = this->waiters.find(message.lease);
     if (found == this->waiters.end()) {
         return;
@@ -277,17 +286,60 @@
     this->restsUntil = support::now() + this->rest;
 }
 
-auto OwnerChannel::ask(Message message, Duration limit) -> asio::awaitable<std::optional<Message>>
+auto OwnerChannel::noteSilence() -> void
+{
+    // All questions that wait end together, and are one failure.
+    if (this->isWorthAsking()) {
+        this->noteFailure();
+    }
+}
+
+auto OwnerChannel::ask(Message message, Duration limit, Silence silence) -> asio::awaitable<std::optional<Message>>
 {
     const auto waiter = std::make_shared<Waiter>(this->executor);
-    waiter->timer.expires_after(limit);
-    this->waiters.insert_or_assign(message.lease, waiter);
     const auto lease = message.lease;
+    this->waiters.insert_or_assign(lease, waiter);
     if (this->connection != nullptr && this->connection->send(message)) {
-        co_await waiter->timer.async_wait(awaitTuple);
+        if (silence == Silence::GivesUp) {
+            co_await this->awaitSignOfLife(waiter, limit);
+        } else {
+            waiter->timer.expires_after(limit);
+            co_await waiter->timer.async_wait(awaitTuple);
+        }
     }
     this->waiters.erase(lease);
     co_return std::move(waiter->answer);
 }
 
+auto OwnerChannel::awaitSignOfLife(std::shared_ptr<Waiter> waiter, Duration limit) -> asio::awaitable<void>
+{
+    // A VM that is frozen, or cut off without a word, leaves its connections open. Without a sign of life a statement would wait for its
+    // whole time, and so would each one after it, although other owners could serve them.
+    const auto self = this->shared_from_this();
+    const auto at = this->generation();
+    const auto until = support::now() + limit;
+    while (this->isPending(*waiter, at) && support::now() < until) {
+        const auto left = until - support::now();
+        waiter->timer.expires_after(std::min<Duration>(quietTime, left));
+        co_await waiter->timer.async_wait(awaitTuple);
+        const auto isQuiet = support::now() - this->heardAt >= quietTime;
+        if (!isQuiet || !this->isPending(*waiter, at)) {
+            continue;
+        }
+        const auto asked = support::now();
+        this->connection->send(Message{0, Ping()});
+        waiter->timer.expires_after(pongLimit);
+        co_await waiter->timer.async_wait(awaitTuple);
+        if (this->isPending(*waiter, at) && this->heardAt < asked) {
+            this->noteSilence();
+            co_return;
+        }
+    }
+}
+
+auto OwnerChannel::isPending(const Waiter &waiter, std::uint64_t atGeneration) const -> bool
+{
+    return !waiter.answer && this->generation() == atGeneration;
+}
+
 } // namespace sapphirespool::forwarding
--- a/lib/Forwarding/ownerchannel.h
+++ b/lib/Forwarding/ownerchannel.h
@@ -57,6 +57,14 @@
     [[nodiscard]] auto generation() const -> std::uint64_t;
 
 private:
+    /// What an owner's silence means for a question.
+    enum class Silence {
+        /// The question is given up: nothing was run, or what was run does not last.
+        GivesUp,
+        /// The answer is waited for to the end of its time, since without it a caller is left in doubt.
+        IsEndured,
+    };
+
     /// A coroutine that waits for an answer.
     struct Waiter
     {
@@ -74,12 +82,19 @@
     auto received(Message message) -> void;
     auto ended() -> void;
     auto noteFailure() -> void;
+    auto noteSilence() -> void;
     /// Sends \p message and waits for its answer.
+    /// \param silence whether to go on waiting for an owner that gives no sign of life
     /// \return nothing if none came in time
-    auto ask(Message message, Duration limit) -> boost::asio::awaitable<std::optional<Message>>;
+    auto ask(Message message, Duration limit, Silence silence) -> boost::asio::awaitable<std::optional<Message>>;
+    /// Waits until \p waiter has its answer, \p limit is over, the connection ends, or the owner proves to be silent.
+    auto awaitSignOfLife(std::shared_ptr<Waiter> waiter, Duration limit) -> boost::asio::awaitable<void>;
+    [[nodiscard]] auto isPending(const Waiter &waiter, std::uint64_t atGeneration) const -> bool;
 
     boost::asio::any_io_executor executor;
     Endpoint endpoint;
+    /// When the owner last sent anything.
+    TimePoint heardAt{};
     std::shared_ptr<FramedConnection> connection;
     std::uint64_t connectionNumber = 0;
     std::uint64_t lastLease = 0;
--- a/lib/Forwarding/ownerserver.cpp
+++ b/lib/Forwarding/ownerserver.cpp
@@ -68,6 +68,8 @@
         this->release(message.lease, std::move(*ending));
     } else if (auto *const proof = std::get_if<Prove>(&message.body)) {
         asio::co_spawn(this->connection->executor(), prove(self, message.lease, std::move(*proof)), asio::detached);
+    } else if (std::holds_alternative<Ping>(message.body)) {
+        this->connection->send(Message{message.lease, Pong()});
     } else {
         // Only an owner answers; a peer that sends answers is not in step with this one.
         this->connection->close();
--- a/lib/Interactive/callersession.cpp
+++ b/lib/Interactive/callersession.cpp
@@ -271,7 +271,9 @@
         this->core->look(target.member);
         co_return elsewhere(*std::move(why));
     }
-    const auto commands = std::vector<Command>{commandOf(work.statement, lease.link().state, work.shapePointer())};
+    auto command = commandOf(work.statement, lease.link().state, work.shapePointer());
+    command.lasting = true;
+    const auto commands = std::vector<Command>{std::move(command)};
     const auto exchange = co_await this->core->exchange(target.member, lease.link(), commands, work.left());
     if (exchange.results.empty()) {
         this->core->look(target.member);
@@ -316,12 +318,13 @@
     const auto &result = exchange.results.front();
     lease.giveBack();
     if (result.failure && mayGoElsewhere(result.failure->failure)) {
-        if (result.failure->failure == Failure::Busy) {
+        auto why = *failureOf(commands.front(), result);
+        if (why.failure == Failure::Busy) {
             this->core->load.failed(upstream, support::now());
-        } else if (result.failure->failure == Failure::Lagging) {
-            this->core->load.lagged(upstream, support::now());
+        } else if (why.failure == Failure::Lagging) {
+            this->noteLagging(target.member, why);
         }
-        co_return elsewhere(*failureOf(commands.front(), result));
+        co_return elsewhere(std::move(why));
     }
     this->core->load.served(upstream, support::now() - exchange.sentAt, support::now());
     co_return replyOf(result, TransactionStatus::None);
@@ -395,6 +398,13 @@
     }
 }
 
+auto CallerSession::noteLagging(const Member &member, const FailureReply &why) -> void
+{
+    const auto now = support::now();
+    const auto behind = why.held ? this->core->proofsOf(member.group).behind(*why.held, now) : Duration(0);
+    this->core->load.lagged(member.upstream.id, behind, now);
+}
+
 auto CallerSession::noteMoved(const FailureReply &why) -> void
 {
     this->core->parts.recorder->retried(ServiceId(this->database), why.failure);
--- a/lib/Interactive/callersession.h
+++ b/lib/Interactive/callersession.h
@@ -113,6 +113,8 @@
     auto noteProof(const Member &member, TimePoint sent, const std::optional<DataPosition> &position) -> void;
     /// Notes that the statement has not run where it was tried last.
     auto noteMoved(const FailureReply &why) -> void;
+    /// Notes that \p member lacked what a read had to see, by the word of \p why.
+    auto noteLagging(const Member &member, const FailureReply &why) -> void;
     auto noteServed(const ServiceId &service, Access access, const Member &member, Duration latency) -> void;
     auto failed(FailureReply why) -> Reply;
 
--- a/lib/Interactive/linkpool.cpp
+++ b/lib/Interactive/linkpool.cpp
@@ -137,8 +137,7 @@
         co_return std::get<FailureReply>(std::move(result));
     }
 
-    auto prove(GroupId group, membership::UpstreamView upstream, Duration oldest, Duration limit)
-        -> asio::awaitable<std::optional<PositionProof>> override
+    auto prove(GroupId group, membership::UpstreamView upstream, Duration oldest, Duration limit) -> asio::awaitable<std::optional<PositionProof>> override
     {
         const auto self = this->shared_from_this();
         const auto id = upstream.id;
--- a/lib/Interactive/positionproofs.cpp
+++ b/lib/Interactive/positionproofs.cpp
@@ -31,6 +31,14 @@
     return first == this->proofs.end() ? std::nullopt : std::optional(first->position);
 }
 
+auto PositionProofs::behind(const DataPosition &position, TimePoint now) const -> Duration
+{
+    const auto beyond = std::find_if(this->proofs.begin(), this->proofs.end(), [&position](const PositionProof &proof) {
+        return proof.position > position;
+    });
+    return beyond == this->proofs.end() ? Duration(0) : now - beyond->sent;
+}
+
 auto PositionProofs::newest() const -> std::optional<PositionProof>
 {
     return this->proofs.empty() ? std::nullopt : std::optional(this->proofs.back());
--- a/lib/Interactive/runvalues.cpp
+++ b/lib/Interactive/runvalues.cpp
@@ -43,7 +43,7 @@
 
 auto brokenReply() -> FailureReply
 {
-    return makeFailure(Failure::Busy, "the connection to the upstream broke before the statement was sent");
+    return makeFailure(Failure::Unreachable, "the connection to the upstream broke");
 }
 
 auto mayGoElsewhere(Failure failure) -> bool
--- a/lib/Interactive/runvalues.h
+++ b/lib/Interactive/runvalues.h
@@ -35,7 +35,7 @@
 
 [[nodiscard]] auto makeFailure(Failure failure, std::string detail, std::optional<std::chrono::milliseconds> retryAfter = std::nullopt) -> FailureReply;
 
-/// \return the failure of a statement that was not sent
+/// \return the failure of a statement that was not sent, or that changes nothing
 [[nodiscard]] auto brokenReply() -> FailureReply;
 
 /// \return whether the upstream says that it did not run the statement, so that another one may
--- a/lib/Interactive/sessiontransaction.cpp
+++ b/lib/Interactive/sessiontransaction.cpp
@@ -71,7 +71,7 @@
     if (auto why = co_await prepareLink(lease.link(), this->state, work.shapePointer(), &begin, work.left())) {
         const auto refuted = why->failure == Failure::ReadOnly;
         if (refuted || why->failure == Failure::Lagging) {
-            this->core->load.lagged(target.member.upstream.id, support::now());
+            this->noteLagging(target.member, *why);
             lease.giveBack();
         } else {
             this->core->look(target.member);
@@ -149,7 +149,8 @@
 
 auto CallerSession::runCommit(const Work &work) -> asio::awaitable<Reply>
 {
-    const auto command = commandOfKind(CommandKind::Commit, work.statement.id);
+    auto command = commandOfKind(CommandKind::Commit, work.statement.id);
+    command.lasting = this->transaction->wrote;
     const auto exchange = co_await this->exchangeInTransaction(work, command);
     const auto ended = std::move(this->transaction);
     this->transactionStatus = TransactionStatus::None;
--- a/lib/Interactive/statementrun.cpp
+++ b/lib/Interactive/statementrun.cpp
@@ -54,6 +54,7 @@
     auto failure = result.failure;
     if (failure && failure->failure == Failure::Lagging) {
         failure->detail = "needs " + writtenOut(command.after) + ", holds " + writtenOut(result.position);
+        failure->held = result.position;
     }
     return failure;
 }
@@ -130,7 +131,7 @@
         noteDone(link.state, commands[place]);
     }
     if (exchange.broken || exchange.results.size() < commands.size()) {
-        auto why = FailureReply{Failure::Busy, "the connection broke before the statement was sent", {}};
+        auto why = FailureReply{Failure::Unreachable, "the connection broke before the statement was sent", {}};
         co_return why;
     }
     co_return std::nullopt;
--- a/lib/Interactive/upstreamload.cpp
+++ b/lib/Interactive/upstreamload.cpp
@@ -34,10 +34,11 @@
     member.restsUntil = now + member.rest;
 }
 
-auto UpstreamLoad::lagged(const UpstreamId &upstream, TimePoint now) -> void
+auto UpstreamLoad::lagged(const UpstreamId &upstream, Duration behind, TimePoint now) -> void
 {
     auto &member = this->members[upstream];
-    member.restsUntil = std::max(member.restsUntil, now + laggingRest);
+    const auto rest = std::clamp<Duration>(behind / lagPart, shortestLagRest, longestLagRest);
+    member.restsUntil = std::max(member.restsUntil, now + rest);
 }
 
 auto UpstreamLoad::keepOnly(const std::set<UpstreamId> &present) -> void
--- a/schema/forwarding.capnp
+++ b/schema/forwarding.capnp
@@ -101,5 +101,8 @@
       # How long before this answer the upstream was asked, by the clock of the proxy that answers.
       ageMs @23 :UInt64;
     }
+    # Asks whether the receiver is there, and is answered at once.
+    ping @26 :Void;
+    pong @27 :Void;
   }
 }
--- a/unittests/Decisions/statementqueuetest.cpp
+++ b/unittests/Decisions/statementqueuetest.cpp
@@ -88,7 +88,8 @@
     {
         ++this->outcomes[number].asked;
         // In order of arrival all have the same rank, so that only their numbers count.
-        const auto statement = this->order == Order::Arrival ? QueuedStatement{0, TimePoint::max(), true} : QueuedStatement{kind.priority, now + kind.objective, true};
+        const auto statement
+            = this->order == Order::Arrival ? QueuedStatement{0, TimePoint::max(), true} : QueuedStatement{kind.priority, now + kind.objective, true};
         this->waiting.emplace(this->queue.push(statement), Waiting{kind, number, now});
         this->fill(now);
     }
--- a/unittests/Forwarding/forwardingpooltest.cpp
+++ b/unittests/Forwarding/forwardingpooltest.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -46,6 +47,11 @@
             proxy.peers = this->pools.back()->listen({"127.0.0.1", 0});
             this->view->proxies.push_back(proxy);
         }
+        this->publish();
+    }
+
+    auto publish() -> void
+    {
         for (const auto &pool : this->pools) {
             pool->viewChanged(this->view);
         }
@@ -70,10 +76,10 @@
     }
 
     /// \return whether a lease was had; kept in leases
-    auto acquire(std::size_t proxy) -> std::optional<FailureReply>
+    auto acquire(std::size_t proxy, Duration patience = 50ms) -> std::optional<FailureReply>
     {
         auto result = std::make_shared<std::optional<LeaseResult>>();
-        asio::co_spawn(this->io, take(this->pools[proxy], this->view, result), asio::detached);
+        asio::co_spawn(this->io, take(this->pools[proxy], this->view, patience, result), asio::detached);
         for (auto look = 0; look < 300 && !result->has_value(); ++look) {
             this->run(10ms);
         }
@@ -114,12 +120,14 @@
     std::vector<interactive::LinkLease> leases;
 
 private:
-    static auto take(std::shared_ptr<ForwardingPool> pool, std::shared_ptr<membership::ClusterView> view, std::shared_ptr<std::optional<LeaseResult>> result)
-        -> asio::awaitable<void>
+    static auto take(std::shared_ptr<ForwardingPool> pool,
+                     std::shared_ptr<membership::ClusterView> view,
+                     Duration patience,
+                     std::shared_ptr<std::optional<LeaseResult>> result) -> asio::awaitable<void>
     {
         const auto &group = view->groups.front();
         auto claim = interactive::LinkClaim();
-        claim.patience = 50ms;
+        claim.patience = patience;
         claim.connectLimit = 500ms;
         *result = co_await pool->acquire(group.id, group.members.front(), std::move(claim));
     }
@@ -200,6 +208,31 @@
     CHECK(fleet.databases.member("a").connections == 0);
 }
 
+TEST_CASE("a frozen owner costs a statement a moment, not its time")
+{
+    // An owner freezes: it takes connections and bytes and says nothing. Each statement that is sent there would wait for its whole time
+    // and its caller be told nothing until the deadline, although two other owners have links. It is asked for a sign of life, and left.
+    auto fleet = Fleet();
+    auto ownership = Ownership(VmId("vm-10"), ZoneId("zone-a"));
+    ownership.viewChanged(*fleet.view);
+    const auto &group = fleet.view->groups.front();
+    const auto frozen = ownership.ownersOf(group, group.members.front()).front();
+    auto silent = asio::ip::tcp::acceptor(fleet.io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    for (auto &proxy : fleet.view->proxies) {
+        if (proxy.id == frozen) {
+            proxy.peers.port = silent.local_endpoint().port();
+        }
+    }
+    fleet.publish();
+    for (std::size_t proxy = 0; proxy < proxyCount; ++proxy) {
+        INFO(proxy);
+        const auto began = std::chrono::steady_clock::now();
+        CHECK_FALSE(fleet.acquire(proxy, 2s));
+        CHECK(std::chrono::steady_clock::now() - began < 1s);
+        fleet.leases.clear();
+    }
+}
+
 TEST_CASE("an answer that is lost between proxies is not called unsent")
 {
     // The owner ends while a write is on its way through it. The write may have reached the upstream, so nobody may say that it did not.
--- a/unittests/Interactive/decisionstest.cpp
+++ b/unittests/Interactive/decisionstest.cpp
@@ -87,15 +87,41 @@
     const auto second = UpstreamId("second");
     const auto candidates = std::array{ReadCandidate{first, false, true, 0}, ReadCandidate{second, false, false, 3}};
     CHECK(load.choose(candidates, start)->upstream == first);
-    load.lagged(first, start);
+    load.lagged(first, Duration(0), start);
     CHECK(load.choose(candidates, start)->upstream == second);
-    CHECK(load.choose(candidates, start + UpstreamLoad::laggingRest)->upstream == first);
+    CHECK(load.choose(candidates, start + UpstreamLoad::shortestLagRest)->upstream == first);
     load.failed(first, start);
     load.failed(first, start);
     CHECK(load.choose(candidates, start + UpstreamLoad::firstRest)->upstream == second);
     CHECK(load.choose(candidates, start + 2 * UpstreamLoad::firstRest)->upstream == first);
 }
 
+TEST_CASE("load: replicas that are seconds behind are not asked by each read")
+{
+    // Both replicas of a group are ten seconds behind, and a proxy has a read for it every half second. With a rest of some
+    // milliseconds each of its reads would ask both replicas first, wait in their queues for nothing, and come to the primary with a part of its
+    // time gone. The rest grows with the time that they are behind.
+    auto proofs = PositionProofs();
+    proofs.note(start, at(1, 10));
+    proofs.note(start + 1s, at(1, 20));
+    CHECK(proofs.behind(at(1, 10), start + 9s) == 8s);
+    CHECK(proofs.behind(at(1, 20), start + 9s) == 0s);
+    auto load = UpstreamLoad();
+    const auto primary = UpstreamId("primary");
+    const auto replica = UpstreamId("replica");
+    const auto candidates = std::array{ReadCandidate{primary, true, false, 3}, ReadCandidate{replica, false, true, 0}};
+    auto asked = 0;
+    for (auto now = start + 9s; now < start + 19s; now += 500ms) {
+        if (load.choose(candidates, now)->upstream == replica) {
+            ++asked;
+            load.lagged(replica, proofs.behind(at(1, 10), start + 9s), now);
+        }
+    }
+    CHECK(asked <= 10);
+    load.lagged(replica, 200ms, start + 20s);
+    CHECK(load.choose(candidates, start + 20s + UpstreamLoad::shortestLagRest)->upstream == replica);
+}
+
 TEST_CASE("a primary is looked at when it answers nothing, not when one statement is slow")
 {
     // The primary's VM loses power: nothing is reset, and statements wait. One long statement among answered ones is no sign of that.
