--- a/include/sapphirespool/Decisions/statementqueue.h
+++ b/include/sapphirespool/Decisions/statementqueue.h
@@ -37,6 +37,11 @@
 public:
     using Ticket = std::uint64_t;
 
+    /// Part of the objective that a statement may be expected to wait when it comes; who would wait longer is refused at once and told when to
+    /// come back. The rest of the objective is for its work, its ways, and those who come later and go first. Admitted without it, in an
+    /// overload of seconds each waits for just its objective, and is then late or refused: nobody has a fast answer, a yes as little as a no.
+    static constexpr auto waitPart = 2;
+
     /// Statements that may wait for one upstream. Some hundred statements of tens of milliseconds on a handful of slots are seconds of
     /// work: who would wait behind them is better served elsewhere.
     static constexpr auto limit = std::size_t{128};
@@ -53,6 +58,13 @@
     /// \return how many of the waiting statements go before \p statement, if it came now
     [[nodiscard]] auto ahead(const QueuedStatement &statement, TimePoint now, Duration serviceTime) const -> std::size_t;
 
+    /// \param servers statements that are under way at a time
+    /// \return how long \p statement would wait if it came now and nobody who comes later went first
+    [[nodiscard]] auto expectedWait(const QueuedStatement &statement, TimePoint now, Duration serviceTime, std::size_t servers) const -> Duration;
+
+    /// \return whether a statement that is expected to wait for \p wait had better be refused
+    [[nodiscard]] auto isFullFor(const QueuedStatement &statement, TimePoint now, Duration wait) const -> bool;
+
     [[nodiscard]] auto size() const -> std::size_t;
 
 private:
--- a/lib/Decisions/statementqueue.cpp
+++ b/lib/Decisions/statementqueue.cpp
@@ -52,6 +52,17 @@
     return static_cast<std::size_t>(before);
 }
 
+auto StatementQueue::expectedWait(const QueuedStatement &statement, TimePoint now, Duration serviceTime, std::size_t servers) const -> Duration
+{
+    const auto before = static_cast<Duration::rep>(this->ahead(statement, now, serviceTime));
+    return serviceTime * before / static_cast<Duration::rep>(std::max<std::size_t>(1, servers));
+}
+
+auto StatementQueue::isFullFor(const QueuedStatement &statement, TimePoint now, Duration wait) const -> bool
+{
+    return statement.takesSlot && (this->waiting.size() >= limit || wait > (statement.due - now) / waitPart);
+}
+
 auto StatementQueue::size() const -> std::size_t
 {
     return this->waiting.size();
--- a/lib/Forwarding/forwardingpool.cpp
+++ b/lib/Forwarding/forwardingpool.cpp
@@ -117,28 +117,15 @@
         auto why
             = FailureReply{interactive::Failure::Busy, "no proxy that owns connections to " + upstream.id.value() + " answers", std::chrono::milliseconds(100)};
         for (const auto &owner : order) {
-            if (owner == this->self) {
-                co_return co_await this->own->acquire(group, upstream, std::move(claim));
-            }
-            const auto channel = this->channelTo(owner);
-            if (channel == nullptr) {
+            auto result = co_await this->acquireFrom(owner, group, upstream, claim, request);
+            if (!result) {
                 continue;
             }
-            auto &use = this->uses[upstream.id];
-            ++use.busy;
-            auto result = co_await channel->acquire(request);
-            auto &after = this->uses[upstream.id];
-            if (auto *const link = std::get_if<std::shared_ptr<interactive::UpstreamLink>>(&result.link)) {
-                after.loads[owner] = result.load;
-                co_return interactive::LinkLease(this->weak_from_this(), upstream.id, std::move(*link));
-            }
-            --after.busy;
-            why = std::get<FailureReply>(std::move(result.link));
-            if (result.answered) {
-                // The owner has said what it knows of the upstream; its neighbours would say the same a little later.
-                after.loads[owner] = fullLoad;
-                co_return why;
+            auto *const refused = std::get_if<FailureReply>(&*result);
+            if (refused == nullptr || !mayOtherOwnersServe(refused->failure)) {
+                co_return std::move(*result);
             }
+            why = std::move(*refused);
         }
         co_return why;
     }
@@ -212,6 +199,41 @@
         std::shared_ptr<OwnerChannel> channel;
     };
 
+    /// \return whether what one owner met says nothing of the others: it cannot reach the upstream, or its part of the connections is not
+    ///         free yet. What waits at a full upstream waits at each owner.
+    static auto mayOtherOwnersServe(interactive::Failure failure) -> bool
+    {
+        return failure == interactive::Failure::Unreachable || failure == interactive::Failure::ConnectionLimit;
+    }
+
+    /// \return a lease from \p owner, or its refusal; nothing if it does not answer
+    auto acquireFrom(VmId owner, GroupId group, membership::UpstreamView upstream, interactive::LinkClaim claim, Acquire request)
+        -> asio::awaitable<std::optional<LeaseResult>>
+    {
+        const auto keep = this->shared_from_this();
+        const auto id = upstream.id;
+        if (owner == this->self) {
+            co_return co_await this->own->acquire(std::move(group), std::move(upstream), std::move(claim));
+        }
+        const auto channel = this->channelTo(owner);
+        if (channel == nullptr) {
+            co_return std::nullopt;
+        }
+        ++this->uses[id].busy;
+        auto result = co_await channel->acquire(std::move(request));
+        auto &use = this->uses[id];
+        if (auto *const link = std::get_if<std::shared_ptr<interactive::UpstreamLink>>(&result.link)) {
+            use.loads[owner] = result.load;
+            co_return interactive::LinkLease(this->weak_from_this(), id, std::move(*link));
+        }
+        --use.busy;
+        if (!result.answered) {
+            co_return std::nullopt;
+        }
+        use.loads[owner] = fullLoad;
+        co_return std::get<FailureReply>(std::move(result.link));
+    }
+
     /// Keeps nothing of the members that were in \p former and are not in the view.
     auto forgetGone(const membership::ClusterView *former) -> void
     {
--- a/lib/Interactive/linkpool.cpp
+++ b/lib/Interactive/linkpool.cpp
@@ -32,6 +32,11 @@
 /// What a proxy may use before it knows its share of an upstream.
 constexpr auto firstLimits = LinkLimits{1, 1};
 
+/// An upstream that could not be reached is left alone for this long, twice as long after each further failure, up to the limit. Each
+/// statement that tries it meanwhile would wait for the whole time that a connection may take, while another proxy may reach it.
+constexpr auto firstRest = std::chrono::milliseconds(100);
+constexpr auto longestRest = std::chrono::milliseconds(400);
+
 /// A session that waits for a link.
 struct Waiter
 {
@@ -62,6 +67,8 @@
     /// How long a statement that takes a slot is under way.
     decisions::ServiceEstimate serviceTime;
     bool retired = false;
+    TimePoint unreachableUntil{};
+    Duration rest{};
     /// The newest that the upstream gave.
     std::optional<PositionProof> proof = {};
 
@@ -76,6 +83,11 @@
     }
 };
 
+auto unreachableReply(const UpstreamId &upstream) -> FailureReply
+{
+    return {Failure::Unreachable, upstream.value() + " could not be reached a moment ago", longestRest};
+}
+
 class PlainLinkPool : public LinkPool, public WorkMeter, public std::enable_shared_from_this<PlainLinkPool>
 {
 public:
@@ -92,6 +104,9 @@
         const auto id = upstream.id;
         auto &place = this->places[id];
         place.retired = false;
+        if (place.idle.empty() && support::now() < place.unreachableUntil) {
+            co_return unreachableReply(id);
+        }
         if (!claim.takesSlot || (place.waiters.empty() && place.hasSlot())) {
             if (auto link = takeIdle(place, claim.values)) {
                 this->occupy(place, claim.takesSlot);
@@ -105,7 +120,7 @@
         const auto now = support::now();
         const auto statement = decisions::QueuedStatement{claim.priority, now + claim.objective, claim.takesSlot};
         const auto wait = expectedWait(place, statement, now);
-        if (place.queue.size() >= StatementQueue::limit || wait > claim.patience) {
+        if (place.queue.isFullFor(statement, now, wait)) {
             co_return busyReply("too many statements wait for " + id.value(), wait);
         }
         const auto ticket = place.queue.push(statement);
@@ -234,12 +249,9 @@
         return {place.idle.size(), place.busy, place.waiters.size(), place.resting};
     }
 
-    /// \return how long \p statement would wait if it came now and nobody after it went before it
     static auto expectedWait(const Place &place, const decisions::QueuedStatement &statement, TimePoint now) -> Duration
     {
-        const auto mean = place.serviceTime.mean();
-        const auto servers = static_cast<Duration::rep>(std::max<std::size_t>(1, std::min(place.limits.statements, place.limits.links)));
-        return mean * static_cast<Duration::rep>(place.queue.ahead(statement, now, mean)) / servers;
+        return place.queue.expectedWait(statement, now, place.serviceTime.mean(), std::min(place.limits.statements, place.limits.links));
     }
 
     static auto busyReply(std::string detail, Duration wait) -> FailureReply
@@ -313,14 +325,30 @@
         const auto id = upstream.id;
         auto result = co_await this->connector->connect(std::move(group), std::move(upstream), claim.connectLimit);
         if (auto *const link = std::get_if<std::shared_ptr<UpstreamLink>>(&result)) {
+            this->places[id].rest = Duration(0);
             auto metered = std::make_shared<MeteredLink>(std::move(*link), this->weak_from_this(), id);
             co_return this->lease(id, std::move(metered), claim.takesSlot);
         }
         auto &place = this->places[id];
         --place.busy;
         place.resting -= claim.takesSlot ? 0 : 1;
+        auto why = std::get<FailureReply>(std::move(result));
+        if (why.failure == Failure::Unreachable) {
+            leaveAlone(place);
+        }
         this->serveWaiters(place);
-        co_return std::get<FailureReply>(std::move(result));
+        co_return why;
+    }
+
+    static auto leaveAlone(Place &place) -> void
+    {
+        place.rest = std::clamp<Duration>(place.rest * 2, firstRest, longestRest);
+        place.unreachableUntil = support::now() + place.rest;
+        // Connections to an upstream behind a cut stay open without a word. A statement on one of them would wait for its whole time.
+        for (const auto &link : place.idle) {
+            link->close();
+        }
+        place.idle.clear();
     }
 
     auto returned(const UpstreamId &upstream, std::shared_ptr<UpstreamLink> given, bool clean) -> void override
--- a/lib/Interactive/sessionplacement.cpp
+++ b/lib/Interactive/sessionplacement.cpp
@@ -23,8 +23,9 @@
 /// proxy can serve it sooner, and who is sent away only comes back to the same queue, with an attempt less.
 constexpr auto primaryPart = 2;
 
-/// Opening a link takes two ways and the upstream's own handshake, some tens of milliseconds; a packet that was lost takes a second.
-constexpr auto connectLimit = std::chrono::milliseconds(1'500);
+/// Opening a link takes two ways and the upstream's own handshake, some tens of milliseconds, on a busy upstream some more. One that was not
+/// opened in this time is tried at another proxy or member; a packet that was lost would take a second.
+constexpr auto connectLimit = std::chrono::milliseconds(400);
 
 auto acceptsAge(const membership::ServiceView &service) -> bool
 {
--- a/unittests/Forwarding/forwardingpooltest.cpp
+++ b/unittests/Forwarding/forwardingpooltest.cpp
@@ -29,6 +29,30 @@
 
 constexpr auto proxyCount = 12;
 
+/// The way of one proxy to the upstreams.
+class CutConnector : public interactive::LinkConnector
+{
+public:
+    explicit CutConnector(std::shared_ptr<interactive::LinkConnector> inner)
+        : inner(std::move(inner))
+    {
+    }
+
+    auto connect(GroupId group, membership::UpstreamView upstream, Duration limit) -> asio::awaitable<interactive::ConnectResult> override
+    {
+        if (!this->reachable) {
+            auto why = FailureReply{interactive::Failure::Unreachable, "cut off", {}};
+            co_return why;
+        }
+        co_return co_await this->inner->connect(std::move(group), std::move(upstream), limit);
+    }
+
+    bool reachable = true;
+
+private:
+    std::shared_ptr<interactive::LinkConnector> inner;
+};
+
 /// Twelve proxies before an upstream that takes eleven connections.
 struct Fleet
 {
@@ -38,7 +62,8 @@
         this->view->groups.front().connectionLimit = 11;
         for (auto number = 0; number < proxyCount; ++number) {
             const auto vm = VmId("vm-" + std::to_string(10 + number));
-            const auto own = interactive::makeLinkPool(this->databases.connector(), this->io.get_executor());
+            this->cut.push_back(std::make_shared<CutConnector>(this->databases.connector()));
+            const auto own = interactive::makeLinkPool(this->cut.back(), this->io.get_executor());
             this->pools.push_back(makeForwardingPool(vm, ZoneId("zone-a"), own, this->io.get_executor()));
             auto proxy = membership::ProxyView();
             proxy.id = vm;
@@ -69,6 +94,12 @@
     Fleet(const Fleet &) = delete;
     auto operator=(const Fleet &) -> Fleet & = delete;
 
+    /// Keeps the upstreams from taking connections of \p proxy.
+    auto cutOff(std::size_t proxy) -> void
+    {
+        this->cut.at(proxy)->reachable = false;
+    }
+
     auto run(std::chrono::milliseconds time) -> void
     {
         this->io.restart();
@@ -116,6 +147,7 @@
     interactive::FakeDatabases databases;
     asio::io_context io;
     std::shared_ptr<membership::ClusterView> view;
+    std::vector<std::shared_ptr<CutConnector>> cut;
     std::vector<std::shared_ptr<ForwardingPool>> pools;
     std::vector<interactive::LinkLease> leases;
 
@@ -233,6 +265,27 @@
     }
 }
 
+TEST_CASE("an owner that cannot reach the upstream is not the end of the matter")
+{
+    // The primary is cut off from one of its owners, and takes connections from the others. A proxy that asks the one is told so, and must
+    // not tell its caller: the next owner has a link.
+    auto fleet = Fleet();
+    auto ownership = Ownership(VmId("vm-10"), ZoneId("zone-a"));
+    ownership.viewChanged(*fleet.view);
+    const auto &group = fleet.view->groups.front();
+    const auto cutOff = ownership.ownersOf(group, group.members.front()).front();
+    for (std::size_t proxy = 0; proxy < proxyCount; ++proxy) {
+        if (fleet.view->proxies[proxy].id == cutOff) {
+            fleet.cutOff(proxy);
+        }
+    }
+    for (std::size_t proxy = 0; proxy < proxyCount; ++proxy) {
+        INFO(proxy);
+        CHECK_FALSE(fleet.acquire(proxy));
+        fleet.leases.clear();
+    }
+}
+
 TEST_CASE("an answer that is lost between proxies is not called unsent")
 {
     // The owner ends while a write is on its way through it. The write may have reached the upstream, so nobody may say that it did not.
--- a/unittests/Interactive/linkpooltest.cpp
+++ b/unittests/Interactive/linkpooltest.cpp
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <memory>
 #include <optional>
+#include <thread>
 #include <vector>
 
 namespace sapphirespool::interactive
@@ -142,4 +143,24 @@
     CHECK(OneSlot::isHeld(upstream.acquire(2)));
 }
 
+TEST_CASE("an upstream that could not be reached is left alone for a moment, and refused at once meanwhile")
+{
+    // The upstream is cut off from this proxy. Each statement that tried to connect would wait for the whole time that a connection may
+    // take; told at once, its proxy goes to another owner.
+    auto upstream = OneSlot();
+    upstream.databases.member("a").reachable = false;
+    const auto first = upstream.acquire(2);
+    REQUIRE(first->has_value());
+    CHECK(std::get<FailureReply>(**first).failure == Failure::Unreachable);
+    upstream.databases.member("a").reachable = true;
+    const auto meanwhile = upstream.acquire(2);
+    REQUIRE(meanwhile->has_value());
+    CHECK(std::get<FailureReply>(**meanwhile).failure == Failure::Unreachable);
+    CHECK(upstream.databases.connectionsMade == 0);
+    upstream.io.restart();
+    upstream.io.run_for(100ms);
+    std::this_thread::sleep_for(100ms);
+    CHECK(OneSlot::isHeld(upstream.acquire(2)));
+}
+
 } // namespace sapphirespool::interactive
