A small message that claims millions of list elements is refused

Ruled out: the busy machine (the stack stands in the reading of ClusterView.proxies, in a growing vector). Lists of control messages now have at most 20,000 elements. Not done: the lists of messages between proxies that forward statements (lib/Forwarding/codec.cpp).

--- a/lib/Control/codec.cpp
+++ b/lib/Control/codec.cpp
@@ -1,5 +1,7 @@
 #include "codec.h"
 
+#include <kj/debug.h>
+
 #include <algorithm>
 #include <cassert>
 #include <chrono>
@@ -16,6 +18,21 @@
     return {in.begin(), in.end()};
 }
 
+/// Most elements of a list in a message: more than twice the services and VMs of the largest fleet that this is designed for.
+constexpr auto longestList = 20'000U;
+
+/// \return \p list
+/// \throws kj::Exception if it is too long
+///
+/// Elements without content take no bytes. A message of some hundred bytes can claim millions of them, and whoever reads it would be busy
+/// for seconds and fill a gigabyte with empty values. Cap'n Proto's own limit is on words, and counts one for each such element.
+template <typename List>
+auto ofSaneLength(List list) -> List
+{
+    KJ_REQUIRE(list.size() <= longestList, "a list in a message of another process is too long; look for what sends it");
+    return list;
+}
+
 template <typename Elements, typename List>
 auto writeEach(const Elements &elements, List list) -> void
 {
@@ -36,7 +53,7 @@
 auto readIds(capnp::List<capnp::Text>::Reader in) -> std::vector<Id>
 {
     auto ids = std::vector<Id>();
-    for (const auto id : in) {
+    for (const auto id : ofSaneLength(in)) {
         ids.emplace_back(text(id));
     }
     return ids;
@@ -109,10 +126,10 @@
     if (in.getPrimary().size() > 0) {
         group.primary = UpstreamId(text(in.getPrimary()));
     }
-    for (const auto start : in.getHistory()) {
+    for (const auto start : ofSaneLength(in.getHistory())) {
         group.history.push_back({Term(start.getTerm()), LogPosition(start.getKeptUpTo())});
     }
-    for (const auto member : in.getMembers()) {
+    for (const auto member : ofSaneLength(in.getMembers())) {
         group.members.push_back(read(member));
     }
     group.connectionLimit = in.getConnectionLimit();
@@ -241,13 +258,13 @@
 auto read(schema::ClusterView::Reader in) -> membership::ClusterView
 {
     auto view = membership::ClusterView{Revision(in.getRevision()), Revision(in.getConfiguration())};
-    for (const auto service : in.getServices()) {
+    for (const auto service : ofSaneLength(in.getServices())) {
         view.services.push_back(read(service));
     }
-    for (const auto group : in.getGroups()) {
+    for (const auto group : ofSaneLength(in.getGroups())) {
         view.groups.push_back(read(group));
     }
-    for (const auto proxy : in.getProxies()) {
+    for (const auto proxy : ofSaneLength(in.getProxies())) {
         view.proxies.push_back(read(proxy));
     }
     return view;
@@ -300,10 +317,10 @@
                                  in.getLeaving(),
                                  Revision(in.getConfirmed()),
                                  Revision(in.getConfiguration())};
-    for (const auto announcement : in.getAnnouncements()) {
+    for (const auto announcement : ofSaneLength(in.getAnnouncements())) {
         heartbeat.announcements.push_back(read(announcement));
     }
-    for (const auto suspicion : in.getSuspicions()) {
+    for (const auto suspicion : ofSaneLength(in.getSuspicions())) {
         heartbeat.suspicions.push_back({GroupId(text(suspicion.getGroup())), Term(suspicion.getTerm()), UpstreamId(text(suspicion.getUpstream()))});
     }
     return heartbeat;
@@ -321,7 +338,7 @@
 auto read(schema::ClusterStatus::Reader in) -> membership::ClusterStatus
 {
     auto status = membership::ClusterStatus{VmId(text(in.getLeader())), Revision(in.getRevision()), Revision(in.getConfiguration()), in.getInForce()};
-    for (const auto vm : in.getVms()) {
+    for (const auto vm : ofSaneLength(in.getVms())) {
         status.vms.push_back({VmId(text(vm.getVm())), ZoneId(text(vm.getZone())), Revision(vm.getConfirmed()), Revision(vm.getConfiguration()), vm.getLive()});
     }
     return status;
