Lists of messages between forwarding proxies are bounded too, by one copy of the check

The mend of control messages stood in one codec; the other has the same weakness. The rows of answers stay unbounded: they are callers' data, and each takes bytes of the message.

--- a/lib/Control/codec.cpp
+++ b/lib/Control/codec.cpp
@@ -1,6 +1,6 @@
 #include "codec.h"
 
-#include <kj/debug.h>
+#include "sapphirespool/Rpc/listlength.h"
 
 #include <algorithm>
 #include <cassert>
@@ -18,20 +18,7 @@
     return {in.begin(), in.end()};
 }
 
-/// Most elements of a list in a message: more than twice the services and VMs of the largest fleet that this is designed for.
-constexpr auto longestList = 20'000U;
-
-/// \return \p list
-/// \throws kj::Exception if it is too long
-///
-/// Elements without content take no bytes. A message of some hundred bytes can claim millions of them, and whoever reads it would be busy
-/// for seconds and fill a gigabyte with empty values. Cap'n Proto's own limit is on words, and counts one for each such element.
-template <typename List>
-auto ofSaneLength(List list) -> List
-{
-    KJ_REQUIRE(list.size() <= longestList, "a list in a message of another process is too long; look for what sends it");
-    return list;
-}
+using rpc::ofSaneLength;
 
 template <typename Elements, typename List>
 auto writeEach(const Elements &elements, List list) -> void
--- a/lib/Forwarding/codec.cpp
+++ b/lib/Forwarding/codec.cpp
@@ -1,5 +1,7 @@
 #include "codec.h"
 
+#include "sapphirespool/Rpc/listlength.h"
+
 #include <capnp/serialize-packed.h>
 #include <forwarding.capnp.h>
 #include <kj/exception.h>
@@ -23,6 +25,7 @@
 using interactive::PreparedShape;
 using interactive::SessionValues;
 using interactive::TransactionStatus;
+using rpc::ofSaneLength;
 
 template <typename Elements>
 auto sizeOf(const Elements &elements) -> unsigned
@@ -77,7 +80,7 @@
 auto read(capnp::List<schema::Value>::Reader from) -> SessionValues
 {
     auto values = SessionValues();
-    for (const auto value : from) {
+    for (const auto value : ofSaneLength(from)) {
         values.insert_or_assign(text(value.getName()), text(value.getValue()));
     }
     return values;
@@ -100,7 +103,7 @@
 auto readState(Reader from) -> LinkState
 {
     auto state = LinkState{read(from.getValues()), {}};
-    for (const auto prepared : from.getPrepared()) {
+    for (const auto prepared : ofSaneLength(from.getPrepared())) {
         state.prepared.insert_or_assign(read(prepared.getShape()), text(prepared.getName()));
     }
     return state;
@@ -171,6 +174,7 @@
 auto read(schema::CommandResult::Reader from) -> CommandResult
 {
     auto result = CommandResult();
+    // Not bounded by their number: an answer may have many, and each takes bytes of the message.
     for (const auto row : from.getRows()) {
         result.rows.push_back(text(row));
     }
@@ -301,7 +305,7 @@
 auto readExchange(schema::Message::Exchange::Reader from) -> Exchange
 {
     auto exchange = Exchange{{}, std::chrono::milliseconds(from.getLimitMs())};
-    for (const auto command : from.getCommands()) {
+    for (const auto command : ofSaneLength(from.getCommands())) {
         exchange.commands.push_back(read(command));
     }
     return exchange;
@@ -310,7 +314,7 @@
 auto readExchanged(schema::Message::Exchanged::Reader from) -> Exchanged
 {
     auto exchanged = Exchanged();
-    for (const auto result : from.getResults()) {
+    for (const auto result : ofSaneLength(from.getResults())) {
         exchanged.result.results.push_back(read(result));
     }
     exchanged.result.sent = from.getSent();
--- a/unittests/Forwarding/codectest.cpp
+++ b/unittests/Forwarding/codectest.cpp
@@ -1,5 +1,7 @@
 #include "../../lib/Forwarding/codec.h"
 
+#include "sapphirespool/Rpc/listlength.h"
+
 #include <catch2/catch.hpp>
 
 #include <random>
@@ -69,6 +71,19 @@
     CHECK_FALSE(std::get<Proved>(none->body).position);
 }
 
+TEST_CASE("a message that claims more commands than any exchange has is no message, and an answer with many rows is one")
+{
+    // Empty commands take hardly a byte, so that a small message can claim more of them than fit into memory. Rows are the caller's data.
+    auto exchange = Exchange();
+    exchange.commands.resize(rpc::longestList + 1);
+    CHECK_FALSE(decode(encode(Message{8, std::move(exchange)})));
+    auto result = interactive::CommandResult();
+    result.rows.resize(rpc::longestList + 1);
+    auto answer = Exchanged();
+    answer.result.results.push_back(std::move(result));
+    CHECK(decode(encode(Message{8, std::move(answer)})));
+}
+
 TEST_CASE("bytes that were cut or changed give no message or another one, and nothing worse")
 {
     const auto bytes = encode(sample());
