--- a/unittests/Forwarding/codectest.cpp
+++ b/unittests/Forwarding/codectest.cpp
@@ -76,12 +76,12 @@
     // Empty commands take hardly a byte, so that a small message can claim more of them than fit into memory. Rows are the caller's data.
     auto exchange = Exchange();
     exchange.commands.resize(rpc::longestList + 1);
-    CHECK_FALSE(decode(encode(Message{8, std::move(exchange)})));
+    CHECK_FALSE(decode(encode(Message{8, exchange})));
     auto result = interactive::CommandResult();
     result.rows.resize(rpc::longestList + 1);
     auto answer = Exchanged();
     answer.result.results.push_back(std::move(result));
-    CHECK(decode(encode(Message{8, std::move(answer)})));
+    CHECK(decode(encode(Message{8, answer})));
 }
 
 TEST_CASE("bytes that were cut or changed give no message or another one, and nothing worse")
