--- a/lib/Interactive/sessioncore.cpp
+++ b/lib/Interactive/sessioncore.cpp
@@ -21,7 +21,6 @@
 
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 
-/// Control counts suspicions of two seconds together; more than a few of them in that time say nothing new.
 /// How often it is looked for upstreams that fell silent, while statements are under way.
 constexpr auto watchInterval = std::chrono::milliseconds(100);
 
@@ -39,6 +38,7 @@
 /// Pause after a primary gave no proof. Reads go to the primary meanwhile.
 constexpr auto proofRest = std::chrono::milliseconds(100);
 
+/// Control counts suspicions of two seconds together; more than a few of them in that time say nothing new.
 constexpr auto suspicionSpacing = std::chrono::milliseconds(300);
 
 auto presentUpstreams(const membership::ClusterView &view) -> std::set<UpstreamId>
