--- a/lib/Control/linkloop.cpp
+++ b/lib/Control/linkloop.cpp
@@ -22,7 +22,9 @@
 constexpr auto watchLimit = 10 * kj::SECONDS;
 /// Pause before the next VM is tried; an election takes a few of them.
 constexpr auto reconnectPause = 50 * kj::MILLISECONDS;
-constexpr auto connectLimit = 500 * kj::MILLISECONDS;
+/// The first packet to a VM that is just starting is lost, and TCP would send it again after a second; a way between regions and back takes
+/// less than this.
+constexpr auto connectLimit = 250 * kj::MILLISECONDS;
 /// One send of an operator's request; a commit takes a few milliseconds.
 constexpr auto attemptLimit = 2000 * kj::MILLISECONDS;
 /// An operator waits this long at most; an election and a few retries fit into it.
@@ -85,13 +87,24 @@
             this->client = nullptr;
         })
         .then([this] {
-            return this->context.timer.afterDelay(reconnectPause);
+            return this->pauseBeforeNext();
         })
         .then([this] {
             return this->runSessions();
         });
 }
 
+auto LinkLoop::pauseBeforeNext() -> kj::Promise<void>
+{
+    // The VM that a redirect named is tried at once; after two in a row the VMs do not agree on who leads, and asking faster does not help.
+    const auto straight = this->redirected && !std::exchange(this->wentStraight, true);
+    if (straight) {
+        return kj::READY_NOW;
+    }
+    this->wentStraight = false;
+    return this->context.timer.afterDelay(reconnectPause);
+}
+
 auto LinkLoop::runSession(kj::Own<rpc::Connection> connected) -> kj::Promise<void>
 {
     auto control = connected->bootstrap().castAs<schema::Control>();
--- a/lib/Control/linkloop.h
+++ b/lib/Control/linkloop.h
@@ -53,6 +53,7 @@
     auto taskFailed(kj::Exception &&exception) -> void override;
     auto runSessions() -> kj::Promise<void>;
     auto runSession(kj::Own<rpc::Connection> connected) -> kj::Promise<void>;
+    auto pauseBeforeNext() -> kj::Promise<void>;
     auto heartbeats(schema::Control::Client control) -> kj::Promise<void>;
     auto takeHeartbeat() -> VmHeartbeat;
     auto takeAnswer(schema::HeartbeatAnswer::Reader answer, TimePoint sentAt) -> void;
@@ -72,6 +73,8 @@
     std::vector<Endpoint> heardOf;
     std::size_t nextVm = 0;
     std::optional<Endpoint> redirected;
+    /// Whether the present session was begun without a pause.
+    bool wentStraight = false;
     kj::Maybe<schema::Control::Client> client;
     bool snapshotNeeded = false;
     std::map<std::string, platform::Announcement> announcements;
