Promotions of groups that replicate by themselves wait for no leases of proxies

Upstreams of such groups keep that themselves: one that was replaced refuses writes and statements of transactions that may write, current reads run in those, and the age of other reads is bounded by proofs that count from the question. Groups whose writes the proxies confirm wait as before.

Ruled out: shortening the lease (the others need it to outlast an election).

--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -353,8 +353,11 @@
     // proxy and then roams to this one without its token would not find its own write. So nobody is primary of the new term
     // before each proxy with a live lease has confirmed a view in which the old term has ended. Whoever cannot confirm loses its lease:
     // from the moment the term was seen, leases are granted for views of this term only.
+    //
+    // The upstreams of a self-replicating group keep that promise themselves: one that was replaced refuses writes and whatever must be
+    // current, also from proxies that know of no promotion, and the age of other reads is bounded by proofs. There is nothing to wait for.
     const auto firstTerm = group.view.history.size() <= 1;
-    return firstTerm || proxies.oldestServed >= this->termRevision || now - this->termSeen >= leaseLength;
+    return firstTerm || group.selfReplicating || proxies.oldestServed >= this->termRevision || now - this->termSeen >= leaseLength;
 }
 
 auto GroupPromotion::isReadyForHandover(const GroupRecord &group, TimePoint now) const -> bool
--- a/unittests/Promotion/selfreplicatingtest.cpp
+++ b/unittests/Promotion/selfreplicatingtest.cpp
@@ -183,6 +183,21 @@
     CHECK(find<ProposePrimary>(chosen)->command.primary == UpstreamId("c"));
 }
 
+TEST_CASE("the promotion of a self-replicating group waits for no proxy that is cut off from control")
+{
+    // The caller sees: no writes for three seconds more, because proxies that cannot be reached might go by the ended term.
+    // What such a proxy sends to the former primary is refused there, so that nobody needs to wait for its lease.
+    const auto behind = ProxyStanding{3, Revision(7), Revision(6)};
+    auto group = Group(1);
+    group.lead("a");
+    group.promotion.advance(group.record, behind, start);
+    group.record.view.term = Term(2);
+    group.lead("b");
+    const auto promoting = group.promotion.advance(group.record, behind, start + 1ms);
+    REQUIRE(find<SendPromote>(promoting) != nullptr);
+    CHECK(find<SendPromote>(promoting)->member == UpstreamId("b"));
+}
+
 TEST_CASE("suspicions of VMs that have lost their own way end no term")
 {
     // The caller sees: writes refused for a second, although the primary is well. Two VMs whose links are full suspect it, as they suspect
