A leader's VM that comes back empty tells the others that its lease is over

Change: a VM that asks to join under a new identity proves that the process of its former one has ended; voters of that leader are free, and ask within 50 ms.

--- a/include/sapphirespool/Consensus/core.h
+++ b/include/sapphirespool/Consensus/core.h
@@ -89,6 +89,7 @@
     auto askForVotes() -> void;
     auto askForVote(ReplicaId voter) -> void;
     auto onReached(ReplicaId replica) -> void;
+    auto onEnded(ReplicaId replica) -> void;
     [[nodiscard]] auto keepsVoteFrom(ReplicaId candidate, ElectionTerm asked) const -> bool;
     auto noteLeader(ReplicaId leader) -> void;
     auto becomeLeader() -> void;
--- a/include/sapphirespool/Consensus/coretypes.h
+++ b/include/sapphirespool/Consensus/coretypes.h
@@ -86,6 +86,12 @@
     ReplicaId replica;
 };
 
+/// The process that used the replica's data folder has ended, and the folder is lost: its VM runs another replica.
+struct Ended
+{
+    ReplicaId replica;
+};
+
 /// All writes up to the token are on the disk.
 struct DiskSynced
 {
@@ -128,7 +134,7 @@
 };
 /// @}
 
-using CoreEvent = std::variant<Received, Timer, Reached, DiskSynced, DiskFailed, Proposed, MembersProposed, ReadRequested, Founded, SnapshotTaken>;
+using CoreEvent = std::variant<Received, Timer, Reached, Ended, DiskSynced, DiskFailed, Proposed, MembersProposed, ReadRequested, Founded, SnapshotTaken>;
 
 /// \name Actions
 /// @{
--- a/lib/Consensus/core.cpp
+++ b/lib/Consensus/core.cpp
@@ -118,6 +118,9 @@
                    [this](const Reached &reached) {
                        this->onReached(reached.replica);
                    },
+                   [this](const Ended &ended) {
+                       this->onEnded(ended.replica);
+                   },
                    [this](const DiskSynced &synced) {
                        this->onSynced(synced);
                    },
--- a/lib/Consensus/election.cpp
+++ b/lib/Consensus/election.cpp
@@ -230,4 +230,15 @@
     return true;
 }
 
+auto Core::onEnded(ReplicaId replica) -> void
+{
+    if (this->hard.leader != replica || this->currentRole != CoreRole::Follower) {
+        return;
+    }
+    // Its lease ended with its process. Other voters learn the same at the same time; the spread keeps them from asking at once.
+    this->heardLeader = this->now - this->settings.minimumElectionTimeout;
+    auto spread = std::uniform_int_distribution<Duration::rep>(0, this->settings.heartbeatInterval.count());
+    this->electionDeadline = std::min(this->electionDeadline, this->now + Duration(spread(this->random)));
+}
+
 } // namespace sapphirespool::consensus
--- a/lib/Consensus/replica.cpp
+++ b/lib/Consensus/replica.cpp
@@ -375,6 +375,12 @@
 {
     this->formation.noteRequest(JoinRequest{member.vm, member.endpoint, member.replica}, this->core->members(), clockNow());
     this->knownVms.insert_or_assign(member.replica, member.vm);
+    // A VM runs one control process at a time: where it asks under a new identity, the process of its former one is gone.
+    for (const auto &known : this->members()) {
+        if (known.vm == member.vm && known.replica != member.replica) {
+            this->handle(Ended{known.replica});
+        }
+    }
     return this->core->members().members.empty();
 }
 
--- a/unittests/Consensus/coretest.cpp
+++ b/unittests/Consensus/coretest.cpp
@@ -194,6 +194,18 @@
     CHECK(grants(other.run(milliseconds(1), Received{third, preRequest})));
 }
 
+TEST_CASE("where the leader's VM comes back empty, the others wait for no lease of its former process")
+{
+    // The caller sees: nothing is served for an election timeout more, because the VM that lost its disk in the loss of power was the leader.
+    // It comes back under a new identity, which tells the others that the process which held the lease has ended.
+    auto one = OneCore({}, 4, second);
+    one.run(milliseconds(10), Ended{third});
+    CHECK_FALSE(grants(one.run(milliseconds(11), Received{third, preRequest})));
+    one.run(milliseconds(12), Ended{second});
+    CHECK(one.core.deadline() <= one.at(milliseconds(62)));
+    CHECK(grants(one.run(milliseconds(13), Received{third, preRequest})));
+}
+
 TEST_CASE("a vote is sent after it is synced")
 {
     // The caller sees: two leaders of one term, each of which acknowledges changes.
