Owners that control does not hear give their places to others; a proxy that does not hear control waits for no other primary

Change: control marks a VM in the view that it has not heard for a second (four marks a tick at most; the next heartbeat takes the mark away); owners are chosen among those that are heard, as long as there are three. A proxy that had no answer of control for a second refuses at once, with when to come back, what needs a primary other than the one that refused.

Ruled out: direct connections of each proxy beside the owners (11 proxies would go beyond 25 connections); a stand-in chosen by each proxy alone (no agreement on who holds how many).

--- a/include/sapphirespool/Controller/vmtable.h
+++ b/include/sapphirespool/Controller/vmtable.h
@@ -23,6 +23,10 @@
 /// A VM that was silent for this long leaves the view; a restart or a partition of minutes does not change the others' sharing twice.
 constexpr auto forgetAfter = std::chrono::milliseconds(60'000);
 
+/// A VM that was silent for this long is marked in the view: five heartbeats are missing, and a connection that broke is made anew in half
+/// of the time. Others then hold the connections to upstreams that it owned.
+constexpr auto silentAfter = std::chrono::milliseconds(1'000);
+
 /// Soft state of one control leader; pure.
 class VmTable
 {
@@ -47,8 +51,8 @@
     /// \return what promotion has to know of the VMs with live leases
     [[nodiscard]] auto standing(Revision current, TimePoint now) const -> promotion::ProxyStanding;
 
-    /// \return the VMs of \p known that were silent for forgetAfter
-    [[nodiscard]] auto silent(std::span<const membership::ProxyView> known, TimePoint now) const -> std::vector<membership::ProxyView>;
+    /// \return the VMs of \p known that were silent for \p span
+    [[nodiscard]] auto silentFor(Duration span, std::span<const membership::ProxyView> known, TimePoint now) const -> std::vector<membership::ProxyView>;
 
 private:
     struct Vm
--- a/include/sapphirespool/Forwarding/ownership.h
+++ b/include/sapphirespool/Forwarding/ownership.h
@@ -16,7 +16,8 @@
 /// Load pattern: a fleet with more proxies than an upstream takes connections, or few more connections than proxies. In equal parts each
 /// proxy has one or none; one that has many callers refuses while the connections of its peers idle, and each transaction that rests
 /// blocks a whole proxy. A few owners share the connections among all callers, keep the limit exactly, and cost the others one way to
-/// a proxy and back.
+/// a proxy and back. An owner that control no longer hears gives its place to the next one, as long as there are enough: where all owners
+/// of an upstream are cut off, nobody else would serve what it holds.
 class Ownership
 {
 public:
@@ -52,6 +53,7 @@
     {
         VmId vm;
         ZoneId zone;
+        bool silent = false;
     };
 
     [[nodiscard]] auto usable(const membership::GroupView &group, const membership::UpstreamView &upstream) const -> std::size_t;
--- a/include/sapphirespool/Membership/clusterview.h
+++ b/include/sapphirespool/Membership/clusterview.h
@@ -114,6 +114,8 @@
     /// Where it accepts other proxies.
     Endpoint peers;
     bool leaving = false;
+    /// Control has heard nothing of it for a while: it is down, frozen or cut off.
+    bool silent = false;
 
     auto operator==(const ProxyView &) const -> bool = default;
 };
@@ -145,6 +147,12 @@
     /// Extends the lease to \p expiry; an earlier expiry than the present one is ignored.
     auto extendLease(TimePoint expiry) -> void;
 
+    /// Notes that control answered at \p now.
+    auto noteContact(TimePoint now) -> void;
+
+    /// \return when control last answered
+    [[nodiscard]] auto lastContact() const -> TimePoint;
+
     /// Has \p listener called after each new view, on the thread that brought it. One
     /// listener; an empty one removes it.
     auto onChange(std::function<void()> listener) -> void;
@@ -159,6 +167,7 @@
     mutable std::mutex mutex;
     std::shared_ptr<const ClusterView> view = std::make_shared<const ClusterView>();
     TimePoint leaseExpiry{};
+    TimePoint contact{};
     std::function<void()> listener;
 
     auto notify() const -> void;
--- a/lib/Control/codec.cpp
+++ b/lib/Control/codec.cpp
@@ -199,11 +199,12 @@
     write(proxy.callers, out.initCallers());
     write(proxy.peers, out.initPeers());
     out.setLeaving(proxy.leaving);
+    out.setSilent(proxy.silent);
 }
 
 auto read(schema::ProxyView::Reader in) -> membership::ProxyView
 {
-    return {VmId(text(in.getId())), ZoneId(text(in.getZone())), Incarnation(in.getIncarnation()), read(in.getCallers()), read(in.getPeers()), in.getLeaving()};
+    return {VmId(text(in.getId())), ZoneId(text(in.getZone())), Incarnation(in.getIncarnation()), read(in.getCallers()), read(in.getPeers()), in.getLeaving(), in.getSilent()};
 }
 
 auto write(const platform::Announcement &announcement, schema::Announcement::Builder out) -> void
--- a/lib/Control/linkloop.cpp
+++ b/lib/Control/linkloop.cpp
@@ -168,6 +168,7 @@
         kj::throwFatalException(endSession());
     }
     this->announcementsSent.clear();
+    this->holder.noteContact(support::now());
     // A suspicion that got no answer goes along with the next heartbeat: the proxy may not notice anything more.
     this->suspicions.erase(this->suspicions.begin(), this->suspicions.begin() + static_cast<std::ptrdiff_t>(this->suspicionsSent));
     if (answer.isLease()) {
--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -30,9 +30,13 @@
 /// How often it is looked for members that are gone; a member that was replaced refuses what is meant for another one.
 constexpr auto goneInterval = std::chrono::milliseconds(200);
 
+/// VMs that are marked as silent in one tick. A hundred that lose their way at once are marked within half a second, and the log has room
+/// for other changes meanwhile.
+constexpr auto marksAtOnce = std::size_t{4};
+
 auto viewOf(const control::VmHeartbeat &heartbeat) -> membership::ProxyView
 {
-    return {heartbeat.vm, heartbeat.zone, heartbeat.incarnation, heartbeat.callers, heartbeat.peers, heartbeat.leaving};
+    return {heartbeat.vm, heartbeat.zone, heartbeat.incarnation, heartbeat.callers, heartbeat.peers, heartbeat.leaving, false};
 }
 
 auto viewOf(const platform::Announcement &announcement) -> membership::UpstreamView
@@ -51,7 +55,7 @@
 auto isSame(const membership::ProxyView &left, const membership::ProxyView &right) -> bool
 {
     return left.zone == right.zone && left.incarnation == right.incarnation && left.callers == right.callers && left.peers == right.peers
-        && left.leaving == right.leaving;
+        && left.leaving == right.leaving && left.silent == right.silent;
 }
 
 auto isSame(const membership::UpstreamView &left, const membership::UpstreamView &right) -> bool
@@ -74,6 +78,7 @@
 {
     const auto now = this->parts.clock();
     this->noteProxies(now);
+    this->markSilentVms();
     this->forgetSilentVms();
     this->forgetGoneUpstreams(now);
     this->carryOut(this->promoter.tick(now));
@@ -191,10 +196,26 @@
     }
 }
 
+auto Leadership::markSilentVms() -> void
+{
+    const auto view = this->parts.state.view();
+    auto marked = std::size_t{0};
+    for (auto &vm : this->vms.silentFor(silentAfter, view->proxies, this->parts.clock())) {
+        if (vm.silent || !this->tryRegister("mark " + vm.id.value())) {
+            continue;
+        }
+        vm.silent = true;
+        this->propose(state::RegisterVm{vm}, {});
+        if (++marked == marksAtOnce) {
+            return;
+        }
+    }
+}
+
 auto Leadership::forgetSilentVms() -> void
 {
     const auto view = this->parts.state.view();
-    for (const auto &vm : this->vms.silent(view->proxies, this->parts.clock())) {
+    for (const auto &vm : this->vms.silentFor(forgetAfter, view->proxies, this->parts.clock())) {
         if (this->tryRegister("silent " + vm.id.value())) {
             this->propose(state::ForgetVm{vm.id, vm.incarnation}, {});
         }
--- a/lib/Controller/leadership.h
+++ b/lib/Controller/leadership.h
@@ -35,6 +35,8 @@
     auto forgetGoneUpstreams(TimePoint now) -> void;
     /// \return whether the announcement may change anything
     auto isNews(const platform::Announcement &announcement) -> bool;
+    /// Has the proxies give the work of VMs that control does not hear to others.
+    auto markSilentVms() -> void;
     auto forgetSilentVms() -> void;
     /// Takes in that a VM of \p zone got no service from a primary.
     auto suspected(const VmId &vm, const ZoneId &zone, const membership::Suspicion &suspicion) -> void;
--- a/lib/Controller/vmtable.cpp
+++ b/lib/Controller/vmtable.cpp
@@ -71,12 +71,12 @@
     return {zones.size(), current, oldest};
 }
 
-auto VmTable::silent(std::span<const membership::ProxyView> known, TimePoint now) const -> std::vector<membership::ProxyView>
+auto VmTable::silentFor(Duration span, std::span<const membership::ProxyView> known, TimePoint now) const -> std::vector<membership::ProxyView>
 {
     auto silent = std::vector<membership::ProxyView>();
     for (const auto &proxy : known) {
         const auto found = this->vms.find(proxy.id);
-        if (found != this->vms.end() && now >= found->second.leaseEnd - leaseLength + forgetAfter) {
+        if (found != this->vms.end() && now >= found->second.leaseEnd - leaseLength + span) {
             silent.push_back(proxy);
         }
     }
--- a/lib/Forwarding/ownership.cpp
+++ b/lib/Forwarding/ownership.cpp
@@ -22,7 +22,7 @@
     for (const auto &proxy : view.proxies) {
         // The links of control VMs to their group are listed beside the proxies.
         if (proxy.callers.port != 0 && !proxy.leaving) {
-            this->proxies.push_back({proxy.id, proxy.zone});
+            this->proxies.push_back({proxy.id, proxy.zone, proxy.silent});
         }
     }
 }
@@ -34,7 +34,14 @@
     }
     auto near = std::vector<sessions::Holder>();
     auto all = std::vector<sessions::Holder>();
+    const auto heard = std::count_if(this->proxies.begin(), this->proxies.end(), [](const Proxy &proxy) {
+        return !proxy.silent;
+    });
+    const auto enoughHeard = static_cast<std::size_t>(heard) >= ownersPerUpstream;
     for (const auto &proxy : this->proxies) {
+        if (proxy.silent && enoughHeard) {
+            continue;
+        }
         all.push_back({proxy.vm, proxy.zone, {}});
         if (proxy.zone == upstream.zone) {
             near.push_back(all.back());
--- a/lib/Interactive/sessioncore.cpp
+++ b/lib/Interactive/sessioncore.cpp
@@ -38,6 +38,9 @@
 /// Pause after a primary gave no proof. Reads go to the primary meanwhile.
 constexpr auto proofRest = std::chrono::milliseconds(100);
 
+/// Control answers five times a second; a connection that broke is made anew in half of this time.
+constexpr auto contactLimit = std::chrono::milliseconds(1'000);
+
 /// Control counts suspicions of two seconds together; more than a few of them in that time say nothing new.
 constexpr auto suspicionSpacing = std::chrono::milliseconds(300);
 
@@ -98,6 +101,11 @@
     return this->view->configuration > Revision(0) && this->parts.views->leaseLive(support::now());
 }
 
+auto SessionCore::hearsControl() const -> bool
+{
+    return support::now() - this->parts.views->lastContact() < contactLimit;
+}
+
 auto SessionCore::revision() const -> Revision
 {
     return this->view->revision;
@@ -129,7 +137,8 @@
 {
     const auto self = this->shared_from_this();
     auto timer = asio::steady_timer(this->parts.executor);
-    const auto until = std::chrono::steady_clock::now() + patience;
+    // Only control can name another primary. Where it is not heard the statement cannot be served here, while another proxy may.
+    const auto until = std::chrono::steady_clock::now() + (this->hearsControl() ? patience : Duration(0));
     while (true) {
         auto primary = this->primaryOf(group);
         const auto isOther = primary && (!refuted || refuted->term != primary->term || refuted->upstream.id != primary->upstream.id);
--- a/lib/Interactive/sessioncore.h
+++ b/lib/Interactive/sessioncore.h
@@ -56,10 +56,14 @@
     /// \return the members that may serve a read now, the primary among them
     [[nodiscard]] auto readersOf(const GroupId &group) const -> std::vector<Member>;
 
+    /// \return whether control has answered lately
+    [[nodiscard]] auto hearsControl() const -> bool;
+
     /// Waits until the group has a primary other than \p refuted, which turned out not to be one, for \p patience at most.
     ///
     /// A promotion is over within a second or so, and no other proxy can serve a write before it is. A caller who is sent away uses up
-    /// its attempts in that time; one that waits here is served by the first link to the new primary.
+    /// its attempts in that time; one that waits here is served by the first link to the new primary. Where control is not heard it
+    /// waits for nothing.
     auto awaitPrimary(GroupId group, std::optional<Member> refuted, Duration patience) -> boost::asio::awaitable<std::optional<Member>>;
 
     /// Tells control that a primary cannot be reached.
--- a/lib/Membership/clusterview.cpp
+++ b/lib/Membership/clusterview.cpp
@@ -90,6 +90,18 @@
     this->leaseExpiry = std::max(this->leaseExpiry, expiry);
 }
 
+auto ViewHolder::noteContact(TimePoint now) -> void
+{
+    const auto guard = std::lock_guard(this->mutex);
+    this->contact = now;
+}
+
+auto ViewHolder::lastContact() const -> TimePoint
+{
+    const auto guard = std::lock_guard(this->mutex);
+    return this->contact;
+}
+
 auto ViewHolder::current() const -> std::shared_ptr<const ClusterView>
 {
     const auto guard = std::lock_guard(this->mutex);
--- a/lib/State/clusterstate.cpp
+++ b/lib/State/clusterstate.cpp
@@ -24,7 +24,7 @@
 auto sameVm(const ProxyView &left, const ProxyView &right) -> bool
 {
     return left.zone == right.zone && left.incarnation == right.incarnation && left.callers == right.callers && left.peers == right.peers
-        && left.leaving == right.leaving;
+        && left.leaving == right.leaving && left.silent == right.silent;
 }
 
 /// \return the place of the element named \p id in elements ordered by name, or the place where it belongs
--- a/lib/State/recordcodec.cpp
+++ b/lib/State/recordcodec.cpp
@@ -53,6 +53,7 @@
     write(to.initCallers(), from.callers);
     write(to.initPeers(), from.peers);
     to.setLeaving(from.leaving);
+    to.setSilent(from.silent);
 }
 
 namespace
@@ -141,6 +142,7 @@
     vm.callers = read(from.getCallers());
     vm.peers = read(from.getPeers());
     vm.leaving = from.getLeaving();
+    vm.silent = from.getSilent();
     return vm;
 }
 
--- a/schema/control.capnp
+++ b/schema/control.capnp
@@ -53,6 +53,7 @@
   callers @3 :Consensus.Endpoint;
   peers @4 :Consensus.Endpoint;
   leaving @5 :Bool;
+  silent @6 :Bool;
 }
 
 struct ClusterView {
--- a/schema/state.capnp
+++ b/schema/state.capnp
@@ -50,6 +50,7 @@
   callers @3 :Endpoint;
   peers @4 :Endpoint;
   leaving @5 :Bool;
+  silent @6 :Bool;
 }
 
 struct Command {
--- a/unittests/Controller/controllertest.cpp
+++ b/unittests/Controller/controllertest.cpp
@@ -314,6 +314,19 @@
     }
 }
 
+TEST_CASE("a VM that control does not hear is marked in the view until it is heard again")
+{
+    // Others hold the connections that it owned meanwhile.
+    auto leading = Leading();
+    leading.beat(beatOf("hobart-2", 1, 0));
+    leading.pass(silentAfter - 1ms);
+    CHECK_FALSE(leading.state.view()->proxies.front().silent);
+    leading.pass(1ms);
+    CHECK(leading.state.view()->proxies.front().silent);
+    leading.beat(beatOf("hobart-2", 1, 0));
+    CHECK_FALSE(leading.state.view()->proxies.front().silent);
+}
+
 TEST_CASE("equal heartbeats propose nothing, and a VM that stays away leaves the view")
 {
     auto leading = Leading();
--- a/unittests/Forwarding/ownershiptest.cpp
+++ b/unittests/Forwarding/ownershiptest.cpp
@@ -104,6 +104,30 @@
     CHECK(kept == static_cast<std::ptrdiff_t>(before.size()) - 1);
 }
 
+TEST_CASE("owners that control does not hear give their places to others, as long as enough are heard")
+{
+    // The caller sees: a group with a new primary that nobody serves. All owners of its connections are among the proxies that were cut off.
+    auto view = viewOf(60, 58);
+    const auto &upstream = view.groups.front().members.front();
+    auto ownership = Ownership(VmId("vm-0"), ZoneId("zone-0"));
+    ownership.viewChanged(view);
+    const auto before = ownership.ownersOf(view.groups.front(), upstream);
+    for (auto &proxy : view.proxies) {
+        proxy.silent = std::find(before.begin(), before.end(), proxy.id) != before.end();
+    }
+    ownership.viewChanged(view);
+    const auto after = ownership.ownersOf(view.groups.front(), upstream);
+    REQUIRE(after.size() == Ownership::ownersPerUpstream);
+    for (const auto &owner : before) {
+        CHECK(std::find(after.begin(), after.end(), owner) == after.end());
+    }
+    for (auto &proxy : view.proxies) {
+        proxy.silent = proxy.id != VmId("vm-0");
+    }
+    ownership.viewChanged(view);
+    CHECK(ownership.ownersOf(view.groups.front(), upstream).size() == Ownership::ownersPerUpstream);
+}
+
 TEST_CASE("proxies keep connections of their own where there are enough for each")
 {
     const auto view = viewOf(10, 34);
--- a/unittests/Interactive/sessionfixture.h
+++ b/unittests/Interactive/sessionfixture.h
@@ -66,6 +66,7 @@
     {
         this->views->publish(this->databases.view());
         this->views->extendLease(support::now() + std::chrono::hours(1));
+        this->views->noteContact(support::now());
         if (this->service != nullptr) {
             this->service->viewChanged();
         }
--- a/unittests/Interactive/sessiontest.cpp
+++ b/unittests/Interactive/sessiontest.cpp
@@ -328,4 +328,20 @@
     CHECK(proxy.databases.connectionsMade == 1);
 }
 
+TEST_CASE("a proxy that does not hear control waits for no other primary")
+{
+    // The caller sees: a statement that is held for half of its time and then refused, although a proxy beside this one could serve it.
+    // The proxy is cut off from control and from the new primary. The one that it knows refuses; nobody can tell it of another one.
+    auto proxy = Proxy(Consistency::Strong);
+    proxy.databases.member("a").isPrimary = false;
+    proxy.databases.member("b").isPrimary = true;
+    proxy.views->noteContact(support::now() - 2s);
+    const auto began = std::chrono::steady_clock::now();
+    const auto reply = proxy.run(proxy.open(), store("a", "1"));
+    REQUIRE(reply.failure);
+    CHECK(reply.failure->failure == Failure::Busy);
+    CHECK(reply.failure->retryAfter);
+    CHECK(std::chrono::steady_clock::now() - began < proxy.databases.service.timeout / 4);
+}
+
 } // namespace sapphirespool::interactive
