A statement whose answer is overdue holds no slot

Change: a statement under way for longer than the mean and four deviations of its upstream's times (100 ms at least) takes no slot any more; its link stays taken.

--- a/include/sapphirespool/Interactive/linkpool.h
+++ b/include/sapphirespool/Interactive/linkpool.h
@@ -100,8 +100,7 @@
     /// Looks from this proxy, beside the pool, whether \p upstream takes connections.
     /// \param thorough whether it must also greet, which takes it some work
     /// \return why it does not, after \p limit at most; nothing if it does
-    virtual auto probe(GroupId group, membership::UpstreamView upstream, Duration limit, bool thorough)
-        -> boost::asio::awaitable<std::optional<FailureReply>>
+    virtual auto probe(GroupId group, membership::UpstreamView upstream, Duration limit, bool thorough) -> boost::asio::awaitable<std::optional<FailureReply>>
         = 0;
 
     /// Has \p upstream prove how far its group's log has come, if it is the primary: a transaction that may write is begun and rolled back,
--- a/lib/Control/codec.cpp
+++ b/lib/Control/codec.cpp
@@ -204,7 +204,13 @@
 
 auto read(schema::ProxyView::Reader in) -> membership::ProxyView
 {
-    return {VmId(text(in.getId())), ZoneId(text(in.getZone())), Incarnation(in.getIncarnation()), read(in.getCallers()), read(in.getPeers()), in.getLeaving(), in.getSilent()};
+    return {VmId(text(in.getId())),
+            ZoneId(text(in.getZone())),
+            Incarnation(in.getIncarnation()),
+            read(in.getCallers()),
+            read(in.getPeers()),
+            in.getLeaving(),
+            in.getSilent()};
 }
 
 auto write(const platform::Announcement &announcement, schema::Announcement::Builder out) -> void
--- a/lib/Interactive/linkpool.cpp
+++ b/lib/Interactive/linkpool.cpp
@@ -37,6 +37,9 @@
 constexpr auto firstRest = std::chrono::milliseconds(100);
 constexpr auto longestRest = std::chrono::milliseconds(400);
 
+/// No statement counts as lost before this time: a few times what most take.
+constexpr auto soonestOverdue = std::chrono::milliseconds(100);
+
 /// A living upstream takes a connection within the way there and back, whatever its load: its kernel does that.
 constexpr auto reachLimit = std::chrono::milliseconds(200);
 
@@ -254,6 +257,12 @@
         this->places[upstream].serviceTime.record(took);
     }
 
+    [[nodiscard]] auto overdueAfter(const UpstreamId &upstream) const -> Duration override
+    {
+        const auto found = this->places.find(upstream);
+        return found == this->places.end() ? soonestOverdue : std::max<Duration>(soonestOverdue, found->second.serviceTime.high());
+    }
+
 private:
     static auto countsOf(const Place &place) -> LinkCounts
     {
--- a/lib/Interactive/meteredlink.cpp
+++ b/lib/Interactive/meteredlink.cpp
@@ -2,6 +2,9 @@
 
 #include "sapphirespool/Support/clock.h"
 
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -11,6 +14,9 @@
 namespace
 {
 
+/// Expiry of the timer of an exchange that has ended.
+constexpr auto endedExchange = boost::asio::steady_timer::time_point::max();
+
 auto takesSlot(const Command &command) -> bool
 {
     switch (command.kind) {
@@ -46,7 +52,13 @@
         owner->resumed(this->upstream);
     }
     const auto began = support::now();
+    const auto timer = std::make_shared<boost::asio::steady_timer>(co_await boost::asio::this_coro::executor);
+    if (works && owner != nullptr) {
+        timer->expires_after(owner->overdueAfter(this->upstream));
+        this->watchOverdue(timer);
+    }
     auto result = co_await this->inner->exchange(commands, limit);
+    timer->expires_at(endedExchange);
     if (works && owner != nullptr && !result.results.empty()) {
         owner->worked(this->upstream, support::now() - began);
         if (result.results.back().status == TransactionStatus::Open && !std::exchange(this->resting, true)) {
@@ -56,6 +68,20 @@
     co_return result;
 }
 
+auto MeteredLink::watchOverdue(const std::shared_ptr<boost::asio::steady_timer> &timer) -> void
+{
+    timer->async_wait([this, timer](const boost::system::error_code &error) {
+        // A wait that was over just before the exchange ended is not cancelled any more; the link may be gone then.
+        if (error || timer->expiry() == endedExchange) {
+            return;
+        }
+        const auto owner = this->meter.lock();
+        if (owner != nullptr && !std::exchange(this->resting, true)) {
+            owner->rested(this->upstream);
+        }
+    });
+}
+
 auto MeteredLink::close() -> void
 {
     this->inner->close();
--- a/unittests/Interactive/fakedatabases.cpp
+++ b/unittests/Interactive/fakedatabases.cpp
@@ -2,6 +2,10 @@
 
 #include "sapphirespool/Support/clock.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 #include <stdexcept>
 #include <utility>
@@ -30,18 +34,25 @@
         this->close();
     }
 
-    auto exchange(std::span<const Command> commands, Duration) -> asio::awaitable<ExchangeResult> override
+    auto exchange(std::span<const Command> commands, Duration limit) -> asio::awaitable<ExchangeResult> override
     {
+        this->answerLost = false;
         auto result = ExchangeResult();
         result.sentAt = support::now();
         result.sent = this->open;
         for (const auto &command : commands) {
             if (!this->runOne(command, result)) {
                 result.broken = true;
-                this->close();
                 break;
             }
         }
+        if (this->answerLost) {
+            auto timer = asio::steady_timer(co_await asio::this_coro::executor, limit);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        if (result.broken) {
+            this->close();
+        }
         co_return result;
     }
 
@@ -75,7 +86,8 @@
         }
         this->databases.seen.push_back({this->memberId, this->number, command, this->values});
         auto answer = trouble == Trouble::Busy ? this->refuse(Failure::Busy) : this->answer(command);
-        if (trouble == Trouble::BreakAfter) {
+        this->answerLost = trouble == Trouble::NoAnswer;
+        if (trouble == Trouble::BreakAfter || this->answerLost) {
             return false;
         }
         answer.status = this->status;
@@ -212,6 +224,7 @@
     std::string memberId;
     std::size_t number;
     bool open = true;
+    bool answerLost = false;
     SessionValues values;
     std::map<std::string, PreparedShape> prepared;
     TransactionStatus status = TransactionStatus::None;
--- a/unittests/Interactive/fakedatabases.h
+++ b/unittests/Interactive/fakedatabases.h
@@ -36,6 +36,8 @@
     BreakAfter,
     /// The command is refused since the queue is full.
     Busy,
+    /// The command runs, and its answer never comes.
+    NoAnswer,
 };
 
 struct FakeMember
--- a/unittests/Interactive/linkpooltest.cpp
+++ b/unittests/Interactive/linkpooltest.cpp
@@ -163,4 +163,27 @@
     CHECK(OneSlot::isHeld(upstream.acquire(2)));
 }
 
+TEST_CASE("a statement whose answer is lost keeps no others from an idle upstream")
+{
+    // The caller sees: statements refused for seconds at an upstream that is idle. It runs statements whose answers get lost; each of them waits
+    // for its whole time, and holds the slot that the next one waits for.
+    auto slot = OneSlot();
+    const auto lost = slot.acquire(0);
+    slot.databases.member("a").trouble = [](const Command &) {
+        return Trouble::NoAnswer;
+    };
+    slot.run(lost, {commandOf(CommandKind::Run, "read a")});
+    const auto next = slot.acquire(0);
+    CHECK_FALSE(OneSlot::isHeld(next));
+    slot.io.restart();
+    slot.io.run_for(150ms);
+    CHECK(OneSlot::isHeld(next));
+    CHECK(slot.pool->counts(UpstreamId("a")).resting == 1);
+    // The link of the lost statement counts as taken until its time is over, and leaves no trace then.
+    slot.io.restart();
+    slot.io.run_for(1s);
+    std::get<LinkLease>(**lost).giveBack();
+    CHECK(slot.pool->counts(UpstreamId("a")).resting == 0);
+}
+
 } // namespace sapphirespool::interactive
