Callers wait for the first view of a proxy that has just started, for 400 ms at most

Hypothesis: after a loss of power proxies are there 0.1 to 0.6 s before their first view; callers who are refused meanwhile use up their attempts and come back 0.5 s later, when the view has long been there.

Change: the beginning of a session waits for the first view; without one after 400 ms it is refused as before, with when to come back.

--- a/benchmarks/decisionsbenchmark.cpp
+++ b/benchmarks/decisionsbenchmark.cpp
@@ -17,7 +17,7 @@
 auto view() -> std::shared_ptr<const membership::ClusterView>
 {
     auto cluster = membership::ClusterView();
-    cluster.services.push_back({.id = ServiceId("s"), .group = GroupId("g"), .queueLimit = 20'000});
+    cluster.services.append({.id = ServiceId("s"), .group = GroupId("g"), .queueLimit = 20'000});
     auto group = membership::GroupView{.id = GroupId("g"), .term = Term(1), .primary = UpstreamId("p")};
     for (const auto *const name : {"p", "r1", "r2"}) {
         group.members.push_back({.id = UpstreamId(name), .slots = 5, .connectionLimit = 35});
--- a/benchmarks/proxyalone.cpp
+++ b/benchmarks/proxyalone.cpp
@@ -91,7 +91,7 @@
 {
     auto view = membership::ClusterView();
     view.revision = Revision(1);
-    view.services.push_back({ServiceId("orders"), groupName});
+    view.services.append({ServiceId("orders"), groupName});
     view.groups.push_back(std::move(group));
     view.proxies.push_back({settings.vm, settings.zone, settings.incarnation, endpoints.callers, endpoints.peers});
     return std::make_shared<const membership::ClusterView>(view);
--- a/include/sapphirespool/Interactive/session.h
+++ b/include/sapphirespool/Interactive/session.h
@@ -79,6 +79,9 @@
     /// \param database name under which the caller knows a service
     [[nodiscard]] virtual auto open(std::string_view database) -> OpenResult = 0;
 
+    /// Waits until a proxy that has just started has its first view, for a moment at most.
+    virtual auto awaitFirstView() -> boost::asio::awaitable<void> = 0;
+
     /// Follows the newest view.
     virtual auto viewChanged() -> void = 0;
 
--- a/include/sapphirespool/Support/sharedlist.h
+++ b/include/sapphirespool/Support/sharedlist.h
@@ -72,7 +72,7 @@
         return *this->elements;
     }
 
-    auto push_back(Element element) -> void
+    auto append(Element element) -> void
     {
         this->edit().push_back(std::move(element));
     }
--- a/lib/Control/codec.cpp
+++ b/lib/Control/codec.cpp
@@ -291,7 +291,7 @@
 {
     auto view = membership::ClusterView{Revision(in.getRevision()), Revision(in.getConfiguration())};
     for (const auto service : ofSaneLength(in.getServices())) {
-        view.services.push_back(read(service));
+        view.services.append(read(service));
     }
     for (const auto group : ofSaneLength(in.getGroups())) {
         view.groups.push_back(read(group));
--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -30,9 +30,11 @@
 /// How often it is looked for members that are gone; a member that was replaced refuses what is meant for another one.
 constexpr auto goneInterval = std::chrono::milliseconds(200);
 
-/// VMs that are marked as silent in one tick. A hundred that lose their way at once are marked within half a second, and the log has room
-/// for other changes meanwhile.
-constexpr auto marksAtOnce = std::size_t{4};
+/// How often it is looked for VMs that have fallen silent.
+constexpr auto silentInterval = std::chrono::milliseconds(100);
+/// VMs that are marked as silent at one look. A hundred that lose their way at once are marked within a second, and the log has room for other
+/// changes meanwhile.
+constexpr auto marksAtOnce = std::size_t{10};
 
 auto viewOf(const control::VmHeartbeat &heartbeat) -> membership::ProxyView
 {
@@ -78,7 +80,7 @@
 {
     const auto now = this->parts.clock();
     this->noteProxies(now);
-    this->markSilentVms();
+    this->markSilentVms(now);
     this->forgetSilentVms();
     this->forgetGoneUpstreams(now);
     this->carryOut(this->promoter.tick(now));
@@ -196,11 +198,15 @@
     }
 }
 
-auto Leadership::markSilentVms() -> void
+auto Leadership::markSilentVms(TimePoint now) -> void
 {
+    if (now - this->lookedForSilent < silentInterval) {
+        return;
+    }
+    this->lookedForSilent = now;
     const auto view = this->parts.state.view();
     auto marked = std::size_t{0};
-    for (auto &vm : this->vms.silentFor(silentAfter, view->proxies, this->parts.clock())) {
+    for (auto &vm : this->vms.silentFor(silentAfter, view->proxies, now)) {
         if (vm.silent || !this->tryRegister("mark " + vm.id.value())) {
             continue;
         }
--- a/lib/Controller/leadership.h
+++ b/lib/Controller/leadership.h
@@ -36,7 +36,7 @@
     /// \return whether the announcement may change anything
     auto isNews(const platform::Announcement &announcement) -> bool;
     /// Has the proxies give the work of VMs that control does not hear to others.
-    auto markSilentVms() -> void;
+    auto markSilentVms(TimePoint now) -> void;
     auto forgetSilentVms() -> void;
     /// Takes in that a VM of \p zone got no service from a primary.
     auto suspected(const VmId &vm, const ZoneId &zone, const membership::Suspicion &suspicion) -> void;
@@ -64,6 +64,7 @@
     /// Upstreams that are looked at just now.
     std::set<UpstreamId> lookedAt;
     TimePoint lookedForGone{};
+    TimePoint lookedForSilent{};
     std::map<std::string, TimePoint> registrations;
 };
 
--- a/lib/Interactive/sessioncore.cpp
+++ b/lib/Interactive/sessioncore.cpp
@@ -38,6 +38,9 @@
 /// Pause after a primary gave no proof. Reads go to the primary meanwhile.
 constexpr auto proofRest = std::chrono::milliseconds(100);
 
+/// Control gives a started proxy its view within some hundred milliseconds of its own start.
+constexpr auto firstViewPatience = std::chrono::milliseconds(400);
+
 /// Control answers five times a second; a connection that broke is made anew in half of this time.
 constexpr auto contactLimit = std::chrono::milliseconds(1'000);
 
@@ -133,6 +136,17 @@
     return members;
 }
 
+auto SessionCore::awaitFirstView() -> asio::awaitable<void>
+{
+    const auto self = this->shared_from_this();
+    auto timer = asio::steady_timer(this->parts.executor, firstViewPatience);
+    while (this->view->configuration == Revision(0) && timer.expiry() > std::chrono::steady_clock::now()) {
+        this->waiting.insert(&timer);
+        co_await timer.async_wait(awaitTuple);
+        this->waiting.erase(&timer);
+    }
+}
+
 auto SessionCore::awaitPrimary(GroupId group, std::optional<Member> refuted, Duration patience) -> asio::awaitable<std::optional<Member>>
 {
     const auto self = this->shared_from_this();
--- a/lib/Interactive/sessioncore.h
+++ b/lib/Interactive/sessioncore.h
@@ -59,6 +59,12 @@
     /// \return whether control has answered lately
     [[nodiscard]] auto hearsControl() const -> bool;
 
+    /// Waits until control has given this proxy a view, for firstViewPatience at most.
+    ///
+    /// Load pattern: after a loss of power all callers come at once, and proxies have no view for some hundred milliseconds. Who is sent away
+    /// uses up an attempt, and comes back later than the view; who waits here is served with it.
+    auto awaitFirstView() -> boost::asio::awaitable<void>;
+
     /// Waits until the group has a primary other than \p refuted, which turned out not to be one, for \p patience at most.
     ///
     /// A promotion is over within a second or so, and no other proxy can serve a write before it is. A caller who is sent away uses up
--- a/lib/Interactive/sessionservice.cpp
+++ b/lib/Interactive/sessionservice.cpp
@@ -35,6 +35,11 @@
         return FailureReply{Failure::UnknownDatabase, "no service is called " + std::string(database), {}};
     }
 
+    auto awaitFirstView() -> boost::asio::awaitable<void> override
+    {
+        return this->core->awaitFirstView();
+    }
+
     auto viewChanged() -> void override
     {
         this->core->viewChanged();
--- a/lib/LoadModel/model.cpp
+++ b/lib/LoadModel/model.cpp
@@ -79,7 +79,7 @@
                 service.dependsOn.emplace_back(dependency);
             }
         }
-        this->view.services.push_back(std::move(service));
+        this->view.services.append(std::move(service));
     }
     for (auto index = std::size_t{0}; index < scenario.proxies; ++index) {
         this->view.proxies.push_back({.id = proxyName(index), .zone = zoneName(index), .incarnation = Incarnation(index + 1)});
--- a/unittests/Adapter/wiretest.cpp
+++ b/unittests/Adapter/wiretest.cpp
@@ -58,6 +58,11 @@
 class EchoService : public interactive::SessionService
 {
 public:
+    auto awaitFirstView() -> boost::asio::awaitable<void> override
+    {
+        co_return;
+    }
+
     [[nodiscard]] auto open(std::string_view database) -> interactive::OpenResult override
     {
         if (database != "orders") {
--- a/unittests/Control/proxylinktest.cpp
+++ b/unittests/Control/proxylinktest.cpp
@@ -142,7 +142,7 @@
 auto viewOf(std::uint64_t revision, const std::string &service) -> membership::ClusterView
 {
     auto view = membership::ClusterView{Revision(revision), Revision(revision)};
-    view.services.push_back(membership::ServiceView{ServiceId(service), GroupId("g")});
+    view.services.append(membership::ServiceView{ServiceId(service), GroupId("g")});
     view.groups.push_back(membership::GroupView{GroupId("g"), Term(revision), UpstreamId("u"), {{Term(1), LogPosition(0)}}, {{UpstreamId("u")}}});
     view.proxies.push_back(membership::ProxyView{VmId("p"), ZoneId("z"), Incarnation(1)});
     return view;
--- a/unittests/Control/viewhistorytest.cpp
+++ b/unittests/Control/viewhistorytest.cpp
@@ -33,7 +33,7 @@
         auto service = membership::ServiceView();
         service.id = ServiceId(drawnName(number));
         service.group = GroupId("g" + std::to_string(number % 20));
-        view->services.push_back(std::move(service));
+        view->services.append(std::move(service));
     }
     *view = membership::viewFor(*view, {});
     return view;
--- a/unittests/Controller/controllertest.cpp
+++ b/unittests/Controller/controllertest.cpp
@@ -321,7 +321,7 @@
     leading.beat(beatOf("hobart-2", 1, 0));
     leading.pass(silentAfter - 1ms);
     CHECK_FALSE(leading.state.view()->proxies.front().silent);
-    leading.pass(1ms);
+    leading.pass(100ms);
     CHECK(leading.state.view()->proxies.front().silent);
     leading.beat(beatOf("hobart-2", 1, 0));
     CHECK_FALSE(leading.state.view()->proxies.front().silent);
--- a/unittests/Decisions/fixture.h
+++ b/unittests/Decisions/fixture.h
@@ -21,7 +21,7 @@
         : dispatcher(makeDispatcher(std::move(settings)))
     {
         auto view = membership::ClusterView();
-        view.services.push_back({.id = ServiceId("orders"), .group = GroupId("g"), .queueLimit = 1000});
+        view.services.append({.id = ServiceId("orders"), .group = GroupId("g"), .queueLimit = 1000});
         auto group = membership::GroupView{.id = GroupId("g"), .term = Term(1), .primary = UpstreamId("p")};
         for (const auto *const name : {"p", "r1", "r2"}) {
             group.members.push_back({.id = UpstreamId(name), .slots = slots, .connectionLimit = 10});
--- a/unittests/Interactive/fakedatabases.cpp
+++ b/unittests/Interactive/fakedatabases.cpp
@@ -296,7 +296,7 @@
     auto view = std::make_shared<membership::ClusterView>();
     view->revision = Revision(this->revision);
     view->configuration = Revision(1);
-    view->services.push_back(this->service);
+    view->services.append(this->service);
     auto group = membership::GroupView();
     group.id = this->service.group;
     group.term = Term(this->revision);
--- a/unittests/Interactive/sessiontest.cpp
+++ b/unittests/Interactive/sessiontest.cpp
@@ -344,4 +344,56 @@
     CHECK(std::chrono::steady_clock::now() - began < proxy.databases.service.timeout / 4);
 }
 
+TEST_CASE("a caller that comes before the first view waits for it, for a moment at most")
+{
+    // The caller sees: it is sent away by a proxy that could have served it a moment later. All VMs have just come back from a loss of power.
+    auto proxy = Proxy(Consistency::Strong);
+    const auto former = std::exchange(proxy.views, std::make_shared<membership::ViewHolder>());
+    auto parts = SessionServiceParts();
+    parts.views = proxy.views;
+    parts.pool = proxy.pool;
+    parts.recorder = proxy.recorder;
+    parts.executor = proxy.io.get_executor();
+    proxy.service = makeSessionService(std::move(parts));
+    auto waited = 0;
+    const auto wait = [&proxy, &waited]() -> boost::asio::awaitable<void> {
+        co_await proxy.service->awaitFirstView();
+        ++waited;
+    };
+    boost::asio::co_spawn(proxy.io, wait, boost::asio::detached);
+    proxy.pass(20ms);
+    CHECK(waited == 0);
+    proxy.publish();
+    proxy.pass(1ms);
+    CHECK(waited == 1);
+    CHECK(std::holds_alternative<std::shared_ptr<Session>>(proxy.service->open("orders")));
+    boost::asio::co_spawn(proxy.io, wait, boost::asio::detached);
+    proxy.pass(1ms);
+    CHECK(waited == 2);
+}
+
+TEST_CASE("a caller is not held where no view comes")
+{
+    auto proxy = Proxy(Consistency::Strong);
+    auto parts = SessionServiceParts();
+    parts.views = std::make_shared<membership::ViewHolder>();
+    parts.pool = proxy.pool;
+    parts.recorder = proxy.recorder;
+    parts.executor = proxy.io.get_executor();
+    const auto service = makeSessionService(std::move(parts));
+    auto over = false;
+    const auto wait = [&service, &over]() -> boost::asio::awaitable<void> {
+        co_await service->awaitFirstView();
+        over = true;
+    };
+    boost::asio::co_spawn(proxy.io, wait, boost::asio::detached);
+    proxy.pass(500ms);
+    CHECK(over);
+    const auto opened = service->open("orders");
+    const auto *const why = std::get_if<FailureReply>(&opened);
+    REQUIRE(why != nullptr);
+    CHECK(why->failure == Failure::Busy);
+    CHECK(why->retryAfter);
+}
+
 } // namespace sapphirespool::interactive
--- a/unittests/Proxy/trafficsystem.h
+++ b/unittests/Proxy/trafficsystem.h
@@ -181,7 +181,7 @@
         service.id = ServiceId("orders");
         service.group = GroupId("orders-1");
         service.readAge = std::chrono::milliseconds(2000);
-        first.services.push_back(service);
+        first.services.append(service);
         auto groupView = membership::GroupView();
         groupView.id = GroupId("orders-1");
         groupView.term = Term(1);
--- a/unittests/ProxyRole/proxyroletest.cpp
+++ b/unittests/ProxyRole/proxyroletest.cpp
@@ -143,7 +143,7 @@
     {
         auto view = membership::ClusterView();
         view.revision = Revision(1);
-        view.services.push_back({ServiceId("orders"), GroupId("orders-1")});
+        view.services.append({ServiceId("orders"), GroupId("orders-1")});
         auto groupView = membership::GroupView();
         groupView.id = GroupId("orders-1");
         groupView.term = Term(1);
--- a/unittests/Support/sharedlisttest.cpp
+++ b/unittests/Support/sharedlisttest.cpp
@@ -10,7 +10,7 @@
     auto list = SharedList<int>(std::vector<int>{1, 2});
     const auto copy = list;
     CHECK(copy.sharesWith(list));
-    list.push_back(3);
+    list.append(3);
     CHECK_FALSE(copy.sharesWith(list));
     CHECK(copy == SharedList<int>(std::vector<int>{1, 2}));
     CHECK(list == SharedList<int>(std::vector<int>{1, 2, 3}));
