--- a/lib/Consensus/election.cpp
+++ b/lib/Consensus/election.cpp
@@ -232,10 +232,12 @@
 
 auto Core::onEnded(ReplicaId replica) -> void
 {
-    if (this->hard.leader != replica || this->currentRole != CoreRole::Follower) {
+    // A replica that has heard the leader since its own start does not believe it: the word may be old, of an identity that the VM had before
+    // the leader's, and the lease may live. Before the start of this process no such word can have come.
+    if (this->hard.leader != replica || this->knownLeader || this->currentRole != CoreRole::Follower) {
         return;
     }
-    // Its lease ended with its process. Other voters learn the same at the same time; the spread keeps them from asking at once.
+    // The lease ended with the leader's process. Other voters learn the same at the same time; the spread keeps them from asking at once.
     this->heardLeader = this->now - this->settings.minimumElectionTimeout;
     auto spread = std::uniform_int_distribution<Duration::rep>(0, this->settings.heartbeatInterval.count());
     this->electionDeadline = std::min(this->electionDeadline, this->now + Duration(spread(this->random)));
--- a/unittests/Consensus/coretest.cpp
+++ b/unittests/Consensus/coretest.cpp
@@ -206,6 +206,18 @@
     CHECK(grants(one.run(milliseconds(13), Received{third, preRequest})));
 }
 
+TEST_CASE("a late word of an identity before the leader's frees no vote")
+{
+    // The caller sees: two control VMs that answer at the same time.
+    // A VM lost its disk twice, and is the leader under its third identity. A message in which it asked to join under the second one lay in
+    // the buffers of a VM that stood still, and is read after the leader's heartbeat.
+    auto one = OneCore();
+    one.run(milliseconds(1000), Received{second, Heartbeat{ElectionTerm(4), Round(1), LogIndex()}});
+    one.sync(milliseconds(1000));
+    one.run(milliseconds(1001), Ended{second});
+    CHECK_FALSE(grants(one.run(milliseconds(1002), Received{third, preRequest})));
+}
+
 TEST_CASE("a vote is sent after it is synced")
 {
     // The caller sees: two leaders of one term, each of which acknowledges changes.
