--- a/lib/Membership/viewdelta.cpp
+++ b/lib/Membership/viewdelta.cpp
@@ -49,11 +49,6 @@
     return elements;
 }
 
-auto changed(const support::SharedList<ServiceView> &from, const support::SharedList<ServiceView> &to, bool same) -> support::SharedList<ServiceView>
-{
-    return same ? support::SharedList<ServiceView>() : changed(from, to);
-}
-
 template <typename Elements>
 auto removed(const Elements &from, const Elements &to)
 {
@@ -106,11 +101,12 @@
 auto computeDelta(const ClusterView &from, const ClusterView &to) -> ViewDelta
 {
     auto delta = ViewDelta{from.revision, to.revision, to.configuration};
-    const auto sameServices = from.services.sharesWith(to.services);
-    delta.services = changed(from.services, to.services, sameServices);
+    if (!from.services.sharesWith(to.services)) {
+        delta.services = changed(from.services, to.services);
+        delta.removedServices = removed(from.services, to.services);
+    }
     delta.groups = changed(from.groups, to.groups);
     delta.proxies = changed(from.proxies, to.proxies);
-    delta.removedServices = sameServices ? std::vector<ServiceId>() : removed(from.services, to.services);
     delta.removedGroups = removed(from.groups, to.groups);
     delta.removedProxies = removed(from.proxies, to.proxies);
     return delta;
