--- a/lib/Control/codec.cpp
+++ b/lib/Control/codec.cpp
@@ -9,7 +9,6 @@
 #include <algorithm>
 #include <cassert>
 #include <chrono>
-#include <cstring>
 #include <string>
 
 namespace sapphirespool::control
@@ -75,11 +74,6 @@
     out.setDetail(detail);
 }
 
-auto toBytes(capnp::Data::Reader data) -> std::span<const std::byte>
-{
-    return std::as_bytes(std::span(data.begin(), data.size()));
-}
-
 template <typename Schema, typename Content>
 auto packMessage(const Content &content) -> PackedView
 {
@@ -93,12 +87,9 @@
 template <typename Schema>
 auto unpackMessage(capnp::Data::Reader packed)
 {
-    const auto bytes = support::decompress(toBytes(packed), unpackedLimit);
+    const auto bytes = support::decompress(rpc::bytesOf(packed), unpackedLimit);
     KJ_REQUIRE(bytes.has_value(), "a compressed view cannot be read");
-    auto words = kj::heapArray<capnp::word>(bytes->size() / sizeof(capnp::word));
-    if (words.size() > 0) {
-        std::memcpy(words.begin(), bytes->data(), words.size() * sizeof(capnp::word));
-    }
+    const auto words = rpc::align(*bytes);
     auto options = capnp::ReaderOptions();
     options.traversalLimitInWords = unpackedLimit;
     auto message = capnp::FlatArrayMessageReader(words, options);
@@ -352,16 +343,11 @@
 
 auto unpackText(capnp::Data::Reader packed) -> std::string
 {
-    auto text = support::decompressText(toBytes(packed), unpackedLimit);
+    auto text = support::decompressText(rpc::bytesOf(packed), unpackedLimit);
     KJ_REQUIRE(text.has_value(), "a compressed text cannot be read");
     return *std::move(text);
 }
 
-auto toData(std::span<const std::byte> bytes) -> capnp::Data::Reader
-{
-    return {reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()};
-}
-
 auto write(const VmHeartbeat &heartbeat, schema::VmHeartbeat::Builder out) -> void
 {
     out.setVm(heartbeat.vm.value());
--- a/lib/Control/codec.h
+++ b/lib/Control/codec.h
@@ -3,11 +3,11 @@
 
 #include "sapphirespool/Control/controlservice.h"
 #include "sapphirespool/Membership/viewdelta.h"
+#include "sapphirespool/Rpc/bytes.h"
 
 #include <control.capnp.h>
 
 #include <cstddef>
-#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,6 +15,8 @@
 namespace sapphirespool::control
 {
 
+using rpc::toData;
+
 /// A view or a delta as it is sent.
 using PackedView = std::vector<std::byte>;
 
@@ -50,8 +52,6 @@
 /// \throws kj::Exception if \p packed holds no text
 [[nodiscard]] auto unpackText(capnp::Data::Reader packed) -> std::string;
 
-[[nodiscard]] auto toData(std::span<const std::byte> bytes) -> capnp::Data::Reader;
-
 auto write(const VmHeartbeat &heartbeat, schema::VmHeartbeat::Builder out) -> void;
 [[nodiscard]] auto read(schema::VmHeartbeat::Reader in) -> VmHeartbeat;
 
--- a/lib/State/commandcodec.cpp
+++ b/lib/State/commandcodec.cpp
@@ -159,7 +159,7 @@
 
 auto readCompressed(capnp::Data::Reader packed) -> std::optional<Command>
 {
-    const auto plain = support::decompress(std::as_bytes(std::span(packed.begin(), packed.size())), unpackedLimit);
+    const auto plain = support::decompress(rpc::bytesOf(packed), unpackedLimit);
     if (!plain) {
         return std::nullopt;
     }
@@ -180,7 +180,7 @@
     }
     const auto packed = support::compress(plain);
     auto outer = capnp::MallocMessageBuilder();
-    outer.initRoot<schema::Command>().setCompressed({reinterpret_cast<const kj::byte *>(packed.data()), packed.size()});
+    outer.initRoot<schema::Command>().setCompressed(rpc::toData(packed));
     return flatten(outer);
 }
 
--- a/lib/State/recordcodec.cpp
+++ b/lib/State/recordcodec.cpp
@@ -3,6 +3,7 @@
 #include <capnp/serialize.h>
 
 #include <cstring>
+
 #include <utility>
 
 namespace sapphirespool::state
@@ -172,13 +173,4 @@
     return copy;
 }
 
-auto align(std::span<const std::byte> bytes) -> kj::Array<capnp::word>
-{
-    auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
-    if (words.size() > 0) {
-        std::memcpy(words.begin(), bytes.data(), words.size() * sizeof(capnp::word));
-    }
-    return words;
-}
-
 } // namespace sapphirespool::state
--- a/lib/State/recordcodec.h
+++ b/lib/State/recordcodec.h
@@ -4,6 +4,7 @@
 #include "sapphirespool/Configuration/configuration.h"
 #include "sapphirespool/Consensus/statemachine.h"
 #include "sapphirespool/Membership/clusterview.h"
+#include "sapphirespool/Rpc/bytes.h"
 #include "sapphirespool/State/commands.h"
 
 #include <capnp/message.h>
@@ -59,7 +60,6 @@
 /// \return the message as one piece
 [[nodiscard]] auto flatten(capnp::MessageBuilder &message) -> consensus::Bytes;
 
-/// \return \p bytes aligned as Cap'n Proto needs them
-[[nodiscard]] auto align(std::span<const std::byte> bytes) -> kj::Array<capnp::word>;
+using rpc::align;
 
 } // namespace sapphirespool::state
