--- a/include/sapphirespool/Http/liveness.h
+++ b/include/sapphirespool/Http/liveness.h
@@ -7,6 +7,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <chrono>
+
 namespace sapphirespool::http
 {
 
@@ -17,6 +19,9 @@
 /// An option that the system does not know is left out; the time limits of each exchange still hold then.
 auto detectDeadPeers(boost::asio::ip::tcp::socket &socket) -> void;
 
+/// A living peer takes a connection within the way there and back, whatever its load: its kernel does that.
+constexpr auto reachLimit = std::chrono::milliseconds(200);
+
 /// \return whether \p endpoint takes a connection within \p limit; the connection is closed at once
 ///
 /// It is tried twice, for half of the limit each: one packet that was lost on the way is no sign of a dead peer.
--- a/include/sapphirespool/Platform/groupoperator.h
+++ b/include/sapphirespool/Platform/groupoperator.h
@@ -4,7 +4,6 @@
 #include "sapphirespool/Platform/messages.h"
 #include "sapphirespool/Support/types.h"
 
-#include <chrono>
 #include <functional>
 #include <optional>
 
@@ -14,9 +13,6 @@
 /// Answer of a member, or nothing if none came in time; then the call may or may not have taken effect, and is repeated.
 using ReportCallback = std::function<void(std::optional<PositionReport>)>;
 
-/// A living member takes a connection within the way there and back, whatever its load: its kernel does that.
-constexpr auto lookLimit = std::chrono::milliseconds(200);
-
 /// A member and where it is called. The names let a member that took over another one's address refuse what was meant for that one.
 struct MemberAddress
 {
--- a/include/sapphirespool/Rpc/connection.h
+++ b/include/sapphirespool/Rpc/connection.h
@@ -30,6 +30,10 @@
     capnp::Capability::Client peer;
 };
 
+/// A connection that is not there after this time is tried anew. The first packet to a VM that is just starting is lost, and TCP would send it
+/// again after a second; a way between regions and back takes less than this.
+constexpr auto connectLimit = 250 * kj::MILLISECONDS;
+
 /// Connects to \p endpoint, or fails after \p limit.
 [[nodiscard]] auto connect(LoopContext &context, const Endpoint &endpoint, kj::Duration limit) -> kj::Promise<kj::Own<Connection>>;
 
--- a/lib/Consensus/peerlink.cpp
+++ b/lib/Consensus/peerlink.cpp
@@ -16,9 +16,6 @@
 constexpr auto silenceLimit = std::chrono::milliseconds(1000);
 /// Between two attempts to connect, well below the election timeout.
 constexpr auto retryInterval = std::chrono::milliseconds(50);
-/// A connection that is not there after this time is tried anew. The first packet to a VM that is just starting is lost, and TCP would send it
-/// again after a second; a way between regions and back takes less than this.
-constexpr auto connectLimit = 250 * kj::MILLISECONDS;
 /// Messages without an answer; beyond it the connection is too slow, and more would only be late.
 constexpr auto unansweredLimit = std::size_t(512);
 
@@ -84,7 +81,7 @@
     }
     this->connecting = true;
     this->triedAt = now;
-    auto opened = rpc::connect(this->context, this->endpoint, connectLimit).then([this](kj::Own<rpc::Connection> connected) {
+    auto opened = rpc::connect(this->context, this->endpoint, rpc::connectLimit).then([this](kj::Own<rpc::Connection> connected) {
         this->connecting = false;
         this->connection = kj::mv(connected);
         this->answeredAt = std::chrono::steady_clock::now();
--- a/lib/Control/linkloop.cpp
+++ b/lib/Control/linkloop.cpp
@@ -22,9 +22,6 @@
 constexpr auto watchLimit = 10 * kj::SECONDS;
 /// Pause before the next VM is tried; an election takes a few of them.
 constexpr auto reconnectPause = 50 * kj::MILLISECONDS;
-/// The first packet to a VM that is just starting is lost, and TCP would send it again after a second; a way between regions and back takes
-/// less than this.
-constexpr auto connectLimit = 250 * kj::MILLISECONDS;
 /// One send of an operator's request; a commit takes a few milliseconds.
 constexpr auto attemptLimit = 2000 * kj::MILLISECONDS;
 /// An operator waits this long at most; an election and a few retries fit into it.
@@ -79,7 +76,7 @@
 
 auto LinkLoop::runSessions() -> kj::Promise<void>
 {
-    auto session = rpc::connect(this->context, this->nextTarget(), connectLimit).then([this](kj::Own<rpc::Connection> connected) {
+    auto session = rpc::connect(this->context, this->nextTarget(), rpc::connectLimit).then([this](kj::Own<rpc::Connection> connected) {
         return this->runSession(kj::mv(connected));
     });
     return session
--- a/lib/Interactive/linkpool.cpp
+++ b/lib/Interactive/linkpool.cpp
@@ -6,6 +6,7 @@
 
 #include "sapphirespool/Decisions/serviceestimate.h"
 #include "sapphirespool/Decisions/statementqueue.h"
+#include "sapphirespool/Http/liveness.h"
 #include "sapphirespool/Support/clock.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -40,9 +41,6 @@
 /// No statement counts as lost before this time: a few times what most take.
 constexpr auto soonestOverdue = std::chrono::milliseconds(100);
 
-/// A living upstream takes a connection within the way there and back, whatever its load: its kernel does that.
-constexpr auto reachLimit = std::chrono::milliseconds(200);
-
 /// A session that waits for a link.
 struct Waiter
 {
@@ -150,7 +148,7 @@
     auto probe(GroupId group, membership::UpstreamView upstream, Duration limit, bool thorough) -> asio::awaitable<std::optional<FailureReply>> override
     {
         const auto self = this->shared_from_this();
-        const auto reached = co_await this->connector->reaches(upstream, std::min<Duration>(reachLimit, limit));
+        const auto reached = co_await this->connector->reaches(upstream, std::min<Duration>(http::reachLimit, limit));
         if (!reached) {
             auto why = FailureReply{Failure::Unreachable, upstream.id.value() + " takes no connection", {}};
             co_return why;
--- a/lib/Platform/httpgroupoperator.cpp
+++ b/lib/Platform/httpgroupoperator.cpp
@@ -76,7 +76,7 @@
 
     auto look(const MemberAddress &member, std::function<void(bool)> done) -> void override
     {
-        asio::co_spawn(this->executor, http::takesConnections(this->executor, member.endpoint, lookLimit), [done = std::move(done)](auto, bool reached) {
+        asio::co_spawn(this->executor, http::takesConnections(this->executor, member.endpoint, http::reachLimit), [done = std::move(done)](auto, bool reached) {
             done(reached);
         });
     }
