Why a lead is lost, why an election starts and which order goes out are log lines of their own

Callers saw promotions of groups that were well, and the log could not say whether the lead had moved, why, or under which token an order had left: only changes of the believed leader and orders that failed had lines.

Each comes once for a change of state or an order, so that their number is bounded.

--- a/include/sapphirespool/Consensus/core.h
+++ b/include/sapphirespool/Consensus/core.h
@@ -42,6 +42,10 @@
     /// \return for how long this leader has heard nothing from \p replica; of use while it leads
     [[nodiscard]] auto silence(ReplicaId replica) const -> Duration;
     [[nodiscard]] auto leader() const -> std::optional<ReplicaId>;
+    /// \return when a leader was last heard, or when this process started
+    [[nodiscard]] auto leaderHeardAt() const -> TimePoint;
+    /// \return when a quorum, this replica included, had last been heard; of use while it leads
+    [[nodiscard]] auto quorumHeardAt() const -> TimePoint;
     [[nodiscard]] auto commitIndex() const -> LogIndex;
     [[nodiscard]] auto log() const -> const LogWindow &;
     [[nodiscard]] auto members() const -> const Members &;
@@ -104,7 +108,6 @@
     auto onHeartbeat(ReplicaId from, const Heartbeat &heartbeat) -> void;
     auto onHeartbeatReply(ReplicaId from, const HeartbeatReply &reply) -> void;
     auto confirmedRound() const -> Round;
-    auto quorumHeardSince(TimePoint since) const -> bool;
     auto onRead(const ReadRequested &read) -> void;
     auto releaseReads() -> void;
 
--- a/include/sapphirespool/Support/events.h
+++ b/include/sapphirespool/Support/events.h
@@ -34,11 +34,14 @@
     ControlLeaderChanged = 2001,
     GroupFounded = 2002,
     ConsensusTaskFailed = 2003,
+    ControlLeadLost = 2004,
+    ElectionStarted = 2005,
     StorageFailed = 2101,
     ConfigurationAccepted = 2201,
     TermEnded = 2401,
     PrimaryChosen = 2402,
     OrderNotDelivered = 2403,
+    PromotionOrdered = 2404,
     StandinStarted = 3001,
 };
 
--- a/include/sapphirespool/Support/log.h
+++ b/include/sapphirespool/Support/log.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "sapphirespool/Support/events.h"
+#include "sapphirespool/Support/types.h"
 
 #include <cstdint>
 #include <initializer_list>
@@ -27,6 +28,8 @@
     LogField(std::string_view name, std::string_view value);
     LogField(std::string_view name, const char *value);
     LogField(std::string_view name, std::uint64_t value);
+    /// Written in whole milliseconds; the name ends in _ms.
+    LogField(std::string_view name, Duration value);
 };
 
 /// Sends all events of the process to standard output in \p format. Call once, before the first event.
--- a/lib/Consensus/core.cpp
+++ b/lib/Consensus/core.cpp
@@ -91,6 +91,11 @@
     return this->knownLeader;
 }
 
+auto Core::leaderHeardAt() const -> TimePoint
+{
+    return this->heardLeader;
+}
+
 auto Core::commitIndex() const -> LogIndex
 {
     return this->commit;
@@ -190,7 +195,7 @@
     }
     // A leader that a partition cut off would keep its callers waiting for commits that cannot come. Without a quorum it
     // steps down, and they hear at once that it does not lead.
-    if (!this->quorumHeardSince(this->now - this->settings.maximumElectionTimeout)) {
+    if (this->quorumHeardAt() < this->now - this->settings.maximumElectionTimeout) {
         this->becomeFollower(this->hard.term, std::nullopt);
         return;
     }
--- a/lib/Consensus/heartbeat.cpp
+++ b/lib/Consensus/heartbeat.cpp
@@ -67,15 +67,22 @@
     return rounds[this->quorum() - 1];
 }
 
-auto Core::quorumHeardSince(TimePoint since) const -> bool
+auto Core::quorumHeardAt() const -> TimePoint
 {
-    auto heard = std::size_t(this->isVoter(this->self) ? 1 : 0);
+    auto heard = std::vector<TimePoint>();
+    if (this->isVoter(this->self)) {
+        heard.push_back(this->now);
+    }
     for (const auto &[replica, peer] : this->progress) {
-        if (this->isVoter(replica) && peer.heardAt >= since) {
-            ++heard;
+        if (this->isVoter(replica)) {
+            heard.push_back(peer.heardAt);
         }
     }
-    return heard >= this->quorum();
+    if (heard.size() < this->quorum()) {
+        return TimePoint::min();
+    }
+    std::sort(heard.begin(), heard.end(), std::greater<>());
+    return heard[this->quorum() - 1];
 }
 
 auto Core::holdsLeaderLease(TimePoint now) const -> bool
--- /dev/null
+++ b/lib/Consensus/leadreport.cpp
@@ -0,0 +1,31 @@
+#include "leadreport.h"
+
+#include "sapphirespool/Support/log.h"
+
+#include <utility>
+
+namespace sapphirespool::consensus
+{
+
+auto LeadReport::note(const Core &core, TimePoint now) -> void
+{
+    const auto before = std::exchange(this->role, core.role());
+    if (before == CoreRole::Leader && core.role() != CoreRole::Leader) {
+        this->noteLost(core, now);
+    } else if (before == CoreRole::Follower && core.role() == CoreRole::PreCandidate) {
+        support::log(support::Event::ElectionStarted, {{"term", core.term().next().value()}, {"leader_silent_ms", now - core.leaderHeardAt()}});
+    }
+    if (core.role() == CoreRole::Leader) {
+        this->quorumHeardAt = core.quorumHeardAt();
+    }
+    this->term = core.term();
+}
+
+auto LeadReport::noteLost(const Core &core, TimePoint now) const -> void
+{
+    support::log(
+        support::Event::ControlLeadLost,
+        {{"term", this->term.value()}, {"reason", core.term() > this->term ? "later_term" : "stepped_down"}, {"quorum_heard_ms", now - this->quorumHeardAt}});
+}
+
+} // namespace sapphirespool::consensus
--- a/lib/Consensus/replica.cpp
+++ b/lib/Consensus/replica.cpp
@@ -3,6 +3,7 @@
 #include "codec.h"
 #include "diskthread.h"
 #include "formation.h"
+#include "leadreport.h"
 #include "peerlink.h"
 #include "sapphirespool/Consensus/core.h"
 #include "sapphirespool/Consensus/replicastore.h"
@@ -122,6 +123,7 @@
     std::uint64_t entriesSinceSnapshot = 0;
     std::size_t bytesSinceSnapshot = 0;
     std::optional<ReplicaId> reportedLeader;
+    LeadReport leadReport;
     kj::Maybe<kj::Promise<void>> timerTask;
     std::optional<TimePoint> armedFor;
     kj::TaskSet tasks;
@@ -198,6 +200,7 @@
     this->snapshotIfDue();
     this->armTimer();
     this->reportLeader();
+    this->leadReport.note(*this->core, clockNow());
 }
 
 auto ReplicaNode::perform(Action action) -> void
--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -70,9 +70,10 @@
 
 Leadership::Leadership(const ControllerParts &parts)
     : parts(parts)
-    , vms(parts.state.view()->proxies, parts.clock())
-    , promoter(parts.state, parts.clock(), promotion::silenceAfter(parts.announcementInterval))
-    , registry(parts.clock())
+    , since(parts.clock())
+    , vms(parts.state.view()->proxies, this->since)
+    , promoter(parts.state, this->since, promotion::silenceAfter(parts.announcementInterval))
+    , registry(this->since)
 {
 }
 
@@ -291,7 +292,15 @@
 {
     auto request = action.request;
     request.orderedBy = this->parts.vm;
-    request.fencingToken = fencingToken(this->parts.log.leadershipNumber(), action.request.term);
+    const auto leadership = this->parts.log.leadershipNumber();
+    request.fencingToken = fencingToken(leadership, action.request.term);
+    support::log(support::Event::PromotionOrdered,
+                 {{"group", action.group.value()},
+                  {"term", action.request.term},
+                  {"upstream", action.member.value()},
+                  {"leadership", leadership},
+                  {"lead_ms", this->parts.clock() - this->since},
+                  {"token", request.fencingToken}});
     this->parts.groupOperator->promote(this->addressOf(action.group, action.member, action.endpoint),
                                        request,
                                        this->answerTo(promotion::Order::Promote, action.group, action.request.term, action.member));
--- a/lib/Controller/leadership.h
+++ b/lib/Controller/leadership.h
@@ -57,6 +57,8 @@
     auto tryRegister(const std::string &name) -> bool;
 
     const ControllerParts &parts;
+    /// When this VM took the lead.
+    TimePoint since;
     VmTable vms;
     promotion::Promoter promoter;
     MemberRegistry registry;
--- a/lib/Support/events.cpp
+++ b/lib/Support/events.cpp
@@ -28,11 +28,14 @@
     {Event::ControlLeaderChanged, Severity::Info, "control leader changed"},
     {Event::GroupFounded, Severity::Info, "control group founded"},
     {Event::ConsensusTaskFailed, Severity::Warning, "consensus task failed"},
+    {Event::ControlLeadLost, Severity::Warning, "control lead lost"},
+    {Event::ElectionStarted, Severity::Warning, "election started"},
     {Event::StorageFailed, Severity::Error, "storage failed"},
     {Event::ConfigurationAccepted, Severity::Info, "configuration accepted"},
     {Event::TermEnded, Severity::Warning, "term ended"},
     {Event::PrimaryChosen, Severity::Info, "primary chosen"},
     {Event::OrderNotDelivered, Severity::Warning, "order not delivered"},
+    {Event::PromotionOrdered, Severity::Info, "promotion ordered"},
     {Event::StandinStarted, Severity::Info, "stand-in started"},
 });
 
--- a/lib/Support/log.cpp
+++ b/lib/Support/log.cpp
@@ -9,6 +9,7 @@
 #include <log4cxx/patternlayout.h>
 
 #include <atomic>
+#include <chrono>
 #include <utility>
 
 namespace sapphirespool::support
@@ -99,6 +100,12 @@
 {
 }
 
+LogField::LogField(std::string_view name, Duration value)
+    : name(name)
+    , value(std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count()))
+{
+}
+
 auto configureLog(LogFormat format) -> void
 {
     currentFormat = format;
