--- a/unittests/Controller/controllertest.cpp
+++ b/unittests/Controller/controllertest.cpp
@@ -1,5 +1,6 @@
-#include "sapphirespool/Controller/controller.h"
+#include "fakelog.h"
 
+#include "sapphirespool/Controller/controller.h"
 #include "sapphirespool/Controller/vmtable.h"
 
 #include <catch2/catch.hpp>
@@ -14,71 +15,6 @@
 
 using namespace std::chrono_literals;
 
-/// A log that commits at once, on one VM.
-class FakeLog : public consensus::ReplicatedLog
-{
-public:
-    explicit FakeLog(state::ClusterState &state)
-        : state(state)
-    {
-    }
-
-    auto propose(consensus::Bytes command, std::function<void(consensus::ProposalOutcome)> done) -> void override
-    {
-        if (this->failure) {
-            done(*this->failure);
-            return;
-        }
-        ++this->proposals;
-        done(this->state.apply(consensus::LogIndex(this->proposals), command));
-    }
-
-    auto confirmRead(std::function<void(std::optional<consensus::ProposalFailure>)> done) -> void override
-    {
-        done(this->leads ? std::nullopt : std::optional(consensus::ProposalFailure::NotLeader));
-    }
-
-    [[nodiscard]] auto holdsLeaderLease(TimePoint) const -> bool override
-    {
-        return this->leads;
-    }
-
-    [[nodiscard]] auto leadershipNumber() const -> std::uint64_t override
-    {
-        return 1;
-    }
-
-    [[nodiscard]] auto leader() const -> std::optional<VmId> override
-    {
-        return std::nullopt;
-    }
-
-    auto addLearner(consensus::ControlMember, std::function<void(consensus::ProposalOutcome)> done) -> void override
-    {
-        done(consensus::ProposalFailure::ChangeInProgress);
-    }
-
-    auto promoteLearner(VmId, std::function<void(consensus::ProposalOutcome)> done) -> void override
-    {
-        done(consensus::ProposalFailure::ChangeInProgress);
-    }
-
-    auto removeMember(VmId, std::function<void(consensus::ProposalOutcome)> done) -> void override
-    {
-        done(consensus::ProposalFailure::ChangeInProgress);
-    }
-
-    [[nodiscard]] auto members() const -> std::vector<consensus::ControlMember> override
-    {
-        return {};
-    }
-
-    state::ClusterState &state;
-    bool leads = true;
-    std::optional<consensus::ProposalFailure> failure;
-    std::uint64_t proposals = 0;
-};
-
 /// Members that never answer; counts what they are told.
 class SilentMembers : public platform::GroupOperator
 {
@@ -255,6 +191,19 @@
     CHECK(leading.status().inForce);
 }
 
+// A VM whose lease came from another leader must not be forgotten by one that lost the lead and won it back between two ticks.
+TEST_CASE("a lead that was lost and won again between two ticks is a new one")
+{
+    auto leading = Leading();
+    leading.apply("a", 0, text);
+    leading.beat(beatOf("hobart-2", 1, 1));
+    leading.pass(leaseLength);
+    CHECK(leading.status().inForce);
+    leading.log.number = 3;
+    leading.pass(1ms);
+    CHECK_FALSE(leading.status().inForce);
+}
+
 TEST_CASE("no lease without the lead, before the registration, or for an earlier process")
 {
     auto leading = Leading();
--- /dev/null
+++ b/unittests/Controller/fakelog.h
@@ -0,0 +1,86 @@
+// fakelog.h: a replicated log without consensus, for tests of what works on it.
+#pragma once
+
+#include "sapphirespool/Consensus/replicatedlog.h"
+#include "sapphirespool/State/clusterstate.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace sapphirespool::controller
+{
+
+/// Commits at once, here and on the VMs that follow; the test says who leads.
+class FakeLog : public consensus::ReplicatedLog
+{
+public:
+    explicit FakeLog(state::ClusterState &state)
+        : state(state)
+    {
+    }
+
+    auto propose(consensus::Bytes command, std::function<void(consensus::ProposalOutcome)> done) -> void override
+    {
+        if (this->failure) {
+            done(*this->failure);
+            return;
+        }
+        ++this->proposals;
+        auto result = this->state.apply(consensus::LogIndex(this->proposals), command);
+        for (auto *const follower : this->followers) {
+            follower->apply(consensus::LogIndex(this->proposals), command);
+        }
+        done(std::move(result));
+    }
+
+    auto confirmRead(std::function<void(std::optional<consensus::ProposalFailure>)> done) -> void override
+    {
+        done(this->leads ? std::nullopt : std::optional(consensus::ProposalFailure::NotLeader));
+    }
+
+    [[nodiscard]] auto holdsLeaderLease(TimePoint) const -> bool override
+    {
+        return this->leads;
+    }
+
+    [[nodiscard]] auto leadershipNumber() const -> std::uint64_t override
+    {
+        return this->number;
+    }
+
+    [[nodiscard]] auto leader() const -> std::optional<VmId> override
+    {
+        return std::nullopt;
+    }
+
+    auto addLearner(consensus::ControlMember, std::function<void(consensus::ProposalOutcome)> done) -> void override
+    {
+        done(consensus::ProposalFailure::ChangeInProgress);
+    }
+
+    auto promoteLearner(VmId, std::function<void(consensus::ProposalOutcome)> done) -> void override
+    {
+        done(consensus::ProposalFailure::ChangeInProgress);
+    }
+
+    auto removeMember(VmId, std::function<void(consensus::ProposalOutcome)> done) -> void override
+    {
+        done(consensus::ProposalFailure::ChangeInProgress);
+    }
+
+    [[nodiscard]] auto members() const -> std::vector<consensus::ControlMember> override
+    {
+        return {};
+    }
+
+    state::ClusterState &state;
+    std::vector<state::ClusterState *> followers;
+    bool leads = true;
+    std::uint64_t number = 1;
+    std::optional<consensus::ProposalFailure> failure;
+    std::uint64_t proposals = 0;
+};
+
+} // namespace sapphirespool::controller
--- /dev/null
+++ b/unittests/Controller/promotiondutytest.cpp
@@ -0,0 +1,249 @@
+#include "fakelog.h"
+
+#include "sapphirespool/Controller/controller.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <deque>
+
+namespace sapphirespool::controller
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr auto exclusiveTime = std::chrono::milliseconds(3'000);
+
+/// An order to promote, as the platform sees it.
+struct SeenOrder
+{
+    VmId by;
+    std::uint64_t token = 0;
+    TimePoint at;
+};
+
+/// Notes the orders to promote and answers none.
+class RecordingOperator : public platform::GroupOperator
+{
+public:
+    RecordingOperator(const TimePoint &now, std::vector<SeenOrder> &orders)
+        : now(now)
+        , orders(orders)
+    {
+    }
+
+    auto fence(const platform::MemberAddress &, platform::FenceRequest, platform::ReportCallback) -> void override
+    {
+    }
+
+    auto promote(const platform::MemberAddress &, platform::PromoteRequest request, platform::ReportCallback) -> void override
+    {
+        this->orders.push_back({request.orderedBy, request.fencingToken, this->now});
+    }
+
+    auto follow(const platform::MemberAddress &, platform::FollowRequest, platform::ReportCallback) -> void override
+    {
+    }
+
+    auto look(const platform::MemberAddress &, std::function<void(bool)>) -> void override
+    {
+    }
+
+private:
+    const TimePoint &now;
+    std::vector<SeenOrder> &orders;
+};
+
+struct ControlVm
+{
+    ControlVm(std::string_view name, const TimePoint &now, std::vector<SeenOrder> &orders)
+        : id(std::string(name))
+        , controller(makeController({this->id,
+                                     this->log,
+                                     this->state,
+                                     std::make_shared<RecordingOperator>(now, orders),
+                                     [&now] {
+                                         return now;
+                                     },
+                                     [this](std::function<void()> work) {
+                                         this->posted.push_back(std::move(work));
+                                     }}))
+    {
+    }
+
+    auto runPosted() -> void
+    {
+        while (!this->posted.empty()) {
+            const auto work = std::move(this->posted.front());
+            this->posted.pop_front();
+            work();
+        }
+    }
+
+    VmId id;
+    state::ClusterState state;
+    FakeLog log{this->state};
+    std::deque<std::function<void()>> posted;
+    std::shared_ptr<Controller> controller;
+};
+
+/// Two control VMs, both alive, and a self-replicating group whose primary is chosen.
+struct TwoControlVms
+{
+    TwoControlVms()
+    {
+        this->a.log.followers = {&this->b.state};
+        this->b.log.followers = {&this->a.state};
+        this->b.log.leads = false;
+        auto change = state::ChangeConfiguration();
+        change.change = ChangeId("c");
+        change.content.groups = {{GroupId("orders-1"), 3, 0, true}};
+        this->commit(change);
+        for (const auto *const id : {"x", "y"}) {
+            auto member = membership::UpstreamView();
+            member.id = UpstreamId(id);
+            member.incarnation = Incarnation(1);
+            member.endpoint.address = id;
+            this->commit(state::RegisterUpstream{GroupId("orders-1"), member});
+        }
+        this->commit(state::BeginTerm{GroupId("orders-1"), Term(0), Term(1)});
+        this->commit(state::ChoosePrimary{GroupId("orders-1"), Term(1), UpstreamId("x"), Incarnation(1), LogPosition(0)});
+    }
+
+    auto commit(const state::Command &command) -> void
+    {
+        this->a.log.propose(encode(command), [](const auto &) {});
+    }
+
+    auto lead(ControlVm &vm, std::uint64_t number) -> void
+    {
+        for (auto *const each : {&this->a, &this->b}) {
+            each->log.leads = each == &vm;
+            each->log.number = number;
+        }
+    }
+
+    auto pass(Duration time) -> void
+    {
+        for (const auto end = this->now + time; this->now < end; this->now += tickInterval) {
+            for (auto *const vm : {&this->a, &this->b}) {
+                vm->controller->tick();
+                vm->runPosted();
+            }
+        }
+    }
+
+    auto leader() -> ControlVm &
+    {
+        return this->a.log.leads ? this->a : this->b;
+    }
+
+    /// The members announce themselves to the VM that leads.
+    auto announce(platform::Role roleOfPrimary) -> void
+    {
+        this->tellLeader(roleOfPrimary, 1);
+        this->leader().runPosted();
+    }
+
+    /// The same, but what the leader posts for later stays there.
+    auto tellLeader(platform::Role roleOfPrimary, std::uint32_t slots) -> void
+    {
+        auto heartbeat = control::VmHeartbeat();
+        heartbeat.vm = VmId("hobart-9");
+        heartbeat.zone = ZoneId("hobart");
+        heartbeat.incarnation = Incarnation(1);
+        for (const auto *const id : {"x", "y"}) {
+            auto announcement = platform::Announcement();
+            announcement.group = "orders-1";
+            announcement.id = id;
+            announcement.incarnation = 1;
+            announcement.address = id;
+            announcement.slots = slots;
+            announcement.sequence = ++this->announcements;
+            announcement.role = announcement.id == "x" ? roleOfPrimary : platform::Role::Replica;
+            heartbeat.announcements.push_back(announcement);
+        }
+        this->leader().controller->heartbeat(heartbeat, [](const auto &) {});
+    }
+
+    [[nodiscard]] auto ordersOf(const ControlVm &vm) const -> std::ptrdiff_t
+    {
+        return std::count_if(this->orders.begin(), this->orders.end(), [&vm](const SeenOrder &order) {
+            return order.by == vm.id;
+        });
+    }
+
+    /// \return the shortest time between orders of different VMs
+    [[nodiscard]] auto shortestTurn() const -> Duration
+    {
+        auto shortest = Duration::max();
+        for (auto place = std::size_t{1}; place < this->orders.size(); ++place) {
+            if (this->orders[place].by != this->orders[place - 1].by) {
+                shortest = std::min(shortest, this->orders[place].at - this->orders[place - 1].at);
+            }
+        }
+        return shortest;
+    }
+
+    TimePoint now = TimePoint(1h);
+    std::vector<SeenOrder> orders;
+    std::uint64_t announcements = 0;
+    ControlVm a{"hobart-1", this->now, this->orders};
+    ControlVm b{"launceston-1", this->now, this->orders};
+};
+
+} // namespace
+
+// A change of the control leader must not order anew what has long been carried out.
+TEST_CASE("a new control leader orders no promotion of a primary that serves")
+{
+    auto vms = TwoControlVms();
+    vms.lead(vms.b, 5);
+    vms.pass(400ms);
+    vms.announce(platform::Role::Primary);
+    vms.pass(2s);
+    CHECK(vms.orders.empty());
+}
+
+// Two control VMs that are alive must not take turns at ordering promotions.
+TEST_CASE("a control VM orders promotions only when those of another one are long over")
+{
+    auto vms = TwoControlVms();
+    vms.lead(vms.a, 3);
+    vms.announce(platform::Role::Replica);
+    vms.pass(500ms);
+    REQUIRE(vms.ordersOf(vms.a) > 0);
+    vms.lead(vms.b, 5);
+    vms.announce(platform::Role::Replica);
+    vms.pass(2s);
+    vms.lead(vms.a, 6);
+    vms.announce(platform::Role::Replica);
+    vms.pass(10s);
+    vms.lead(vms.b, 7);
+    vms.announce(platform::Role::Replica);
+    vms.pass(10s);
+    CHECK(vms.ordersOf(vms.b) > 0);
+    CHECK(vms.shortestTurn() >= exclusiveTime);
+}
+
+// An order that waits on the control thread must not go out under the number of the next leader.
+TEST_CASE("what was begun under a lead is not carried on after it")
+{
+    auto vms = TwoControlVms();
+    vms.lead(vms.a, 3);
+    vms.announce(platform::Role::Primary);
+    vms.pass(500ms);
+    const auto before = vms.orders.size();
+    vms.tellLeader(platform::Role::Primary, 2);
+    vms.commit(state::BeginTerm{GroupId("orders-1"), Term(1), Term(2)});
+    vms.commit(state::ChoosePrimary{GroupId("orders-1"), Term(2), UpstreamId("y"), Incarnation(1), LogPosition(0)});
+    vms.lead(vms.b, 5);
+    REQUIRE_FALSE(vms.a.posted.empty());
+    vms.a.runPosted();
+    CHECK(vms.orders.size() == before);
+}
+
+} // namespace sapphirespool::controller
