A new control leader goes by the word of the primary that it finds, and repeats no order

Callers saw groups that were well promoted again at each change of the control leader. Databases that replicate by themselves tell no term, so a new leader, which has ordered nothing yet, took every primary for missing and ordered all promotions anew at its first tick: three leaders within 2.5 s gave three orders for the same term of the same group.

A primary that was chosen before this VM led is now taken at its word: if it says that it leads, nothing is ordered; if it says that it is a replica, the order goes out at once; if it says nothing for as long as makes a member silent, the order is given as before.

--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -82,6 +82,8 @@
     [[nodiscard]] auto incarnationOf(const state::GroupRecord &group, const UpstreamId &member) const -> Incarnation;
     [[nodiscard]] auto isFenced(const UpstreamId &member) const -> bool;
     [[nodiscard]] auto isPrimary(const UpstreamId &member, Term term, Incarnation incarnation) const -> bool;
+    /// \return whether the primary that this leader found has yet to say whether it leads
+    [[nodiscard]] auto awaitsWord(const state::GroupRecord &group, TimePoint now) const -> bool;
     [[nodiscard]] auto isFollowing(const UpstreamId &member, Term term) const -> bool;
     [[nodiscard]] auto membersToAvoid(const state::GroupRecord &group) const -> std::set<UpstreamId>;
 
@@ -97,6 +99,9 @@
     /// Term that the fields below belong to.
     Term term;
     bool hasPrimary = false;
+    /// Whether any term was entered, and whether the present one had its primary when this leader first saw it.
+    bool entered = false;
+    bool inherited = false;
     /// When this leader first saw the term, and the revision of the replicated state then.
     TimePoint termSeen;
     Revision termRevision;
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -110,6 +110,7 @@
     }
     this->term = group.view.term;
     this->hasPrimary = group.view.primary.has_value();
+    this->inherited = this->hasPrimary && !std::exchange(this->entered, true);
     this->quorumSince.reset();
     this->orders.clear();
     this->proposed.reset();
@@ -266,7 +267,7 @@
         return {};
     }
     if (!this->isPrimary(primary->id, this->term, group.primaryIncarnation)) {
-        if (!this->isReleased(group, proxies, now)) {
+        if (!this->isReleased(group, proxies, now) || this->awaitsWord(group, now)) {
             return {};
         }
         return this->tryOpen(primary->id, Order::Promote, this->term, now) ? Actions{promoteOf(group, *primary)} : Actions();
@@ -410,7 +411,20 @@
 auto GroupPromotion::isPrimary(const UpstreamId &member, Term inTerm, Incarnation incarnation) const -> bool
 {
     const auto *const state = this->members.find(member);
-    return state != nullptr && state->term == inTerm && state->role == platform::Role::Primary && state->incarnation == incarnation;
+    if (state == nullptr || state->role != platform::Role::Primary || state->incarnation != incarnation) {
+        return false;
+    }
+    // What a member without terms says while this leader has ordered nothing of it can only speak of the term that the leader found.
+    return state->term == inTerm || (this->inherited && state->term == Term(0));
+}
+
+auto GroupPromotion::awaitsWord(const GroupRecord &group, TimePoint now) const -> bool
+{
+    // A new leader that took a primary for missing before it had spoken would order promotions of groups that are well. Members that tell
+    // their term judge such an order by it; a platform cannot.
+    const auto *const state = this->members.find(*group.view.primary);
+    const auto hasSpoken = state != nullptr && state->heard;
+    return this->inherited && group.selfReplicating && !hasSpoken && now - this->since < this->silence;
 }
 
 auto GroupPromotion::isFollowing(const UpstreamId &member, Term inTerm) const -> bool
--- a/unittests/Promotion/selfreplicatingtest.cpp
+++ b/unittests/Promotion/selfreplicatingtest.cpp
@@ -244,4 +244,31 @@
     CHECK(find<ProposeTerm>(ended)->reason == TermEnd::Silent);
 }
 
+// A new control leader must order what is missing of a promotion, and nothing of one that was carried out.
+TEST_CASE("a new control leader goes by what the primary that it finds says of itself")
+{
+    auto group = Group(4);
+    group.lead("a");
+    auto fresh = GroupPromotion(start, silenceAfter(1'200ms));
+    REQUIRE(find<SendPromote>(fresh.advance(group.record, released, start)) == nullptr);
+    SECTION("it leads")
+    {
+        fresh.note(announcementOf("a", platform::Role::Primary), start + 100ms);
+        CHECK(find<SendPromote>(fresh.advance(group.record, released, start + 100ms)) == nullptr);
+        CHECK(find<SendPromote>(fresh.advance(group.record, released, start + 5s)) == nullptr);
+        fresh.note(announcementOf("a", platform::Role::Replica), start + 6s);
+        CHECK(find<SendPromote>(fresh.advance(group.record, released, start + 6s)) != nullptr);
+    }
+    SECTION("it does not lead yet")
+    {
+        fresh.note(announcementOf("a", platform::Role::Replica), start + 100ms);
+        CHECK(find<SendPromote>(fresh.advance(group.record, released, start + 100ms)) != nullptr);
+    }
+    SECTION("its announcements do not arrive")
+    {
+        CHECK(find<SendPromote>(fresh.advance(group.record, released, start + silenceAfter(1'200ms) - 1ms)) == nullptr);
+        CHECK(find<SendPromote>(fresh.advance(group.record, released, start + silenceAfter(1'200ms))) != nullptr);
+    }
+}
+
 } // namespace sapphirespool::promotion
