Promotions are ordered under a lease of their own, which outlasts the lead

Callers of two groups were refused or late while two control VMs that were both alive ordered promotions by turns within 2.5 s. The right to order came with the lead alone: whoever was elected ordered at its first tick, also a former leader that was elected again 0.3 s after its successor's order. Fencing tokens rose with each leadership, so that none was refused.

The class of the fault: a duty that one node holds passes on with an election, although the former holder is alive and its orders are still taking effect.

Now the duty is granted by an entry of the replicated log, for 1 s from its proposal, renewed while orders are given. A VM that is elected meanwhile waits until the last order under the grant has had 3 s; not for a holder that is lost, unless it was itself replaced within that time. The grant is proposed along with the choice of the primary.

--- a/include/sapphirespool/Consensus/replicatedlog.h
+++ b/include/sapphirespool/Consensus/replicatedlog.h
@@ -66,6 +66,9 @@
     /// \return a number that no other VM ever leads under, and that is higher than that of every earlier leader; of use while this VM leads
     [[nodiscard]] virtual auto leadershipNumber() const -> std::uint64_t = 0;
 
+    /// \return for how long this leader has heard nothing of the control VM \p vm; the longest time if it is not in the group
+    [[nodiscard]] virtual auto silence(const VmId &vm) const -> Duration = 0;
+
     /// \return the VM that is believed to lead
     [[nodiscard]] virtual auto leader() const -> std::optional<VmId> = 0;
 
--- /dev/null
+++ b/include/sapphirespool/Controller/promotionduty.h
@@ -0,0 +1,85 @@
+// promotionduty.h: a lease on the right to order promotions.
+//
+// An order may be carried out seconds after it was sent. Fencing tokens keep a late order from undoing a newer one, but two control VMs
+// that gain and lose the lead by turns would still drive a database group to and fro. So the right to order is a lease of its own: it
+// outlasts the lead under which it was granted, and a VM that is elected meanwhile waits until orders of the holder have had their
+// time, unless the holder is lost.
+#pragma once
+
+#include "sapphirespool/State/records.h"
+#include "sapphirespool/Support/types.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+
+namespace sapphirespool::controller
+{
+
+/// Length of a grant. The holder counts it from its proposal, everybody else from when the grant is seen, which is later.
+constexpr auto dutyLength = std::chrono::milliseconds(1'000);
+
+/// Age from which on a holder that still gives orders has its grant renewed.
+constexpr auto dutyRenewal = std::chrono::milliseconds(500);
+
+/// How long after it was sent an order may still take effect. Another holder gives none before that.
+constexpr auto orderLife = std::chrono::milliseconds(3'000);
+
+/// How long a VM that sees a grant leaves the duty to a holder that is alive.
+constexpr auto dutyHandover = dutyLength + orderLife;
+
+/// A holder that has not answered a new leader for this long, five heartbeats, is lost. Without this a control VM that fails would hold up the
+/// promotions that its failure makes urgent.
+constexpr auto holderLostAfter = std::chrono::milliseconds(250);
+
+/// A grant that was proposed and is not seen after this time is proposed again.
+constexpr auto dutyProposalLife = std::chrono::milliseconds(250);
+
+/// What one control VM knows of the right to order promotions; pure.
+class PromotionDuty
+{
+public:
+    explicit PromotionDuty(VmId self);
+
+    /// Takes in the newest grant of the replicated state.
+    /// \return whether it names another holder than the one before
+    auto note(const state::DutyGrant &newest, TimePoint now) -> bool;
+
+    /// \return whether this VM may give orders under \p leadership
+    [[nodiscard]] auto isHeld(std::uint64_t leadership, TimePoint now) const -> bool;
+
+    /// \return whether a grant for \p leadership is missing or due for renewal
+    [[nodiscard]] auto isWanted(std::uint64_t leadership, TimePoint now) const -> bool;
+
+    /// \param holderSilence for how long nothing was heard of the present holder
+    /// \return whether this VM, which leads, may have the duty granted to itself
+    [[nodiscard]] auto mayTake(Duration holderSilence, TimePoint now) const -> bool;
+
+    /// Notes that this VM proposes the next grant.
+    auto proposed(TimePoint now) -> void;
+
+    [[nodiscard]] auto grant() const -> const state::DutyGrant &;
+
+    /// \return how long ago the newest grant was seen here
+    [[nodiscard]] auto age(TimePoint now) const -> Duration;
+
+private:
+    /// A grant that this VM has proposed: when for the first time, and when last.
+    struct Proposal
+    {
+        std::uint64_t number = 0;
+        TimePoint first;
+        TimePoint last;
+    };
+
+    VmId self;
+    state::DutyGrant newest;
+    TimePoint seen{};
+    /// When another VM last followed this one as the holder.
+    std::optional<TimePoint> replaced;
+    /// When the newest grant began; nothing if this process did not propose it.
+    std::optional<TimePoint> began;
+    std::optional<Proposal> proposal;
+};
+
+} // namespace sapphirespool::controller
--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -41,6 +41,9 @@
     auto note(const Suspected &event, TimePoint now) -> void;
     auto note(const OrderAnswered &event, TimePoint now) -> void;
 
+    /// Says whether this VM may order promotions; it may until it is told otherwise.
+    auto setDuty(bool held) -> void;
+
     /// \return the next steps
     auto advance(const state::GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions;
 
@@ -99,6 +102,7 @@
     /// Term that the fields below belong to.
     Term term;
     bool hasPrimary = false;
+    bool holdsDuty = true;
     /// Whether any term was entered, and whether the present one had its primary when this leader first saw it.
     bool entered = false;
     bool inherited = false;
--- a/include/sapphirespool/Promotion/messages.h
+++ b/include/sapphirespool/Promotion/messages.h
@@ -124,7 +124,13 @@
     state::ChoosePrimary command;
 };
 
-using Action = std::variant<SendFence, SendPromote, SendFollow, ProposeTerm, ProposePrimary>;
+/// A promotion is due, and this VM does not hold the duty to order it.
+struct AwaitDuty
+{
+    GroupId group;
+};
+
+using Action = std::variant<SendFence, SendPromote, SendFollow, ProposeTerm, ProposePrimary, AwaitDuty>;
 using Actions = std::vector<Action>;
 
 } // namespace sapphirespool::promotion
--- a/include/sapphirespool/Promotion/promoter.h
+++ b/include/sapphirespool/Promotion/promoter.h
@@ -29,6 +29,9 @@
     /// Tells what is known of the proxies by now.
     auto setProxies(const ProxyStanding &standing) -> void;
 
+    /// Says whether this VM may order promotions; it may until it is told otherwise.
+    auto setDuty(bool held) -> void;
+
 private:
     auto advance(const GroupId &group, TimePoint now) -> Actions;
     auto promotionOf(const GroupId &group) -> GroupPromotion &;
@@ -37,6 +40,7 @@
     TimePoint since;
     std::chrono::milliseconds silence;
     ProxyStanding proxies;
+    bool holdsDuty = true;
     std::map<GroupId, GroupPromotion> groups;
 };
 
--- a/include/sapphirespool/State/clusterstate.h
+++ b/include/sapphirespool/State/clusterstate.h
@@ -50,6 +50,8 @@
 
     /// \return all groups that a configuration ever named, ordered by name
     [[nodiscard]] auto groups() const -> std::span<const GroupRecord>;
+    /// \return the newest grant of the right to order promotions; it is not part of the view
+    [[nodiscard]] auto promotionDuty() const -> const DutyGrant &;
     [[nodiscard]] auto findGroup(const GroupId &group) const -> const GroupRecord *;
 
 private:
@@ -60,6 +62,7 @@
     auto run(const RegisterVm &command) -> Result;
     auto run(const ForgetVm &command) -> Result;
     auto run(const ForgetUpstream &command) -> Result;
+    auto run(const GrantDuty &command) -> Result;
 
     auto decide(const ChangeConfiguration &command) -> Result;
     auto replace(const ChangeConfiguration &command) -> Result;
--- a/include/sapphirespool/State/commands.h
+++ b/include/sapphirespool/State/commands.h
@@ -9,6 +9,7 @@
 #include "sapphirespool/Membership/clusterview.h"
 #include "sapphirespool/Support/types.h"
 
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string>
@@ -74,7 +75,17 @@
     Incarnation incarnation;
 };
 
-using Command = std::variant<ChangeConfiguration, RegisterUpstream, BeginTerm, ChoosePrimary, RegisterVm, ForgetVm, ForgetUpstream>;
+/// Grants the right to order promotions to a control VM, for a time that its readers count.
+struct GrantDuty
+{
+    VmId holder;
+    /// Number of the leadership for which it is granted.
+    std::uint64_t leadership = 0;
+    /// Number of the grant that the proposer saw.
+    std::uint64_t previous = 0;
+};
+
+using Command = std::variant<ChangeConfiguration, RegisterUpstream, BeginTerm, ChoosePrimary, RegisterVm, ForgetVm, ForgetUpstream, GrantDuty>;
 
 /// The text is the configuration of this revision, or was when the change was first sent.
 struct Accepted
--- a/include/sapphirespool/State/records.h
+++ b/include/sapphirespool/State/records.h
@@ -35,6 +35,16 @@
     [[nodiscard]] auto quorum() const -> std::uint32_t;
 };
 
+/// Who may order promotions. Whether the grant still holds depends on when it was proposed and seen; see controller::PromotionDuty.
+struct DutyGrant
+{
+    VmId holder;
+    /// Number of the leadership for which it was granted.
+    std::uint64_t leadership = 0;
+    /// Rises with each grant; 0 before the first one.
+    std::uint64_t number = 0;
+};
+
 /// First answer to a change of the configuration.
 struct ChangeRecord
 {
@@ -80,6 +90,7 @@
     support::SharedList<membership::ServiceView> services;
     std::vector<GroupRecord> groups;
     std::vector<membership::ProxyView> vms;
+    DutyGrant duty;
     ChangeLog changes;
 };
 
--- a/include/sapphirespool/Support/events.h
+++ b/include/sapphirespool/Support/events.h
@@ -42,6 +42,8 @@
     PrimaryChosen = 2402,
     OrderNotDelivered = 2403,
     PromotionOrdered = 2404,
+    DutyGranted = 2405,
+    DutyAwaited = 2406,
     StandinStarted = 3001,
 };
 
--- a/lib/Consensus/replica.cpp
+++ b/lib/Consensus/replica.cpp
@@ -64,6 +64,7 @@
     auto confirmRead(ReadDone done) -> void override;
     [[nodiscard]] auto holdsLeaderLease(TimePoint now) const -> bool override;
     [[nodiscard]] auto leadershipNumber() const -> std::uint64_t override;
+    [[nodiscard]] auto silence(const VmId &vm) const -> Duration override;
     [[nodiscard]] auto leader() const -> std::optional<VmId> override;
     auto addLearner(ControlMember member, ProposalDone done) -> void override;
     auto promoteLearner(VmId vm, ProposalDone done) -> void override;
@@ -491,6 +492,16 @@
     return this->core->term().value();
 }
 
+auto ReplicaNode::silence(const VmId &vm) const -> Duration
+{
+    for (const auto &member : this->core->members().members) {
+        if (member.vm == vm) {
+            return this->core->silence(member.replica);
+        }
+    }
+    return Duration::max();
+}
+
 auto ReplicaNode::leader() const -> std::optional<VmId>
 {
     const auto replica = this->core->leader();
--- a/lib/Controller/controller.cpp
+++ b/lib/Controller/controller.cpp
@@ -92,11 +92,14 @@
 public:
     explicit ReplicatedController(ControllerParts parts)
         : parts(std::move(parts))
+        , duty(this->parts.vm)
     {
     }
 
     auto tick() -> void override
     {
+        // Also VMs that do not lead count how old a grant is: any of them may be elected next.
+        noteGrant(this->parts, this->duty);
         if (const auto present = this->lead()) {
             present->tick();
         }
@@ -215,12 +218,13 @@
         if (!this->parts.log.holdsLeaderLease(this->parts.clock())) {
             this->leadership.reset();
         } else if (!this->leadership) {
-            this->leadership = std::make_shared<Leadership>(this->parts);
+            this->leadership = std::make_shared<Leadership>(this->parts, this->duty);
         }
         return this->leadership;
     }
 
     ControllerParts parts;
+    PromotionDuty duty;
     ChangeLimiter limiter;
     NumberedChanges numbered;
     std::shared_ptr<Leadership> leadership;
--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -68,8 +68,17 @@
 
 } // namespace
 
-Leadership::Leadership(const ControllerParts &parts)
+auto noteGrant(const ControllerParts &parts, PromotionDuty &duty) -> void
+{
+    const auto &grant = parts.state.promotionDuty();
+    if (duty.note(grant, parts.clock())) {
+        support::log(support::Event::DutyGranted, {{"holder", grant.holder.value()}, {"leadership", grant.leadership}, {"grant", grant.number}});
+    }
+}
+
+Leadership::Leadership(const ControllerParts &parts, PromotionDuty &duty)
     : parts(parts)
+    , duty(duty)
     , since(parts.clock())
     , vms(parts.state.view()->proxies, this->since)
     , promoter(parts.state, this->since, promotion::silenceAfter(parts.announcementInterval))
@@ -81,6 +90,7 @@
 {
     const auto now = this->parts.clock();
     this->noteProxies(now);
+    this->noteDuty(now);
     this->markSilentVms(now);
     this->forgetSilentVms();
     this->forgetGoneUpstreams(now);
@@ -267,6 +277,7 @@
 {
     const auto now = this->parts.clock();
     this->noteProxies(now);
+    this->noteDuty(now);
     this->carryOut(this->promoter.handle(event, now));
 }
 
@@ -301,6 +312,7 @@
                   {"leadership", leadership},
                   {"lead_ms", this->parts.clock() - this->since},
                   {"token", request.fencingToken}});
+    this->seekDuty(action.group);
     this->parts.groupOperator->promote(this->addressOf(action.group, action.member, action.endpoint),
                                        request,
                                        this->answerTo(promotion::Order::Promote, action.group, action.request.term, action.member));
@@ -328,6 +340,41 @@
                   {"upstream", action.command.primary.value()},
                   {"position", action.command.keptUpTo.value()}});
     this->propose(action.command, action.command.group);
+    // Asked for along with the choice, the grant holds up no promotion.
+    this->seekDuty(action.command.group);
+}
+
+auto Leadership::carryOut(const promotion::AwaitDuty &action) -> void
+{
+    this->seekDuty(action.group);
+}
+
+auto Leadership::noteDuty(TimePoint now) -> void
+{
+    noteGrant(this->parts, this->duty);
+    this->promoter.setDuty(this->duty.isHeld(this->parts.log.leadershipNumber(), now));
+}
+
+auto Leadership::seekDuty(const GroupId &group) -> void
+{
+    const auto now = this->parts.clock();
+    const auto leadership = this->parts.log.leadershipNumber();
+    if (!this->duty.isWanted(leadership, now)) {
+        return;
+    }
+    const auto &present = this->duty.grant();
+    const auto silence = this->parts.log.silence(present.holder);
+    if (this->duty.mayTake(silence, now)) {
+        this->duty.proposed(now);
+        this->propose(state::GrantDuty{this->parts.vm, leadership, present.number}, group);
+    } else if (std::exchange(this->awaited, present.number) != present.number) {
+        support::log(support::Event::DutyAwaited,
+                     {{"group", group.value()},
+                      {"holder", present.holder.value()},
+                      {"leadership", present.leadership},
+                      {"grant_age_ms", this->duty.age(now)},
+                      {"holder_silent_ms", silence}});
+    }
 }
 
 auto Leadership::addressOf(const GroupId &group, const UpstreamId &member, const Endpoint &endpoint) const -> platform::MemberAddress
--- a/lib/Controller/leadership.h
+++ b/lib/Controller/leadership.h
@@ -5,6 +5,7 @@
 
 #include "sapphirespool/Controller/controller.h"
 #include "sapphirespool/Controller/observers.h"
+#include "sapphirespool/Controller/promotionduty.h"
 #include "sapphirespool/Controller/vmtable.h"
 #include "sapphirespool/Promotion/promoter.h"
 
@@ -15,12 +16,16 @@
 namespace sapphirespool::controller
 {
 
+/// Takes in the newest grant of the promotion duty and logs a change of its holder.
+auto noteGrant(const ControllerParts &parts, PromotionDuty &duty) -> void;
+
 /// One time of leading. It proposes changes of the replicated state and orders members about; it is never told to stop in the
 /// middle, it is dropped. Answers that come later find it gone.
 class Leadership : public std::enable_shared_from_this<Leadership>
 {
 public:
-    explicit Leadership(const ControllerParts &parts);
+    /// \param duty outlasts this time of leading, and the leadership itself
+    Leadership(const ControllerParts &parts, PromotionDuty &duty);
 
     auto tick() -> void;
     auto heartbeat(const control::VmHeartbeat &heartbeat, std::function<void(control::HeartbeatOutcome)> done) -> void;
@@ -49,6 +54,11 @@
     auto carryOut(const promotion::SendFollow &action) -> void;
     auto carryOut(const promotion::ProposeTerm &action) -> void;
     auto carryOut(const promotion::ProposePrimary &action) -> void;
+    auto carryOut(const promotion::AwaitDuty &action) -> void;
+    /// Tells the promoter whether orders may be given.
+    auto noteDuty(TimePoint now) -> void;
+    /// Has the duty granted to this VM, or renewed, once that may be.
+    auto seekDuty(const GroupId &group) -> void;
     [[nodiscard]] auto addressOf(const GroupId &group, const UpstreamId &member, const Endpoint &endpoint) const -> platform::MemberAddress;
     /// \return a callback that brings the report to the control thread
     auto answerTo(promotion::Order order, const GroupId &group, std::uint64_t term, const UpstreamId &member) -> platform::ReportCallback;
@@ -57,6 +67,9 @@
     auto tryRegister(const std::string &name) -> bool;
 
     const ControllerParts &parts;
+    PromotionDuty &duty;
+    /// Number of the last grant that was waited for; logged once.
+    std::uint64_t awaited = 0;
     /// When this VM took the lead.
     TimePoint since;
     VmTable vms;
--- /dev/null
+++ b/lib/Controller/promotionduty.cpp
@@ -0,0 +1,65 @@
+#include "sapphirespool/Controller/promotionduty.h"
+
+#include <utility>
+
+namespace sapphirespool::controller
+{
+
+PromotionDuty::PromotionDuty(VmId self)
+    : self(std::move(self))
+{
+}
+
+auto PromotionDuty::note(const state::DutyGrant &grant, TimePoint now) -> bool
+{
+    if (grant.number == this->newest.number) {
+        return false;
+    }
+    const auto former = std::exchange(this->newest, grant).holder;
+    this->seen = now;
+    const auto isOwn = grant.holder == this->self && this->proposal && this->proposal->number == grant.number;
+    this->began = isOwn ? std::optional(this->proposal->first) : std::nullopt;
+    if (former == this->self && grant.holder != this->self) {
+        this->replaced = now;
+    }
+    return former != grant.holder;
+}
+
+auto PromotionDuty::isHeld(std::uint64_t leadership, TimePoint now) const -> bool
+{
+    return this->began && this->newest.leadership == leadership && now - *this->began < dutyLength;
+}
+
+auto PromotionDuty::isWanted(std::uint64_t leadership, TimePoint now) const -> bool
+{
+    const auto isUnderWay = this->proposal && this->proposal->number > this->newest.number && now - this->proposal->last < dutyProposalLife;
+    return !isUnderWay && (!this->isHeld(leadership, now) || now - *this->began >= dutyRenewal);
+}
+
+auto PromotionDuty::mayTake(Duration holderSilence, TimePoint now) const -> bool
+{
+    const auto isFree = this->newest.number == 0 || this->newest.holder == this->self || this->age(now) >= dutyHandover;
+    // The silence of a holder may be this VM's own: the lead then comes back to a VM that had just lost the duty, and would be lost again.
+    const auto wasReplaced = this->replaced && now - *this->replaced < dutyHandover;
+    return isFree || (holderSilence >= holderLostAfter && !wasReplaced);
+}
+
+auto PromotionDuty::proposed(TimePoint now) -> void
+{
+    const auto next = this->newest.number + 1;
+    const auto isRepeat = this->proposal && this->proposal->number == next;
+    // Whichever copy is committed, others may have seen it since the first was sent.
+    this->proposal = Proposal{next, isRepeat ? this->proposal->first : now, now};
+}
+
+auto PromotionDuty::grant() const -> const state::DutyGrant &
+{
+    return this->newest;
+}
+
+auto PromotionDuty::age(TimePoint now) const -> Duration
+{
+    return now - this->seen;
+}
+
+} // namespace sapphirespool::controller
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -82,6 +82,11 @@
     }
 }
 
+auto GroupPromotion::setDuty(bool held) -> void
+{
+    this->holdsDuty = held;
+}
+
 auto GroupPromotion::advance(const GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions
 {
     if (group.view.term != this->term || group.view.primary.has_value() != this->hasPrimary) {
@@ -270,6 +275,9 @@
         if (!this->isReleased(group, proxies, now) || this->awaitsWord(group, now)) {
             return {};
         }
+        if (!this->holdsDuty) {
+            return {AwaitDuty{group.view.id}};
+        }
         return this->tryOpen(primary->id, Order::Promote, this->term, now) ? Actions{promoteOf(group, *primary)} : Actions();
     }
     auto actions = Actions();
--- a/lib/Promotion/promoter.cpp
+++ b/lib/Promotion/promoter.cpp
@@ -99,10 +99,17 @@
     this->proxies = standing;
 }
 
+auto Promoter::setDuty(bool held) -> void
+{
+    this->holdsDuty = held;
+}
+
 auto Promoter::advance(const GroupId &group, TimePoint now) -> Actions
 {
     const auto *const record = this->state.findGroup(group);
-    return this->promotionOf(group).advance(*record, this->proxies, now);
+    auto &promotion = this->promotionOf(group);
+    promotion.setDuty(this->holdsDuty);
+    return promotion.advance(*record, this->proxies, now);
 }
 
 auto Promoter::promotionOf(const GroupId &group) -> GroupPromotion &
--- a/lib/State/clusterstate.cpp
+++ b/lib/State/clusterstate.cpp
@@ -135,6 +135,11 @@
     return place == this->content.groups.end() || place->view.id != group ? nullptr : &*place;
 }
 
+auto ClusterState::promotionDuty() const -> const DutyGrant &
+{
+    return this->content.duty;
+}
+
 auto ClusterState::run(const ChangeConfiguration &command) -> Result
 {
     if (command.content.version) {
@@ -253,6 +258,17 @@
     return this->changed();
 }
 
+auto ClusterState::run(const GrantDuty &command) -> Result
+{
+    // A proposal of a former leader that is committed late names a grant that another one has followed.
+    auto &duty = this->content.duty;
+    if (command.previous != duty.number || command.leadership < duty.leadership) {
+        return Ignored();
+    }
+    duty = {command.holder, command.leadership, command.previous + 1};
+    return Applied();
+}
+
 auto ClusterState::run(const RegisterVm &command) -> Result
 {
     auto &vms = this->content.vms;
--- a/lib/State/commandcodec.cpp
+++ b/lib/State/commandcodec.cpp
@@ -81,6 +81,14 @@
         builder.setIncarnation(command.incarnation.value());
     }
 
+    auto operator()(const GrantDuty &command) -> void
+    {
+        auto builder = this->to.initGrantDuty();
+        builder.setHolder(command.holder.value());
+        builder.setLeadership(command.leadership);
+        builder.setPrevious(command.previous);
+    }
+
     auto operator()(const ForgetUpstream &command) -> void
     {
         auto builder = this->to.initForgetUpstream();
@@ -138,6 +146,8 @@
         return ForgetUpstream{GroupId(read(from.getForgetUpstream().getGroup())),
                               UpstreamId(read(from.getForgetUpstream().getUpstream())),
                               Incarnation(from.getForgetUpstream().getIncarnation())};
+    case schema::Command::GRANT_DUTY:
+        return GrantDuty{VmId(read(from.getGrantDuty().getHolder())), from.getGrantDuty().getLeadership(), from.getGrantDuty().getPrevious()};
     }
     return std::nullopt;
 }
--- a/lib/State/snapshotcodec.cpp
+++ b/lib/State/snapshotcodec.cpp
@@ -48,6 +48,18 @@
     state::write(to.initResult(), from.result);
 }
 
+auto write(schema::DutyGrant::Builder to, const DutyGrant &from) -> void
+{
+    to.setHolder(from.holder.value());
+    to.setLeadership(from.leadership);
+    to.setNumber(from.number);
+}
+
+auto read(schema::DutyGrant::Reader from) -> DutyGrant
+{
+    return {VmId(state::read(from.getHolder())), from.getLeadership(), from.getNumber()};
+}
+
 auto read(schema::Group::Reader from) -> GroupRecord
 {
     auto group = GroupRecord();
@@ -85,6 +97,7 @@
         content.groups.push_back(read(group));
     }
     content.vms = readAll<membership::ProxyView>(from.getVms());
+    content.duty = read(from.getDuty());
     for (const auto change : from.getChanges()) {
         content.changes.add(read(change));
     }
@@ -107,6 +120,7 @@
         write(groups[place], content.groups[place]);
     }
     writeAll(root.initVms(static_cast<unsigned>(content.vms.size())), content.vms);
+    write(root.initDuty(), content.duty);
     const auto &records = content.changes.records();
     auto changes = root.initChanges(static_cast<unsigned>(records.size()));
     for (auto place = 0U; place < records.size(); ++place) {
--- a/lib/Support/events.cpp
+++ b/lib/Support/events.cpp
@@ -36,6 +36,8 @@
     {Event::PrimaryChosen, Severity::Info, "primary chosen"},
     {Event::OrderNotDelivered, Severity::Warning, "order not delivered"},
     {Event::PromotionOrdered, Severity::Info, "promotion ordered"},
+    {Event::DutyGranted, Severity::Info, "promotion duty granted"},
+    {Event::DutyAwaited, Severity::Warning, "promotion duty awaited"},
     {Event::StandinStarted, Severity::Info, "stand-in started"},
 });
 
--- a/schema/state.capnp
+++ b/schema/state.capnp
@@ -92,6 +92,11 @@
     }
     # A compressed message that holds a Command.
     compressed @22 :Data;
+    grantDuty :group {
+      holder @23 :Text;
+      leadership @24 :UInt64;
+      previous @25 :UInt64;
+    }
   }
 }
 
@@ -130,6 +135,12 @@
   confirmations @9 :UInt32;
 }
 
+struct DutyGrant {
+  holder @0 :Text;
+  leadership @1 :UInt64;
+  number @2 :UInt64;
+}
+
 struct Snapshot {
   revision @0 :UInt64;
   configuration @1 :UInt64;
@@ -139,4 +150,5 @@
   vms @5 :List(Vm);
   changes @6 :List(Change);
   version @7 :UInt64;
+  duty @8 :DutyGrant;
 }
--- a/unittests/Controller/fakelog.h
+++ b/unittests/Controller/fakelog.h
@@ -50,6 +50,11 @@
         return this->number;
     }
 
+    [[nodiscard]] auto silence(const VmId &) const -> Duration override
+    {
+        return this->silent;
+    }
+
     [[nodiscard]] auto leader() const -> std::optional<VmId> override
     {
         return std::nullopt;
@@ -79,6 +84,8 @@
     std::vector<state::ClusterState *> followers;
     bool leads = true;
     std::uint64_t number = 1;
+    /// For how long all other VMs have been silent.
+    Duration silent{};
     std::optional<consensus::ProposalFailure> failure;
     std::uint64_t proposals = 0;
 };
--- a/unittests/Controller/promotiondutytest.cpp
+++ b/unittests/Controller/promotiondutytest.cpp
@@ -1,6 +1,7 @@
 #include "fakelog.h"
 
 #include "sapphirespool/Controller/controller.h"
+#include "sapphirespool/Controller/promotionduty.h"
 
 #include <catch2/catch.hpp>
 
@@ -229,6 +230,64 @@
     CHECK(vms.shortestTurn() >= exclusiveTime);
 }
 
+// The failure of a control VM must not hold up the promotions that it makes urgent.
+TEST_CASE("the duty of a control VM that is lost is taken over at once")
+{
+    auto vms = TwoControlVms();
+    vms.lead(vms.a, 3);
+    vms.announce(platform::Role::Replica);
+    vms.pass(500ms);
+    vms.lead(vms.b, 5);
+    vms.b.log.silent = holderLostAfter;
+    vms.announce(platform::Role::Replica);
+    vms.pass(100ms);
+    CHECK(vms.ordersOf(vms.b) > 0);
+}
+
+// Two VMs that do not hear each other well must not take the duty from each other in turn.
+TEST_CASE("a VM that has just lost the duty does not take it back from one that seems lost")
+{
+    auto duty = PromotionDuty(VmId("a"));
+    const auto start = TimePoint(1h);
+    duty.proposed(start);
+    duty.note({VmId("a"), 3, 1}, start + 10ms);
+    CHECK(duty.isHeld(3, start + 20ms));
+    CHECK_FALSE(duty.isHeld(4, start + 20ms));
+    duty.note({VmId("b"), 5, 2}, start + 100ms);
+    CHECK_FALSE(duty.isHeld(3, start + 100ms));
+    CHECK_FALSE(duty.mayTake(10s, start + 100ms + dutyHandover - 1ms));
+    CHECK(duty.mayTake(0s, start + 100ms + dutyHandover));
+}
+
+// A holder must not outlast its grant on the clocks of those who wait for its end.
+TEST_CASE("a grant begins with its first proposal and is renewed while orders are given")
+{
+    auto duty = PromotionDuty(VmId("a"));
+    const auto start = TimePoint(1h);
+    CHECK(duty.isWanted(3, start));
+    duty.proposed(start);
+    CHECK_FALSE(duty.isWanted(3, start + dutyProposalLife - 1ms));
+    CHECK(duty.isWanted(3, start + dutyProposalLife));
+    duty.proposed(start + dutyProposalLife);
+    duty.note({VmId("a"), 3, 1}, start + 600ms);
+    CHECK(duty.isHeld(3, start + dutyLength - 1ms));
+    CHECK_FALSE(duty.isHeld(3, start + dutyLength));
+    CHECK(duty.isWanted(3, start + 600ms));
+    duty.proposed(start + 600ms);
+    CHECK(duty.isHeld(3, start + dutyLength - 1ms));
+    duty.note({VmId("a"), 3, 2}, start + 700ms);
+    CHECK(duty.isHeld(3, start + 600ms + dutyLength - 1ms));
+}
+
+// A process that has just started knows of no proposal of its own, whatever the state says.
+TEST_CASE("a restarted control VM does not go by the grant of its former process")
+{
+    auto duty = PromotionDuty(VmId("a"));
+    duty.note({VmId("a"), 3, 7}, TimePoint(1h));
+    CHECK_FALSE(duty.isHeld(3, TimePoint(1h)));
+    CHECK(duty.mayTake(0s, TimePoint(1h)));
+}
+
 // An order that waits on the control thread must not go out under the number of the next leader.
 TEST_CASE("what was begun under a lead is not carried on after it")
 {
--- a/unittests/Promotion/selfreplicatingtest.cpp
+++ b/unittests/Promotion/selfreplicatingtest.cpp
@@ -244,6 +244,20 @@
     CHECK(find<ProposeTerm>(ended)->reason == TermEnd::Silent);
 }
 
+// A control VM without the promotion duty must order nothing, and go on as soon as it has it.
+TEST_CASE("a promotion waits for the duty to order it")
+{
+    auto group = Group(4);
+    group.lead("b");
+    group.promotion.setDuty(false);
+    const auto waiting = group.advance(start + 1ms);
+    CHECK(find<SendPromote>(waiting) == nullptr);
+    REQUIRE(find<AwaitDuty>(waiting) != nullptr);
+    CHECK(find<AwaitDuty>(waiting)->group == GroupId("g"));
+    group.promotion.setDuty(true);
+    CHECK(find<SendPromote>(group.advance(start + 2ms)) != nullptr);
+}
+
 // A new control leader must order what is missing of a promotion, and nothing of one that was carried out.
 TEST_CASE("a new control leader goes by what the primary that it finds says of itself")
 {
--- a/unittests/State/clusterstatetest.cpp
+++ b/unittests/State/clusterstatetest.cpp
@@ -114,6 +114,23 @@
     CHECK(state->findGroup(orders)->view.history.size() == 2);
 }
 
+// A grant that a former leader proposed must not follow one that its successor was given.
+TEST_CASE("the promotion duty goes from grant to grant, never back to an earlier leadership")
+{
+    const auto state = runningGroup();
+    const auto revision = state->view()->revision;
+    CHECK(isApplied(state->execute(GrantDuty{VmId("a"), 3, 0})));
+    CHECK(isIgnored(state->execute(GrantDuty{VmId("b"), 5, 0})));
+    CHECK(isApplied(state->execute(GrantDuty{VmId("b"), 5, 1})));
+    CHECK(isIgnored(state->execute(GrantDuty{VmId("a"), 3, 2})));
+    CHECK(state->view()->revision == revision);
+    auto restored = ClusterState();
+    restored.restore(state->snapshot());
+    CHECK(restored.promotionDuty().holder == VmId("b"));
+    CHECK(restored.promotionDuty().leadership == 5);
+    CHECK(restored.promotionDuty().number == 2);
+}
+
 TEST_CASE("a group takes as many members as the text says")
 {
     const auto state = runningGroup();
--- a/unittests/State/numberedtest.cpp
+++ b/unittests/State/numberedtest.cpp
@@ -43,7 +43,7 @@
     CHECK(state.view()->revision == before);
 }
 
-TEST_CASE("commands of numbered texts and of members that left come back from their bytes")
+TEST_CASE("commands of numbered texts, of members that left and of the promotion duty come back from their bytes")
 {
     auto change = numbered(7, "seven");
     change.content.services.front().consistency = membership::Consistency::ReadYourWrites;
@@ -62,6 +62,11 @@
     const auto forget = decodeCommand(encode(Command(ForgetUpstream{GroupId("g"), UpstreamId("a"), Incarnation(4)})));
     REQUIRE(forget);
     CHECK(std::get<ForgetUpstream>(*forget).incarnation == Incarnation(4));
+    const auto grant = decodeCommand(encode(Command(GrantDuty{VmId("a"), 3, 7})));
+    REQUIRE(grant);
+    CHECK(std::get<GrantDuty>(*grant).holder == VmId("a"));
+    CHECK(std::get<GrantDuty>(*grant).leadership == 3);
+    CHECK(std::get<GrantDuty>(*grant).previous == 7);
 }
 
 TEST_CASE("a self-replicating group takes members beyond its size and lets them go")
