Work that waits on the control thread ends with the lead under which it was begun

A former control leader could order a promotion under the fencing token of its successor, which the platform cannot tell from the successor's own: two holders of one token. Work posted to the control thread checked only that its leadership had not been dropped yet, which the next tick does, and the number of the leadership was read from the log when the order was given, where it may be that of the next term already.

A leadership now keeps the number that it began under, and whatever reaches it later is dropped unless the log still holds the lead of that number.

Found by reading, when looking for the same class of fault elsewhere.

--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -80,12 +80,18 @@
     : parts(parts)
     , duty(duty)
     , since(parts.clock())
+    , number(parts.log.leadershipNumber())
     , vms(parts.state.view()->proxies, this->since)
     , promoter(parts.state, this->since, promotion::silenceAfter(parts.announcementInterval))
     , registry(this->since)
 {
 }
 
+auto Leadership::isCurrent(TimePoint now) const -> bool
+{
+    return this->parts.log.holdsLeaderLease(now) && this->parts.log.leadershipNumber() == this->number;
+}
+
 auto Leadership::tick() -> void
 {
     const auto now = this->parts.clock();
@@ -276,6 +282,10 @@
 auto Leadership::handle(const promotion::Event &event) -> void
 {
     const auto now = this->parts.clock();
+    // What was posted to this thread may run after the lead is lost, and before anything else has noticed.
+    if (!this->isCurrent(now)) {
+        return;
+    }
     this->noteProxies(now);
     this->noteDuty(now);
     this->carryOut(this->promoter.handle(event, now));
@@ -303,13 +313,12 @@
 {
     auto request = action.request;
     request.orderedBy = this->parts.vm;
-    const auto leadership = this->parts.log.leadershipNumber();
-    request.fencingToken = fencingToken(leadership, action.request.term);
+    request.fencingToken = fencingToken(this->number, action.request.term);
     support::log(support::Event::PromotionOrdered,
                  {{"group", action.group.value()},
                   {"term", action.request.term},
                   {"upstream", action.member.value()},
-                  {"leadership", leadership},
+                  {"leadership", this->number},
                   {"lead_ms", this->parts.clock() - this->since},
                   {"token", request.fencingToken}});
     this->seekDuty(action.group);
@@ -352,21 +361,20 @@
 auto Leadership::noteDuty(TimePoint now) -> void
 {
     noteGrant(this->parts, this->duty);
-    this->promoter.setDuty(this->duty.isHeld(this->parts.log.leadershipNumber(), now));
+    this->promoter.setDuty(this->duty.isHeld(this->number, now));
 }
 
 auto Leadership::seekDuty(const GroupId &group) -> void
 {
     const auto now = this->parts.clock();
-    const auto leadership = this->parts.log.leadershipNumber();
-    if (!this->duty.isWanted(leadership, now)) {
+    if (!this->duty.isWanted(this->number, now)) {
         return;
     }
     const auto &present = this->duty.grant();
     const auto silence = this->parts.log.silence(present.holder);
     if (this->duty.mayTake(silence, now)) {
         this->duty.proposed(now);
-        this->propose(state::GrantDuty{this->parts.vm, leadership, present.number}, group);
+        this->propose(state::GrantDuty{this->parts.vm, this->number, present.number}, group);
     } else if (std::exchange(this->awaited, present.number) != present.number) {
         support::log(support::Event::DutyAwaited,
                      {{"group", group.value()},
--- a/lib/Controller/leadership.h
+++ b/lib/Controller/leadership.h
@@ -9,6 +9,7 @@
 #include "sapphirespool/Controller/vmtable.h"
 #include "sapphirespool/Promotion/promoter.h"
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -27,6 +28,9 @@
     /// \param duty outlasts this time of leading, and the leadership itself
     Leadership(const ControllerParts &parts, PromotionDuty &duty);
 
+    /// \return whether the log still holds the lead under which this began
+    [[nodiscard]] auto isCurrent(TimePoint now) const -> bool;
+
     auto tick() -> void;
     auto heartbeat(const control::VmHeartbeat &heartbeat, std::function<void(control::HeartbeatOutcome)> done) -> void;
     [[nodiscard]] auto status() const -> membership::ClusterStatus;
@@ -70,8 +74,9 @@
     PromotionDuty &duty;
     /// Number of the last grant that was waited for; logged once.
     std::uint64_t awaited = 0;
-    /// When this VM took the lead.
+    /// When this VM took the lead, and the number under which it leads.
     TimePoint since;
+    std::uint64_t number;
     VmTable vms;
     promotion::Promoter promoter;
     MemberRegistry registry;
