A lead that was lost and won again between two ticks begins anew

An operator could read that a configuration is in force while a VM whose lease came from the leader in between still served under the former one. The controller looked only whether it leads, not under which number, and kept what it knew of leases from its earlier lead.

It now compares the number too. The test 'a lead that was lost and won again between two ticks is a new one' failed before (in force at once, wanted after a lease) and passes.

--- a/lib/Controller/controller.cpp
+++ b/lib/Controller/controller.cpp
@@ -215,9 +215,11 @@
     /// \return what is kept while this VM leads; begun or dropped as the lead comes and goes
     auto lead() -> std::shared_ptr<Leadership>
     {
-        if (!this->parts.log.holdsLeaderLease(this->parts.clock())) {
+        const auto now = this->parts.clock();
+        if (this->leadership && !this->leadership->isCurrent(now)) {
             this->leadership.reset();
-        } else if (!this->leadership) {
+        }
+        if (!this->leadership && this->parts.log.holdsLeaderLease(now)) {
             this->leadership = std::make_shared<Leadership>(this->parts, this->duty);
         }
         return this->leadership;
