An order is not sent once the authority that it was given under has ended

A deposed control leader could order a promotion up to 2.5 s after it had lost the lead, and tell a database to step down that its successor, or it itself, had made primary meanwhile: callers would find a group without a primary, or a promotion that nobody stands for. Orders were checked when they were queued; the wait for the connection came after that.

Each order now carries an authority that is asked when it is about to leave: it ends with the leader's lease, for promotions also with the promotion duty, and is taken back when the leader begins a term or chooses a primary. SP2407 tells an order that was withdrawn. What the platform has received already is judged by its fencing token as before.

Found by reading, when looking for the same class of fault elsewhere.

--- a/include/sapphirespool/Consensus/core.h
+++ b/include/sapphirespool/Consensus/core.h
@@ -34,6 +34,8 @@
     /// \return when the owner must send Timer
     [[nodiscard]] auto deadline() const -> TimePoint;
 
+    /// \return until when no other replica can lead; the earliest time if this one does not lead
+    [[nodiscard]] auto leaderLeaseEnd() const -> TimePoint;
     /// \return whether this replica leads and no other can lead at \p now
     [[nodiscard]] auto holdsLeaderLease(TimePoint now) const -> bool;
 
--- a/include/sapphirespool/Consensus/replicatedlog.h
+++ b/include/sapphirespool/Consensus/replicatedlog.h
@@ -60,8 +60,14 @@
     /// Calls \p done once the local state holds all that was committed before the call; with a failure if this VM does not lead.
     virtual auto confirmRead(std::function<void(std::optional<ProposalFailure>)> done) -> void = 0;
 
-    /// \return whether this VM leads and a quorum confirmed so recently that no other VM can lead at \p now
-    [[nodiscard]] virtual auto holdsLeaderLease(TimePoint now) const -> bool = 0;
+    /// \return until when no other VM can lead, by what a quorum has confirmed; the earliest time if this VM does not lead
+    [[nodiscard]] virtual auto leaderLeaseEnd() const -> TimePoint = 0;
+
+    /// \return whether this VM leads and no other VM can lead at \p now
+    [[nodiscard]] auto holdsLeaderLease(TimePoint now) const -> bool
+    {
+        return now < this->leaderLeaseEnd();
+    }
 
     /// \return a number that no other VM ever leads under, and that is higher than that of every earlier leader; of use while this VM leads
     [[nodiscard]] virtual auto leadershipNumber() const -> std::uint64_t = 0;
--- a/include/sapphirespool/Controller/promotionduty.h
+++ b/include/sapphirespool/Controller/promotionduty.h
@@ -45,7 +45,8 @@
     /// \return whether it names another holder than the one before
     auto note(const state::DutyGrant &newest, TimePoint now) -> bool;
 
-    /// \return whether this VM may give orders under \p leadership
+    /// \return until when this VM may give orders under \p leadership; the earliest time if it may not
+    [[nodiscard]] auto heldUntil(std::uint64_t leadership) const -> TimePoint;
     [[nodiscard]] auto isHeld(std::uint64_t leadership, TimePoint now) const -> bool;
 
     /// \return whether a grant for \p leadership is missing or due for renewal
--- a/include/sapphirespool/Platform/groupoperator.h
+++ b/include/sapphirespool/Platform/groupoperator.h
@@ -5,6 +5,7 @@
 #include "sapphirespool/Support/types.h"
 
 #include <functional>
+#include <memory>
 #include <optional>
 
 namespace sapphirespool::platform
@@ -23,7 +24,22 @@
     Incarnation incarnation;
 };
 
-/// Calls members by their address. Each call may be repeated without harm.
+/// The right to give an order. It is asked from any thread, when the order is about to leave the process: it may have ended while the
+/// order waited for its connection.
+class OrderAuthority
+{
+public:
+    OrderAuthority() = default;
+    OrderAuthority(const OrderAuthority &) = delete;
+    auto operator=(const OrderAuthority &) -> OrderAuthority & = delete;
+    virtual ~OrderAuthority() = default;
+
+    [[nodiscard]] virtual auto holds() const -> bool = 0;
+};
+
+using Authority = std::shared_ptr<const OrderAuthority>;
+
+/// Calls members by their address. Each call may be repeated without harm. An order whose authority has ended is not sent and gets no report.
 class GroupOperator
 {
 public:
@@ -32,9 +48,9 @@
     auto operator=(const GroupOperator &) -> GroupOperator & = delete;
     virtual ~GroupOperator() = default;
 
-    virtual auto fence(const MemberAddress &member, FenceRequest request, ReportCallback done) -> void = 0;
-    virtual auto promote(const MemberAddress &member, PromoteRequest request, ReportCallback done) -> void = 0;
-    virtual auto follow(const MemberAddress &member, FollowRequest request, ReportCallback done) -> void = 0;
+    virtual auto fence(const MemberAddress &member, FenceRequest request, Authority authority, ReportCallback done) -> void = 0;
+    virtual auto promote(const MemberAddress &member, PromoteRequest request, Authority authority, ReportCallback done) -> void = 0;
+    virtual auto follow(const MemberAddress &member, FollowRequest request, Authority authority, ReportCallback done) -> void = 0;
 
     /// Looks whether the member takes connections; it does no work for that.
     virtual auto look(const MemberAddress &member, std::function<void(bool reached)> done) -> void = 0;
--- a/include/sapphirespool/Support/events.h
+++ b/include/sapphirespool/Support/events.h
@@ -44,6 +44,7 @@
     PromotionOrdered = 2404,
     DutyGranted = 2405,
     DutyAwaited = 2406,
+    OrderWithdrawn = 2407,
     StandinStarted = 3001,
 };
 
--- a/lib/Consensus/heartbeat.cpp
+++ b/lib/Consensus/heartbeat.cpp
@@ -85,18 +85,23 @@
     return heard[this->quorum() - 1];
 }
 
-auto Core::holdsLeaderLease(TimePoint now) const -> bool
+auto Core::leaderLeaseEnd() const -> TimePoint
 {
     // Before an entry of its own term is committed a leader may not yet know all that was committed before it.
     if (this->currentRole != CoreRole::Leader || this->commit < this->termStart) {
-        return false;
+        return TimePoint::min();
     }
     const auto sent = this->roundSent.find(this->confirmedRound());
     if (sent == this->roundSent.end()) {
-        return false;
+        return TimePoint::min();
     }
     // Counted from the send: the voters count theirs from the receipt, which is later, so no clock needs to agree with another.
-    return now < sent->second + this->settings.leaseLength();
+    return sent->second + this->settings.leaseLength();
+}
+
+auto Core::holdsLeaderLease(TimePoint now) const -> bool
+{
+    return now < this->leaderLeaseEnd();
 }
 
 auto Core::onRead(const ReadRequested &read) -> void
--- a/lib/Consensus/replica.cpp
+++ b/lib/Consensus/replica.cpp
@@ -62,7 +62,7 @@
 
     auto propose(Bytes command, ProposalDone done) -> void override;
     auto confirmRead(ReadDone done) -> void override;
-    [[nodiscard]] auto holdsLeaderLease(TimePoint now) const -> bool override;
+    [[nodiscard]] auto leaderLeaseEnd() const -> TimePoint override;
     [[nodiscard]] auto leadershipNumber() const -> std::uint64_t override;
     [[nodiscard]] auto silence(const VmId &vm) const -> Duration override;
     [[nodiscard]] auto leader() const -> std::optional<VmId> override;
@@ -482,9 +482,9 @@
     this->handle(ReadRequested{number});
 }
 
-auto ReplicaNode::holdsLeaderLease(TimePoint now) const -> bool
+auto ReplicaNode::leaderLeaseEnd() const -> TimePoint
 {
-    return this->core->holdsLeaderLease(now);
+    return this->core->leaderLeaseEnd();
 }
 
 auto ReplicaNode::leadershipNumber() const -> std::uint64_t
--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -84,6 +84,8 @@
     , vms(parts.state.view()->proxies, this->since)
     , promoter(parts.state, this->since, promotion::silenceAfter(parts.announcementInterval))
     , registry(this->since)
+    , leadAuthority(std::make_shared<ExpiringAuthority>(parts.clock))
+    , dutyAuthority(std::make_shared<ExpiringAuthority>(parts.clock))
 {
 }
 
@@ -306,6 +308,7 @@
 {
     this->parts.groupOperator->fence(this->addressOf(action.group, action.member, action.endpoint),
                                      action.request,
+                                     this->authorityOver(action.group, this->leadAuthority),
                                      this->answerTo(promotion::Order::Fence, action.group, action.request.term, action.member));
 }
 
@@ -324,6 +327,7 @@
     this->seekDuty(action.group);
     this->parts.groupOperator->promote(this->addressOf(action.group, action.member, action.endpoint),
                                        request,
+                                       this->authorityOver(action.group, this->dutyAuthority),
                                        this->answerTo(promotion::Order::Promote, action.group, action.request.term, action.member));
 }
 
@@ -331,6 +335,7 @@
 {
     this->parts.groupOperator->follow(this->addressOf(action.group, action.member, action.endpoint),
                                       action.request,
+                                      this->authorityOver(action.group, this->leadAuthority),
                                       this->answerTo(promotion::Order::Follow, action.group, action.request.term, action.member));
 }
 
@@ -338,6 +343,7 @@
 {
     support::log(support::Event::TermEnded,
                  {{"group", action.command.group.value()}, {"term", action.command.next.value()}, {"reason", promotion::name(action.reason)}});
+    this->withdrawOrders(action.command.group);
     this->propose(action.command, action.command.group);
 }
 
@@ -348,6 +354,8 @@
                   {"term", action.command.term.value()},
                   {"upstream", action.command.primary.value()},
                   {"position", action.command.keptUpTo.value()}});
+    // A member that is told to step down only now could be the new primary.
+    this->withdrawOrders(action.command.group);
     this->propose(action.command, action.command.group);
     // Asked for along with the choice, the grant holds up no promotion.
     this->seekDuty(action.command.group);
@@ -362,6 +370,27 @@
 {
     noteGrant(this->parts, this->duty);
     this->promoter.setDuty(this->duty.isHeld(this->number, now));
+    const auto leaseEnd = this->parts.log.leaderLeaseEnd();
+    this->leadAuthority->setEnd(leaseEnd);
+    this->dutyAuthority->setEnd(std::min(leaseEnd, this->duty.heldUntil(this->number)));
+}
+
+auto Leadership::authorityOver(const GroupId &group, const platform::Authority &whole) -> platform::Authority
+{
+    auto &open = this->openOrders[group];
+    // Those that nobody else keeps have been answered.
+    std::erase_if(open, [](const auto &authority) {
+        return authority.use_count() == 1;
+    });
+    return open.emplace_back(std::make_shared<RevocableAuthority>(whole));
+}
+
+auto Leadership::withdrawOrders(const GroupId &group) -> void
+{
+    for (const auto &authority : this->openOrders[group]) {
+        authority->revoke();
+    }
+    this->openOrders.erase(group);
 }
 
 auto Leadership::seekDuty(const GroupId &group) -> void
--- a/lib/Controller/leadership.h
+++ b/lib/Controller/leadership.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "memberregistry.h"
+#include "orderauthority.h"
 
 #include "sapphirespool/Controller/controller.h"
 #include "sapphirespool/Controller/observers.h"
@@ -11,8 +12,10 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace sapphirespool::controller
 {
@@ -59,8 +62,12 @@
     auto carryOut(const promotion::ProposeTerm &action) -> void;
     auto carryOut(const promotion::ProposePrimary &action) -> void;
     auto carryOut(const promotion::AwaitDuty &action) -> void;
-    /// Tells the promoter whether orders may be given.
+    /// Tells the promoter whether orders may be given, and orders under way until when.
     auto noteDuty(TimePoint now) -> void;
+    /// \return what an order to a member of \p group goes by, as a part of \p whole
+    auto authorityOver(const GroupId &group, const platform::Authority &whole) -> platform::Authority;
+    /// Takes back the orders to members of \p group that have not left yet.
+    auto withdrawOrders(const GroupId &group) -> void;
     /// Has the duty granted to this VM, or renewed, once that may be.
     auto seekDuty(const GroupId &group) -> void;
     [[nodiscard]] auto addressOf(const GroupId &group, const UpstreamId &member, const Endpoint &endpoint) const -> platform::MemberAddress;
@@ -86,6 +93,10 @@
     TimePoint lookedForGone{};
     TimePoint lookedForSilent{};
     std::map<std::string, TimePoint> registrations;
+    /// Of the lead, and of the promotion duty under it.
+    std::shared_ptr<ExpiringAuthority> leadAuthority;
+    std::shared_ptr<ExpiringAuthority> dutyAuthority;
+    std::map<GroupId, std::vector<std::shared_ptr<RevocableAuthority>>> openOrders;
 };
 
 } // namespace sapphirespool::controller
--- /dev/null
+++ b/lib/Controller/orderauthority.h
@@ -0,0 +1,43 @@
+// orderauthority.h: until when a leading control VM may give orders.
+#pragma once
+
+#include "sapphirespool/Platform/groupoperator.h"
+#include "sapphirespool/Support/types.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+
+namespace sapphirespool::controller
+{
+
+/// Ends by itself unless it is extended, so that nothing need be told when the lead is lost.
+class ExpiringAuthority : public platform::OrderAuthority
+{
+public:
+    /// \param clock is called from any thread
+    explicit ExpiringAuthority(std::function<TimePoint()> clock);
+
+    auto setEnd(TimePoint end) -> void;
+    [[nodiscard]] auto holds() const -> bool override;
+
+private:
+    std::function<TimePoint()> clock;
+    std::atomic<TimePoint> end = TimePoint::min();
+};
+
+/// Part of another authority that can be taken back alone, once a later decision replaces the orders that go by it.
+class RevocableAuthority : public platform::OrderAuthority
+{
+public:
+    explicit RevocableAuthority(platform::Authority whole);
+
+    auto revoke() -> void;
+    [[nodiscard]] auto holds() const -> bool override;
+
+private:
+    platform::Authority whole;
+    std::atomic<bool> revoked = false;
+};
+
+} // namespace sapphirespool::controller
--- a/lib/Controller/promotionduty.cpp
+++ b/lib/Controller/promotionduty.cpp
@@ -25,9 +25,14 @@
     return former != grant.holder;
 }
 
+auto PromotionDuty::heldUntil(std::uint64_t leadership) const -> TimePoint
+{
+    return this->began && this->newest.leadership == leadership ? *this->began + dutyLength : TimePoint::min();
+}
+
 auto PromotionDuty::isHeld(std::uint64_t leadership, TimePoint now) const -> bool
 {
-    return this->began && this->newest.leadership == leadership && now - *this->began < dutyLength;
+    return now < this->heldUntil(leadership);
 }
 
 auto PromotionDuty::isWanted(std::uint64_t leadership, TimePoint now) const -> bool
--- a/lib/Platform/httpgroupoperator.cpp
+++ b/lib/Platform/httpgroupoperator.cpp
@@ -3,6 +3,7 @@
 #include "sapphirespool/Http/client.h"
 #include "sapphirespool/Http/liveness.h"
 #include "sapphirespool/Platform/codec.h"
+#include "sapphirespool/Support/log.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -24,18 +25,24 @@
     Endpoint member;
     http::Request message;
     std::chrono::milliseconds timeout;
+    Authority authority;
     ReportCallback done;
 };
 
 /// \return the report, or nothing if none came; a refusal by a member of a higher term is nothing as well
-auto ask(asio::any_io_executor executor, Endpoint member, http::Request message, TimePoint deadline) -> asio::awaitable<std::optional<PositionReport>>
+auto ask(asio::any_io_executor executor, const Call &call, TimePoint deadline) -> asio::awaitable<std::optional<PositionReport>>
 {
     const auto client = http::makeClientConnection(std::move(executor));
-    const auto error = co_await client->connect(std::move(member), deadline);
+    const auto error = co_await client->connect(call.member, deadline);
     if (error) {
         co_return std::nullopt;
     }
-    auto result = co_await client->exchange(std::move(message), deadline);
+    if (!call.authority->holds()) {
+        client->close();
+        support::log(support::Event::OrderWithdrawn, {{"address", call.member.address}, {"order", std::string_view(call.message.target())}});
+        co_return std::nullopt;
+    }
+    auto result = co_await client->exchange(call.message, deadline);
     client->close();
     if (result.error || result.response.result() != http::Status::ok) {
         co_return std::nullopt;
@@ -46,7 +53,7 @@
 auto run(asio::any_io_executor executor, Call call) -> asio::awaitable<void>
 {
     const auto deadline = std::chrono::steady_clock::now() + call.timeout;
-    auto report = co_await ask(std::move(executor), std::move(call.member), std::move(call.message), deadline);
+    auto report = co_await ask(std::move(executor), call, deadline);
     call.done(std::move(report));
 }
 
@@ -59,19 +66,19 @@
     {
     }
 
-    auto fence(const MemberAddress &member, FenceRequest request, ReportCallback done) -> void override
+    auto fence(const MemberAddress &member, FenceRequest request, Authority authority, ReportCallback done) -> void override
     {
-        this->call(member.endpoint, "/v1/fence", toJson(request), std::move(done));
+        this->call(member.endpoint, "/v1/fence", toJson(request), std::move(authority), std::move(done));
     }
 
-    auto promote(const MemberAddress &member, PromoteRequest request, ReportCallback done) -> void override
+    auto promote(const MemberAddress &member, PromoteRequest request, Authority authority, ReportCallback done) -> void override
     {
-        this->call(member.endpoint, "/v1/promote", toJson(request), std::move(done));
+        this->call(member.endpoint, "/v1/promote", toJson(request), std::move(authority), std::move(done));
     }
 
-    auto follow(const MemberAddress &member, FollowRequest request, ReportCallback done) -> void override
+    auto follow(const MemberAddress &member, FollowRequest request, Authority authority, ReportCallback done) -> void override
     {
-        this->call(member.endpoint, "/v1/follow", toJson(request), std::move(done));
+        this->call(member.endpoint, "/v1/follow", toJson(request), std::move(authority), std::move(done));
     }
 
     auto look(const MemberAddress &member, std::function<void(bool)> done) -> void override
@@ -82,10 +89,11 @@
     }
 
 private:
-    auto call(const Endpoint &member, std::string_view path, const boost::json::object &body, ReportCallback done) -> void
+    auto call(const Endpoint &member, std::string_view path, const boost::json::object &body, Authority authority, ReportCallback done) -> void
     {
         auto message = http::jsonRequest(http::Verb::post, path, body);
-        asio::co_spawn(this->executor, run(this->executor, Call{member, std::move(message), this->timeout, std::move(done)}), asio::detached);
+        asio::co_spawn(
+            this->executor, run(this->executor, Call{member, std::move(message), this->timeout, std::move(authority), std::move(done)}), asio::detached);
     }
 
     asio::any_io_executor executor;
--- a/lib/Support/events.cpp
+++ b/lib/Support/events.cpp
@@ -38,6 +38,7 @@
     {Event::PromotionOrdered, Severity::Info, "promotion ordered"},
     {Event::DutyGranted, Severity::Info, "promotion duty granted"},
     {Event::DutyAwaited, Severity::Warning, "promotion duty awaited"},
+    {Event::OrderWithdrawn, Severity::Info, "order withdrawn"},
     {Event::StandinStarted, Severity::Info, "stand-in started"},
 });
 
--- a/unittests/Controller/controllertest.cpp
+++ b/unittests/Controller/controllertest.cpp
@@ -19,16 +19,16 @@
 class SilentMembers : public platform::GroupOperator
 {
 public:
-    auto fence(const platform::MemberAddress &, platform::FenceRequest, platform::ReportCallback) -> void override
+    auto fence(const platform::MemberAddress &, platform::FenceRequest, platform::Authority, platform::ReportCallback) -> void override
     {
         ++this->fences;
     }
 
-    auto promote(const platform::MemberAddress &, platform::PromoteRequest, platform::ReportCallback) -> void override
+    auto promote(const platform::MemberAddress &, platform::PromoteRequest, platform::Authority, platform::ReportCallback) -> void override
     {
     }
 
-    auto follow(const platform::MemberAddress &, platform::FollowRequest, platform::ReportCallback) -> void override
+    auto follow(const platform::MemberAddress &, platform::FollowRequest, platform::Authority, platform::ReportCallback) -> void override
     {
     }
 
--- a/unittests/Controller/fakelog.h
+++ b/unittests/Controller/fakelog.h
@@ -40,9 +40,9 @@
         done(this->leads ? std::nullopt : std::optional(consensus::ProposalFailure::NotLeader));
     }
 
-    [[nodiscard]] auto holdsLeaderLease(TimePoint) const -> bool override
+    [[nodiscard]] auto leaderLeaseEnd() const -> TimePoint override
     {
-        return this->leads;
+        return this->leads ? this->leaseEnd : TimePoint::min();
     }
 
     [[nodiscard]] auto leadershipNumber() const -> std::uint64_t override
@@ -83,6 +83,7 @@
     state::ClusterState &state;
     std::vector<state::ClusterState *> followers;
     bool leads = true;
+    TimePoint leaseEnd = TimePoint::max();
     std::uint64_t number = 1;
     /// For how long all other VMs have been silent.
     Duration silent{};
--- a/unittests/Controller/promotiondutytest.cpp
+++ b/unittests/Controller/promotiondutytest.cpp
@@ -24,28 +24,46 @@
     VmId by;
     std::uint64_t token = 0;
     TimePoint at;
+    platform::Authority authority;
 };
 
-/// Notes the orders to promote and answers none.
+/// An order to fence that waits for its answer.
+struct OpenFence
+{
+    platform::MemberAddress member;
+    std::uint64_t term = 0;
+    platform::Authority authority;
+    platform::ReportCallback done;
+};
+
+struct SeenOrders
+{
+    std::vector<SeenOrder> promotions;
+    std::vector<OpenFence> fences;
+};
+
+/// Notes the orders and answers none.
 class RecordingOperator : public platform::GroupOperator
 {
 public:
-    RecordingOperator(const TimePoint &now, std::vector<SeenOrder> &orders)
+    RecordingOperator(const TimePoint &now, SeenOrders &orders)
         : now(now)
         , orders(orders)
     {
     }
 
-    auto fence(const platform::MemberAddress &, platform::FenceRequest, platform::ReportCallback) -> void override
+    auto fence(const platform::MemberAddress &member, platform::FenceRequest request, platform::Authority authority, platform::ReportCallback done)
+        -> void override
     {
+        this->orders.fences.push_back({member, request.term, std::move(authority), std::move(done)});
     }
 
-    auto promote(const platform::MemberAddress &, platform::PromoteRequest request, platform::ReportCallback) -> void override
+    auto promote(const platform::MemberAddress &, platform::PromoteRequest request, platform::Authority authority, platform::ReportCallback) -> void override
     {
-        this->orders.push_back({request.orderedBy, request.fencingToken, this->now});
+        this->orders.promotions.push_back({request.orderedBy, request.fencingToken, this->now, std::move(authority)});
     }
 
-    auto follow(const platform::MemberAddress &, platform::FollowRequest, platform::ReportCallback) -> void override
+    auto follow(const platform::MemberAddress &, platform::FollowRequest, platform::Authority, platform::ReportCallback) -> void override
     {
     }
 
@@ -55,12 +73,12 @@
 
 private:
     const TimePoint &now;
-    std::vector<SeenOrder> &orders;
+    SeenOrders &orders;
 };
 
 struct ControlVm
 {
-    ControlVm(std::string_view name, const TimePoint &now, std::vector<SeenOrder> &orders)
+    ControlVm(std::string_view name, const TimePoint &now, SeenOrders &orders)
         : id(std::string(name))
         , controller(makeController({this->id,
                                      this->log,
@@ -172,7 +190,7 @@
 
     [[nodiscard]] auto ordersOf(const ControlVm &vm) const -> std::ptrdiff_t
     {
-        return std::count_if(this->orders.begin(), this->orders.end(), [&vm](const SeenOrder &order) {
+        return std::count_if(this->orders.promotions.begin(), this->orders.promotions.end(), [&vm](const SeenOrder &order) {
             return order.by == vm.id;
         });
     }
@@ -181,16 +199,16 @@
     [[nodiscard]] auto shortestTurn() const -> Duration
     {
         auto shortest = Duration::max();
-        for (auto place = std::size_t{1}; place < this->orders.size(); ++place) {
-            if (this->orders[place].by != this->orders[place - 1].by) {
-                shortest = std::min(shortest, this->orders[place].at - this->orders[place - 1].at);
+        for (auto place = std::size_t{1}; place < this->orders.promotions.size(); ++place) {
+            if (this->orders.promotions[place].by != this->orders.promotions[place - 1].by) {
+                shortest = std::min(shortest, this->orders.promotions[place].at - this->orders.promotions[place - 1].at);
             }
         }
         return shortest;
     }
 
     TimePoint now = TimePoint(1h);
-    std::vector<SeenOrder> orders;
+    SeenOrders orders;
     std::uint64_t announcements = 0;
     ControlVm a{"hobart-1", this->now, this->orders};
     ControlVm b{"launceston-1", this->now, this->orders};
@@ -206,7 +224,7 @@
     vms.pass(400ms);
     vms.announce(platform::Role::Primary);
     vms.pass(2s);
-    CHECK(vms.orders.empty());
+    CHECK(vms.orders.promotions.empty());
 }
 
 // Two control VMs that are alive must not take turns at ordering promotions.
@@ -295,14 +313,55 @@
     vms.lead(vms.a, 3);
     vms.announce(platform::Role::Primary);
     vms.pass(500ms);
-    const auto before = vms.orders.size();
+    const auto before = vms.orders.promotions.size();
     vms.tellLeader(platform::Role::Primary, 2);
     vms.commit(state::BeginTerm{GroupId("orders-1"), Term(1), Term(2)});
     vms.commit(state::ChoosePrimary{GroupId("orders-1"), Term(2), UpstreamId("y"), Incarnation(1), LogPosition(0)});
     vms.lead(vms.b, 5);
     REQUIRE_FALSE(vms.a.posted.empty());
     vms.a.runPosted();
-    CHECK(vms.orders.size() == before);
+    CHECK(vms.orders.promotions.size() == before);
+}
+
+// An order that waits for its connection must not leave after the lead is lost.
+TEST_CASE("the authority of an order ends with the lease under which it was given")
+{
+    auto vms = TwoControlVms();
+    vms.lead(vms.a, 3);
+    vms.a.log.leaseEnd = vms.now + 270ms;
+    vms.announce(platform::Role::Replica);
+    vms.pass(100ms);
+    REQUIRE_FALSE(vms.orders.promotions.empty());
+    const auto authority = vms.orders.promotions.front().authority;
+    CHECK(authority->holds());
+    vms.now += 270ms;
+    CHECK_FALSE(authority->holds());
+}
+
+// A member that is told to step down after it was made primary leaves its group without one.
+TEST_CASE("orders that have not left are withdrawn when the control leader decides anew")
+{
+    auto vms = TwoControlVms();
+    vms.lead(vms.a, 3);
+    vms.announce(platform::Role::Primary);
+    vms.commit(state::BeginTerm{GroupId("orders-1"), Term(1), Term(2)});
+    vms.announce(platform::Role::Primary);
+    vms.pass(40ms);
+    const auto fences = vms.orders.fences;
+    REQUIRE(fences.size() == 2);
+    CHECK(fences.front().authority->holds());
+    for (const auto &fence : fences) {
+        auto report = platform::PositionReport();
+        report.id = fence.member.id.value();
+        report.incarnation = 1;
+        report.term = fence.term;
+        report.role = platform::Role::Fenced;
+        fence.done(report);
+    }
+    vms.pass(400ms);
+    REQUIRE(vms.a.state.findGroup(GroupId("orders-1"))->view.primary);
+    CHECK_FALSE(fences.front().authority->holds());
+    CHECK_FALSE(fences.back().authority->holds());
 }
 
 } // namespace sapphirespool::controller
--- a/unittests/Platform/platformtest.cpp
+++ b/unittests/Platform/platformtest.cpp
@@ -68,6 +68,18 @@
     return {GroupId("orders-1"), UpstreamId("a"), endpoint};
 }
 
+/// An authority that never ends.
+class Always : public OrderAuthority
+{
+public:
+    [[nodiscard]] auto holds() const -> bool override
+    {
+        return true;
+    }
+};
+
+const auto always = std::make_shared<Always>();
+
 } // namespace
 
 TEST_CASE("a group is fenced, promoted and followed over HTTP")
@@ -85,19 +97,19 @@
         });
         answer.done = false;
     };
-    caller->fence(addressOf(primary), {1}, answer.callback());
+    caller->fence(addressOf(primary), {1}, always, answer.callback());
     finish();
     REQUIRE(answer.report);
     CHECK(answer.report->role == Role::Fenced);
-    caller->promote(addressOf(primary), {1}, answer.callback());
+    caller->promote(addressOf(primary), {1}, always, answer.callback());
     finish();
     REQUIRE(answer.report);
     CHECK(answer.report->role == Role::Primary);
-    caller->follow(addressOf(replica), {1, "a", primary.address, primary.port, 0}, answer.callback());
+    caller->follow(addressOf(replica), {1, "a", primary.address, primary.port, 0}, always, answer.callback());
     finish();
     REQUIRE(answer.report);
     CHECK(answer.report->role == Role::Replica);
-    caller->promote(addressOf(replica), {0}, answer.callback());
+    caller->promote(addressOf(replica), {0}, always, answer.callback());
     finish();
     CHECK_FALSE(answer.report);
 }
@@ -113,14 +125,14 @@
     frozen.member = standin::MemberFault::Frozen;
     member->setFaults(frozen);
     auto answer = Answered();
-    caller->fence(addressOf(endpoint), {1}, answer.callback());
+    caller->fence(addressOf(endpoint), {1}, always, answer.callback());
     runUntil(io, [&answer] {
         return answer.done;
     });
     CHECK_FALSE(answer.report);
     member->stop();
     answer.done = false;
-    caller->fence(addressOf(endpoint), {1}, answer.callback());
+    caller->fence(addressOf(endpoint), {1}, always, answer.callback());
     runUntil(io, [&answer] {
         return answer.done;
     });
