A promoted member that keeps saying that it is not primary is promoted again

Callers of a group would find no primary, without an end: a database that stepped down after its promotion, for example by an order that came late, said so in its announcements, and the control leader went by the last answer to an order alone.

Two announcements in a row that deny it are now believed; one may have been under way when the member was promoted. Found by reading, when looking for the same class of fault elsewhere. The test 'a promoted member that twice says that it is not primary is promoted again' failed before (no order).

--- a/include/sapphirespool/Promotion/membertable.h
+++ b/include/sapphirespool/Promotion/membertable.h
@@ -5,6 +5,7 @@
 #include "sapphirespool/Promotion/timing.h"
 #include "sapphirespool/Support/types.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -25,6 +26,8 @@
     /// When its position last moved.
     TimePoint moved{};
     bool leaving = false;
+    /// Announcements in a row by which a member that was promoted says that it is not primary.
+    std::uint32_t denials = 0;
     /// Processes that came before this one.
     std::set<Incarnation> former;
 };
--- a/lib/Promotion/membertable.cpp
+++ b/lib/Promotion/membertable.cpp
@@ -7,6 +7,26 @@
 namespace sapphirespool::promotion
 {
 
+namespace
+{
+
+/// An announcement that was under way when the member was promoted says that it is none yet; a second one is newer than the promotion.
+constexpr auto denialsBelieved = std::uint32_t{2};
+
+/// Takes in which part \p member says that it plays, after it has told its term in answer to an order.
+auto noteDenial(MemberState &member, platform::Role says) -> void
+{
+    const auto denies = member.role == platform::Role::Primary && says != platform::Role::Primary;
+    member.denials = denies ? member.denials + 1 : 0;
+    // Without this a primary that stepped down, by an order that came late, would be taken for primary for ever.
+    if (member.denials == denialsBelieved) {
+        member.role = says;
+        member.denials = 0;
+    }
+}
+
+} // namespace
+
 MemberTable::MemberTable(std::chrono::milliseconds silence)
     : silence(silence)
 {
@@ -37,8 +57,10 @@
     if (!sameProcess || found->second.term == Term(0)) {
         return false;
     }
-    found->second.heard = now;
-    found->second.leaving = announcement.leaving;
+    auto &member = found->second;
+    member.heard = now;
+    member.leaving = announcement.leaving;
+    noteDenial(member, announcement.role);
     return true;
 }
 
@@ -76,6 +98,7 @@
     member.incarnation = news.incarnation;
     member.term = news.term;
     member.role = news.role;
+    member.denials = 0;
     member.lastTerm = news.lastTerm;
     member.position = news.position;
     return &member;
--- a/unittests/Promotion/selfreplicatingtest.cpp
+++ b/unittests/Promotion/selfreplicatingtest.cpp
@@ -244,6 +244,33 @@
     CHECK(find<ProposeTerm>(ended)->reason == TermEnd::Silent);
 }
 
+// A primary that an order told to step down after its promotion must not leave the group without one.
+TEST_CASE("a promoted member that twice says that it is not primary is promoted again")
+{
+    auto group = Group(4);
+    group.lead("b");
+    REQUIRE(find<SendPromote>(group.advance(start)) != nullptr);
+    auto report = platform::PositionReport();
+    report.id = "b";
+    report.incarnation = 1;
+    report.term = 4;
+    report.role = platform::Role::Primary;
+    group.promotion.note(OrderAnswered{Order::Promote, GroupId("g"), Term(4), UpstreamId("b"), report}, start + 300ms);
+    group.promotion.note(announcementOf("b", platform::Role::Replica), start + 310ms);
+    CHECK(find<SendPromote>(group.advance(start + 310ms)) == nullptr);
+    SECTION("the first word was under way when it was promoted")
+    {
+        group.promotion.note(announcementOf("b", platform::Role::Primary), start + 320ms);
+        group.promotion.note(announcementOf("b", platform::Role::Replica), start + 330ms);
+        CHECK(find<SendPromote>(group.advance(start + 330ms)) == nullptr);
+    }
+    SECTION("it has stepped down")
+    {
+        group.promotion.note(announcementOf("b", platform::Role::Replica), start + 1'500ms);
+        CHECK(find<SendPromote>(group.advance(start + 1'500ms)) != nullptr);
+    }
+}
+
 // A control VM without the promotion duty must order nothing, and go on as soon as it has it.
 TEST_CASE("a promotion waits for the duty to order it")
 {
