A control leader trusts the announced role only of a primary that was there before it

Callers of a group could wait up to 3 s more for a primary that a new control leader had chosen itself: a group that the leader found without a primary counted as one whose primary it had found, so that the order waited for that primary's next announcement.

The first look at a group now decides, whatever it shows; and a primary that the group came with needs no order. The test of a chosen primary failed before; that of an adopted one held by the same fault, and holds now.

--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -85,8 +85,8 @@
     [[nodiscard]] auto incarnationOf(const state::GroupRecord &group, const UpstreamId &member) const -> Incarnation;
     [[nodiscard]] auto isFenced(const UpstreamId &member) const -> bool;
     [[nodiscard]] auto isPrimary(const UpstreamId &member, Term term, Incarnation incarnation) const -> bool;
-    /// \return whether the primary that this leader found has yet to say whether it leads
-    [[nodiscard]] auto awaitsWord(const state::GroupRecord &group, TimePoint now) const -> bool;
+    /// \return whether the primary that this leader found has yet to announce its role
+    [[nodiscard]] auto awaitsRole(const state::GroupRecord &group, TimePoint now) const -> bool;
     [[nodiscard]] auto isFollowing(const UpstreamId &member, Term term) const -> bool;
     [[nodiscard]] auto membersToAvoid(const state::GroupRecord &group) const -> std::set<UpstreamId>;
 
@@ -103,9 +103,12 @@
     Term term;
     bool hasPrimary = false;
     bool holdsDuty = true;
-    /// Whether any term was entered, and whether the present one had its primary when this leader first saw it.
+    /// Whether any term was entered.
     bool entered = false;
-    bool inherited = false;
+    /// Whether this leader proposes the primary that the group came with.
+    bool adopted = false;
+    /// Whether the primary was in its role before this leader gave any order, so that the role it announces is that of the term.
+    bool trustsRole = false;
     /// When this leader first saw the term, and the revision of the replicated state then.
     TimePoint termSeen;
     Revision termRevision;
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -115,7 +115,9 @@
     }
     this->term = group.view.term;
     this->hasPrimary = group.view.primary.has_value();
-    this->inherited = this->hasPrimary && !std::exchange(this->entered, true);
+    const auto isFirst = !std::exchange(this->entered, true);
+    this->trustsRole = this->hasPrimary && (isFirst || this->adopted);
+    this->adopted = false;
     this->quorumSince.reset();
     this->orders.clear();
     this->proposed.reset();
@@ -154,6 +156,7 @@
     if (group.view.findMember(primary) == nullptr || !this->tryPropose(now)) {
         return {};
     }
+    this->adopted = true;
     return {ProposePrimary{{group.view.id, group.view.term, primary, this->incarnationOf(group, primary), LogPosition()}}};
 }
 
@@ -272,7 +275,7 @@
         return {};
     }
     if (!this->isPrimary(primary->id, this->term, group.primaryIncarnation)) {
-        if (!this->isReleased(group, proxies, now) || this->awaitsWord(group, now)) {
+        if (!this->isReleased(group, proxies, now) || this->awaitsRole(group, now)) {
             return {};
         }
         if (!this->holdsDuty) {
@@ -422,17 +425,17 @@
     if (state == nullptr || state->role != platform::Role::Primary || state->incarnation != incarnation) {
         return false;
     }
-    // What a member without terms says while this leader has ordered nothing of it can only speak of the term that the leader found.
-    return state->term == inTerm || (this->inherited && state->term == Term(0));
+    // A role without a term that is reported before any answer to an order of this leader is that of the term in which the leader found it.
+    return state->term == inTerm || (this->trustsRole && state->term == Term(0));
 }
 
-auto GroupPromotion::awaitsWord(const GroupRecord &group, TimePoint now) const -> bool
+auto GroupPromotion::awaitsRole(const GroupRecord &group, TimePoint now) const -> bool
 {
-    // A new leader that took a primary for missing before it had spoken would order promotions of groups that are well. Members that tell
-    // their term judge such an order by it; a platform cannot.
+    // A new leader that took a primary for missing before its first announcement would order promotions of groups that are well. Members
+    // that know their term refuse such an order or repeat nothing; a platform carries it out.
     const auto *const state = this->members.find(*group.view.primary);
-    const auto hasSpoken = state != nullptr && state->heard;
-    return this->inherited && group.selfReplicating && !hasSpoken && now - this->since < this->silence;
+    const auto isReported = state != nullptr && state->heard;
+    return this->trustsRole && group.selfReplicating && !isReported && now - this->since < this->silence;
 }
 
 auto GroupPromotion::isFollowing(const UpstreamId &member, Term inTerm) const -> bool
--- a/unittests/Promotion/selfreplicatingtest.cpp
+++ b/unittests/Promotion/selfreplicatingtest.cpp
@@ -286,7 +286,7 @@
 }
 
 // A new control leader must order what is missing of a promotion, and nothing of one that was carried out.
-TEST_CASE("a new control leader goes by what the primary that it finds says of itself")
+TEST_CASE("a new control leader trusts the role that the primary it finds announces")
 {
     auto group = Group(4);
     group.lead("a");
@@ -312,4 +312,27 @@
     }
 }
 
+// A primary that the new control leader has chosen itself must not wait for its next announcement.
+TEST_CASE("a new control leader promotes at once whom it has chosen itself")
+{
+    auto group = Group(4);
+    auto fresh = GroupPromotion(start, silenceAfter(1'200ms));
+    REQUIRE(find<SendFence>(fresh.advance(group.record, released, start)) != nullptr);
+    group.lead("b");
+    CHECK(find<SendPromote>(fresh.advance(group.record, released, start + 20ms)) != nullptr);
+}
+
+// A group that serves already needs no order for the primary that it came with.
+TEST_CASE("an adopted primary is not ordered to be primary")
+{
+    auto group = Group(0);
+    REQUIRE(find<ProposeTerm>(group.advance(start)) != nullptr);
+    group.record.view.term = Term(1);
+    REQUIRE(find<ProposePrimary>(group.advance(start + 1ms)) != nullptr);
+    group.lead("a");
+    CHECK(find<SendPromote>(group.advance(start + 2ms)) == nullptr);
+    group.announce(start + 1s);
+    CHECK(find<SendPromote>(group.advance(start + 1s)) == nullptr);
+}
+
 } // namespace sapphirespool::promotion
