Only promotions that nobody else judges by term are ordered under the promotion duty

Callers of a group whose members tell their term would wait up to 4 s more for a primary after a change of the control leader, for a duty that their promotion does not need: such a member refuses an order of a lower term, and is told by one connection only. The duty is now asked for and waited for in self-replicating groups alone.

--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -41,7 +41,7 @@
     auto note(const Suspected &event, TimePoint now) -> void;
     auto note(const OrderAnswered &event, TimePoint now) -> void;
 
-    /// Says whether this VM may order promotions; it may until it is told otherwise.
+    /// Says whether this VM may order promotions of self-replicating groups. Other members judge an order by its term.
     auto setDuty(bool held) -> void;
 
     /// \return the next steps
--- a/include/sapphirespool/Promotion/promoter.h
+++ b/include/sapphirespool/Promotion/promoter.h
@@ -29,7 +29,7 @@
     /// Tells what is known of the proxies by now.
     auto setProxies(const ProxyStanding &standing) -> void;
 
-    /// Says whether this VM may order promotions; it may until it is told otherwise.
+    /// Says whether this VM may order promotions of self-replicating groups; not until it is told so.
     auto setDuty(bool held) -> void;
 
 private:
@@ -40,7 +40,7 @@
     TimePoint since;
     std::chrono::milliseconds silence;
     ProxyStanding proxies;
-    bool holdsDuty = true;
+    bool holdsDuty = false;
     std::map<GroupId, GroupPromotion> groups;
 };
 
--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -324,10 +324,13 @@
                   {"leadership", this->number},
                   {"lead_ms", this->parts.clock() - this->since},
                   {"token", request.fencingToken}});
-    this->seekDuty(action.group);
+    const auto underDuty = this->isUnderDuty(action.group);
+    if (underDuty) {
+        this->seekDuty(action.group);
+    }
     this->parts.groupOperator->promote(this->addressOf(action.group, action.member, action.endpoint),
                                        request,
-                                       this->authorityOver(action.group, this->dutyAuthority),
+                                       this->authorityOver(action.group, underDuty ? this->dutyAuthority : this->leadAuthority),
                                        this->answerTo(promotion::Order::Promote, action.group, action.request.term, action.member));
 }
 
@@ -358,7 +361,9 @@
     this->withdrawOrders(action.command.group);
     this->propose(action.command, action.command.group);
     // Asked for along with the choice, the grant holds up no promotion.
-    this->seekDuty(action.command.group);
+    if (this->isUnderDuty(action.command.group)) {
+        this->seekDuty(action.command.group);
+    }
 }
 
 auto Leadership::carryOut(const promotion::AwaitDuty &action) -> void
@@ -366,6 +371,12 @@
     this->seekDuty(action.group);
 }
 
+auto Leadership::isUnderDuty(const GroupId &group) const -> bool
+{
+    const auto *const record = this->parts.state.findGroup(group);
+    return record != nullptr && record->selfReplicating;
+}
+
 auto Leadership::noteDuty(TimePoint now) -> void
 {
     noteGrant(this->parts, this->duty);
--- a/lib/Controller/leadership.h
+++ b/lib/Controller/leadership.h
@@ -62,6 +62,8 @@
     auto carryOut(const promotion::ProposeTerm &action) -> void;
     auto carryOut(const promotion::ProposePrimary &action) -> void;
     auto carryOut(const promotion::AwaitDuty &action) -> void;
+    /// \return whether promotions of \p group are ordered under the promotion duty
+    [[nodiscard]] auto isUnderDuty(const GroupId &group) const -> bool;
     /// Tells the promoter whether orders may be given, and orders under way until when.
     auto noteDuty(TimePoint now) -> void;
     /// \return what an order to a member of \p group goes by, as a part of \p whole
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -278,7 +278,7 @@
         if (!this->isReleased(group, proxies, now) || this->awaitsRole(group, now)) {
             return {};
         }
-        if (!this->holdsDuty) {
+        if (group.selfReplicating && !this->holdsDuty) {
             return {AwaitDuty{group.view.id}};
         }
         return this->tryOpen(primary->id, Order::Promote, this->term, now) ? Actions{promoteOf(group, *primary)} : Actions();
--- a/unittests/Promotion/selfreplicatingtest.cpp
+++ b/unittests/Promotion/selfreplicatingtest.cpp
@@ -285,6 +285,16 @@
     CHECK(find<SendPromote>(group.advance(start + 2ms)) != nullptr);
 }
 
+// Members that judge an order by its term must not wait for a duty that their promotion does not need.
+TEST_CASE("a promotion of members that tell their term needs no duty")
+{
+    auto group = Group(4);
+    group.record.selfReplicating = false;
+    group.lead("b");
+    group.promotion.setDuty(false);
+    CHECK(find<SendPromote>(group.advance(start + 1ms)) != nullptr);
+}
+
 // A new control leader must order what is missing of a promotion, and nothing of one that was carried out.
 TEST_CASE("a new control leader trusts the role that the primary it finds announces")
 {
