Orders to step down that have not left are withdrawn when a promotion is ordered

A group could lose its new primary right after the promotion: a member was told to step down again between the proposal of its choice and the commit, and that order, slow to connect, was not taken back. What is open is now kept by kind: steps down are withdrawn when the promotion is ordered, promotions and follows when a term is ended.

--- a/include/sapphirespool/State/commands.h
+++ b/include/sapphirespool/State/commands.h
@@ -75,7 +75,7 @@
     Incarnation incarnation;
 };
 
-/// Grants the right to order promotions to a control VM, for a time that its readers count.
+/// Grants the right to order promotions to a control VM. For how long: see controller::PromotionDuty.
 struct GrantDuty
 {
     VmId holder;
--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -308,7 +308,7 @@
 {
     this->parts.groupOperator->fence(this->addressOf(action.group, action.member, action.endpoint),
                                      action.request,
-                                     this->authorityOver(action.group, this->leadAuthority),
+                                     this->authorityOver(action.group, promotion::Order::Fence, this->leadAuthority),
                                      this->answerTo(promotion::Order::Fence, action.group, action.request.term, action.member));
 }
 
@@ -324,13 +324,15 @@
                   {"leadership", this->number},
                   {"lead_ms", this->parts.clock() - this->since},
                   {"token", request.fencingToken}});
+    // A member that is told to step down after this may be the new primary.
+    this->withdraw(action.group, promotion::Order::Fence);
     const auto underDuty = this->isUnderDuty(action.group);
     if (underDuty) {
         this->seekDuty(action.group);
     }
     this->parts.groupOperator->promote(this->addressOf(action.group, action.member, action.endpoint),
                                        request,
-                                       this->authorityOver(action.group, underDuty ? this->dutyAuthority : this->leadAuthority),
+                                       this->authorityOver(action.group, promotion::Order::Promote, underDuty ? this->dutyAuthority : this->leadAuthority),
                                        this->answerTo(promotion::Order::Promote, action.group, action.request.term, action.member));
 }
 
@@ -338,7 +340,7 @@
 {
     this->parts.groupOperator->follow(this->addressOf(action.group, action.member, action.endpoint),
                                       action.request,
-                                      this->authorityOver(action.group, this->leadAuthority),
+                                      this->authorityOver(action.group, promotion::Order::Follow, this->leadAuthority),
                                       this->answerTo(promotion::Order::Follow, action.group, action.request.term, action.member));
 }
 
@@ -346,7 +348,8 @@
 {
     support::log(support::Event::TermEnded,
                  {{"group", action.command.group.value()}, {"term", action.command.next.value()}, {"reason", promotion::name(action.reason)}});
-    this->withdrawOrders(action.command.group);
+    this->withdraw(action.command.group, promotion::Order::Promote);
+    this->withdraw(action.command.group, promotion::Order::Follow);
     this->propose(action.command, action.command.group);
 }
 
@@ -357,8 +360,6 @@
                   {"term", action.command.term.value()},
                   {"upstream", action.command.primary.value()},
                   {"position", action.command.keptUpTo.value()}});
-    // A member that is told to step down only now could be the new primary.
-    this->withdrawOrders(action.command.group);
     this->propose(action.command, action.command.group);
     // Asked for along with the choice, the grant holds up no promotion.
     if (this->isUnderDuty(action.command.group)) {
@@ -386,22 +387,25 @@
     this->dutyAuthority->setEnd(std::min(leaseEnd, this->duty.heldUntil(this->number)));
 }
 
-auto Leadership::authorityOver(const GroupId &group, const platform::Authority &whole) -> platform::Authority
+auto Leadership::authorityOver(const GroupId &group, promotion::Order order, const platform::Authority &parent) -> platform::Authority
 {
-    auto &open = this->openOrders[group];
+    auto &open = this->openOrders[{group, order}];
     // Those that nobody else keeps have been answered.
     std::erase_if(open, [](const auto &authority) {
         return authority.use_count() == 1;
     });
-    return open.emplace_back(std::make_shared<RevocableAuthority>(whole));
+    return open.emplace_back(std::make_shared<RevocableAuthority>(parent));
 }
 
-auto Leadership::withdrawOrders(const GroupId &group) -> void
+auto Leadership::withdraw(const GroupId &group, promotion::Order order) -> void
 {
-    for (const auto &authority : this->openOrders[group]) {
+    const auto open = this->openOrders.extract({group, order});
+    if (!open) {
+        return;
+    }
+    for (const auto &authority : open.mapped()) {
         authority->revoke();
     }
-    this->openOrders.erase(group);
 }
 
 auto Leadership::seekDuty(const GroupId &group) -> void
--- a/lib/Controller/leadership.h
+++ b/lib/Controller/leadership.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sapphirespool::controller
@@ -66,10 +67,10 @@
     [[nodiscard]] auto isUnderDuty(const GroupId &group) const -> bool;
     /// Tells the promoter whether orders may be given, and orders under way until when.
     auto noteDuty(TimePoint now) -> void;
-    /// \return what an order to a member of \p group goes by, as a part of \p whole
-    auto authorityOver(const GroupId &group, const platform::Authority &whole) -> platform::Authority;
-    /// Takes back the orders to members of \p group that have not left yet.
-    auto withdrawOrders(const GroupId &group) -> void;
+    /// \return the authority of one order to a member of \p group, which ends with \p parent
+    auto authorityOver(const GroupId &group, promotion::Order order, const platform::Authority &parent) -> platform::Authority;
+    /// Takes back the orders of one kind to members of \p group that have not left yet.
+    auto withdraw(const GroupId &group, promotion::Order order) -> void;
     /// Has the duty granted to this VM, or renewed, once that may be.
     auto seekDuty(const GroupId &group) -> void;
     [[nodiscard]] auto addressOf(const GroupId &group, const UpstreamId &member, const Endpoint &endpoint) const -> platform::MemberAddress;
@@ -98,7 +99,7 @@
     /// Of the lead, and of the promotion duty under it.
     std::shared_ptr<ExpiringAuthority> leadAuthority;
     std::shared_ptr<ExpiringAuthority> dutyAuthority;
-    std::map<GroupId, std::vector<std::shared_ptr<RevocableAuthority>>> openOrders;
+    std::map<std::pair<GroupId, promotion::Order>, std::vector<std::shared_ptr<RevocableAuthority>>> openOrders;
 };
 
 } // namespace sapphirespool::controller
--- a/lib/Controller/orderauthority.cpp
+++ b/lib/Controller/orderauthority.cpp
@@ -20,8 +20,8 @@
     return this->clock() < this->end.load();
 }
 
-RevocableAuthority::RevocableAuthority(platform::Authority whole)
-    : whole(std::move(whole))
+RevocableAuthority::RevocableAuthority(platform::Authority parent)
+    : parent(std::move(parent))
 {
 }
 
@@ -32,7 +32,7 @@
 
 auto RevocableAuthority::holds() const -> bool
 {
-    return !this->revoked.load() && this->whole->holds();
+    return !this->revoked.load() && this->parent->holds();
 }
 
 } // namespace sapphirespool::controller
--- a/lib/Controller/orderauthority.h
+++ b/lib/Controller/orderauthority.h
@@ -30,13 +30,13 @@
 class RevocableAuthority : public platform::OrderAuthority
 {
 public:
-    explicit RevocableAuthority(platform::Authority whole);
+    explicit RevocableAuthority(platform::Authority parent);
 
     auto revoke() -> void;
     [[nodiscard]] auto holds() const -> bool override;
 
 private:
-    platform::Authority whole;
+    platform::Authority parent;
     std::atomic<bool> revoked = false;
 };
 
