--- a/lib/Controller/leadership.h
+++ b/lib/Controller/leadership.h
@@ -15,8 +15,6 @@
 #include <memory>
 #include <set>
 #include <string>
-#include <utility>
-#include <vector>
 
 namespace sapphirespool::controller
 {
@@ -40,6 +38,7 @@
     [[nodiscard]] auto status() const -> membership::ClusterStatus;
 
 private:
+    // leadership.cpp
     auto noteProxies(TimePoint now) -> void;
     auto grant() const -> control::LeaseGrant;
     auto registerVm(const control::VmHeartbeat &heartbeat) -> void;
@@ -56,6 +55,11 @@
     /// Looks from this VM at a primary that another one suspects.
     auto look(const membership::Suspicion &suspicion) -> void;
     auto handle(const promotion::Event &event) -> void;
+    auto propose(const state::Command &command, const GroupId &group) -> void;
+    /// \return whether a registration under \p name may be proposed now; repeated ones wait for proposalLife
+    auto tryRegister(const std::string &name) -> bool;
+
+    // leadershiporders.cpp
     auto carryOut(const promotion::Actions &actions) -> void;
     auto carryOut(const promotion::SendFence &action) -> void;
     auto carryOut(const promotion::SendPromote &action) -> void;
@@ -67,18 +71,11 @@
     [[nodiscard]] auto isUnderDuty(const GroupId &group) const -> bool;
     /// Tells the promoter whether orders may be given, and orders under way until when.
     auto noteDuty(TimePoint now) -> void;
-    /// \return the authority of one order to a member of \p group, which ends with \p parent
-    auto authorityOver(const GroupId &group, promotion::Order order, const platform::Authority &parent) -> platform::Authority;
-    /// Takes back the orders of one kind to members of \p group that have not left yet.
-    auto withdraw(const GroupId &group, promotion::Order order) -> void;
     /// Has the duty granted to this VM, or renewed, once that may be.
     auto seekDuty(const GroupId &group) -> void;
     [[nodiscard]] auto addressOf(const GroupId &group, const UpstreamId &member, const Endpoint &endpoint) const -> platform::MemberAddress;
     /// \return a callback that brings the report to the control thread
     auto answerTo(promotion::Order order, const GroupId &group, std::uint64_t term, const UpstreamId &member) -> platform::ReportCallback;
-    auto propose(const state::Command &command, const GroupId &group) -> void;
-    /// \return whether a registration under \p name may be proposed now; repeated ones wait for proposalLife
-    auto tryRegister(const std::string &name) -> bool;
 
     const ControllerParts &parts;
     PromotionDuty &duty;
@@ -99,7 +96,7 @@
     /// Of the lead, and of the promotion duty under it.
     std::shared_ptr<ExpiringAuthority> leadAuthority;
     std::shared_ptr<ExpiringAuthority> dutyAuthority;
-    std::map<std::pair<GroupId, promotion::Order>, std::vector<std::shared_ptr<RevocableAuthority>>> openOrders;
+    OpenOrders openOrders;
 };
 
 } // namespace sapphirespool::controller
--- /dev/null
+++ b/lib/Controller/leadershiporders.cpp
@@ -0,0 +1,171 @@
+#include "leadership.h"
+
+#include "sapphirespool/Support/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphirespool::controller
+{
+
+namespace
+{
+
+/// Terms of one group that fit below the number of a leadership in a token: at five promotions a day more than a century's.
+constexpr auto termBits = 20U;
+
+/// \return a number for an order to promote
+///
+/// An order whose answer was lost may be carried out seconds later, after orders of the next control leader. The receiver drops an
+/// order below the highest that it has seen: so each order of a later leader must be higher, also one for the same term, and two
+/// leaders must never use the same number.
+auto fencingToken(std::uint64_t leadership, std::uint64_t term) -> std::uint64_t
+{
+    return (leadership << termBits) | (term & ((std::uint64_t{1} << termBits) - 1));
+}
+
+} // namespace
+
+auto noteGrant(const ControllerParts &parts, PromotionDuty &duty) -> void
+{
+    const auto &grant = parts.state.promotionDuty();
+    if (duty.note(grant, parts.clock())) {
+        support::log(support::Event::DutyGranted, {{"holder", grant.holder.value()}, {"leadership", grant.leadership}, {"grant", grant.number}});
+    }
+}
+
+auto Leadership::carryOut(const promotion::Actions &actions) -> void
+{
+    for (const auto &action : actions) {
+        std::visit(
+            [this](const auto &kind) {
+                this->carryOut(kind);
+            },
+            action);
+    }
+}
+
+auto Leadership::carryOut(const promotion::SendFence &action) -> void
+{
+    this->parts.groupOperator->fence(this->addressOf(action.group, action.member, action.endpoint),
+                                     action.request,
+                                     this->openOrders.add(action.group, promotion::Order::Fence, this->leadAuthority),
+                                     this->answerTo(promotion::Order::Fence, action.group, action.request.term, action.member));
+}
+
+auto Leadership::carryOut(const promotion::SendPromote &action) -> void
+{
+    auto request = action.request;
+    request.orderedBy = this->parts.vm;
+    request.fencingToken = fencingToken(this->number, action.request.term);
+    support::log(support::Event::PromotionOrdered,
+                 {{"group", action.group.value()},
+                  {"term", action.request.term},
+                  {"upstream", action.member.value()},
+                  {"leadership", this->number},
+                  {"lead_ms", this->parts.clock() - this->since},
+                  {"token", request.fencingToken}});
+    // A member that is told to step down after this may be the new primary.
+    this->openOrders.withdraw(action.group, promotion::Order::Fence);
+    const auto underDuty = this->isUnderDuty(action.group);
+    if (underDuty) {
+        this->seekDuty(action.group);
+    }
+    this->parts.groupOperator->promote(this->addressOf(action.group, action.member, action.endpoint),
+                                       request,
+                                       this->openOrders.add(action.group, promotion::Order::Promote, underDuty ? this->dutyAuthority : this->leadAuthority),
+                                       this->answerTo(promotion::Order::Promote, action.group, action.request.term, action.member));
+}
+
+auto Leadership::carryOut(const promotion::SendFollow &action) -> void
+{
+    this->parts.groupOperator->follow(this->addressOf(action.group, action.member, action.endpoint),
+                                      action.request,
+                                      this->openOrders.add(action.group, promotion::Order::Follow, this->leadAuthority),
+                                      this->answerTo(promotion::Order::Follow, action.group, action.request.term, action.member));
+}
+
+auto Leadership::carryOut(const promotion::ProposeTerm &action) -> void
+{
+    support::log(support::Event::TermEnded,
+                 {{"group", action.command.group.value()}, {"term", action.command.next.value()}, {"reason", promotion::name(action.reason)}});
+    this->openOrders.withdraw(action.command.group, promotion::Order::Promote);
+    this->openOrders.withdraw(action.command.group, promotion::Order::Follow);
+    this->propose(action.command, action.command.group);
+}
+
+auto Leadership::carryOut(const promotion::ProposePrimary &action) -> void
+{
+    support::log(support::Event::PrimaryChosen,
+                 {{"group", action.command.group.value()},
+                  {"term", action.command.term.value()},
+                  {"upstream", action.command.primary.value()},
+                  {"position", action.command.keptUpTo.value()}});
+    this->propose(action.command, action.command.group);
+    // Asked for along with the choice, the grant holds up no promotion.
+    if (this->isUnderDuty(action.command.group)) {
+        this->seekDuty(action.command.group);
+    }
+}
+
+auto Leadership::carryOut(const promotion::AwaitDuty &action) -> void
+{
+    this->seekDuty(action.group);
+}
+
+auto Leadership::isUnderDuty(const GroupId &group) const -> bool
+{
+    const auto *const record = this->parts.state.findGroup(group);
+    return record != nullptr && record->selfReplicating;
+}
+
+auto Leadership::noteDuty(TimePoint now) -> void
+{
+    noteGrant(this->parts, this->duty);
+    this->promoter.setDuty(this->duty.isHeld(this->number, now));
+    const auto leaseEnd = this->parts.log.leaderLeaseEnd();
+    this->leadAuthority->setEnd(leaseEnd);
+    this->dutyAuthority->setEnd(std::min(leaseEnd, this->duty.heldUntil(this->number)));
+}
+
+auto Leadership::seekDuty(const GroupId &group) -> void
+{
+    const auto now = this->parts.clock();
+    if (!this->duty.isWanted(this->number, now)) {
+        return;
+    }
+    const auto &present = this->duty.grant();
+    const auto silence = this->parts.log.silence(present.holder);
+    if (this->duty.mayTake(silence, now)) {
+        this->duty.proposed(now);
+        this->propose(state::GrantDuty{this->parts.vm, this->number, present.number}, group);
+    } else if (std::exchange(this->awaited, present.number) != present.number) {
+        support::log(support::Event::DutyAwaited,
+                     {{"group", group.value()},
+                      {"holder", present.holder.value()},
+                      {"leadership", present.leadership},
+                      {"grant_age_ms", this->duty.age(now)},
+                      {"holder_silent_ms", silence}});
+    }
+}
+
+auto Leadership::addressOf(const GroupId &group, const UpstreamId &member, const Endpoint &endpoint) const -> platform::MemberAddress
+{
+    const auto *const record = this->parts.state.findGroup(group);
+    const auto *const known = record == nullptr ? nullptr : record->view.findMember(member);
+    return {group, member, endpoint, known == nullptr ? Incarnation() : known->incarnation};
+}
+
+auto Leadership::answerTo(promotion::Order order, const GroupId &group, std::uint64_t term, const UpstreamId &member) -> platform::ReportCallback
+{
+    return [weak = this->weak_from_this(), post = this->parts.post, order, group, term, member](std::optional<platform::PositionReport> report) {
+        const auto answer = promotion::OrderAnswered{order, group, Term(term), member, std::move(report)};
+        post([weak, answer] {
+            if (const auto self = weak.lock()) {
+                self->handle(answer);
+            }
+        });
+    };
+}
+
+} // namespace sapphirespool::controller
--- a/lib/Controller/orderauthority.cpp
+++ b/lib/Controller/orderauthority.cpp
@@ -35,4 +35,25 @@
     return !this->revoked.load() && this->parent->holds();
 }
 
+auto OpenOrders::add(const GroupId &group, promotion::Order order, const platform::Authority &parent) -> platform::Authority
+{
+    auto &open = this->orders[{group, order}];
+    // Those that nobody else keeps have been answered.
+    std::erase_if(open, [](const auto &authority) {
+        return authority.use_count() == 1;
+    });
+    return open.emplace_back(std::make_shared<RevocableAuthority>(parent));
+}
+
+auto OpenOrders::withdraw(const GroupId &group, promotion::Order order) -> void
+{
+    const auto open = this->orders.extract({group, order});
+    if (!open) {
+        return;
+    }
+    for (const auto &authority : open.mapped()) {
+        authority->revoke();
+    }
+}
+
 } // namespace sapphirespool::controller
--- a/lib/Controller/orderauthority.h
+++ b/lib/Controller/orderauthority.h
@@ -2,11 +2,15 @@
 #pragma once
 
 #include "sapphirespool/Platform/groupoperator.h"
+#include "sapphirespool/Promotion/messages.h"
 #include "sapphirespool/Support/types.h"
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
+#include <utility>
+#include <vector>
 
 namespace sapphirespool::controller
 {
@@ -40,4 +44,18 @@
     std::atomic<bool> revoked = false;
 };
 
+/// Orders of one leadership that may not have left yet.
+class OpenOrders
+{
+public:
+    /// \return the authority of one more order to a member of \p group; it ends with \p parent
+    auto add(const GroupId &group, promotion::Order order, const platform::Authority &parent) -> platform::Authority;
+
+    /// Takes back the orders of one kind to members of \p group.
+    auto withdraw(const GroupId &group, promotion::Order order) -> void;
+
+private:
+    std::map<std::pair<GroupId, promotion::Order>, std::vector<std::shared_ptr<RevocableAuthority>>> orders;
+};
+
 } // namespace sapphirespool::controller
