--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -59,6 +59,7 @@
         TimePoint sent;
     };
 
+    // grouppromotion.cpp
     auto enterTerm(const state::GroupRecord &group, Revision current, TimePoint now) -> void;
     auto elect(const state::GroupRecord &group, TimePoint now) -> Actions;
     auto adopt(const state::GroupRecord &group, TimePoint now) -> Actions;
@@ -67,14 +68,19 @@
     auto lead(const state::GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions;
     auto orderMembers(const state::GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions;
     auto endTerm(const state::GroupRecord &group, TermEnd reason, TimePoint now) -> Actions;
+    [[nodiscard]] auto mayImprove(const state::GroupRecord &group, const Choice &choice, TimePoint now) const -> bool;
+    /// Has the members asked again that lack what another one reported.
+    auto askLaggingAgain(const state::GroupRecord &group) -> void;
+    /// \param retry time after which the same order may be sent again
+    /// \return whether \p order may be sent to \p member now; notes that it is
+    auto tryOpen(const UpstreamId &member, Order order, Term term, TimePoint now, Duration retry = orderRetry) -> bool;
+    auto tryPropose(TimePoint now) -> bool;
 
+    // groupstanding.cpp
     [[nodiscard]] auto reasonToEnd(const state::GroupRecord &group, std::size_t proxyZones, TimePoint now) const -> std::optional<TermEnd>;
     [[nodiscard]] auto isSilent(const state::GroupRecord &group, TimePoint now) const -> bool;
-    [[nodiscard]] auto mayImprove(const state::GroupRecord &group, const Choice &choice, TimePoint now) const -> bool;
     /// \return whether a member that is not to be primary reported more than \p choice has
     [[nodiscard]] auto isBehind(const platform::PositionReport &choice) const -> bool;
-    /// Has the members asked again that lack what another one reported.
-    auto askLaggingAgain(const state::GroupRecord &group) -> void;
     [[nodiscard]] auto isLeaving(const state::GroupRecord &group, const UpstreamId &member) const -> bool;
     [[nodiscard]] auto hasSuccessor(const state::GroupRecord &group, TimePoint now) const -> bool;
     [[nodiscard]] auto isSuspected(std::size_t proxyZones, TimePoint now) const -> bool;
@@ -90,11 +96,6 @@
     [[nodiscard]] auto isFollowing(const UpstreamId &member, Term term) const -> bool;
     [[nodiscard]] auto membersToAvoid(const state::GroupRecord &group) const -> std::set<UpstreamId>;
 
-    /// \param retry time after which the same order may be sent again
-    /// \return whether \p order may be sent to \p member now; notes that it is
-    auto tryOpen(const UpstreamId &member, Order order, Term term, TimePoint now, Duration retry = orderRetry) -> bool;
-    auto tryPropose(TimePoint now) -> bool;
-
     TimePoint since;
     std::chrono::milliseconds silence;
     MemberTable members;
--- /dev/null
+++ b/lib/Promotion/groupstanding.cpp
@@ -0,0 +1,180 @@
+#include "sapphirespool/Promotion/grouppromotion.h"
+
+#include "sapphirespool/Promotion/timing.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace sapphirespool::promotion
+{
+
+using state::GroupRecord;
+
+auto GroupPromotion::isBehind(const platform::PositionReport &choice) const -> bool
+{
+    return std::any_of(this->fenced.begin(), this->fenced.end(), [&choice](const auto &member) {
+        const auto &report = member.second;
+        return std::tuple(report.lastTerm, report.position) > std::tuple(choice.lastTerm, choice.position);
+    });
+}
+
+auto GroupPromotion::isLeaving(const GroupRecord &group, const UpstreamId &member) const -> bool
+{
+    const auto *const state = this->members.find(member);
+    const auto *const known = group.view.findMember(member);
+    return (state != nullptr && state->leaving) || (known != nullptr && known->leaving);
+}
+
+auto GroupPromotion::hasSuccessor(const GroupRecord &group, TimePoint now) const -> bool
+{
+    return std::any_of(group.view.members.begin(), group.view.members.end(), [this, &group, now](const membership::UpstreamView &member) {
+        return member.id != group.view.primary && !this->isLeaving(group, member.id) && this->members.isLive(member.id, now);
+    });
+}
+
+auto GroupPromotion::reasonToEnd(const GroupRecord &group, std::size_t proxyZones, TimePoint now) const -> std::optional<TermEnd>
+{
+    const auto &primary = *group.view.primary;
+    // Without a quorum there is nobody to go on with: the end of the term would only stop what still runs.
+    if (this->liveCount(group, now) < group.quorum()) {
+        return std::nullopt;
+    }
+    if (this->incarnationOf(group, primary) != group.primaryIncarnation) {
+        return TermEnd::Restarted;
+    }
+    if (this->members.highestTerm() > group.view.term) {
+        return TermEnd::Overtaken;
+    }
+    if (this->isSilent(group, now)) {
+        return TermEnd::Silent;
+    }
+    if (this->isSuspected(proxyZones, now)) {
+        return TermEnd::Suspected;
+    }
+    if (this->isReadyForHandover(group, now)) {
+        return TermEnd::Leaving;
+    }
+    return std::nullopt;
+}
+
+auto GroupPromotion::isSilent(const GroupRecord &group, TimePoint now) const -> bool
+{
+    const auto &primary = *group.view.primary;
+    // A new control leader has heard nobody yet; it counts from its own beginning, or it would replace every primary.
+    const auto *const state = this->members.find(primary);
+    const auto heard = state != nullptr && state->heard ? std::max(*state->heard, this->since) : this->since;
+    const auto isSuspectedAtAll = this->suspected && now - *this->suspected < suspicionLife;
+    const auto limit = group.selfReplicating && !isSuspectedAtAll ? this->silence * unsuspectedSilence : this->silence;
+    return now - heard >= limit;
+}
+
+auto GroupPromotion::isSuspected(std::size_t proxyZones, TimePoint now) const -> bool
+{
+    const auto recent = std::count_if(this->suspicions.begin(), this->suspicions.end(), [now](const auto &suspicion) {
+        return now - suspicion.second < suspicionLife;
+    });
+    const auto needed = std::clamp(proxyZones, std::size_t{1}, suspectingZones);
+    return static_cast<std::size_t>(recent) >= needed;
+}
+
+auto GroupPromotion::isReleased(const GroupRecord &group, const ProxyStanding &proxies, TimePoint now) const -> bool
+{
+    // A proxy that is cut off together with the old primary still reads from it. A session that writes to the new primary by another
+    // proxy and then roams to this one without its token would not find its own write. So nobody is primary of the new term
+    // before each proxy with a live lease has confirmed a view in which the old term has ended. Whoever cannot confirm loses its lease:
+    // from the moment the term was seen, leases are granted for views of this term only.
+    //
+    // The upstreams of a self-replicating group keep that promise themselves: one that was replaced refuses writes and whatever must be
+    // current, also from proxies that know of no promotion, and the age of other reads is bounded by proofs. There is nothing to wait for.
+    const auto firstTerm = group.view.history.size() <= 1;
+    return firstTerm || group.selfReplicating || proxies.oldestServed >= this->termRevision || now - this->termSeen >= leaseLength;
+}
+
+auto GroupPromotion::isReadyForHandover(const GroupRecord &group, TimePoint now) const -> bool
+{
+    if (group.selfReplicating) {
+        // The members do not tell how far they are. The old primary says so when it steps down, and the choice waits for a replica
+        // that has it all.
+        return this->leavingSince && this->hasSuccessor(group, now);
+    }
+    const auto *const primary = this->members.find(*group.view.primary);
+    if (!this->leavingSince || primary == nullptr || !this->hasCaughtUp(group, *primary, now)) {
+        return false;
+    }
+    const auto quiet = now - std::max(primary->moved, *this->leavingSince) >= handoverQuiet;
+    return quiet || now - *this->leavingSince >= handoverDeadline;
+}
+
+auto GroupPromotion::hasCaughtUp(const GroupRecord &group, const MemberState &primary, TimePoint now) const -> bool
+{
+    const auto late = now - *this->leavingSince >= handoverDeadline;
+    return std::any_of(group.view.members.begin(), group.view.members.end(), [&](const membership::UpstreamView &member) {
+        const auto *const state = this->members.find(member.id);
+        const auto usable = member.id != *group.view.primary && state != nullptr && !state->leaving && this->members.isLive(member.id, now);
+        return usable && (late || (state->lastTerm == primary.lastTerm && state->position >= primary.position));
+    });
+}
+
+auto GroupPromotion::liveCount(const GroupRecord &group, TimePoint now) const -> std::size_t
+{
+    const auto live = std::count_if(group.view.members.begin(), group.view.members.end(), [this, now](const membership::UpstreamView &member) {
+        return this->members.isLive(member.id, now);
+    });
+    return static_cast<std::size_t>(live);
+}
+
+auto GroupPromotion::incarnationOf(const GroupRecord &group, const UpstreamId &member) const -> Incarnation
+{
+    if (const auto *const state = this->members.find(member)) {
+        return state->incarnation;
+    }
+    const auto *const known = group.view.findMember(member);
+    return known == nullptr ? Incarnation() : known->incarnation;
+}
+
+auto GroupPromotion::isFenced(const UpstreamId &member) const -> bool
+{
+    return this->fenced.contains(member);
+}
+
+auto GroupPromotion::isPrimary(const UpstreamId &member, Term inTerm, Incarnation incarnation) const -> bool
+{
+    const auto *const state = this->members.find(member);
+    if (state == nullptr || state->role != platform::Role::Primary || state->incarnation != incarnation) {
+        return false;
+    }
+    // A role without a term that is reported before any answer to an order of this leader is that of the term in which the leader found it.
+    return state->term == inTerm || (this->trustsRole && state->term == Term(0));
+}
+
+auto GroupPromotion::awaitsRole(const GroupRecord &group, TimePoint now) const -> bool
+{
+    // A new leader that took a primary for missing before its first announcement would order promotions of groups that are well. Members
+    // that know their term refuse such an order or repeat nothing; a platform carries it out.
+    const auto *const state = this->members.find(*group.view.primary);
+    const auto isReported = state != nullptr && state->heard;
+    return this->trustsRole && group.selfReplicating && !isReported && now - this->since < this->silence;
+}
+
+auto GroupPromotion::isFollowing(const UpstreamId &member, Term inTerm) const -> bool
+{
+    const auto *const state = this->members.find(member);
+    return state != nullptr && state->term == inTerm && state->role == platform::Role::Replica;
+}
+
+auto GroupPromotion::membersToAvoid(const GroupRecord &group) const -> std::set<UpstreamId>
+{
+    auto avoid = std::set<UpstreamId>();
+    if (this->suspect) {
+        avoid.insert(*this->suspect);
+    }
+    for (const auto &member : group.view.members) {
+        const auto *const state = this->members.find(member.id);
+        if (member.leaving || (state != nullptr && state->leaving)) {
+            avoid.insert(member.id);
+        }
+    }
+    return avoid;
+}
+
+} // namespace sapphirespool::promotion
