--- a/benchmarks/proxyalone.cpp
+++ b/benchmarks/proxyalone.cpp
@@ -61,6 +61,7 @@
 auto formGroup(asio::io_context &io, const Arguments &arguments) -> membership::GroupView
 {
     const auto caller = platform::makeHttpGroupOperator(io.get_executor());
+    const auto authority = platform::makeUnlimitedAuthority();
     auto group = membership::GroupView();
     group.id = groupName;
     group.term = Term(1);
@@ -68,11 +69,11 @@
     for (const auto &endpoint : arguments.members) {
         const auto report = finish(io, [&](platform::ReportCallback done) {
             if (!group.primary) {
-                caller->promote({group.id, {}, endpoint}, {1}, std::move(done));
+                caller->promote({group.id, {}, endpoint}, {1}, authority, std::move(done));
                 return;
             }
             const auto &primary = arguments.members.front();
-            caller->follow({group.id, {}, endpoint}, {1, group.primary->value(), primary.address, primary.port, 0}, std::move(done));
+            caller->follow({group.id, {}, endpoint}, {1, group.primary->value(), primary.address, primary.port, 0}, authority, std::move(done));
         });
         auto member = membership::UpstreamView();
         member.id = UpstreamId(report.id);
--- a/include/sapphirespool/Platform/groupoperator.h
+++ b/include/sapphirespool/Platform/groupoperator.h
@@ -39,6 +39,9 @@
 
 using Authority = std::shared_ptr<const OrderAuthority>;
 
+/// \return an authority that never ends, for programs beside which nobody else gives orders
+[[nodiscard]] auto makeUnlimitedAuthority() -> Authority;
+
 /// Calls members by their address. Each call may be repeated without harm. An order whose authority has ended is not sent and gets no report.
 class GroupOperator
 {
--- a/unittests/Control/proxylinktest.cpp
+++ b/unittests/Control/proxylinktest.cpp
@@ -35,9 +35,14 @@
         done(std::nullopt);
     }
 
-    [[nodiscard]] auto holdsLeaderLease(TimePoint) const -> bool override
+    [[nodiscard]] auto leaderLeaseEnd() const -> TimePoint override
     {
-        return this->leads;
+        return this->leads ? TimePoint::max() : TimePoint::min();
+    }
+
+    [[nodiscard]] auto silence(const VmId &) const -> Duration override
+    {
+        return {};
     }
 
     [[nodiscard]] auto leadershipNumber() const -> std::uint64_t override
--- a/unittests/Platform/platformtest.cpp
+++ b/unittests/Platform/platformtest.cpp
@@ -68,17 +68,7 @@
     return {GroupId("orders-1"), UpstreamId("a"), endpoint};
 }
 
-/// An authority that never ends.
-class Always : public OrderAuthority
-{
-public:
-    [[nodiscard]] auto holds() const -> bool override
-    {
-        return true;
-    }
-};
-
-const auto always = std::make_shared<Always>();
+const auto always = makeUnlimitedAuthority();
 
 } // namespace
 
