The specification of the promotion duty follows the code: a longer wait than the grant, and a pause for all VMs

spec/duty.pml: the holder counts TERM (2 ticks) from its first proposal of a grant's number, also where it proposes again under another leadership; all others wait WAITS (4 ticks) from when they saw the grant. Every VM that saw the duty pass from one holder to another leaves out the exception for a lost holder for WAITS ticks. A VM may learn of several grants at once and see only the last, as PromotionDuty::note does.

Properties, new: TERM ticks between the last order of one holder and the first of the next, unless the former was taken for lost and no living holder was; the duty passes on early, from a living holder, at most once in WAITS ticks, unless the VM that takes it skipped grants and saw no passing; a replaced holder that knew of its grant orders nothing for WAITS ticks (was TERM) unless it restarts. Kept: no two hold the duty while no living holder was taken for lost; a dead holder need not be waited for, unless a passing was just seen. Safeguards: REPLACED_PAUSE is now PASSED_ON_PAUSE; new are HANDOVER_WAIT (others wait only TERM) and PAUSE_OF_ALL (only the replaced holder pauses).

Found: without the exemption for skipped grants the property of the early passing fails with the code's rules. VM 0 proposes grant 1, the first one; VM 1 leads, takes VM 0 for lost, grant 2 is committed; VM 0 leads, learns of both grants at once, has seen no passing as it knew no holder before, and takes the duty back at once. VM 1, which then learns of grants 2 and 3 at once, sees its old holder and may do the same.

--- a/spec/duty.pml
+++ b/spec/duty.pml
@@ -3,29 +3,35 @@
  *
  * Consensus gives one leader at a time, each leadership with a higher number (spec/lease.pml). The leader moves at any moment, also while all VMs
  * live, and back. A leader proposes a grant {holder, leadership} with the number it expects; the state takes it where that number is the next one
- * and the leadership is not lower than that of the newest grant. Each VM learns of a committed grant later. The holder counts the term of the
- * grant from its first proposal under that number and leadership, all others from when they saw it.
+ * and the leadership is not lower than that of the newest grant. Each VM learns of a committed grant later, and may skip those in between. The
+ * holder counts TERM ticks from its first proposal of that number, all others wait WAITS ticks from when they saw the grant.
  *
- * A leader proposes where it knows of no grant, holds the newest one, saw it a term ago, or takes the holder for lost. The latter is left to chance:
- * a living holder may seem lost. It is not open to a VM that was itself replaced as the holder within the last term. A restarted VM knows neither
- * times nor proposals of its former process.
+ * A leader proposes where it knows of no grant, holds the newest one, saw it WAITS ticks ago, or takes the holder for lost. The latter is left to
+ * chance: a living holder may seem lost. It is not open to a VM that saw the duty pass from one holder to another within the last WAITS ticks. A
+ * restarted VM knows neither times nor proposals of its former process.
  *
- * Time is a clock of ticks at which all VMs count; a term is TERM of them. What is older counts as TERM.
+ * Time is a clock of ticks at which all VMs count. An age is not counted further than the longest time that it is compared with.
  *
- * Bounds: 3 VMs, 3 leaderships, 3 grants, 1 crash, terms of 3 ticks.
- * Left out: clocks that drift; a second proposal of the same VM on its way under another number or leadership, which replaces the first one here.
+ * Bounds: 3 VMs, 3 leaderships, 3 grants, 1 crash, TERM of 2 ticks, WAITS of 4.
+ * Left out: clocks that drift; a second proposal of the same VM on its way under another leadership, which replaces the first one here but keeps
+ * its time; proposals that the state would refuse when they are made.
  *
  * Properties:
  * - While no living holder was taken for lost, no two VMs hold the duty at once, even where a former leader does not know that it was replaced.
  *   Once one was, only consensus keeps them apart: who orders leads.
- * - A holder that another VM replaced orders nothing for a term, even where the other one seems lost to it, unless it restarts meanwhile.
- * - Where the holder is dead, a leader that knows the newest grant and was not just replaced may propose at once.
+ * - While no living holder was taken for lost, TERM ticks pass between the last order of one holder and the first one of the next, unless that one
+ *   took the former for lost.
+ * - The duty passes on early, from a living holder, at most once in WAITS ticks, unless the VM that takes it skipped grants and saw no passing:
+ *   where it knew none, as after a restart, or where the last one names the same holder as the one that it knew.
+ * - A holder that knew of its grant and was replaced orders nothing for WAITS ticks from the other VM's grant, unless it restarts meanwhile.
+ * - Where the holder is dead, a leader that knows the newest grant and saw no passing within WAITS ticks may propose at once.
  *
- * safeguards: PROPOSAL_TIME GRANT_NUMBER WAIT REPLACED_PAUSE LEADERSHIP FIRST_PROPOSAL OWN_PROCESS DEAD_HOLDER
+ * safeguards: PROPOSAL_TIME GRANT_NUMBER WAIT HANDOVER_WAIT PASSED_ON_PAUSE PAUSE_OF_ALL LEADERSHIP FIRST_PROPOSAL OWN_PROCESS DEAD_HOLDER
  */
 
 #define VMS 3
-#define TERM 3
+#define TERM 2
+#define WAITS 4
 #define LEADERSHIPS 3
 #define GRANTS 3
 #define CRASHES 1
@@ -54,11 +60,17 @@
 /* The same of the newest grant that the VM knows, if it is the holder by a proposal of this process. */
 byte sinceHeld[VMS];
 byte sinceSeen[VMS];
-byte sinceReplaced[VMS];
+/* The VM saw the duty pass from one holder to another. */
+byte sincePassedOn[VMS];
 
-/* For the properties: a living holder was taken for lost; since when another VM holds what the VM held. */
+/* For the properties: a living holder was taken for lost; the VM skipped grants by which the duty may have passed on; the holder was taken for lost
+ * by the proposal; since when the duty last passed on so; since when another VM holds what the VM held; since its last order. */
 bool misjudged = false;
+bool hasSkipped[VMS];
+bool isEarly[VMS];
+byte sinceEarly = WAITS;
 byte sinceTaken[VMS];
+byte sinceOrder[VMS];
 
 #define knownHolder(vm) holder[known[vm]]
 
@@ -75,15 +87,21 @@
 /* Also where it was committed and not learned yet. */
 #define hasPending(vm) (own[vm] && proposedNumber[vm] == known[vm] + 1 && proposedLeadership[vm] == leadership)
 
-#define isDue(vm) (known[vm] == 0 || knownHolder(vm) == vm || sinceSeen[vm] >= TERM)
+#ifdef WITHOUT_HANDOVER_WAIT
+#define HANDOVER TERM
+#else
+#define HANDOVER WAITS
+#endif
 
-#ifdef WITHOUT_REPLACED_PAUSE
+#define isDue(vm) (known[vm] == 0 || knownHolder(vm) == vm || sinceSeen[vm] >= HANDOVER)
+
+#ifdef WITHOUT_PASSED_ON_PAUSE
 #define mayTakeForLost(vm) (true)
 #else
 #ifdef WITHOUT_DEAD_HOLDER
 #define mayTakeForLost(vm) (false)
 #else
-#define mayTakeForLost(vm) (sinceReplaced[vm] >= TERM)
+#define mayTakeForLost(vm) (sincePassedOn[vm] >= WAITS)
 #endif
 #endif
 
@@ -108,11 +126,31 @@
 
 inline propose(vm)
 {
+    if
+#ifndef WITHOUT_FIRST_PROPOSAL
+    :: own[vm] && proposedNumber[vm] == known[vm] + 1 -> skip
+#endif
+    :: else -> sinceProposal[vm] = 0
+    fi;
     own[vm] = true;
     onItsWay[vm] = true;
+    isEarly[vm] = false;
     proposedNumber[vm] = known[vm] + 1;
-    proposedLeadership[vm] = leadership;
-    sinceProposal[vm] = 0
+    proposedLeadership[vm] = leadership
+}
+
+/* Takes the holder for lost. */
+inline proposeEarly(vm)
+{
+    propose(vm);
+    isEarly[vm] = true;
+    if
+    :: dead[knownHolder(vm)] -> skip
+    :: else ->
+        assert(hasSkipped[vm] || sinceEarly >= WAITS);
+        misjudged = true;
+        sinceOrder[0] = TERM; sinceOrder[1] = TERM; sinceOrder[2] = TERM
+    fi
 }
 
 inline forgetProposal(vm)
@@ -128,11 +166,19 @@
 inline refuse(vm)
 {
     if
-    :: onItsWay[vm] && !isAccepted(vm) -> onItsWay[vm] = false; forgetProposal(vm)
+    :: onItsWay[vm] && !isAccepted(vm) -> onItsWay[vm] = false; isEarly[vm] = false; forgetProposal(vm)
     :: else -> skip
     fi
 }
 
+/* Fewer states: nobody proposes after the last grant. */
+inline settle(vm)
+{
+    sinceSeen[vm] = WAITS;
+    sincePassedOn[vm] = WAITS;
+    hasSkipped[vm] = false
+}
+
 inline commit(vm)
 {
     d_step {
@@ -140,6 +186,11 @@
         :: newest > 0 && holder[newest] != vm && known[holder[newest]] == newest -> sinceTaken[holder[newest]] = 0
         :: else -> skip
         fi;
+        if
+        :: isEarly[vm] -> sinceEarly = 0; sinceOrder[holder[newest]] = TERM
+        :: else -> skip
+        fi;
+        isEarly[vm] = false;
         newest++;
         holder[newest] = vm;
         grantLeadership[newest] = proposedLeadership[vm];
@@ -153,20 +204,32 @@
         fi;
         refuse(0);
         refuse(1);
-        refuse(2)
+        refuse(2);
+        if
+        :: newest == GRANTS -> settle(0); settle(1); settle(2); sinceEarly = WAITS
+        :: else -> skip
+        fi
     }
 }
 
-/* Entry by entry, or by a snapshot. */
+/* Entry by entry, or several at once. */
 inline learn(vm, number)
 {
     d_step {
         if
-        :: known[vm] > 0 && knownHolder(vm) == vm && holder[number] != vm -> sinceReplaced[vm] = 0
+#ifdef WITHOUT_PAUSE_OF_ALL
+        :: known[vm] > 0 && knownHolder(vm) == vm && holder[number] != vm -> sincePassedOn[vm] = 0
+#else
+        :: known[vm] > 0 && knownHolder(vm) != holder[number] -> sincePassedOn[vm] = 0
+#endif
         :: else -> skip
         fi;
+        if
+        :: known[vm] > 0 && knownHolder(vm) != holder[number] -> hasSkipped[vm] = false
+        :: else -> hasSkipped[vm] = hasSkipped[vm] || number > known[vm] + 1
+        fi;
         known[vm] = number;
-        sinceSeen[vm] = (knownHolder(vm) == vm -> TERM : 0);
+        sinceSeen[vm] = (knownHolder(vm) == vm -> WAITS : 0);
         sinceHeld[vm] = TERM;
         if
         :: own[vm] && knownHolder(vm) == vm && proposedNumber[vm] == known[vm] && proposedLeadership[vm] == grantLeadership[known[vm]] ->
@@ -184,10 +247,24 @@
         :: own[vm] && !onItsWay[vm] && proposedNumber[vm] <= known[vm] -> forgetProposal(vm)
         :: else -> skip
         fi;
+        if
+        :: newest == GRANTS -> settle(vm)
+        :: else -> skip
+        fi;
         assert(misjudged || hasGrant(0) + hasGrant(1) + hasGrant(2) <= 1)
     }
 }
 
+inline order(vm)
+{
+    d_step {
+        assert(sinceTaken[vm] >= WAITS);
+        sinceOrder[vm] = TERM;
+        assert(sinceOrder[0] >= TERM && sinceOrder[1] >= TERM && sinceOrder[2] >= TERM);
+        sinceOrder[vm] = (misjudged -> TERM : 0)
+    }
+}
+
 inline lead(vm)
 {
     d_step {
@@ -202,9 +279,10 @@
     forgetProposal(vm);
     known[vm] = 0;
     sinceHeld[vm] = TERM;
-    sinceSeen[vm] = TERM;
-    sinceReplaced[vm] = TERM;
-    sinceTaken[vm] = TERM
+    sinceSeen[vm] = WAITS;
+    sincePassedOn[vm] = WAITS;
+    sinceTaken[vm] = WAITS;
+    hasSkipped[vm] = false
 }
 
 inline crash(vm)
@@ -217,19 +295,20 @@
     }
 }
 
-#define count(age) age = (age < TERM -> age + 1 : TERM)
+#define count(age, most) age = (age < most -> age + 1 : most)
 
 /* The holder is dead, and the leader is one that need not pause. */
-#define isLeft(vm) (leader == vm && known[vm] > 0 && known[vm] == newest && dead[knownHolder(vm)] && sinceReplaced[vm] >= TERM)
+#define isLeft(vm) (leader == vm && known[vm] > 0 && known[vm] == newest && dead[knownHolder(vm)] && sincePassedOn[vm] >= WAITS)
 
 inline tickOf(vm)
 {
     assert(!isLeft(vm) || isPermitted(vm) || mayTakeForLost(vm));
-    count(sinceProposal[vm]);
-    count(sinceSeen[vm]);
-    count(sinceReplaced[vm]);
-    count(sinceHeld[vm]);
-    count(sinceTaken[vm])
+    count(sinceProposal[vm], TERM);
+    count(sinceHeld[vm], TERM);
+    count(sinceOrder[vm], TERM);
+    count(sinceSeen[vm], WAITS);
+    count(sincePassedOn[vm], WAITS);
+    count(sinceTaken[vm], WAITS)
 }
 
 #ifdef WITHOUT_FIRST_PROPOSAL
@@ -241,12 +320,12 @@
 #define VM_STEPS(vm) \
     :: leadership < LEADERSHIPS && !dead[vm] && leader != vm && (vm != 2 || hasLed) -> lead(vm) \
     :: mayPropose(vm) && isPermitted(vm) -> d_step { propose(vm) } \
-    :: mayPropose(vm) && !isPermitted(vm) && mayTakeForLost(vm) -> d_step { misjudged = misjudged || !dead[knownHolder(vm)]; propose(vm) } \
+    :: mayPropose(vm) && !isPermitted(vm) && mayTakeForLost(vm) -> d_step { proposeEarly(vm) } \
     RETRY(vm) \
     :: onItsWay[vm] && isAccepted(vm) -> commit(vm) \
     :: !dead[vm] && known[vm] < newest -> learn(vm, known[vm] + 1) \
-    :: !dead[vm] && known[vm] == 0 && newest > 1 -> learn(vm, newest) \
-    :: mayOrder(vm) -> assert(sinceTaken[vm] >= TERM) \
+    :: !dead[vm] && known[vm] + 1 < newest -> learn(vm, newest) \
+    :: mayOrder(vm) -> order(vm) \
     :: crashes < CRASHES && !dead[vm] -> crash(vm) \
     :: dead[vm] -> dead[vm] = false
 
@@ -256,15 +335,16 @@
         holder[0] = NOBODY;
         sinceProposal[0] = TERM; sinceProposal[1] = TERM; sinceProposal[2] = TERM;
         sinceHeld[0] = TERM; sinceHeld[1] = TERM; sinceHeld[2] = TERM;
-        sinceSeen[0] = TERM; sinceSeen[1] = TERM; sinceSeen[2] = TERM;
-        sinceReplaced[0] = TERM; sinceReplaced[1] = TERM; sinceReplaced[2] = TERM;
-        sinceTaken[0] = TERM; sinceTaken[1] = TERM; sinceTaken[2] = TERM
+        sinceSeen[0] = WAITS; sinceSeen[1] = WAITS; sinceSeen[2] = WAITS;
+        sincePassedOn[0] = WAITS; sincePassedOn[1] = WAITS; sincePassedOn[2] = WAITS;
+        sinceTaken[0] = WAITS; sinceTaken[1] = WAITS; sinceTaken[2] = WAITS;
+        sinceOrder[0] = TERM; sinceOrder[1] = TERM; sinceOrder[2] = TERM
     }
 end:
     do
     VM_STEPS(0)
     VM_STEPS(1)
     VM_STEPS(2)
-    :: d_step { tickOf(0); tickOf(1); tickOf(2) }
+    :: d_step { tickOf(0); tickOf(1); tickOf(2); count(sinceEarly, WAITS) }
     od
 }
