Grants that a VM has not seen may have passed the duty on

Between control VMs that hear each other badly the duty could still pass on early more than once in a handover: a VM that learns of several grants at a time, or that restarts, compared the newest holder with the one it knew, or with none, and did not see that the duty had just passed on.

A gap in the numbers of the grants now counts as such a change. Found by the model of the duty, whose counterexample of six steps needs no restart; with the gap counted the model holds without an exemption (3,372,195 states), and without it gives a counterexample. The test 'grants that a VM has not seen may have passed the duty on' failed before.

--- a/lib/Controller/promotionduty.cpp
+++ b/lib/Controller/promotionduty.cpp
@@ -15,12 +15,13 @@
     if (grant.number == this->newest.number) {
         return false;
     }
-    const auto former = std::exchange(this->newest, grant).holder;
+    const auto former = std::exchange(this->newest, grant);
     this->seen = now;
     const auto isOwn = grant.holder == this->self && this->proposal && this->proposal->number == grant.number;
     this->began = isOwn ? std::optional(this->proposal->first) : std::nullopt;
-    const auto isOther = former != grant.holder;
-    if (isOther && former != VmId()) {
+    const auto isOther = former.holder != grant.holder;
+    // By grants that were not seen here, as those before a restart, the duty may have passed on too.
+    if ((isOther && former.number != 0) || grant.number > former.number + 1) {
         this->passedOn = now;
     }
     return isOther;
--- a/spec/duty.pml
+++ b/spec/duty.pml
@@ -21,12 +21,11 @@
  *   Once one was, only consensus keeps them apart: who orders leads.
  * - While no living holder was taken for lost, TERM ticks pass between the last order of one holder and the first one of the next, unless that one
  *   took the former for lost.
- * - The duty passes on early, from a living holder, at most once in WAITS ticks, unless the VM that takes it skipped grants and saw no passing:
- *   where it knew none, as after a restart, or where the last one names the same holder as the one that it knew.
+ * - The duty passes on early, from a living holder, at most once in WAITS ticks.
  * - A holder that knew of its grant and was replaced orders nothing for WAITS ticks from the other VM's grant, unless it restarts meanwhile.
  * - Where the holder is dead, a leader that knows the newest grant and saw no passing within WAITS ticks may propose at once.
  *
- * safeguards: PROPOSAL_TIME GRANT_NUMBER WAIT HANDOVER_WAIT PASSED_ON_PAUSE PAUSE_OF_ALL LEADERSHIP FIRST_PROPOSAL OWN_PROCESS DEAD_HOLDER
+ * safeguards: PROPOSAL_TIME GRANT_NUMBER WAIT HANDOVER_WAIT PASSED_ON_PAUSE PAUSE_OF_ALL SKIPPED_GRANTS LEADERSHIP FIRST_PROPOSAL OWN_PROCESS DEAD_HOLDER
  */
 
 #define VMS 3
@@ -63,10 +62,8 @@
 /* The VM saw the duty pass from one holder to another. */
 byte sincePassedOn[VMS];
 
-/* For the properties: a living holder was taken for lost; the VM skipped grants by which the duty may have passed on; the holder was taken for lost
- * by the proposal; since when the duty last passed on so; since when another VM holds what the VM held; since its last order. */
+/* For the properties: a living holder was taken for lost; the holder was taken for lost by the proposal; since when the duty last passed on so; since when another VM holds what the VM held; since its last order. */
 bool misjudged = false;
-bool hasSkipped[VMS];
 bool isEarly[VMS];
 byte sinceEarly = WAITS;
 byte sinceTaken[VMS];
@@ -147,7 +144,7 @@
     if
     :: dead[knownHolder(vm)] -> skip
     :: else ->
-        assert(hasSkipped[vm] || sinceEarly >= WAITS);
+        assert(sinceEarly >= WAITS);
         misjudged = true;
         sinceOrder[0] = TERM; sinceOrder[1] = TERM; sinceOrder[2] = TERM
     fi
@@ -175,8 +172,7 @@
 inline settle(vm)
 {
     sinceSeen[vm] = WAITS;
-    sincePassedOn[vm] = WAITS;
-    hasSkipped[vm] = false
+    sincePassedOn[vm] = WAITS
 }
 
 inline commit(vm)
@@ -224,10 +220,13 @@
 #endif
         :: else -> skip
         fi;
+#ifndef WITHOUT_SKIPPED_GRANTS
+        /* By those in between, or before the restart, the duty may have passed on. */
         if
-        :: known[vm] > 0 && knownHolder(vm) != holder[number] -> hasSkipped[vm] = false
-        :: else -> hasSkipped[vm] = hasSkipped[vm] || number > known[vm] + 1
+        :: number > known[vm] + 1 -> sincePassedOn[vm] = 0
+        :: else -> skip
         fi;
+#endif
         known[vm] = number;
         sinceSeen[vm] = (knownHolder(vm) == vm -> WAITS : 0);
         sinceHeld[vm] = TERM;
@@ -281,8 +280,7 @@
     sinceHeld[vm] = TERM;
     sinceSeen[vm] = WAITS;
     sincePassedOn[vm] = WAITS;
-    sinceTaken[vm] = WAITS;
-    hasSkipped[vm] = false
+    sinceTaken[vm] = WAITS
 }
 
 inline crash(vm)
--- a/unittests/Controller/promotiondutytest.cpp
+++ b/unittests/Controller/promotiondutytest.cpp
@@ -298,6 +298,20 @@
     CHECK_FALSE(third.mayTake(10s, start + 100ms + dutyHandover - 1ms));
 }
 
+// A VM that missed grants must not take the duty early, as if it had not just passed on.
+TEST_CASE("grants that a VM has not seen may have passed the duty on")
+{
+    const auto start = TimePoint(1h);
+    auto restarted = PromotionDuty(VmId("a"));
+    restarted.note({VmId("b"), 5, 2}, start);
+    CHECK_FALSE(restarted.mayTake(10s, start + dutyHandover - 1ms));
+    CHECK(restarted.mayTake(0s, start + dutyHandover));
+    auto late = PromotionDuty(VmId("a"));
+    late.note({VmId("b"), 5, 1}, start);
+    late.note({VmId("b"), 7, 3}, start + 1s);
+    CHECK_FALSE(late.mayTake(10s, start + 1s + dutyHandover - 1ms));
+}
+
 // A holder must not outlast its grant on the clocks of those who wait for its end.
 TEST_CASE("a grant begins with its first proposal and is renewed while orders are given")
 {
