--- a/include/sapphirespool/Controller/promotionduty.h
+++ b/include/sapphirespool/Controller/promotionduty.h
@@ -29,7 +29,7 @@
 /// How long a VM that sees a grant leaves the duty to a holder that is alive.
 constexpr auto dutyHandover = dutyLength + orderLife;
 
-/// Silence after which a new leader takes the holder for failed. It is longer than a full link delays a heartbeat.
+/// Silence after which a new leader takes the holder for failed: ten heartbeats without an answer.
 constexpr auto holderLostAfter = std::chrono::milliseconds(500);
 
 /// A grant that was proposed and is not seen after this time is proposed again.
