The loop of a link to control shares the views it works on

A process that stopped, or could not listen, could end with a segmentation fault: whoever gave up its link to control gave up the views at once, while the link itself is destroyed later, on its own loop, which went on reading them until then. Callers were cut off by nothing; an operator saw status 139 in place of 0, or of 1 with the reason.

The link now shares the views, and the wrapper that released both in turn is gone. The test holds the loop up and gives up both.

--- a/include/sapphirespool/Control/proxylink.h
+++ b/include/sapphirespool/Control/proxylink.h
@@ -26,6 +26,7 @@
 };
 
 /// Connects on \p loop and keeps \p holder up to date until destroyed. Both must outlive the link.
-[[nodiscard]] auto makeProxyLink(rpc::LoopThread &loop, ProxyLinkSettings settings, membership::ViewHolder &holder) -> std::shared_ptr<membership::ControlLink>;
+[[nodiscard]] auto makeProxyLink(rpc::LoopThread &loop, ProxyLinkSettings settings, std::shared_ptr<membership::ViewHolder> holder)
+    -> std::shared_ptr<membership::ControlLink>;
 
 } // namespace sapphirespool::control
--- a/lib/Control/linkloop.cpp
+++ b/lib/Control/linkloop.cpp
@@ -49,11 +49,11 @@
 
 } // namespace
 
-LinkLoop::LinkLoop(rpc::LoopContext &context, ProxyLinkSettings settings, membership::ViewHolder &holder)
+LinkLoop::LinkLoop(rpc::LoopContext &context, ProxyLinkSettings settings, std::shared_ptr<membership::ViewHolder> holder)
     : context(context)
     , settings(std::move(settings))
-    , holder(holder)
-    , leases(holder)
+    , holder(std::move(holder))
+    , leases(*this->holder)
     , tasks(*this)
 {
     this->tasks.add(this->runSessions());
@@ -115,7 +115,7 @@
 
 auto LinkLoop::takeHeartbeat() -> VmHeartbeat
 {
-    const auto view = this->holder.current();
+    const auto view = this->holder->current();
     auto heartbeat = VmHeartbeat{this->settings.vm,
                                  this->settings.zone,
                                  this->settings.incarnation,
@@ -165,7 +165,7 @@
         kj::throwFatalException(endSession());
     }
     this->announcementsSent.clear();
-    this->holder.noteContact(support::now());
+    this->holder->noteContact(support::now());
     // A suspicion that got no answer goes along with the next heartbeat: the proxy may not notice anything more.
     this->suspicions.erase(this->suspicions.begin(), this->suspicions.begin() + static_cast<std::ptrdiff_t>(this->suspicionsSent));
     if (answer.isLease()) {
@@ -182,7 +182,7 @@
 {
     auto request = control.watchRequest();
     request.setVm(this->settings.vm.value());
-    request.setKnown(this->snapshotNeeded ? 0 : this->holder.current()->revision.value());
+    request.setKnown(this->snapshotNeeded ? 0 : this->holder->current()->revision.value());
     auto services = request.initServices(static_cast<unsigned>(this->settings.services.size()));
     for (auto index = 0U; index < services.size(); ++index) {
         services.set(index, this->settings.services[index].value());
@@ -208,7 +208,7 @@
         this->leases.viewArrived(std::make_shared<const membership::ClusterView>(unpackView(answer.getSnapshot())));
         this->wakeHeartbeat();
     } else if (answer.isDelta()) {
-        auto next = membership::applyDelta(*this->holder.current(), unpackDelta(answer.getDelta()));
+        auto next = membership::applyDelta(*this->holder->current(), unpackDelta(answer.getDelta()));
         this->snapshotNeeded = !next.has_value();
         if (next) {
             this->leases.viewArrived(std::make_shared<const membership::ClusterView>(*std::move(next)));
--- a/lib/Control/linkloop.h
+++ b/lib/Control/linkloop.h
@@ -25,7 +25,7 @@
 class LinkLoop : private kj::TaskSet::ErrorHandler
 {
 public:
-    LinkLoop(rpc::LoopContext &context, ProxyLinkSettings settings, membership::ViewHolder &holder);
+    LinkLoop(rpc::LoopContext &context, ProxyLinkSettings settings, std::shared_ptr<membership::ViewHolder> holder);
     virtual ~LinkLoop() noexcept = default;
     LinkLoop(const LinkLoop &) = delete;
     auto operator=(const LinkLoop &) -> LinkLoop & = delete;
@@ -67,7 +67,8 @@
 
     rpc::LoopContext &context;
     ProxyLinkSettings settings;
-    membership::ViewHolder &holder;
+    /// Shared: the loop goes on for a moment after the link was given up.
+    std::shared_ptr<membership::ViewHolder> holder;
     LeaseKeeper leases;
     /// Control VMs that the group named last.
     std::vector<Endpoint> heardOf;
--- a/lib/Control/proxylink.cpp
+++ b/lib/Control/proxylink.cpp
@@ -14,11 +14,11 @@
 class ProxyLink : public membership::ControlLink
 {
 public:
-    ProxyLink(rpc::LoopThread &loop, ProxyLinkSettings settings, membership::ViewHolder &holder)
+    ProxyLink(rpc::LoopThread &loop, ProxyLinkSettings settings, std::shared_ptr<membership::ViewHolder> holder)
         : loop(loop)
         , slot(std::make_shared<Slot>())
     {
-        this->loop.post([slot = this->slot, settings = std::move(settings), &holder](rpc::LoopContext &context) {
+        this->loop.post([slot = this->slot, settings = std::move(settings), holder = std::move(holder)](rpc::LoopContext &context) {
             slot->link = std::make_unique<LinkLoop>(context, settings, holder);
         });
     }
@@ -104,9 +104,10 @@
 
 } // namespace
 
-auto makeProxyLink(rpc::LoopThread &loop, ProxyLinkSettings settings, membership::ViewHolder &holder) -> std::shared_ptr<membership::ControlLink>
+auto makeProxyLink(rpc::LoopThread &loop, ProxyLinkSettings settings, std::shared_ptr<membership::ViewHolder> holder)
+    -> std::shared_ptr<membership::ControlLink>
 {
-    return std::make_shared<ProxyLink>(loop, std::move(settings), holder);
+    return std::make_shared<ProxyLink>(loop, std::move(settings), std::move(holder));
 }
 
 } // namespace sapphirespool::control
--- a/lib/Node/controlaccess.cpp
+++ b/lib/Node/controlaccess.cpp
@@ -22,12 +22,7 @@
     for (const auto &member : settings.controlMembers) {
         about.controlVms.push_back(member.endpoint);
     }
-    auto link = control::makeProxyLink(loop, std::move(about), *views);
-    auto *const plain = link.get();
-    return {plain, [link = std::move(link), views = std::move(views)](membership::ControlLink *) mutable {
-                link.reset();
-                views.reset();
-            }};
+    return control::makeProxyLink(loop, std::move(about), std::move(views));
 }
 
 } // namespace sapphirespool::node
--- a/unittests/Control/proxylinktest.cpp
+++ b/unittests/Control/proxylinktest.cpp
@@ -205,20 +205,20 @@
     auto awaitRevision(std::uint64_t revision) -> void
     {
         waitUntil([this, revision] {
-            return this->holder.current()->revision == Revision(revision);
+            return this->holder->current()->revision == Revision(revision);
         });
     }
 
     [[nodiscard]] auto leaseLive() const -> bool
     {
-        return this->holder.leaseLive(std::chrono::steady_clock::now());
+        return this->holder->leaseLive(std::chrono::steady_clock::now());
     }
 
     FakeReplica leading;
     FakeReplica following;
     FakeService service;
     FakeService otherService;
-    membership::ViewHolder holder;
+    std::shared_ptr<membership::ViewHolder> holder = std::make_shared<membership::ViewHolder>();
     std::unique_ptr<ControlServer> leadingServer;
     std::unique_ptr<ControlServer> followingServer;
     rpc::LoopThread controlLoop;
@@ -251,7 +251,7 @@
     vms.awaitRevision(1);
     vms.change(viewOf(2, "intake"));
     vms.awaitRevision(2);
-    CHECK(*vms.holder.current() == viewOf(2, "intake"));
+    CHECK(*vms.holder->current() == viewOf(2, "intake"));
     waitUntil([&vms] {
         return vms.leaseLive() && vms.service.confirmed == 2;
     });
@@ -339,4 +339,30 @@
     CHECK(given.vms.front().confirmed == Revision(7));
 }
 
+// The thread of the link must not use views that the process has already given up while it stops.
+TEST_CASE("the views live as long as the loop of a link that was given up")
+{
+    auto views = std::make_shared<membership::ViewHolder>();
+    const auto watched = std::weak_ptr<membership::ViewHolder>(views);
+    auto busy = std::promise<void>();
+    auto begun = std::promise<void>();
+    {
+        auto loop = rpc::LoopThread();
+        auto settings = ProxyLinkSettings();
+        settings.vm = VmId("proxy");
+        settings.controlVms = {Endpoint{"127.0.0.1", 1}};
+        auto link = makeProxyLink(loop, settings, views);
+        loop.post([&begun, free = busy.get_future().share()](rpc::LoopContext &) {
+            begun.set_value();
+            free.wait();
+        });
+        begun.get_future().wait();
+        link.reset();
+        views.reset();
+        CHECK_FALSE(watched.expired());
+        busy.set_value();
+    }
+    CHECK(watched.expired());
+}
+
 } // namespace sapphirespool::control
