Owners whose view is a moment behind are waited for, and passed over if it stays behind

Cause: an owner refused at once what its own view did not list, as Busy, which also kept the asker from trying the next owner. Now the owner waits for its view, 250 ms and the caller's patience at most; if none comes it says that it is no owner, and the next one is asked. The waiting for a view stands once now (interactive::ChangeSignal), for sessions and for owners.

--- a/lib/Forwarding/codec.cpp
+++ b/lib/Forwarding/codec.cpp
@@ -214,7 +214,9 @@
 
     auto operator()(const Refused &body) -> void
     {
-        write(this->to.initRefused(), body.why);
+        auto refused = this->to.initRefused();
+        write(refused.initWhy(), body.why);
+        refused.setNotOwner(body.notOwner);
     }
 
     auto operator()(const Exchange &body) -> void
@@ -330,7 +332,7 @@
     case schema::Message::ACQUIRED:
         return Acquired{readState(from.getAcquired()), from.getAcquired().getLoad()};
     case schema::Message::REFUSED:
-        return Refused{read(from.getRefused())};
+        return Refused{read(from.getRefused().getWhy()), from.getRefused().getNotOwner()};
     case schema::Message::EXCHANGE:
         return readExchange(from.getExchange());
     case schema::Message::EXCHANGED:
--- a/lib/Forwarding/codec.h
+++ b/lib/Forwarding/codec.h
@@ -38,6 +38,8 @@
 struct Refused
 {
     interactive::FailureReply why;
+    /// Whether the proxy is no owner by its own view; another one may be.
+    bool notOwner = false;
 };
 
 struct Exchange
--- a/lib/Forwarding/forwardingpool.cpp
+++ b/lib/Forwarding/forwardingpool.cpp
@@ -4,6 +4,7 @@
 #include "ownerserver.h"
 
 #include "sapphirespool/Http/liveness.h"
+#include "sapphirespool/Interactive/changesignal.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -42,7 +43,7 @@
     std::map<VmId, std::uint32_t> loads;
 };
 
-class OwnersPool : public ForwardingPool, public std::enable_shared_from_this<OwnersPool>
+class OwnersPool : public ForwardingPool, public OwnedUpstreams, public std::enable_shared_from_this<OwnersPool>
 {
 public:
     OwnersPool(VmId self, ZoneId zone, std::shared_ptr<LinkPool> own, const asio::any_io_executor &executor)
@@ -51,6 +52,7 @@
         , own(std::move(own))
         , executor(executor)
         , acceptor(executor)
+        , viewSignal(executor)
     {
     }
 
@@ -75,6 +77,7 @@
             }
         }
         this->forgetGone(former.get());
+        this->viewSignal.notify();
         std::erase_if(this->channels, [this](const auto &channel) {
             const auto *const proxy = this->view->findProxy(channel.first);
             const auto stays = proxy != nullptr && proxy->peers == channel.second.endpoint;
@@ -162,6 +165,18 @@
         co_return std::nullopt;
     }
 
+    auto awaitOwned(GroupId group, UpstreamId upstream, Duration patience) -> asio::awaitable<std::optional<membership::UpstreamView>> override
+    {
+        const auto keep = this->shared_from_this();
+        const auto until = std::chrono::steady_clock::now() + patience;
+        auto owned = this->findOwned(group, upstream);
+        while (!owned && std::chrono::steady_clock::now() < until) {
+            co_await this->viewSignal.wait(until);
+            owned = this->findOwned(group, upstream);
+        }
+        co_return owned;
+    }
+
     auto setLimits(const UpstreamId &, const interactive::LinkLimits &) -> void override
     {
         // Limits follow from the view.
@@ -206,7 +221,7 @@
         return failure == interactive::Failure::Unreachable || failure == interactive::Failure::ConnectionLimit;
     }
 
-    /// \return a lease from \p owner, or its refusal; nothing if it does not answer
+    /// \return a lease from \p owner, or its refusal; nothing if it does not answer or is no owner by its own view
     auto acquireFrom(VmId owner, GroupId group, membership::UpstreamView upstream, interactive::LinkClaim claim, Acquire request)
         -> asio::awaitable<std::optional<LeaseResult>>
     {
@@ -227,7 +242,7 @@
             co_return interactive::LinkLease(this->weak_from_this(), id, std::move(*link));
         }
         --use.busy;
-        if (!result.answered) {
+        if (!result.answered || result.notOwner) {
             co_return std::nullopt;
         }
         use.loads[owner] = fullLoad;
@@ -267,11 +282,7 @@
     auto serve(tcp::socket socket) -> void
     {
         auto framed = std::make_shared<FramedConnection>(std::move(socket));
-        const auto find = [weak = this->weak_from_this()](const GroupId &group, const UpstreamId &upstream) {
-            const auto pool = weak.lock();
-            return pool == nullptr ? std::nullopt : pool->findOwned(group, upstream);
-        };
-        const auto connection = std::make_shared<OwnerConnection>(std::move(framed), this->own, find);
+        const auto connection = std::make_shared<OwnerConnection>(std::move(framed), this->own, this->weak_from_this());
         this->served.insert(connection);
         connection->start([weak = this->weak_from_this(), plain = std::weak_ptr(connection)] {
             if (const auto pool = weak.lock()) {
@@ -346,6 +357,7 @@
     asio::any_io_executor executor;
     tcp::acceptor acceptor;
     std::shared_ptr<const membership::ClusterView> view;
+    interactive::ChangeSignal viewSignal;
     std::map<VmId, Channel> channels;
     std::map<UpstreamId, RemoteUse> uses;
     std::set<std::shared_ptr<OwnerConnection>> served;
--- a/lib/Forwarding/ownerchannel.cpp
+++ b/lib/Forwarding/ownerchannel.cpp
@@ -137,6 +137,7 @@
     this->rest = std::chrono::milliseconds(0);
     if (auto *const refused = std::get_if<Refused>(&answer->body)) {
         result.link = std::move(refused->why);
+        result.notOwner = refused->notOwner;
         co_return result;
     }
     if (auto *const acquired = std::get_if<Acquired>(&answer->body)) {
--- a/lib/Forwarding/ownerchannel.h
+++ b/lib/Forwarding/ownerchannel.h
@@ -33,6 +33,8 @@
         std::variant<std::shared_ptr<interactive::UpstreamLink>, interactive::FailureReply> link;
         /// Whether the owner answered at all.
         bool answered = false;
+        /// Whether it is no owner by its own view.
+        bool notOwner = false;
         std::uint32_t load = 0;
     };
 
--- a/lib/Forwarding/ownerserver.cpp
+++ b/lib/Forwarding/ownerserver.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <map>
 #include <set>
 #include <utility>
@@ -17,6 +19,10 @@
 
 namespace asio = boost::asio;
 
+/// Views of one revision reach the proxies within some tenths of a second of each other. An owner whose view takes longer is cut off from
+/// control, and the next one had better be asked.
+constexpr auto viewPatience = std::chrono::milliseconds(250);
+
 } // namespace
 
 class OwnerConnection::Leases
@@ -29,10 +35,10 @@
     std::set<std::uint64_t> running;
 };
 
-OwnerConnection::OwnerConnection(std::shared_ptr<FramedConnection> connection, std::shared_ptr<interactive::LinkPool> pool, FindUpstream find)
+OwnerConnection::OwnerConnection(std::shared_ptr<FramedConnection> connection, std::shared_ptr<interactive::LinkPool> pool, std::weak_ptr<OwnedUpstreams> owned)
     : connection(std::move(connection))
     , pool(std::move(pool))
-    , find(std::move(find))
+    , owned(std::move(owned))
     , leases(std::make_unique<Leases>())
 {
 }
@@ -78,10 +84,10 @@
 
 auto OwnerConnection::acquire(std::shared_ptr<OwnerConnection> self, std::uint64_t lease, Acquire request) -> asio::awaitable<void>
 {
-    auto upstream = self->find(request.group, request.upstream);
+    auto upstream = co_await self->findOwned(request.group, request.upstream, std::min<Duration>(viewPatience, request.patience));
     if (!upstream) {
         auto why = interactive::FailureReply{interactive::Failure::Busy, "the owner does not know upstream " + request.upstream.value(), {}};
-        self->refuse(lease, std::move(why));
+        self->refuse(lease, Refused{std::move(why), true});
         co_return;
     }
     auto claim = interactive::LinkClaim();
@@ -92,7 +98,7 @@
     claim.priority = request.priority;
     auto result = co_await self->pool->acquire(request.group, *std::move(upstream), std::move(claim));
     if (auto *const why = std::get_if<interactive::FailureReply>(&result)) {
-        self->refuse(lease, std::move(*why));
+        self->refuse(lease, Refused{std::move(*why)});
         co_return;
     }
     auto held = std::get<interactive::LinkLease>(std::move(result));
@@ -147,7 +153,7 @@
 auto OwnerConnection::prove(std::shared_ptr<OwnerConnection> self, std::uint64_t number, Prove request) -> asio::awaitable<void>
 {
     auto answer = Message{number, Proved()};
-    auto upstream = self->find(request.group, request.upstream);
+    auto upstream = co_await self->findOwned(request.group, request.upstream, Duration(0));
     if (upstream) {
         const auto proof = co_await self->pool->prove(request.group, *std::move(upstream), request.oldest, request.limit);
         if (proof) {
@@ -159,10 +165,19 @@
     self->connection->send(answer);
 }
 
-auto OwnerConnection::refuse(std::uint64_t lease, interactive::FailureReply why) -> void
+auto OwnerConnection::findOwned(GroupId group, UpstreamId upstream, Duration patience) -> asio::awaitable<std::optional<membership::UpstreamView>>
+{
+    const auto upstreams = this->owned.lock();
+    if (upstreams == nullptr) {
+        co_return std::nullopt;
+    }
+    co_return co_await upstreams->awaitOwned(std::move(group), std::move(upstream), patience);
+}
+
+auto OwnerConnection::refuse(std::uint64_t lease, Refused refused) -> void
 {
     if (this->leases->unwanted.erase(lease) == 0) {
-        this->connection->send(Message{lease, Refused{std::move(why)}});
+        this->connection->send(Message{lease, std::move(refused)});
     }
 }
 
--- a/lib/Forwarding/ownerserver.h
+++ b/lib/Forwarding/ownerserver.h
@@ -7,6 +7,7 @@
 #include "sapphirespool/Membership/clusterview.h"
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
 
 #include <functional>
 #include <memory>
@@ -15,15 +16,29 @@
 namespace sapphirespool::forwarding
 {
 
-/// Finds a member by its group and name; nothing if the view has none.
-using FindUpstream = std::function<std::optional<membership::UpstreamView>(const GroupId &, const UpstreamId &)>;
+/// The upstreams to which this proxy may have links, by its view.
+class OwnedUpstreams
+{
+public:
+    OwnedUpstreams() = default;
+    OwnedUpstreams(const OwnedUpstreams &) = delete;
+    auto operator=(const OwnedUpstreams &) -> OwnedUpstreams & = delete;
+    virtual ~OwnedUpstreams() = default;
+
+    /// Waits for a view by which this proxy owns links to \p upstream, for \p patience at most.
+    ///
+    /// Load pattern: after a loss of power, or as owners change, views reach the proxies one after another, and the proxies that have theirs
+    /// ask owners that have not. Refused, each of their callers would use up an attempt some tens of milliseconds before the owner could serve.
+    /// \return nothing if no such view came
+    virtual auto awaitOwned(GroupId group, UpstreamId upstream, Duration patience) -> boost::asio::awaitable<std::optional<membership::UpstreamView>> = 0;
+};
 
 /// What another proxy holds here, for as long as its connection lasts. A connection that ends drops its leases: the links are closed,
 /// and the upstreams roll back what was not committed.
 class OwnerConnection : public std::enable_shared_from_this<OwnerConnection>
 {
 public:
-    OwnerConnection(std::shared_ptr<FramedConnection> connection, std::shared_ptr<interactive::LinkPool> pool, FindUpstream find);
+    OwnerConnection(std::shared_ptr<FramedConnection> connection, std::shared_ptr<interactive::LinkPool> pool, std::weak_ptr<OwnedUpstreams> owned);
     ~OwnerConnection();
 
     /// \param closed called once when the connection has ended
@@ -39,11 +54,12 @@
     static auto exchange(std::shared_ptr<OwnerConnection> self, std::uint64_t lease, Exchange request) -> boost::asio::awaitable<void>;
     auto release(std::uint64_t lease, Release request) -> void;
     static auto prove(std::shared_ptr<OwnerConnection> self, std::uint64_t number, Prove request) -> boost::asio::awaitable<void>;
-    auto refuse(std::uint64_t lease, interactive::FailureReply why) -> void;
+    auto findOwned(GroupId group, UpstreamId upstream, Duration patience) -> boost::asio::awaitable<std::optional<membership::UpstreamView>>;
+    auto refuse(std::uint64_t lease, Refused refused) -> void;
 
     std::shared_ptr<FramedConnection> connection;
     std::shared_ptr<interactive::LinkPool> pool;
-    FindUpstream find;
+    std::weak_ptr<OwnedUpstreams> owned;
     std::unique_ptr<Leases> leases;
 };
 
--- a/lib/Interactive/sessioncore.cpp
+++ b/lib/Interactive/sessioncore.cpp
@@ -3,10 +3,8 @@
 #include "sapphirespool/Support/clock.h"
 #include "sapphirespool/Support/log.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -19,8 +17,6 @@
 
 namespace asio = boost::asio;
 
-constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
-
 /// How often it is looked for upstreams that fell silent, while statements are under way.
 constexpr auto watchInterval = std::chrono::milliseconds(50);
 
@@ -70,6 +66,7 @@
     , view(this->parts.views->current())
     , proving(this->parts.executor)
     , watchTimer(this->parts.executor)
+    , viewSignal(this->parts.executor)
 {
     this->viewChanged();
 }
@@ -88,9 +85,7 @@
     }
     this->retireLinks(*former);
     this->load.keepOnly(presentUpstreams(*this->view));
-    for (auto *const timer : this->waiting) {
-        timer->cancel();
-    }
+    this->viewSignal.notify();
 }
 
 auto SessionCore::findService(std::string_view database) const -> const membership::ServiceView *
@@ -139,18 +134,15 @@
 auto SessionCore::awaitFirstView() -> asio::awaitable<void>
 {
     const auto self = this->shared_from_this();
-    auto timer = asio::steady_timer(this->parts.executor, firstViewPatience);
-    while (this->view->configuration == Revision(0) && timer.expiry() > std::chrono::steady_clock::now()) {
-        this->waiting.insert(&timer);
-        co_await timer.async_wait(awaitTuple);
-        this->waiting.erase(&timer);
+    const auto until = std::chrono::steady_clock::now() + firstViewPatience;
+    while (this->view->configuration == Revision(0) && std::chrono::steady_clock::now() < until) {
+        co_await this->viewSignal.wait(until);
     }
 }
 
 auto SessionCore::awaitPrimary(GroupId group, std::optional<Member> refuted, Duration patience) -> asio::awaitable<std::optional<Member>>
 {
     const auto self = this->shared_from_this();
-    auto timer = asio::steady_timer(this->parts.executor);
     // Only control can name another primary. Where it is not heard the statement cannot be served here, while another proxy may.
     const auto until = std::chrono::steady_clock::now() + (this->hearsControl() ? patience : Duration(0));
     while (true) {
@@ -162,10 +154,7 @@
         if (std::chrono::steady_clock::now() >= until) {
             co_return std::nullopt;
         }
-        timer.expires_at(until);
-        this->waiting.insert(&timer);
-        co_await timer.async_wait(awaitTuple);
-        this->waiting.erase(&timer);
+        co_await this->viewSignal.wait(until);
     }
 }
 
--- a/lib/Interactive/sessioncore.h
+++ b/lib/Interactive/sessioncore.h
@@ -4,6 +4,7 @@
 #include "primarywatch.h"
 #include "singleflight.h"
 
+#include "sapphirespool/Interactive/changesignal.h"
 #include "sapphirespool/Interactive/positionproofs.h"
 #include "sapphirespool/Interactive/session.h"
 #include "sapphirespool/Interactive/upstreamload.h"
@@ -125,8 +126,7 @@
     bool watching = false;
     /// Members that are being looked at.
     std::set<UpstreamId> lookedAt;
-    /// Coroutines that wait for another view.
-    std::set<boost::asio::steady_timer *> waiting;
+    ChangeSignal viewSignal;
 };
 
 } // namespace sapphirespool::interactive
--- a/schema/forwarding.capnp
+++ b/schema/forwarding.capnp
@@ -72,7 +72,11 @@
       # Statements that the answering proxy has at the upstream or that wait for it.
       load @8 :UInt32;
     }
-    refused @9 :Failure;
+    refused :group {
+      why @9 :Failure;
+      # The sender is no owner by its own view.
+      notOwner @28 :Bool;
+    }
     exchange :group {
       commands @10 :List(Command);
       limitMs @11 :UInt64;
--- a/unittests/Forwarding/forwardingpooltest.cpp
+++ b/unittests/Forwarding/forwardingpooltest.cpp
@@ -114,9 +114,21 @@
 
     /// \return whether a lease was had; kept in leases
     auto acquire(std::size_t proxy, Duration patience = 50ms) -> std::optional<FailureReply>
+    {
+        return this->finish(this->beginAcquire(proxy, patience));
+    }
+
+    using PendingLease = std::shared_ptr<std::optional<LeaseResult>>;
+
+    auto beginAcquire(std::size_t proxy, Duration patience) -> PendingLease
     {
         auto result = std::make_shared<std::optional<LeaseResult>>();
         asio::co_spawn(this->io, take(this->pools[proxy], this->view, patience, result), asio::detached);
+        return result;
+    }
+
+    auto finish(const PendingLease &result) -> std::optional<FailureReply>
+    {
         for (auto look = 0; look < 300 && !result->has_value(); ++look) {
             this->run(10ms);
         }
@@ -150,6 +162,29 @@
         return result->value();
     }
 
+    /// \return a proxy that has to ask others for the first upstream
+    [[nodiscard]] auto proxyWithoutLinks() const -> std::size_t
+    {
+        for (std::size_t proxy = 0; proxy < proxyCount; ++proxy) {
+            auto ownership = Ownership(this->view->proxies[proxy].id, ZoneId("zone-a"));
+            ownership.viewChanged(*this->view);
+            const auto &group = this->view->groups.front();
+            if (ownership.share(group, group.members.front()).links == 0) {
+                return proxy;
+            }
+        }
+        return proxyCount;
+    }
+
+    [[nodiscard]] auto poolOf(const VmId &vm) const -> ForwardingPool &
+    {
+        std::size_t place = 0;
+        while (this->view->proxies.at(place).id != vm) {
+            ++place;
+        }
+        return *this->pools.at(place);
+    }
+
     /// \return the owner that \p proxy asks first
     [[nodiscard]] auto firstOwnerFor(std::size_t proxy) const -> VmId
     {
@@ -319,6 +354,34 @@
     }
 }
 
+TEST_CASE("an owner whose view is a moment behind is waited for")
+{
+    // After a loss of power a proxy with a view asks an owner that has none yet, and must not send its caller away for that.
+    auto fleet = Fleet();
+    const auto proxy = fleet.proxyWithoutLinks();
+    auto &owner = fleet.poolOf(fleet.firstOwnerFor(proxy));
+    owner.viewChanged(std::make_shared<const membership::ClusterView>());
+    const auto pending = fleet.beginAcquire(proxy, 500ms);
+    fleet.run(50ms);
+    REQUIRE_FALSE(pending->has_value());
+    owner.viewChanged(fleet.view);
+    CHECK_FALSE(fleet.finish(pending));
+    CHECK(owner.counts().busy == 1);
+}
+
+TEST_CASE("an owner whose view stays behind is passed over")
+{
+    // An owner that is cut off from control does not know a new upstream; two others serve it.
+    auto fleet = Fleet();
+    const auto proxy = fleet.proxyWithoutLinks();
+    auto &owner = fleet.poolOf(fleet.firstOwnerFor(proxy));
+    owner.viewChanged(std::make_shared<const membership::ClusterView>());
+    const auto began = std::chrono::steady_clock::now();
+    CHECK_FALSE(fleet.acquire(proxy, 2s));
+    CHECK(std::chrono::steady_clock::now() - began < 1s);
+    CHECK(owner.counts().busy == 0);
+}
+
 TEST_CASE("an answer that is lost between proxies is not called unsent")
 {
     // The owner ends while a write is on its way through it. The write may have reached the upstream, so nobody may say that it did not.
