A proxy whose primary was replaced asks the group's members which of them is primary

Cause: only the view could name a primary, and the view comes from control, which they do not reach. Now a proxy whose primary refuses, and which gets no newer view within 150 ms (at once where control is silent), has each other member begin a transaction that may write, which only a primary does and which takes none of its slots. PrimarySearch decides when, and how long a finding stands; each group is searched at most ten times a second, once for all callers. Why it is safe: nothing is sent to a member on the word of the search alone; the member itself refuses what a primary may not refuse. A write whose answer was lost is still never sent again. Evidence: the new test of a cut-off proxy fails without the search (the statement is refused). The older test 'waits for no other primary' said that the proxy is cut off from the new primary, while its fixture let it be reached; it is now unreachable, and the checks are as they were. What the search is for are the cuts that leave a way to the members.

--- a/include/sapphirespool/Support/events.h
+++ b/include/sapphirespool/Support/events.h
@@ -31,6 +31,7 @@
     UpstreamConnectionClosed = 1201,
     PrimarySuspected = 1202,
     ViewFollowed = 1203,
+    PrimaryFound = 1204,
     ControlLeaderChanged = 2001,
     GroupFounded = 2002,
     ConsensusTaskFailed = 2003,
--- a/lib/Interactive/sessioncore.cpp
+++ b/lib/Interactive/sessioncore.cpp
@@ -65,6 +65,7 @@
     : parts(std::move(givenParts))
     , view(this->parts.views->current())
     , proving(this->parts.executor)
+    , searching(this->parts.executor)
     , watchTimer(this->parts.executor)
     , viewSignal(this->parts.executor)
 {
@@ -112,7 +113,14 @@
 auto SessionCore::primaryOf(const GroupId &group) const -> std::optional<Member>
 {
     const auto *const found = this->findGroup(group);
-    const auto *const primary = found == nullptr ? nullptr : found->primaryMember();
+    if (found == nullptr) {
+        return std::nullopt;
+    }
+    const auto proven = this->search.foundFor(group, found->term);
+    if (const auto *const member = proven ? found->findMember(*proven) : nullptr) {
+        return Member{group, found->term, *member, true};
+    }
+    const auto *const primary = found->primaryMember();
     return primary == nullptr ? std::nullopt : std::optional(memberOf(*found, *primary));
 }
 
@@ -143,18 +151,64 @@
 auto SessionCore::awaitPrimary(GroupId group, std::optional<Member> refuted, Duration patience) -> asio::awaitable<std::optional<Member>>
 {
     const auto self = this->shared_from_this();
-    // Only control can name another primary. Where it is not heard the statement cannot be served here, while another proxy may.
-    const auto until = std::chrono::steady_clock::now() + (this->hearsControl() ? patience : Duration(0));
+    auto refutedId = std::optional<UpstreamId>();
+    if (refuted) {
+        refutedId = refuted->upstream.id;
+        this->search.refute(group, *refutedId);
+    }
+    const auto began = std::chrono::steady_clock::now();
+    auto until = began + patience;
+    // A view that was committed takes some milliseconds. One that takes longer may not come: this proxy may be cut off.
+    auto searchAt = this->hearsControl() ? began + PrimarySearch::viewPatience : began;
     while (true) {
         auto primary = this->primaryOf(group);
         const auto isOther = primary && (!refuted || refuted->term != primary->term || refuted->upstream.id != primary->upstream.id);
         if (isOther) {
             co_return primary;
         }
-        if (std::chrono::steady_clock::now() >= until) {
+        const auto now = std::chrono::steady_clock::now();
+        if (now >= until) {
             co_return std::nullopt;
         }
-        co_await this->viewSignal.wait(until);
+        if (now >= searchAt) {
+            co_await searchPrimary(self, group, refutedId);
+            // Without control nobody else can name a primary here, while another proxy may be able to serve the statement.
+            if (!this->hearsControl()) {
+                until = began;
+            }
+            searchAt = std::chrono::steady_clock::now() + PrimarySearch::viewPatience;
+            continue;
+        }
+        co_await this->viewSignal.wait(std::min(until, searchAt));
+    }
+}
+
+auto SessionCore::searchPrimary(std::shared_ptr<SessionCore> self, GroupId group, std::optional<UpstreamId> refuted) -> asio::awaitable<void>
+{
+    const auto flight = self->searching.begin(group);
+    if (flight == nullptr) {
+        co_await self->searching.join(group);
+        co_return;
+    }
+    if (!self->search.begin(group, support::now())) {
+        co_return;
+    }
+    for (const auto &member : self->readersOf(group)) {
+        if (refuted && member.upstream.id == *refuted) {
+            continue;
+        }
+        const auto proof = co_await self->parts.pool->prove(group, member.upstream, Duration(0), proofLimit);
+        if (proof) {
+            self->search.note(group, member.term, member.upstream.id);
+            self->proofsOf(group).note(proof->sent, proof->position);
+            support::log(support::Event::PrimaryFound,
+                         {{"group", group.value()},
+                          {"upstream", member.upstream.id.value()},
+                          {"view_term", member.term.value()},
+                          {"control_silent_ms", support::now() - self->parts.views->lastContact()}});
+            self->viewSignal.notify();
+            co_return;
+        }
     }
 }
 
@@ -171,6 +225,9 @@
     last = now;
     support::log(support::Event::PrimarySuspected, {{"group", member.group.value()}, {"upstream", member.upstream.id.value()}, {"term", member.term.value()}});
     this->parts.control->suspect({member.group, member.term, member.upstream.id});
+    if (!this->hearsControl()) {
+        asio::co_spawn(this->parts.executor, searchPrimary(this->shared_from_this(), member.group, member.upstream.id), asio::detached);
+    }
 }
 
 auto SessionCore::look(const Member &member, bool thorough) -> void
--- a/lib/Interactive/sessioncore.h
+++ b/lib/Interactive/sessioncore.h
@@ -1,6 +1,7 @@
 // sessioncore.h: what the sessions of one proxy share.
 #pragma once
 
+#include "primarysearch.h"
 #include "primarywatch.h"
 #include "singleflight.h"
 
@@ -69,8 +70,8 @@
     /// Waits until the group has a primary other than \p refuted, which turned out not to be one, for \p patience at most.
     ///
     /// A promotion is over within a second or so, and no other proxy can serve a write before it is. A caller who is sent away uses up
-    /// its attempts in that time; one that waits here is served by the first link to the new primary. Where control is not heard it
-    /// waits for nothing.
+    /// its attempts in that time; one that waits here is served by the first link to the new primary. Where control is not heard no view
+    /// can name it: the members are asked, and what they say is final.
     auto awaitPrimary(GroupId group, std::optional<Member> refuted, Duration patience) -> boost::asio::awaitable<std::optional<Member>>;
 
     /// Tells control that a primary cannot be reached.
@@ -106,6 +107,8 @@
 
 private:
     [[nodiscard]] auto findGroup(const GroupId &group) const -> const membership::GroupView *;
+    /// Asks the members of \p group other than \p refuted whether they are primary; callers that come meanwhile wait for the same search.
+    static auto searchPrimary(std::shared_ptr<SessionCore> self, GroupId group, std::optional<UpstreamId> refuted) -> boost::asio::awaitable<void>;
     static auto connectTo(std::shared_ptr<SessionCore> self, Member member, bool thorough) -> boost::asio::awaitable<void>;
     auto watchOn() -> void;
     [[nodiscard]] auto findMember(const UpstreamId &upstream) const -> std::optional<Member>;
@@ -121,6 +124,8 @@
     /// Until when no proof is asked of a group whose primary gave none.
     std::map<GroupId, TimePoint> provingRests;
     std::map<UpstreamId, TimePoint> suspected;
+    PrimarySearch search;
+    SingleFlight<GroupId> searching;
     PrimaryWatch watch;
     boost::asio::steady_timer watchTimer;
     bool watching = false;
--- a/lib/Support/events.cpp
+++ b/lib/Support/events.cpp
@@ -25,6 +25,7 @@
     {Event::UpstreamConnectionClosed, Severity::Warning, "upstream connection closed"},
     {Event::PrimarySuspected, Severity::Warning, "primary suspected"},
     {Event::ViewFollowed, Severity::Info, "view followed"},
+    {Event::PrimaryFound, Severity::Info, "primary found by asking the members"},
     {Event::ControlLeaderChanged, Severity::Info, "control leader changed"},
     {Event::GroupFounded, Severity::Info, "control group founded"},
     {Event::ConsensusTaskFailed, Severity::Warning, "consensus task failed"},
--- a/unittests/Interactive/decisionstest.cpp
+++ b/unittests/Interactive/decisionstest.cpp
@@ -1,3 +1,4 @@
+#include "../../lib/Interactive/primarysearch.h"
 #include "../../lib/Interactive/primarywatch.h"
 #include "../../lib/Interactive/statementrun.h"
 
@@ -164,4 +165,32 @@
     CHECK(commands[2].kind == CommandKind::Prepare);
 }
 
+TEST_CASE("a thousand callers of a group whose primary is gone make one search in each pause")
+{
+    // Load pattern: all statements of a group meet a primary that was replaced, at a proxy that no view reaches. Without the pause each of
+    // them would ask each member.
+    auto search = PrimarySearch();
+    auto searches = 0;
+    for (auto caller = 0; caller < 1'000; ++caller) {
+        searches += search.begin(GroupId("g"), start + caller * 1ms) ? 1 : 0;
+    }
+    CHECK(searches == 1'000ms / PrimarySearch::rest);
+    CHECK(search.begin(GroupId("other"), start));
+}
+
+TEST_CASE("a primary that was found stands until it refuses or the view names a later term")
+{
+    const auto group = GroupId("g");
+    auto search = PrimarySearch();
+    CHECK_FALSE(search.foundFor(group, Term(1)));
+    search.note(group, Term(1), UpstreamId("b"));
+    CHECK(search.foundFor(group, Term(1)) == UpstreamId("b"));
+    CHECK_FALSE(search.foundFor(group, Term(2)));
+    CHECK_FALSE(search.foundFor(GroupId("other"), Term(1)));
+    search.refute(group, UpstreamId("a"));
+    CHECK(search.foundFor(group, Term(1)) == UpstreamId("b"));
+    search.refute(group, UpstreamId("b"));
+    CHECK_FALSE(search.foundFor(group, Term(1)));
+}
+
 } // namespace sapphirespool::interactive
--- a/unittests/Interactive/sessiontest.cpp
+++ b/unittests/Interactive/sessiontest.cpp
@@ -1,9 +1,12 @@
 #include "Interactive/sessionfixture.h"
 
+#include "../../lib/Interactive/primarysearch.h"
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
 #include <set>
+#include <thread>
 
 namespace sapphirespool::interactive
 {
@@ -335,6 +338,7 @@
     auto proxy = Proxy(Consistency::Strong);
     proxy.databases.member("a").isPrimary = false;
     proxy.databases.member("b").isPrimary = true;
+    proxy.databases.member("b").reachable = false;
     proxy.views->noteContact(support::now() - 2s);
     const auto began = std::chrono::steady_clock::now();
     const auto reply = proxy.run(proxy.open(), store("a", "1"));
@@ -344,6 +348,61 @@
     CHECK(std::chrono::steady_clock::now() - began < proxy.databases.service.timeout / 4);
 }
 
+TEST_CASE("a proxy that is cut off from control finds a new primary that it reaches")
+{
+    // The view that names the new primary does not come, and each write and current read of the group would be refused until the cut heals.
+    auto proxy = Proxy(Consistency::Strong);
+    proxy.databases.promote("b");
+    proxy.views->noteContact(support::now() - 2s);
+    const auto session = proxy.open();
+    CHECK_FALSE(proxy.run(session, store("a", "1")).failure);
+    CHECK(proxy.databases.member("b").items.at("a") == "1");
+    CHECK_FALSE(proxy.run(session, fetch("a")).failure);
+    CHECK_FALSE(proxy.run(session, statementOf(StatementKind::Begin)).failure);
+    CHECK_FALSE(proxy.run(session, store("b", "2")).failure);
+    CHECK_FALSE(proxy.run(session, statementOf(StatementKind::Commit)).failure);
+    CHECK(proxy.databases.member("b").items.at("b") == "2");
+
+    SECTION("and the next one after that")
+    {
+        proxy.databases.replicate();
+        proxy.databases.promote("c");
+        std::this_thread::sleep_for(PrimarySearch::rest);
+        CHECK_FALSE(proxy.run(session, store("a", "3")).failure);
+        CHECK(proxy.databases.member("c").items.at("a") == "3");
+    }
+    SECTION("and goes by the view again once it names a later term")
+    {
+        proxy.databases.replicate();
+        proxy.databases.promote("c");
+        proxy.databases.viewedPrimary = "c";
+        ++proxy.databases.revision;
+        proxy.publish();
+        const auto begun = countKind(proxy.databases, CommandKind::Begin);
+        CHECK_FALSE(proxy.run(session, store("a", "3")).failure);
+        CHECK(countKind(proxy.databases, CommandKind::Begin) == begun);
+    }
+}
+
+TEST_CASE("a write whose answer was lost is not sent to a primary that is found")
+{
+    // The old primary may have run it; at the new one it would run twice.
+    auto proxy = Proxy(Consistency::Strong);
+    proxy.views->noteContact(support::now() - 2s);
+    proxy.databases.member("a").trouble = [](const Command &) {
+        return Trouble::BreakAfter;
+    };
+    const auto session = proxy.open();
+    const auto pending = proxy.start(session, store("a", "1"));
+    proxy.pass(20ms);
+    proxy.databases.promote("b");
+    proxy.pass(300ms);
+    REQUIRE(pending->has_value());
+    REQUIRE((*pending)->failure);
+    CHECK((*pending)->failure->failure == Failure::InDoubt);
+    CHECK_FALSE(proxy.databases.member("b").items.contains("a"));
+}
+
 TEST_CASE("a caller that comes before the first view waits for it, for a moment at most")
 {
     // The caller sees: it is sent away by a proxy that could have served it a moment later. All VMs have just come back from a loss of power.
