--- a/include/sapphirespool/Forwarding/ownership.h
+++ b/include/sapphirespool/Forwarding/ownership.h
@@ -3,9 +3,11 @@
 
 #include "sapphirespool/Interactive/linkpool.h"
 #include "sapphirespool/Membership/clusterview.h"
+#include "sapphirespool/Sessions/rendezvous.h"
 #include "sapphirespool/Support/types.h"
 
 #include <cstddef>
+#include <map>
 #include <vector>
 
 namespace sapphirespool::forwarding
@@ -49,19 +51,15 @@
     [[nodiscard]] auto share(const membership::GroupView &group, const membership::UpstreamView &upstream) const -> interactive::LinkLimits;
 
 private:
-    struct Proxy
-    {
-        VmId vm;
-        ZoneId zone;
-        bool silent = false;
-    };
-
     [[nodiscard]] auto usable(const membership::GroupView &group, const membership::UpstreamView &upstream) const -> std::size_t;
 
     VmId self;
     ZoneId zone;
-    /// Proxies that take callers and do not leave, ordered by their names.
-    std::vector<Proxy> proxies;
+    /// Number of proxies that take callers and do not leave.
+    std::size_t proxies = 0;
+    /// Those of them that may own connections, all and by their zones. Kept with the view: each statement asks for owners.
+    std::vector<sessions::Holder> holders;
+    std::map<ZoneId, std::vector<sessions::Holder>> holdersByZone;
 };
 
 } // namespace sapphirespool::forwarding
--- a/lib/Forwarding/ownership.cpp
+++ b/lib/Forwarding/ownership.cpp
@@ -18,37 +18,36 @@
 
 auto Ownership::viewChanged(const membership::ClusterView &view) -> void
 {
-    this->proxies.clear();
+    this->proxies = 0;
+    this->holders.clear();
+    this->holdersByZone.clear();
+    auto silent = std::vector<sessions::Holder>();
     for (const auto &proxy : view.proxies) {
         // The links of control VMs to their group are listed beside the proxies.
-        if (proxy.callers.port != 0 && !proxy.leaving) {
-            this->proxies.push_back({proxy.id, proxy.zone, proxy.silent});
+        if (proxy.callers.port == 0 || proxy.leaving) {
+            continue;
         }
+        ++this->proxies;
+        auto &list = proxy.silent ? silent : this->holders;
+        list.push_back({proxy.id, proxy.zone, {}});
+    }
+    if (this->holders.size() < ownersPerUpstream) {
+        this->holders.insert(this->holders.end(), silent.begin(), silent.end());
+    }
+    for (const auto &holder : this->holders) {
+        this->holdersByZone[holder.zone].push_back(holder);
     }
 }
 
 auto Ownership::ownersOf(const membership::GroupView &group, const membership::UpstreamView &upstream) const -> std::vector<VmId>
 {
-    if (this->proxies.size() <= ownersPerUpstream || this->usable(group, upstream) / this->proxies.size() >= enoughForEach) {
+    if (this->proxies <= ownersPerUpstream || this->usable(group, upstream) / this->proxies >= enoughForEach) {
         return {};
     }
-    auto near = std::vector<sessions::Holder>();
-    auto all = std::vector<sessions::Holder>();
-    const auto heard = std::count_if(this->proxies.begin(), this->proxies.end(), [](const Proxy &proxy) {
-        return !proxy.silent;
-    });
-    const auto enoughHeard = static_cast<std::size_t>(heard) >= ownersPerUpstream;
-    for (const auto &proxy : this->proxies) {
-        if (proxy.silent && enoughHeard) {
-            continue;
-        }
-        all.push_back({proxy.vm, proxy.zone, {}});
-        if (proxy.zone == upstream.zone) {
-            near.push_back(all.back());
-        }
-    }
     // An owner in the upstream's own zone saves a second way between zones.
-    const auto &among = near.size() >= ownersPerUpstream ? near : all;
+    const auto near = this->holdersByZone.find(upstream.zone);
+    const auto enoughNear = near != this->holdersByZone.end() && near->second.size() >= ownersPerUpstream;
+    const auto &among = enoughNear ? near->second : this->holders;
     auto owners = std::vector<VmId>();
     for (const auto &holder : sessions::chooseHolders(upstream.id.value(), among, ownersPerUpstream)) {
         owners.push_back(holder.vm);
@@ -66,7 +65,7 @@
     if (!owns) {
         return {};
     }
-    const auto holders = owners.empty() ? std::max<std::size_t>(1, this->proxies.size()) : owners.size();
+    const auto holders = owners.empty() ? std::max<std::size_t>(1, this->proxies) : owners.size();
     const auto links = std::max<std::size_t>(1, this->usable(group, upstream) / holders);
     const auto statements = std::max(leastStatements, upstream.slots * statementsPerSlot / holders);
     return {links, statements};
--- a/lib/Sessions/rendezvous.cpp
+++ b/lib/Sessions/rendezvous.cpp
@@ -29,12 +29,12 @@
         ranked.push_back({XXH64(vm.data(), vm.size(), seed), &holder});
     }
     std::sort(ranked.begin(), ranked.end(), [](const Ranked &left, const Ranked &right) {
-        return std::pair(left.score, left.holder->vm) > std::pair(right.score, right.holder->vm);
+        return left.score != right.score ? left.score > right.score : left.holder->vm > right.holder->vm;
     });
     return ranked;
 }
 
-auto hasZone(const std::vector<Holder> &chosen, const ZoneId &zone) -> bool
+auto hasZone(std::span<const Holder> chosen, const ZoneId &zone) -> bool
 {
     return std::any_of(chosen.begin(), chosen.end(), [&zone](const Holder &holder) {
         return holder.zone == zone;
@@ -56,13 +56,17 @@
 {
     const auto ranked = rank(name, among);
     auto chosen = std::vector<Holder>();
-    auto rest = std::vector<Holder>();
-    for (const auto &candidate : ranked) {
-        auto &place = hasZone(chosen, candidate.holder->zone) ? rest : chosen;
-        place.push_back(*candidate.holder);
+    auto passedOver = std::vector<const Holder *>();
+    for (auto candidate = ranked.begin(); candidate != ranked.end() && chosen.size() < copies; ++candidate) {
+        if (!hasZone(chosen, candidate->holder->zone)) {
+            chosen.push_back(*candidate->holder);
+        } else if (passedOver.size() < copies) {
+            passedOver.push_back(candidate->holder);
+        }
+    }
+    for (auto holder = passedOver.begin(); holder != passedOver.end() && chosen.size() < copies; ++holder) {
+        chosen.push_back(**holder);
     }
-    chosen.insert(chosen.end(), rest.begin(), rest.end());
-    chosen.resize(std::min(chosen.size(), copies));
     return chosen;
 }
 
