Owners that are away are looked for beside the traffic, and statements pass them over

Cause: statements found out whether an owner of links was back. An owner that failed rested for 0.2 to 2 s; then the next statement, and all that came while it waited, stood 400 ms for a connection or 250 ms for a sign of life before they went on to the next owner. Questions for proofs of position did the same before a read could begin. An owner that control reports as started anew counts as there.

--- a/lib/Forwarding/forwardingpool.cpp
+++ b/lib/Forwarding/forwardingpool.cpp
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <map>
 #include <set>
 #include <utility>
@@ -78,14 +79,10 @@
         }
         this->forgetGone(former.get());
         this->viewSignal.notify();
-        std::erase_if(this->channels, [this](const auto &channel) {
-            const auto *const proxy = this->view->findProxy(channel.first);
-            const auto stays = proxy != nullptr && proxy->peers == channel.second.endpoint;
-            if (!stays) {
-                channel.second.channel->close();
-            }
-            return !stays;
-        });
+        for (auto channel = this->channels.begin(); channel != this->channels.end();) {
+            const auto stays = staysWith(this->view->findProxy(channel->first), channel->second);
+            channel = stays ? std::next(channel) : this->channels.erase(channel);
+        }
     }
 
     auto close() -> void override
@@ -211,6 +208,7 @@
     struct Channel
     {
         Endpoint endpoint;
+        Incarnation incarnation;
         std::shared_ptr<OwnerChannel> channel;
     };
 
@@ -249,6 +247,20 @@
         co_return std::get<FailureReply>(std::move(result.link));
     }
 
+    /// Follows what the view says of an owner.
+    /// \return whether its channel can still be used
+    static auto staysWith(const membership::ProxyView *proxy, Channel &channel) -> bool
+    {
+        if (proxy == nullptr || proxy->peers != channel.endpoint) {
+            channel.channel->close();
+            return false;
+        }
+        if (std::exchange(channel.incarnation, proxy->incarnation) != proxy->incarnation) {
+            channel.channel->startedAnew();
+        }
+        return true;
+    }
+
     /// Keeps nothing of the members that were in \p former and are not in the view.
     auto forgetGone(const membership::ClusterView *former) -> void
     {
@@ -339,7 +351,7 @@
             return nullptr;
         }
         const auto channel = std::make_shared<OwnerChannel>(this->executor, proxy->peers);
-        this->channels.emplace(owner, Channel{proxy->peers, channel});
+        this->channels.emplace(owner, Channel{proxy->peers, proxy->incarnation, channel});
         return channel;
     }
 
--- a/lib/Forwarding/ownerchannel.cpp
+++ b/lib/Forwarding/ownerchannel.cpp
@@ -3,6 +3,8 @@
 #include "sapphirespool/Support/clock.h"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -28,9 +30,6 @@
 constexpr auto quietTime = std::chrono::milliseconds(100);
 /// An owner that is there answers within the way there and back and a turn of a busy processor.
 constexpr auto pongLimit = std::chrono::milliseconds(150);
-/// An owner that failed is left alone for this long, twice as long after each further failure.
-constexpr auto firstRest = std::chrono::milliseconds(200);
-constexpr auto longestRest = std::chrono::milliseconds(2'000);
 
 auto busy(std::string detail) -> interactive::FailureReply
 {
@@ -117,6 +116,9 @@
     const auto self = this->shared_from_this();
     auto result = AcquireResult();
     result.link = busy("the proxy that owns the connections does not answer");
+    if (this->presence.isGivenUp(support::now())) {
+        co_return result;
+    }
     const auto connected = co_await this->connect(connectLimit);
     if (!connected) {
         co_return result;
@@ -129,12 +131,11 @@
     if (!answer) {
         if (generation == this->generation()) {
             this->release(lease, Release());
-            this->noteSilence();
+            this->noteFailure();
         }
         co_return result;
     }
     result.answered = true;
-    this->rest = std::chrono::milliseconds(0);
     if (auto *const refused = std::get_if<Refused>(&answer->body)) {
         result.link = std::move(refused->why);
         result.notOwner = refused->notOwner;
@@ -173,6 +174,9 @@
 auto OwnerChannel::prove(Prove request) -> asio::awaitable<std::optional<interactive::PositionProof>>
 {
     const auto self = this->shared_from_this();
+    if (this->presence.isGivenUp(support::now())) {
+        co_return std::nullopt;
+    }
     const auto connected = co_await this->connect(connectLimit);
     if (!connected) {
         co_return std::nullopt;
@@ -199,6 +203,7 @@
 
 auto OwnerChannel::close() -> void
 {
+    this->closed = true;
     if (this->connection != nullptr) {
         this->connection->close();
     }
@@ -206,7 +211,12 @@
 
 auto OwnerChannel::isWorthAsking() const -> bool
 {
-    return support::now() >= this->restsUntil;
+    return this->presence.isPresent();
+}
+
+auto OwnerChannel::startedAnew() -> void
+{
+    this->presence.isBack();
 }
 
 auto OwnerChannel::generation() const -> std::uint64_t
@@ -265,6 +275,7 @@
 auto OwnerChannel::received(Message message) -> void
 {
     this->heardAt = support::now();
+    this->presence.isBack();
     const auto found = this->waiters.find(message.lease);
     if (found == this->waiters.end()) {
         return;
@@ -283,15 +294,37 @@
 
 auto OwnerChannel::noteFailure() -> void
 {
-    this->rest = std::clamp(this->rest * 2, firstRest, longestRest);
-    this->restsUntil = support::now() + this->rest;
+    this->presence.failed(support::now());
+    if (!std::exchange(this->looking, true)) {
+        asio::co_spawn(this->executor, lookForOwner(this->shared_from_this()), asio::detached);
+    }
 }
 
-auto OwnerChannel::noteSilence() -> void
+auto OwnerChannel::lookForOwner(std::shared_ptr<OwnerChannel> self) -> asio::awaitable<void>
 {
-    // All questions that wait end together, and are one failure.
-    if (this->isWorthAsking()) {
-        this->noteFailure();
+    auto pause = asio::steady_timer(self->executor);
+    while (!self->presence.isPresent() && !self->closed) {
+        pause.expires_after(self->presence.nextPause());
+        co_await pause.async_wait(awaitTuple);
+        if (!self->presence.isPresent() && !self->closed) {
+            co_await self->look();
+        }
+    }
+    self->looking = false;
+}
+
+auto OwnerChannel::look() -> asio::awaitable<void>
+{
+    const auto connected = co_await this->connect(connectLimit);
+    if (!connected) {
+        co_return;
+    }
+    // A frozen VM takes connections too.
+    auto question = Message{++this->lastLease, Ping()};
+    const auto answer = co_await this->ask(std::move(question), pongLimit, Silence::IsEndured);
+    if (!answer && this->waiters.empty() && this->connection != nullptr) {
+        // After a cut an old connection sends its bytes again only after seconds.
+        this->connection->close();
     }
 }
 
@@ -332,7 +365,7 @@
         waiter->timer.expires_after(pongLimit);
         co_await waiter->timer.async_wait(awaitTuple);
         if (this->isPending(*waiter, at) && this->heardAt < asked) {
-            this->noteSilence();
+            this->noteFailure();
             co_return;
         }
     }
--- a/lib/Forwarding/ownerchannel.h
+++ b/lib/Forwarding/ownerchannel.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "framedconnection.h"
+#include "ownerpresence.h"
 
 #include "sapphirespool/Interactive/positionproofs.h"
 #include "sapphirespool/Interactive/upstreamlink.h"
@@ -52,9 +53,12 @@
 
     auto close() -> void;
 
-    /// \return whether the owner is worth asking: it did not fail a moment ago
+    /// \return whether the owner is worth asking: it has not failed since it was last heard
     [[nodiscard]] auto isWorthAsking() const -> bool;
 
+    /// The owner has started anew: what was noted of it before counts no more.
+    auto startedAnew() -> void;
+
     /// \return number of the connection, which leases do not outlive; 0 while there is none
     [[nodiscard]] auto generation() const -> std::uint64_t;
 
@@ -84,7 +88,10 @@
     auto received(Message message) -> void;
     auto ended() -> void;
     auto noteFailure() -> void;
-    auto noteSilence() -> void;
+    /// Looks for an owner that failed until it answers.
+    static auto lookForOwner(std::shared_ptr<OwnerChannel> self) -> boost::asio::awaitable<void>;
+    /// Connects if need be, and waits for a sign of life.
+    auto look() -> boost::asio::awaitable<void>;
     /// Sends \p message and waits for its answer.
     /// \param silence whether to go on waiting for an owner that gives no sign of life
     /// \return nothing if none came in time
@@ -103,8 +110,10 @@
     std::map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
     /// Coroutines that wait for the connection that is being made.
     std::shared_ptr<boost::asio::steady_timer> connecting;
-    TimePoint restsUntil{};
-    std::chrono::milliseconds rest{0};
+    OwnerPresence presence;
+    /// Whether the owner is being looked for.
+    bool looking = false;
+    bool closed = false;
 };
 
 } // namespace sapphirespool::forwarding
--- a/unittests/Forwarding/forwardingpooltest.cpp
+++ b/unittests/Forwarding/forwardingpooltest.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -176,6 +177,45 @@
         return proxyCount;
     }
 
+    /// Lets the proxies \p vms take connections and bytes and say nothing, for as long as the result lasts.
+    [[nodiscard]] auto freeze(const std::vector<VmId> &vms) -> asio::ip::tcp::acceptor
+    {
+        auto silent = asio::ip::tcp::acceptor(this->io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        this->view = std::make_shared<membership::ClusterView>(*this->view);
+        for (auto &proxy : this->view->proxies) {
+            if (std::find(vms.begin(), vms.end(), proxy.id) != vms.end()) {
+                proxy.peers.port = silent.local_endpoint().port();
+            }
+        }
+        this->publish();
+        return silent;
+    }
+
+    struct LongestAcquire
+    {
+        Duration time{};
+        /// Whether each had a lease.
+        bool served = true;
+    };
+
+    /// \return the longest of many acquisitions during \p time, after the first second
+    auto longestAcquire(std::size_t proxy, Duration time) -> LongestAcquire
+    {
+        const auto from = support::now() + 1s;
+        auto longest = LongestAcquire();
+        while (support::now() < from + time) {
+            const auto began = support::now();
+            const auto refused = this->acquire(proxy, 2s).has_value();
+            if (began >= from) {
+                longest.time = std::max(longest.time, support::now() - began);
+                longest.served = longest.served && !refused;
+            }
+            this->leases.clear();
+            this->run(20ms);
+        }
+        return longest;
+    }
+
     [[nodiscard]] auto poolOf(const VmId &vm) const -> ForwardingPool &
     {
         std::size_t place = 0;
@@ -185,13 +225,18 @@
         return *this->pools.at(place);
     }
 
-    /// \return the owner that \p proxy asks first
-    [[nodiscard]] auto firstOwnerFor(std::size_t proxy) const -> VmId
+    /// \return the owners that \p proxy asks, in its order
+    [[nodiscard]] auto ownersFor(std::size_t proxy) const -> std::vector<VmId>
     {
         auto ownership = Ownership(this->view->proxies.at(proxy).id, ZoneId("zone-a"));
         ownership.viewChanged(*this->view);
         const auto &group = this->view->groups.front();
-        return ownership.ownersOf(group, group.members.front()).front();
+        return ownership.ownersOf(group, group.members.front());
+    }
+
+    [[nodiscard]] auto firstOwnerFor(std::size_t proxy) const -> VmId
+    {
+        return this->ownersFor(proxy).front();
     }
 
     /// \return when transactions that may write were begun, in their order
@@ -313,17 +358,7 @@
     // An owner freezes: it takes connections and bytes and says nothing. Each statement that is sent there would wait for its whole time
     // and its caller be told nothing until the deadline, although two other owners have links. It is asked for a sign of life, and left.
     auto fleet = Fleet();
-    auto ownership = Ownership(VmId("vm-10"), ZoneId("zone-a"));
-    ownership.viewChanged(*fleet.view);
-    const auto &group = fleet.view->groups.front();
-    const auto frozen = ownership.ownersOf(group, group.members.front()).front();
-    auto silent = asio::ip::tcp::acceptor(fleet.io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    for (auto &proxy : fleet.view->proxies) {
-        if (proxy.id == frozen) {
-            proxy.peers.port = silent.local_endpoint().port();
-        }
-    }
-    fleet.publish();
+    const auto frozen = fleet.freeze({fleet.firstOwnerFor(0)});
     for (std::size_t proxy = 0; proxy < proxyCount; ++proxy) {
         INFO(proxy);
         const auto began = std::chrono::steady_clock::now();
@@ -333,6 +368,51 @@
     }
 }
 
+TEST_CASE("an owner that stays away costs statements nothing once it was given up")
+{
+    // Load pattern: a cut between a proxy and some owners lasts for seconds. Were it the statements that find out whether an owner is back, one
+    // in five would wait for it.
+    auto fleet = Fleet();
+    const auto proxy = fleet.proxyWithoutLinks();
+
+    SECTION("while others answer")
+    {
+        const auto frozen = fleet.freeze({fleet.firstOwnerFor(proxy)});
+        const auto longest = fleet.longestAcquire(proxy, 2s);
+        CHECK(longest.served);
+        CHECK(longest.time < 100ms);
+    }
+    SECTION("while none answers, and is refused at once")
+    {
+        const auto frozen = fleet.freeze(fleet.ownersFor(proxy));
+        const auto longest = fleet.longestAcquire(proxy, 2s);
+        CHECK_FALSE(longest.served);
+        CHECK(longest.time < 100ms);
+    }
+}
+
+TEST_CASE("an owner that comes back is asked again")
+{
+    // Owners that were given up and never looked for would leave their part of the connections idle for good.
+    auto fleet = Fleet();
+    const auto proxy = fleet.proxyWithoutLinks();
+    const auto owners = fleet.ownersFor(proxy);
+    for (const auto &owner : owners) {
+        fleet.poolOf(owner).close();
+    }
+    REQUIRE(fleet.acquire(proxy));
+    fleet.run(800ms);
+    REQUIRE(fleet.acquire(proxy));
+    for (const auto &owner : owners) {
+        fleet.poolOf(owner).listen(fleet.view->findProxy(owner)->peers);
+    }
+    const auto back = support::now();
+    while (fleet.acquire(proxy) && support::now() - back < 5s) {
+        fleet.run(20ms);
+    }
+    CHECK(support::now() - back < 1s);
+}
+
 TEST_CASE("an owner that cannot reach the upstream is not the end of the matter")
 {
     // The primary is cut off from one of its owners, and takes connections from the others. A proxy that asks the one is told so, and must
