Changes of the VMs alone are gathered for 50 ms before they are sent to all that watch

What callers saw: the last proxies of a large fleet served late after a loss of power; it costs most where the fleet is large. Cause: each VM that registers made a view of its own for each other VM: with a hundred VMs ten thousand deltas from one leader, in the half second in which all callers come back. ViewBatch decides: a change of a group or of the configuration is sent at once, with all that was gathered; a VM without a view, or one that is behind what was sent, waits for nothing; a VM that came or went waits 50 ms at most for others.

--- a/lib/Control/controlserver.cpp
+++ b/lib/Control/controlserver.cpp
@@ -1,6 +1,7 @@
 #include "sapphirespool/Control/controlserver.h"
 
 #include "codec.h"
+#include "viewbatch.h"
 #include "viewhistory.h"
 #include "viewpacer.h"
 
@@ -97,9 +98,17 @@
     {
         const auto view = this->service.currentView();
         this->history.note(view);
+        this->batch.note(view, support::now());
         return view->revision;
     }
 
+    /// \return whether a VM that holds \p known is to be sent the newest view now
+    auto isDue(Revision known) -> bool
+    {
+        this->newestRevision();
+        return this->batch.isDue(known, support::now());
+    }
+
     /// \return what brings a VM from \p known to the newest view
     auto updateFrom(Revision known, std::span<const ServiceId> services) -> ViewUpdate
     {
@@ -159,6 +168,20 @@
     auto viewChanged() -> void
     {
         this->newestRevision();
+        const auto at = this->batch.sendsAt();
+        if (!at) {
+            this->wakeWatches();
+        } else if (!std::exchange(this->batchTimerRuns, true)) {
+            const auto wait = std::chrono::ceil<std::chrono::milliseconds>(*at - support::now());
+            this->tasks.add(this->context.timer.afterDelay(wait.count() * kj::MILLISECONDS).then([this] {
+                this->batchTimerRuns = false;
+                this->wakeWatches();
+            }));
+        }
+    }
+
+    auto wakeWatches() -> void
+    {
         for (auto &fulfiller : std::exchange(this->waiting, {})) {
             fulfiller->fulfill();
         }
@@ -170,6 +193,8 @@
 
     bool detached = false;
     ViewHistory history;
+    ViewBatch batch;
+    bool batchTimerRuns = false;
     ViewPacer pacer;
     std::map<ViewPacer::Ticket, Turn> turns;
     bool turnTimerRuns = false;
@@ -247,7 +272,7 @@
             this->shared->writeRedirect(call.getResults().initAnswer().initRedirect());
             return kj::READY_NOW;
         }
-        if (this->shared->newestRevision() != known) {
+        if (this->shared->isDue(known)) {
             return this->answerInTurn(call, known);
         }
         return this->shared->awaitChange().then([this, call, known]() mutable {
