An unreachable upstream is looked for beside the traffic, and what waits for it is told at once

Cause: only a connection that was opened found an upstream unreachable. Where all links were taken by statements without an answer none was opened, and who waited for a link waited to the end of its patience. A rest that had run out was tried out by callers. Now a holder whose statements are overdue looks whether the upstream takes connections, twice a second at most; one that does not is looked for in the background (support::Presence, as for owners), and all that wait for it are told. A statement for a primary that could not be reached is tried again after 100 ms or with the next view, whichever is first, in place of four tries within a millisecond: control needs some hundred milliseconds to find that the primary is gone. Without control nothing can come, so it is refused at once. What the pool keeps of one upstream has a file of its own (linkplace.h). Evidence: without the look the new test of waiting callers fails (its next one waits for 10 s); without the pause the test of a write whose primary cannot be reached fails (refused within a millisecond). An upstream that is slow but takes connections is not taken for dark.

--- a/lib/Forwarding/ownerchannel.h
+++ b/lib/Forwarding/ownerchannel.h
@@ -2,10 +2,10 @@
 #pragma once
 
 #include "framedconnection.h"
-#include "ownerpresence.h"
 
 #include "sapphirespool/Interactive/positionproofs.h"
 #include "sapphirespool/Interactive/upstreamlink.h"
+#include "sapphirespool/Support/presence.h"
 #include "sapphirespool/Support/types.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -110,7 +110,7 @@
     std::map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
     /// Coroutines that wait for the connection that is being made.
     std::shared_ptr<boost::asio::steady_timer> connecting;
-    OwnerPresence presence;
+    support::Presence presence;
     /// Whether the owner is being looked for.
     bool looking = false;
     bool closed = false;
--- a/lib/Interactive/callersession.h
+++ b/lib/Interactive/callersession.h
@@ -103,7 +103,8 @@
     /// \param refuted member that turned out not to be the primary
     auto pick(bool needsPrimary, const Work &work, const std::set<UpstreamId> &excluded, const std::optional<Member> &refuted)
         -> boost::asio::awaitable<TargetResult>;
-    auto pickPrimary(const Work &work, const std::optional<Member> &refuted) -> boost::asio::awaitable<TargetResult>;
+    /// \param tried members at which the statement did not run; the primary is not tried again at once
+    auto pickPrimary(const Work &work, const std::set<UpstreamId> &tried, const std::optional<Member> &refuted) -> boost::asio::awaitable<TargetResult>;
     auto pickReader(const Work &work, const std::set<UpstreamId> &excluded, const std::optional<Member> &refuted) -> boost::asio::awaitable<TargetResult>;
     [[nodiscard]] auto neededPosition(const membership::ServiceView &service) const -> std::optional<DataPosition>;
     auto acquire(const Target &target, const Work &work) -> boost::asio::awaitable<LeaseResult>;
--- a/lib/Interactive/linkpool.cpp
+++ b/lib/Interactive/linkpool.cpp
@@ -1,15 +1,17 @@
 #include "sapphirespool/Interactive/linkpool.h"
 
+#include "linkplace.h"
 #include "meteredlink.h"
 #include "runvalues.h"
 #include "singleflight.h"
 
-#include "sapphirespool/Decisions/serviceestimate.h"
-#include "sapphirespool/Decisions/statementqueue.h"
 #include "sapphirespool/Http/liveness.h"
 #include "sapphirespool/Support/clock.h"
+#include "sapphirespool/Support/presence.h"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -28,68 +30,18 @@
 
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 
-using decisions::StatementQueue;
+/// When a caller who met an unreachable upstream may come back: about when it is noticed that the upstream is back.
+constexpr auto unreachableRetry = std::chrono::duration_cast<std::chrono::milliseconds>(support::Presence::longestPause);
 
-/// What a proxy may use before it knows its share of an upstream.
-constexpr auto firstLimits = LinkLimits{1, 1};
-
-/// An upstream that could not be reached is left alone for this long, twice as long after each further failure, up to the limit. Each
-/// statement that tries it meanwhile would wait for the whole time that a connection may take, while another proxy may reach it.
-constexpr auto firstRest = std::chrono::milliseconds(100);
-constexpr auto longestRest = std::chrono::milliseconds(400);
+/// Pause between two looks at an upstream whose statements are overdue. It is slow, or its answers are lost, for seconds at a time.
+constexpr auto overdueLookSpacing = std::chrono::milliseconds(500);
 
 /// No statement counts as lost before this time: a few times what most take.
 constexpr auto soonestOverdue = std::chrono::milliseconds(100);
 
-/// A session that waits for a link.
-struct Waiter
-{
-    explicit Waiter(const asio::any_io_executor &executor)
-        : timer(executor)
-    {
-    }
-
-    asio::steady_timer timer;
-    bool takesSlot = true;
-    /// The link that came free.
-    std::shared_ptr<MeteredLink> link;
-    /// Whether a place came free in which a link may be opened; the place is taken for this waiter.
-    bool mayOpen = false;
-};
-
-/// The links to one upstream.
-struct Place
-{
-    LinkLimits limits = firstLimits;
-    /// Most recently used last.
-    std::vector<std::shared_ptr<MeteredLink>> idle;
-    std::size_t busy = 0;
-    /// Busy links that take none of the upstream's slots.
-    std::size_t resting = 0;
-    StatementQueue queue;
-    std::map<StatementQueue::Ticket, std::shared_ptr<Waiter>> waiters;
-    /// How long a statement that takes a slot is under way.
-    decisions::ServiceEstimate serviceTime;
-    bool retired = false;
-    TimePoint unreachableUntil{};
-    Duration rest{};
-    /// The newest that the upstream gave.
-    std::optional<PositionProof> proof = {};
-
-    [[nodiscard]] auto hasRoom() const -> bool
-    {
-        return this->idle.size() + this->busy < this->limits.links;
-    }
-
-    [[nodiscard]] auto hasSlot() const -> bool
-    {
-        return this->busy - this->resting < this->limits.statements;
-    }
-};
-
 auto unreachableReply(const UpstreamId &upstream) -> FailureReply
 {
-    return {Failure::Unreachable, upstream.value() + " could not be reached a moment ago", longestRest};
+    return {Failure::Unreachable, upstream.value() + " could not be reached a moment ago", unreachableRetry};
 }
 
 class PlainLinkPool : public LinkPool, public WorkMeter, public std::enable_shared_from_this<PlainLinkPool>
@@ -108,7 +60,8 @@
         const auto id = upstream.id;
         auto &place = this->places[id];
         place.retired = false;
-        if (place.idle.empty() && support::now() < place.unreachableUntil) {
+        place.upstream = upstream;
+        if (place.idle.empty() && !place.presence.isPresent()) {
             co_return unreachableReply(id);
         }
         if (!claim.takesSlot || (place.waiters.empty() && place.hasSlot())) {
@@ -139,6 +92,9 @@
         if (waiter->mayOpen) {
             co_return co_await this->open(std::move(group), std::move(upstream), claim);
         }
+        if (waiter->unreachable) {
+            co_return unreachableReply(id);
+        }
         auto &left = this->places[id];
         left.queue.erase(ticket);
         left.waiters.erase(ticket);
@@ -255,6 +211,16 @@
         this->places[upstream].serviceTime.record(took);
     }
 
+    auto overdue(const UpstreamId &upstream) -> void override
+    {
+        auto &place = this->places[upstream];
+        const auto now = support::now();
+        if (place.presence.isPresent() && now - place.overdueLookAt >= overdueLookSpacing) {
+            place.overdueLookAt = now;
+            asio::co_spawn(this->executor, lookAtOverdue(this->shared_from_this(), upstream), asio::detached);
+        }
+    }
+
     [[nodiscard]] auto overdueAfter(const UpstreamId &upstream) const -> Duration override
     {
         const auto found = this->places.find(upstream);
@@ -343,7 +309,7 @@
         const auto id = upstream.id;
         auto result = co_await this->connector->connect(std::move(group), std::move(upstream), claim.connectLimit);
         if (auto *const link = std::get_if<std::shared_ptr<UpstreamLink>>(&result)) {
-            this->places[id].rest = Duration(0);
+            this->places[id].presence.isBack();
             auto metered = std::make_shared<MeteredLink>(std::move(*link), this->weak_from_this(), id);
             co_return this->lease(id, std::move(metered), claim.takesSlot);
         }
@@ -352,21 +318,71 @@
         place.resting -= claim.takesSlot ? 0 : 1;
         auto why = std::get<FailureReply>(std::move(result));
         if (why.failure == Failure::Unreachable) {
-            leaveAlone(place);
+            this->leaveAlone(id, place);
         }
         this->serveWaiters(place);
         co_return why;
     }
 
-    static auto leaveAlone(Place &place) -> void
+    /// Tells all that wait for an upstream that cannot be reached, and looks for it until it is back.
+    auto leaveAlone(const UpstreamId &upstream, Place &place) -> void
     {
-        place.rest = std::clamp<Duration>(place.rest * 2, firstRest, longestRest);
-        place.unreachableUntil = support::now() + place.rest;
+        place.presence.failed(support::now());
         // Connections to an upstream behind a cut stay open without a word. A statement on one of them would wait for its whole time.
         for (const auto &link : place.idle) {
             link->close();
         }
         place.idle.clear();
+        for (const auto &[ticket, waiter] : std::exchange(place.waiters, {})) {
+            place.queue.erase(ticket);
+            waiter->unreachable = true;
+            waiter->timer.cancel();
+        }
+        if (!std::exchange(place.lookedFor, true)) {
+            asio::co_spawn(this->executor, lookFor(this->shared_from_this(), upstream), asio::detached);
+        }
+    }
+
+    static auto lookFor(std::shared_ptr<PlainLinkPool> self, UpstreamId upstream) -> asio::awaitable<void>
+    {
+        auto pause = asio::steady_timer(self->executor);
+        auto found = self->places.find(upstream);
+        while (found != self->places.end() && !found->second.presence.isPresent() && !found->second.retired) {
+            pause.expires_after(found->second.presence.nextPause());
+            co_await pause.async_wait(awaitTuple);
+            co_await self->lookOnce(upstream);
+            found = self->places.find(upstream);
+        }
+        if (found != self->places.end()) {
+            // An upstream that was retired meanwhile is tried anew if it is ever asked for again.
+            found->second.presence.isBack();
+            found->second.lookedFor = false;
+        }
+    }
+
+    /// Notes whether \p upstream takes connections.
+    /// \return whether it does
+    auto lookOnce(UpstreamId upstream) -> asio::awaitable<bool>
+    {
+        const auto known = this->places.find(upstream);
+        if (known == this->places.end()) {
+            co_return true;
+        }
+        const auto reached = co_await this->connector->reaches(known->second.upstream, http::reachLimit);
+        const auto present = this->places.find(upstream);
+        if (reached && present != this->places.end()) {
+            present->second.presence.isBack();
+        }
+        co_return reached;
+    }
+
+    static auto lookAtOverdue(std::shared_ptr<PlainLinkPool> self, UpstreamId upstream) -> asio::awaitable<void>
+    {
+        const auto reached = co_await self->lookOnce(upstream);
+        const auto found = self->places.find(upstream);
+        if (!reached && found != self->places.end()) {
+            self->leaveAlone(upstream, found->second);
+        }
     }
 
     auto returned(const UpstreamId &upstream, std::shared_ptr<UpstreamLink> given, bool clean) -> void override
@@ -376,6 +392,9 @@
         auto link = std::static_pointer_cast<MeteredLink>(std::move(given));
         --place.busy;
         place.resting -= std::exchange(link->resting, false) ? 1 : 0;
+        if (clean) {
+            place.presence.isBack();
+        }
         const auto keep = clean && !place.retired && place.idle.size() + place.busy < place.limits.links && link->isUsable();
         if (keep) {
             place.idle.push_back(std::move(link));
--- a/lib/Interactive/meteredlink.cpp
+++ b/lib/Interactive/meteredlink.cpp
@@ -76,9 +76,13 @@
             return;
         }
         const auto owner = this->meter.lock();
-        if (owner != nullptr && !std::exchange(this->resting, true)) {
+        if (owner == nullptr) {
+            return;
+        }
+        if (!std::exchange(this->resting, true)) {
             owner->rested(this->upstream);
         }
+        owner->overdue(this->upstream);
     });
 }
 
--- a/lib/Interactive/meteredlink.h
+++ b/lib/Interactive/meteredlink.h
@@ -24,6 +24,8 @@
     virtual auto resumed(const UpstreamId &upstream) -> void = 0;
     /// A command that took a slot was answered after \p took.
     virtual auto worked(const UpstreamId &upstream, Duration took) -> void = 0;
+    /// A command that took a slot has had no answer for overdueAfter().
+    virtual auto overdue(const UpstreamId &upstream) -> void = 0;
     /// \return how long a command may go without an answer before it counts as lost
     [[nodiscard]] virtual auto overdueAfter(const UpstreamId &upstream) const -> Duration = 0;
 };
--- a/lib/Interactive/sessioncore.cpp
+++ b/lib/Interactive/sessioncore.cpp
@@ -183,6 +183,14 @@
     }
 }
 
+auto SessionCore::awaitViewChange(Duration patience) -> asio::awaitable<void>
+{
+    const auto self = this->shared_from_this();
+    if (this->hearsControl()) {
+        co_await this->viewSignal.wait(std::chrono::steady_clock::now() + patience);
+    }
+}
+
 auto SessionCore::searchPrimary(std::shared_ptr<SessionCore> self, GroupId group, std::optional<UpstreamId> refuted) -> asio::awaitable<void>
 {
     const auto flight = self->searching.begin(group);
--- a/lib/Interactive/sessioncore.h
+++ b/lib/Interactive/sessioncore.h
@@ -74,6 +74,9 @@
     /// can name it: the members are asked, and what they say is final.
     auto awaitPrimary(GroupId group, std::optional<Member> refuted, Duration patience) -> boost::asio::awaitable<std::optional<Member>>;
 
+    /// Waits until a new view comes, for \p patience at most; not at all where control is not heard, since none will come.
+    auto awaitViewChange(Duration patience) -> boost::asio::awaitable<void>;
+
     /// Tells control that a primary cannot be reached.
     auto suspect(const Member &member) -> void;
 
--- a/lib/Interactive/sessionplacement.cpp
+++ b/lib/Interactive/sessionplacement.cpp
@@ -23,6 +23,10 @@
 /// proxy can serve it sooner, and who is sent away only comes back to the same queue, with an attempt less.
 constexpr auto primaryPart = 2;
 
+/// Pause before a primary that could not be reached is tried again, unless a view comes first. The attempts at one statement would else be over
+/// within a millisecond, while control needs some hundred to find that the primary is gone.
+constexpr auto primaryRetryPause = std::chrono::milliseconds(100);
+
 /// Opening a link takes two ways and the upstream's own handshake, some tens of milliseconds, on a busy upstream some more. One that was not
 /// opened in this time is tried at another proxy or member; a packet that was lost would take a second.
 constexpr auto connectLimit = std::chrono::milliseconds(400);
@@ -47,11 +51,14 @@
 auto CallerSession::pick(bool needsPrimary, const Work &work, const std::set<UpstreamId> &excluded, const std::optional<Member> &refuted)
     -> asio::awaitable<TargetResult>
 {
-    return needsPrimary ? this->pickPrimary(work, refuted) : this->pickReader(work, excluded, refuted);
+    return needsPrimary ? this->pickPrimary(work, excluded, refuted) : this->pickReader(work, excluded, refuted);
 }
 
-auto CallerSession::pickPrimary(const Work &work, const std::optional<Member> &refuted) -> asio::awaitable<TargetResult>
+auto CallerSession::pickPrimary(const Work &work, const std::set<UpstreamId> &tried, const std::optional<Member> &refuted) -> asio::awaitable<TargetResult>
 {
+    if (const auto known = this->core->primaryOf(work.service.group); known && tried.contains(known->upstream.id) && !refuted) {
+        co_await this->core->awaitViewChange(std::min<Duration>(primaryRetryPause, work.left()));
+    }
     auto primary = co_await this->core->awaitPrimary(work.service.group, refuted, std::min<Duration>(work.left(), work.service.timeout / primaryPart));
     if (!primary) {
         co_return makeFailure(Failure::Busy, "group " + work.service.group.value() + " has no primary", promotionRetry);
@@ -69,7 +76,7 @@
         needed = this->neededPosition(work.service);
     }
     if (!needed) {
-        co_return co_await this->pickPrimary(work, refuted);
+        co_return co_await this->pickPrimary(work, excluded, refuted);
     }
     auto members = this->core->readersOf(work.service.group);
     std::erase_if(members, [&excluded](const Member &member) {
@@ -82,7 +89,7 @@
     }
     const auto *const chosen = this->core->load.choose(candidates, support::now());
     if (chosen == nullptr) {
-        co_return co_await this->pickPrimary(work, refuted);
+        co_return co_await this->pickPrimary(work, excluded, refuted);
     }
     const auto member = std::find_if(members.begin(), members.end(), [chosen](const Member &candidate) {
         return candidate.upstream.id == chosen->upstream;
--- a/lib/Forwarding/ownerpresence.cpp
+++ b/lib/Support/presence.cpp
@@ -1,37 +1,37 @@
-#include "ownerpresence.h"
+#include "sapphirespool/Support/presence.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace sapphirespool::forwarding
+namespace sapphirespool::support
 {
 
-auto OwnerPresence::failed(TimePoint now) -> void
+auto Presence::failed(TimePoint now) -> void
 {
     if (std::exchange(this->present, false)) {
         this->awaySince = now;
     }
 }
 
-auto OwnerPresence::isBack() -> void
+auto Presence::isBack() -> void
 {
     this->present = true;
     this->pause = firstPause;
 }
 
-auto OwnerPresence::isPresent() const -> bool
+auto Presence::isPresent() const -> bool
 {
     return this->present;
 }
 
-auto OwnerPresence::isGivenUp(TimePoint now) const -> bool
+auto Presence::isGivenUp(TimePoint now) const -> bool
 {
     return !this->present && now - this->awaySince >= hope;
 }
 
-auto OwnerPresence::nextPause() -> Duration
+auto Presence::nextPause() -> Duration
 {
     return std::exchange(this->pause, std::min(this->pause * 2, longestPause));
 }
 
-} // namespace sapphirespool::forwarding
+} // namespace sapphirespool::support
--- a/unittests/Interactive/linkpooltest.cpp
+++ b/unittests/Interactive/linkpooltest.cpp
@@ -163,6 +163,37 @@
     CHECK(OneSlot::isHeld(upstream.acquire(2)));
 }
 
+TEST_CASE("what waits for a link to an upstream that went dark is told at once")
+{
+    // All links are taken by statements that get no answer. Who waits for one of them would be refused after half of its time, while it
+    // could have gone to another member, or waited for the next primary.
+    auto slot = OneSlot();
+    slot.pool->setLimits(UpstreamId("a"), {1, 1});
+    const auto lost = slot.acquire(0);
+    slot.databases.member("a").trouble = [](const Command &) {
+        return Trouble::NoAnswer;
+    };
+    slot.run(lost, {commandOf(CommandKind::Run, "read a")});
+    const auto next = slot.acquire(0);
+    REQUIRE_FALSE(next->has_value());
+
+    SECTION("")
+    {
+        slot.databases.member("a").reachable = false;
+        slot.io.restart();
+        slot.io.run_for(150ms);
+        REQUIRE(next->has_value());
+        CHECK(std::get<FailureReply>(**next).failure == Failure::Unreachable);
+        CHECK(slot.pool->counts(UpstreamId("a")).waiting == 0);
+    }
+    SECTION("but not for one that still takes connections")
+    {
+        slot.io.restart();
+        slot.io.run_for(150ms);
+        CHECK_FALSE(next->has_value());
+    }
+}
+
 TEST_CASE("a statement whose answer is lost keeps no others from an idle upstream")
 {
     // The caller sees: statements refused for seconds at an upstream that is idle. It runs statements whose answers get lost; each of them waits
--- a/unittests/Interactive/sessiontest.cpp
+++ b/unittests/Interactive/sessiontest.cpp
@@ -384,6 +384,36 @@
     }
 }
 
+TEST_CASE("a write whose primary cannot be reached is tried again at the next one")
+{
+    // The primary loses its power. All attempts at the statement would be over before control has named another one.
+    auto proxy = Proxy(Consistency::Strong);
+    proxy.databases.member("a").reachable = false;
+    const auto pending = proxy.start(proxy.open(), store("a", "1"));
+    proxy.pass(80ms);
+    REQUIRE_FALSE(pending->has_value());
+    proxy.databases.promote("b");
+    proxy.databases.viewedPrimary = "b";
+    ++proxy.databases.revision;
+    proxy.publish();
+    proxy.pass(100ms);
+    REQUIRE(pending->has_value());
+    CHECK_FALSE((*pending)->failure);
+    CHECK(proxy.databases.member("b").items.at("a") == "1");
+}
+
+TEST_CASE("a proxy without control does not try an unreachable primary again")
+{
+    auto proxy = Proxy(Consistency::Strong);
+    proxy.databases.member("a").reachable = false;
+    proxy.views->noteContact(support::now() - 2s);
+    const auto began = std::chrono::steady_clock::now();
+    const auto reply = proxy.run(proxy.open(), store("a", "1"));
+    REQUIRE(reply.failure);
+    CHECK(promisesNothingKept(reply.failure->failure));
+    CHECK(std::chrono::steady_clock::now() - began < 100ms);
+}
+
 TEST_CASE("a write whose answer was lost is not sent to a primary that is found")
 {
     // The old primary may have run it; at the new one it would run twice.
