Upstreams and owners that go away and come back are log lines

A lost dependency left no line of its own: that a proxy had lost its way to another one, or to an upstream, had to be read from the refusals of its callers. Two lines at once and one a second for each peer, so that one that comes and goes by turns drowns nothing.

--- a/include/sapphirespool/Support/presence.h
+++ b/include/sapphirespool/Support/presence.h
@@ -25,10 +25,12 @@
     static constexpr auto hope = std::chrono::milliseconds(500);
 
     /// Notes that the peer took no connection or gave no sign of life.
-    auto failed(TimePoint now) -> void;
+    /// \return whether it was present until now
+    auto failed(TimePoint now) -> bool;
 
     /// Notes that the peer sent something, or has started anew.
-    auto isBack() -> void;
+    /// \return whether it was away until now
+    auto isBack() -> bool;
 
     /// \return whether the peer has not failed since it was last heard
     [[nodiscard]] auto isPresent() const -> bool;
@@ -36,6 +38,9 @@
     /// \return whether a question would only wait in vain
     [[nodiscard]] auto isGivenUp(TimePoint now) const -> bool;
 
+    /// \return when it was first missed; only while it is away
+    [[nodiscard]] auto missedSince() const -> TimePoint;
+
     /// \return the pause before the next look
     [[nodiscard]] auto nextPause() -> Duration;
 
--- a/lib/Forwarding/ownerchannel.cpp
+++ b/lib/Forwarding/ownerchannel.cpp
@@ -1,6 +1,7 @@
 #include "ownerchannel.h"
 
 #include "sapphirespool/Support/clock.h"
+#include "sapphirespool/Support/log.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -216,7 +217,7 @@
 
 auto OwnerChannel::startedAnew() -> void
 {
-    this->presence.isBack();
+    this->noteBack();
 }
 
 auto OwnerChannel::generation() const -> std::uint64_t
@@ -275,7 +276,7 @@
 auto OwnerChannel::received(Message message) -> void
 {
     this->heardAt = support::now();
-    this->presence.isBack();
+    this->noteBack();
     const auto found = this->waiters.find(message.lease);
     if (found == this->waiters.end()) {
         return;
@@ -294,12 +295,23 @@
 
 auto OwnerChannel::noteFailure() -> void
 {
-    this->presence.failed(support::now());
+    const auto now = support::now();
+    if (this->presence.failed(now) && this->lines.tryTake(now)) {
+        support::log(support::Event::OwnerAway, {{"owner", this->endpoint.address}, {"silent_ms", now - this->heardAt}});
+    }
     if (!std::exchange(this->looking, true)) {
         asio::co_spawn(this->executor, lookForOwner(this->shared_from_this()), asio::detached);
     }
 }
 
+auto OwnerChannel::noteBack() -> void
+{
+    const auto now = support::now();
+    if (this->presence.isBack() && this->lines.tryTake(now)) {
+        support::log(support::Event::OwnerBack, {{"owner", this->endpoint.address}, {"away_ms", now - this->presence.missedSince()}});
+    }
+}
+
 auto OwnerChannel::lookForOwner(std::shared_ptr<OwnerChannel> self) -> asio::awaitable<void>
 {
     auto pause = asio::steady_timer(self->executor);
--- a/lib/Forwarding/ownerchannel.h
+++ b/lib/Forwarding/ownerchannel.h
@@ -5,6 +5,7 @@
 
 #include "sapphirespool/Interactive/positionproofs.h"
 #include "sapphirespool/Interactive/upstreamlink.h"
+#include "sapphirespool/Support/logbudget.h"
 #include "sapphirespool/Support/presence.h"
 #include "sapphirespool/Support/types.h"
 
@@ -88,6 +89,7 @@
     auto received(Message message) -> void;
     auto ended() -> void;
     auto noteFailure() -> void;
+    auto noteBack() -> void;
     /// Looks for an owner that failed until it answers.
     static auto lookForOwner(std::shared_ptr<OwnerChannel> self) -> boost::asio::awaitable<void>;
     /// Connects if need be, and waits for a sign of life.
@@ -111,6 +113,8 @@
     /// Coroutines that wait for the connection that is being made.
     std::shared_ptr<boost::asio::steady_timer> connecting;
     support::Presence presence;
+    /// Lines on an owner that comes and goes by turns.
+    support::LogBudget lines{1.0};
     /// Whether the owner is being looked for.
     bool looking = false;
     bool closed = false;
--- a/lib/Interactive/linkplace.h
+++ b/lib/Interactive/linkplace.h
@@ -6,6 +6,7 @@
 #include "sapphirespool/Decisions/serviceestimate.h"
 #include "sapphirespool/Decisions/statementqueue.h"
 #include "sapphirespool/Interactive/linkpool.h"
+#include "sapphirespool/Support/logbudget.h"
 #include "sapphirespool/Support/presence.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -58,6 +59,8 @@
     /// The upstream as the view last showed it.
     membership::UpstreamView upstream;
     support::Presence presence;
+    /// Lines on an upstream that comes and goes by turns.
+    support::LogBudget lines{1.0};
     /// Whether it is being looked for.
     bool lookedFor = false;
     /// When it was last looked at since statements were overdue.
--- a/lib/Interactive/linkpool.cpp
+++ b/lib/Interactive/linkpool.cpp
@@ -7,6 +7,7 @@
 
 #include "sapphirespool/Http/liveness.h"
 #include "sapphirespool/Support/clock.h"
+#include "sapphirespool/Support/log.h"
 #include "sapphirespool/Support/presence.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -309,7 +310,7 @@
         const auto id = upstream.id;
         auto result = co_await this->connector->connect(std::move(group), std::move(upstream), claim.connectLimit);
         if (auto *const link = std::get_if<std::shared_ptr<UpstreamLink>>(&result)) {
-            this->places[id].presence.isBack();
+            noteBack(id, this->places[id]);
             auto metered = std::make_shared<MeteredLink>(std::move(*link), this->weak_from_this(), id);
             co_return this->lease(id, std::move(metered), claim.takesSlot);
         }
@@ -327,7 +328,10 @@
     /// Tells all that wait for an upstream that cannot be reached, and looks for it until it is back.
     auto leaveAlone(const UpstreamId &upstream, Place &place) -> void
     {
-        place.presence.failed(support::now());
+        const auto now = support::now();
+        if (place.presence.failed(now) && place.lines.tryTake(now)) {
+            support::log(support::Event::UpstreamAway, {{"upstream", upstream.value()}, {"waiting", place.waiters.size()}, {"busy", place.busy}});
+        }
         // Connections to an upstream behind a cut stay open without a word. A statement on one of them would wait for its whole time.
         for (const auto &link : place.idle) {
             link->close();
@@ -343,6 +347,14 @@
         }
     }
 
+    static auto noteBack(const UpstreamId &upstream, Place &place) -> void
+    {
+        const auto now = support::now();
+        if (place.presence.isBack() && place.lines.tryTake(now)) {
+            support::log(support::Event::UpstreamBack, {{"upstream", upstream.value()}, {"away_ms", now - place.presence.missedSince()}});
+        }
+    }
+
     static auto lookFor(std::shared_ptr<PlainLinkPool> self, UpstreamId upstream) -> asio::awaitable<void>
     {
         auto pause = asio::steady_timer(self->executor);
@@ -371,7 +383,7 @@
         const auto reached = co_await this->connector->reaches(known->second.upstream, http::reachLimit);
         const auto present = this->places.find(upstream);
         if (reached && present != this->places.end()) {
-            present->second.presence.isBack();
+            noteBack(upstream, present->second);
         }
         co_return reached;
     }
@@ -393,7 +405,7 @@
         --place.busy;
         place.resting -= std::exchange(link->resting, false) ? 1 : 0;
         if (clean) {
-            place.presence.isBack();
+            noteBack(upstream, place);
         }
         const auto keep = clean && !place.retired && place.idle.size() + place.busy < place.limits.links && link->isUsable();
         if (keep) {
--- a/lib/Support/presence.cpp
+++ b/lib/Support/presence.cpp
@@ -6,17 +6,19 @@
 namespace sapphirespool::support
 {
 
-auto Presence::failed(TimePoint now) -> void
+auto Presence::failed(TimePoint now) -> bool
 {
-    if (std::exchange(this->present, false)) {
+    const auto wasPresent = std::exchange(this->present, false);
+    if (wasPresent) {
         this->awaySince = now;
     }
+    return wasPresent;
 }
 
-auto Presence::isBack() -> void
+auto Presence::isBack() -> bool
 {
-    this->present = true;
     this->pause = firstPause;
+    return !std::exchange(this->present, true);
 }
 
 auto Presence::isPresent() const -> bool
@@ -29,6 +31,11 @@
     return !this->present && now - this->awaySince >= hope;
 }
 
+auto Presence::missedSince() const -> TimePoint
+{
+    return this->awaySince;
+}
+
 auto Presence::nextPause() -> Duration
 {
     return std::exchange(this->pause, std::min(this->pause * 2, longestPause));
