A proxy suspects a primary for what it has seen itself, not for the word of an owner

Cause of that way: a holder of connections that is short of processor time gives up a connection after 400 ms and calls the upstream unreachable. Each proxy that asked it reported the primary to control as its own finding, so that the rule of two zones counted one VM's trouble twice; a promotion takes the primary from all for a second, and the load that it causes makes the next holder slow. Now such an answer makes the proxy look itself, by one connection, ten times a second at most; only if that fails it tells control. Evidence: the new test fails on the code before (a primary that takes this proxy's connections is suspected on the word of an owner). What sessions remember of upstreams by name ends with the upstream.

--- a/lib/Interactive/sessioncore.cpp
+++ b/lib/Interactive/sessioncore.cpp
@@ -40,6 +40,9 @@
 /// Control answers five times a second; a connection that broke is made anew in half of this time.
 constexpr auto contactLimit = std::chrono::milliseconds(1'000);
 
+/// Many statements that meet an unreachable primary in the same moment are one reason to look.
+constexpr auto lookSpacing = std::chrono::milliseconds(100);
+
 /// Control counts suspicions of two seconds together; more than a few of them in that time say nothing new.
 constexpr auto suspicionSpacing = std::chrono::milliseconds(300);
 
@@ -85,7 +88,13 @@
         }
     }
     this->retireLinks(*former);
-    this->load.keepOnly(presentUpstreams(*this->view));
+    const auto present = presentUpstreams(*this->view);
+    this->load.keepOnly(present);
+    for (auto *const times : {&this->looked, &this->suspected}) {
+        std::erase_if(*times, [&present](const auto &entry) {
+            return !present.contains(entry.first);
+        });
+    }
     this->viewSignal.notify();
 }
 
@@ -240,7 +249,13 @@
 
 auto SessionCore::look(const Member &member, bool thorough) -> void
 {
-    if (member.isPrimary && this->lookedAt.insert(member.upstream.id).second) {
+    const auto now = support::now();
+    auto &last = this->looked[member.upstream.id];
+    if (!member.isPrimary || (!thorough && now - last < lookSpacing)) {
+        return;
+    }
+    if (this->lookedAt.insert(member.upstream.id).second) {
+        last = now;
         asio::co_spawn(this->parts.executor, connectTo(this->shared_from_this(), member, thorough), asio::detached);
     }
 }
--- a/lib/Interactive/sessioncore.h
+++ b/lib/Interactive/sessioncore.h
@@ -132,6 +132,8 @@
     PrimaryWatch watch;
     boost::asio::steady_timer watchTimer;
     bool watching = false;
+    /// When each member was last looked at.
+    std::map<UpstreamId, TimePoint> looked;
     /// Members that are being looked at.
     std::set<UpstreamId> lookedAt;
     ChangeSignal viewSignal;
--- a/lib/Interactive/sessionplacement.cpp
+++ b/lib/Interactive/sessionplacement.cpp
@@ -123,7 +123,8 @@
         this->core->load.failed(target.member.upstream.id, support::now());
     }
     if (const auto *const why = std::get_if<FailureReply>(&result); why != nullptr && why->failure == Failure::Unreachable) {
-        this->core->suspect(target.member);
+        // The word of an owner, or of a moment ago: control counts what proxies of several zones see themselves.
+        this->core->look(target.member, false);
     }
     co_return result;
 }
--- a/unittests/Interactive/sessiontest.cpp
+++ b/unittests/Interactive/sessiontest.cpp
@@ -17,6 +17,60 @@
 using namespace std::chrono_literals;
 using membership::Consistency;
 
+/// Counts the suspicions that reach control.
+class CountingControl : public membership::ControlLink
+{
+public:
+    auto announce(platform::Announcement) -> void override
+    {
+    }
+
+    auto suspect(membership::Suspicion) -> void override
+    {
+        ++this->suspicions;
+    }
+
+    auto setControlVms(std::vector<Endpoint>) -> void override
+    {
+    }
+
+    auto leave() -> void override
+    {
+    }
+
+    auto changeConfiguration(membership::ConfigurationChange, std::function<void(membership::ConfigurationOutcome)>) -> void override
+    {
+    }
+
+    auto readConfiguration(std::function<void(membership::ConfigurationReadOutcome)>) -> void override
+    {
+    }
+
+    auto readStatus(std::function<void(membership::ClusterStatusOutcome)>) -> void override
+    {
+    }
+
+    std::size_t suspicions = 0;
+};
+
+/// Opens no link, as an owner may say, while the upstream takes connections of this proxy.
+class OneSidedConnector : public LinkConnector
+{
+public:
+    auto connect(GroupId, membership::UpstreamView, Duration) -> boost::asio::awaitable<ConnectResult> override
+    {
+        auto why = FailureReply{Failure::Unreachable, "an owner calls it unreachable", {}};
+        co_return why;
+    }
+
+    auto reaches(membership::UpstreamView, Duration) -> boost::asio::awaitable<bool> override
+    {
+        co_return this->reachable;
+    }
+
+    bool reachable = true;
+};
+
 auto countKind(const FakeDatabases &databases, CommandKind kind) -> std::size_t
 {
     return static_cast<std::size_t>(std::count_if(databases.seen.begin(), databases.seen.end(), [kind](const Seen &seen) {
@@ -402,6 +456,27 @@
     CHECK(proxy.databases.member("b").items.at("a") == "1");
 }
 
+TEST_CASE("a primary that only others cannot reach is not suspected")
+{
+    // Failure: a holder of connections is short of processor time and calls a healthy primary unreachable. All proxies that ask it take its word, two zones
+    // suspect the primary, and a promotion takes the primary from everyone for a second.
+    auto proxy = Proxy(Consistency::Strong);
+    const auto control = std::make_shared<CountingControl>();
+    const auto connector = std::make_shared<OneSidedConnector>();
+    auto parts = SessionServiceParts();
+    parts.views = proxy.views;
+    parts.control = control;
+    parts.pool = makeLinkPool(connector, proxy.io.get_executor());
+    parts.recorder = proxy.recorder;
+    parts.executor = proxy.io.get_executor();
+    proxy.service = makeSessionService(std::move(parts));
+    CHECK(proxy.run(proxy.open(), store("a", "1")).failure);
+    CHECK(control->suspicions == 0);
+    connector->reachable = false;
+    CHECK(proxy.run(proxy.open(), store("a", "1")).failure);
+    CHECK(control->suspicions > 0);
+}
+
 TEST_CASE("a proxy without control does not try an unreachable primary again")
 {
     auto proxy = Proxy(Consistency::Strong);
