An owner that is slow is not given up, and its connection is kept

By reading: an owner that is short of processor time answers after more than 150 ms. The look for it gave up after that time, so that all its askers took it for gone and refused, while it was only late; and the look closed the connection, with which the transactions that rested there were rolled back. Both make more load. Now a look waits for a second, since no statement waits for it; a connection is given up only if the owner answers on a new one. Evidence: the new test lets three owners stand still for 0.9 s while a transaction rests there and another statement is asked; the lease outlives it. It was not run against the former code.

--- a/lib/Forwarding/ownerchannel.cpp
+++ b/lib/Forwarding/ownerchannel.cpp
@@ -29,6 +29,8 @@
 /// An owner that has sent nothing for this long while a question waits is asked whether it is there. Owners answer many proxies' statements of
 /// some tens of milliseconds; with a question this often at most, an idle one costs next to nothing.
 constexpr auto quietTime = std::chrono::milliseconds(100);
+/// Beside the traffic nobody waits: an owner that is short of processor time answers late, and can still serve.
+constexpr auto lookLimit = std::chrono::milliseconds(1'000);
 /// An owner that is there answers within the way there and back and a turn of a busy processor.
 constexpr auto pongLimit = std::chrono::milliseconds(150);
 
@@ -327,19 +329,35 @@
 
 auto OwnerChannel::look() -> asio::awaitable<void>
 {
+    const auto hadConnection = this->connection != nullptr;
     const auto connected = co_await this->connect(connectLimit);
     if (!connected) {
         co_return;
     }
-    // A frozen VM takes connections too.
-    auto question = Message{++this->lastLease, Ping()};
-    const auto answer = co_await this->ask(std::move(question), pongLimit, Silence::IsEndured);
-    if (!answer && this->waiters.empty() && this->connection != nullptr) {
-        // After a cut an old connection sends its bytes again only after seconds.
+    const auto answered = co_await this->answersPing();
+    if (answered || !hadConnection || this->presence.isPresent()) {
+        co_return;
+    }
+    // After a cut an old connection sends its bytes again only after seconds. It is given up only if the owner answers on a new one: leases of
+    // transactions that rest hang on it, and an owner that is merely slow still has them.
+    const auto fresh = std::make_shared<OwnerChannel>(this->executor, this->endpoint);
+    const auto reached = co_await fresh->connect(connectLimit);
+    const auto isThere = reached && co_await fresh->answersPing();
+    fresh->close();
+    if (isThere && !this->presence.isPresent() && this->connection != nullptr) {
         this->connection->close();
+        this->noteBack();
     }
 }
 
+auto OwnerChannel::answersPing() -> asio::awaitable<bool>
+{
+    // A frozen VM takes connections too.
+    auto question = Message{++this->lastLease, Ping()};
+    const auto answer = co_await this->ask(std::move(question), lookLimit, Silence::IsEndured);
+    co_return answer.has_value();
+}
+
 auto OwnerChannel::ask(Message message, Duration limit, Silence silence) -> asio::awaitable<std::optional<Message>>
 {
     const auto waiter = std::make_shared<Waiter>(this->executor);
--- a/lib/Forwarding/ownerchannel.h
+++ b/lib/Forwarding/ownerchannel.h
@@ -94,6 +94,7 @@
     static auto lookForOwner(std::shared_ptr<OwnerChannel> self) -> boost::asio::awaitable<void>;
     /// Connects if need be, and waits for a sign of life.
     auto look() -> boost::asio::awaitable<void>;
+    auto answersPing() -> boost::asio::awaitable<bool>;
     /// Sends \p message and waits for its answer.
     /// \param silence whether to go on waiting for an owner that gives no sign of life
     /// \return nothing if none came in time
--- a/lib/Interactive/linkpool.cpp
+++ b/lib/Interactive/linkpool.cpp
@@ -34,6 +34,9 @@
 /// When a caller who met an unreachable upstream may come back: about when it is noticed that the upstream is back.
 constexpr auto unreachableRetry = std::chrono::duration_cast<std::chrono::milliseconds>(support::Presence::longestPause);
 
+/// Longer than a look on which statements wait: a proxy or a link that is overloaded is no sign of a dead upstream.
+constexpr auto lookLimit = 2 * http::reachLimit;
+
 /// Pause between two looks at an upstream whose statements are overdue. It is slow, or its answers are lost, for seconds at a time.
 constexpr auto overdueLookSpacing = std::chrono::milliseconds(500);
 
@@ -380,7 +383,7 @@
         if (known == this->places.end()) {
             co_return true;
         }
-        const auto reached = co_await this->connector->reaches(known->second.upstream, http::reachLimit);
+        const auto reached = co_await this->connector->reaches(known->second.upstream, lookLimit);
         const auto present = this->places.find(upstream);
         if (reached && present != this->places.end()) {
             noteBack(upstream, present->second);
--- a/unittests/Forwarding/forwardingpooltest.cpp
+++ b/unittests/Forwarding/forwardingpooltest.cpp
@@ -391,6 +391,48 @@
     }
 }
 
+TEST_CASE("a transaction that rests at a slow owner outlives the looks for it")
+{
+    // Failure: owners that are short of processor time say nothing for most of a second. A proxy that closed its connections to them would have
+    // all transactions that rest there rolled back, and their callers come again when the load is highest.
+    auto fleet = Fleet();
+    auto slow = asio::io_context();
+    auto owners = std::vector<std::shared_ptr<ForwardingPool>>();
+    const auto proxy = fleet.proxyWithoutLinks();
+    for (const auto &owner : fleet.ownersFor(proxy)) {
+        const auto own = interactive::makeLinkPool(fleet.databases.connector(), slow.get_executor());
+        owners.push_back(makeForwardingPool(owner, ZoneId("zone-a"), own, slow.get_executor()));
+        for (auto &member : fleet.view->proxies) {
+            if (member.id == owner) {
+                member.peers = owners.back()->listen({"127.0.0.1", 0});
+            }
+        }
+    }
+    fleet.publish();
+    for (const auto &owner : owners) {
+        owner->viewChanged(fleet.view);
+    }
+    const auto runBoth = [&fleet, &slow](std::chrono::milliseconds time) {
+        for (auto passed = 0ms; passed < time; passed += 2ms) {
+            fleet.run(1ms);
+            slow.restart();
+            slow.run_for(1ms);
+        }
+    };
+    const auto first = fleet.beginAcquire(proxy, 500ms);
+    runBoth(50ms);
+    REQUIRE_FALSE(fleet.finish(first));
+    const auto second = fleet.beginAcquire(proxy, 500ms);
+    fleet.run(900ms);
+    runBoth(100ms);
+    CHECK(fleet.leases.front().link().isUsable());
+    fleet.leases.clear();
+    for (const auto &owner : owners) {
+        owner->close();
+    }
+    runBoth(20ms);
+}
+
 TEST_CASE("an owner that comes back is asked again")
 {
     // Owners that were given up and never looked for would leave their part of the connections idle for good.
