--- a/include/sapphirespool/Support/presence.h
+++ b/include/sapphirespool/Support/presence.h
@@ -22,7 +22,7 @@
     static constexpr auto firstPause = std::chrono::milliseconds(50);
     static constexpr auto longestPause = std::chrono::milliseconds(500);
     /// A peer that failed so lately may just be slow: it is still asked where no other one answers.
-    static constexpr auto hope = std::chrono::milliseconds(500);
+    static constexpr auto grace = std::chrono::milliseconds(500);
 
     /// Notes that the peer took no connection or gave no sign of life.
     /// \return whether it was present until now
@@ -30,7 +30,7 @@
 
     /// Notes that the peer sent something, or has started anew.
     /// \return whether it was away until now
-    auto isBack() -> bool;
+    auto answered() -> bool;
 
     /// \return whether the peer has not failed since it was last heard
     [[nodiscard]] auto isPresent() const -> bool;
--- a/lib/Control/viewbatch.cpp
+++ b/lib/Control/viewbatch.cpp
@@ -32,7 +32,7 @@
     if (const auto at = this->sendsAt(); at && now >= *at) {
         this->send(this->newest);
     }
-    // A VM without a view can serve nobody, and one with another's revision is not among those that the batch counts on.
+    // What a VM lacks of the views that were sent before is not gathered, and a revision above the newest is that of another leader.
     return this->newest != nullptr && known != this->newest->revision && (known < this->sent->revision || known > this->newest->revision);
 }
 
--- a/lib/Forwarding/ownerchannel.cpp
+++ b/lib/Forwarding/ownerchannel.cpp
@@ -309,7 +309,7 @@
 auto OwnerChannel::noteBack() -> void
 {
     const auto now = support::now();
-    if (this->presence.isBack() && this->lines.tryTake(now)) {
+    if (this->presence.answered() && this->lines.tryTake(now)) {
         support::log(support::Event::OwnerBack, {{"owner", this->endpoint.address}, {"away_ms", now - this->presence.missedSince()}});
     }
 }
--- a/lib/Interactive/linkpool.cpp
+++ b/lib/Interactive/linkpool.cpp
@@ -353,7 +353,7 @@
     static auto noteBack(const UpstreamId &upstream, Place &place) -> void
     {
         const auto now = support::now();
-        if (place.presence.isBack() && place.lines.tryTake(now)) {
+        if (place.presence.answered() && place.lines.tryTake(now)) {
             support::log(support::Event::UpstreamBack, {{"upstream", upstream.value()}, {"away_ms", now - place.presence.missedSince()}});
         }
     }
@@ -370,7 +370,7 @@
         }
         if (found != self->places.end()) {
             // An upstream that was retired meanwhile is tried anew if it is ever asked for again.
-            found->second.presence.isBack();
+            found->second.presence.answered();
             found->second.lookedFor = false;
         }
     }
--- a/lib/Support/presence.cpp
+++ b/lib/Support/presence.cpp
@@ -15,7 +15,7 @@
     return wasPresent;
 }
 
-auto Presence::isBack() -> bool
+auto Presence::answered() -> bool
 {
     this->pause = firstPause;
     return !std::exchange(this->present, true);
@@ -28,7 +28,7 @@
 
 auto Presence::isGivenUp(TimePoint now) const -> bool
 {
-    return !this->present && now - this->awaySince >= hope;
+    return !this->present && now - this->awaySince >= grace;
 }
 
 auto Presence::missedSince() const -> TimePoint
--- a/unittests/Support/presencetest.cpp
+++ b/unittests/Support/presencetest.cpp
@@ -21,9 +21,9 @@
     CHECK_FALSE(presence.isGivenUp(start));
     presence.failed(start);
     CHECK_FALSE(presence.isPresent());
-    CHECK_FALSE(presence.isGivenUp(start + Presence::hope - 1ms));
-    CHECK(presence.isGivenUp(start + Presence::hope));
-    presence.isBack();
+    CHECK_FALSE(presence.isGivenUp(start + Presence::grace - 1ms));
+    CHECK(presence.isGivenUp(start + Presence::grace));
+    presence.answered();
     CHECK(presence.isPresent());
     CHECK_FALSE(presence.isGivenUp(start + 1h));
 }
@@ -31,7 +31,7 @@
 TEST_CASE("further failures do not put off that a peer is given up")
 {
     // Load pattern: a thousand statements a second ask a peer behind a cut. Each failure that counted from its own time would keep the
-    // peer in hope, and the statements waiting.
+    // peer within its grace, and the statements waiting.
     auto presence = Presence();
     for (auto statement = 0; statement <= 500; ++statement) {
         presence.failed(start + statement * 1ms);
@@ -52,7 +52,7 @@
         ++looks;
     }
     CHECK(looks <= 25);
-    presence.isBack();
+    presence.answered();
     CHECK(presence.nextPause() == Presence::firstPause);
 }
 
