--- a/lib/Standin/signal.h
+++ b/include/sapphirespool/Support/signal.h
@@ -12,10 +12,10 @@
 #include <list>
 #include <utility>
 
-namespace sapphirespool::standin
+namespace sapphirespool::support
 {
 
-/// A condition that many coroutines wait for. All calls on the executor.
+/// A condition that many coroutines wait for. All calls on the executor; the signal outlives its waiters.
 class Signal
 {
 public:
@@ -24,7 +24,7 @@
     {
     }
 
-    /// Returns at the next notify(), or at \p deadline.
+    /// Returns at the next notify(), or at \p deadline. The condition may not hold then; the caller looks again.
     auto wait(TimePoint deadline) -> boost::asio::awaitable<void>
     {
         const auto place = this->waiting.emplace(this->waiting.end(), this->executor, deadline);
@@ -45,4 +45,4 @@
     std::list<boost::asio::steady_timer> waiting;
 };
 
-} // namespace sapphirespool::standin
+} // namespace sapphirespool::support
--- a/lib/Forwarding/forwardingpool.cpp
+++ b/lib/Forwarding/forwardingpool.cpp
@@ -4,7 +4,7 @@
 #include "ownerserver.h"
 
 #include "sapphirespool/Http/liveness.h"
-#include "sapphirespool/Interactive/changesignal.h"
+#include "sapphirespool/Support/signal.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -369,7 +369,7 @@
     asio::any_io_executor executor;
     tcp::acceptor acceptor;
     std::shared_ptr<const membership::ClusterView> view;
-    interactive::ChangeSignal viewSignal;
+    support::Signal viewSignal;
     std::map<VmId, Channel> channels;
     std::map<UpstreamId, RemoteUse> uses;
     std::set<std::shared_ptr<OwnerConnection>> served;
--- a/lib/Interactive/sessioncore.h
+++ b/lib/Interactive/sessioncore.h
@@ -5,12 +5,12 @@
 #include "primarywatch.h"
 #include "singleflight.h"
 
-#include "sapphirespool/Interactive/changesignal.h"
 #include "sapphirespool/Interactive/positionproofs.h"
 #include "sapphirespool/Interactive/session.h"
 #include "sapphirespool/Interactive/upstreamload.h"
 
 #include "sapphirespool/Support/logbudget.h"
+#include "sapphirespool/Support/signal.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -136,7 +136,7 @@
     std::map<UpstreamId, TimePoint> looked;
     /// Members that are being looked at.
     std::set<UpstreamId> lookedAt;
-    ChangeSignal viewSignal;
+    support::Signal viewSignal;
 };
 
 } // namespace sapphirespool::interactive
--- a/lib/Standin/memberlife.h
+++ b/lib/Standin/memberlife.h
@@ -1,13 +1,13 @@
 // memberlife.h: one run of a stand-in member, from its start to its stop.
 #pragma once
 
-#include "signal.h"
 #include "slotqueue.h"
 
 #include "sapphirespool/Standin/database.h"
 #include "sapphirespool/Standin/faults.h"
 #include "sapphirespool/Standin/member.h"
 #include "sapphirespool/Standin/membercore.h"
+#include "sapphirespool/Support/signal.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -84,9 +84,9 @@
     MemberCounts counts;
     bool leaving = false;
     /// Position, term or part changed, or the run ended.
-    Signal logChanged;
+    support::Signal logChanged;
     /// What an announcement says, other than the position, changed.
-    Signal announcementChanged;
+    support::Signal announcementChanged;
 
 private:
     auto enterSlot() -> boost::asio::awaitable<void>;
@@ -106,7 +106,7 @@
     std::uint32_t connections = 0;
     Faults currentFaults;
     std::uint32_t faultyAnswersLeft = 0;
-    Signal faultsChanged;
+    support::Signal faultsChanged;
     bool over = false;
 };
 
