Waiting for a primary ends by a condition with a name; the retry pause says what it covers

The end of the wait was moved to its own beginning to make the next turn of the loop leave it. The pause before a primary is tried again holds for each reason for which it did not take the statement, which its comment did not say.

--- a/lib/Interactive/sessioncore.cpp
+++ b/lib/Interactive/sessioncore.cpp
@@ -166,9 +166,10 @@
         this->search.refute(group, *refutedId);
     }
     const auto began = std::chrono::steady_clock::now();
-    auto until = began + patience;
+    const auto until = began + patience;
     // A view that was committed takes some milliseconds. One that takes longer may not come: this proxy may be cut off.
     auto searchAt = this->hearsControl() ? began + PrimarySearch::viewPatience : began;
+    auto mayComeYet = true;
     while (true) {
         auto primary = this->primaryOf(group);
         const auto isOther = primary && (!refuted || refuted->term != primary->term || refuted->upstream.id != primary->upstream.id);
@@ -176,15 +177,13 @@
             co_return primary;
         }
         const auto now = std::chrono::steady_clock::now();
-        if (now >= until) {
+        if (now >= until || !mayComeYet) {
             co_return std::nullopt;
         }
         if (now >= searchAt) {
             co_await searchPrimary(self, group, refutedId);
             // Without control nobody else can name a primary here, while another proxy may be able to serve the statement.
-            if (!this->hearsControl()) {
-                until = began;
-            }
+            mayComeYet = this->hearsControl();
             searchAt = std::chrono::steady_clock::now() + PrimarySearch::viewPatience;
             continue;
         }
--- a/lib/Interactive/sessionplacement.cpp
+++ b/lib/Interactive/sessionplacement.cpp
@@ -23,8 +23,8 @@
 /// proxy can serve it sooner, and who is sent away only comes back to the same queue, with an attempt less.
 constexpr auto primaryPart = 2;
 
-/// Pause before a primary that could not be reached is tried again, unless a view comes first. The attempts at one statement would else be over
-/// within a millisecond, while control needs some hundred to find that the primary is gone.
+/// Pause before a primary that did not take the statement is tried again, unless a view comes first. The attempts at one statement would else be
+/// over within a millisecond, while control needs some hundred to find that a primary is gone, and a full queue some ten to shrink.
 constexpr auto primaryRetryPause = std::chrono::milliseconds(100);
 
 /// Opening a link takes two ways and the upstream's own handshake, some tens of milliseconds, on a busy upstream some more. One that was not
