Customers with API keys and quotas in configuration, state and view

They now go through the adapter's reader, the replicated state, views and deltas; a change of one customer moves that customer alone. Two customers with the same key, an empty key, a name with a blank, a negative or absurd rate are refused with a remedy that names no key.

A proxy that joins after the first configuration is marked as settled only once every lease under the former view and the hold-over of quota allocation have passed (VmSettling); the first start and restarts settle at once.

--- a/include/sapphirespool/Configuration/configuration.h
+++ b/include/sapphirespool/Configuration/configuration.h
@@ -42,6 +42,8 @@
     std::vector<membership::ServiceView> services;
     /// Each group of a service, ordered by name.
     std::vector<GroupConfiguration> groups;
+    /// Ordered by name.
+    std::vector<membership::CustomerView> customers = {};
 };
 
 /// \param file name that stands in the reports
--- a/include/sapphirespool/Control/controlservice.h
+++ b/include/sapphirespool/Control/controlservice.h
@@ -34,6 +34,8 @@
     /// What upstreams announced to it since the last heartbeat, the newest of each upstream.
     std::vector<platform::Announcement> announcements;
     std::vector<membership::Suspicion> suspicions;
+    /// Whether the VM takes part in the very first start of the system.
+    bool firstStart = false;
 };
 
 /// Allows a proxy to acknowledge for a while.
--- a/include/sapphirespool/Control/proxylink.h
+++ b/include/sapphirespool/Control/proxylink.h
@@ -23,6 +23,8 @@
     std::vector<Endpoint> controlVms;
     /// The services that the proxy serves; empty for all.
     std::vector<ServiceId> services;
+    /// Whether this may be the very first start of the system.
+    bool firstStart = false;
 };
 
 /// Connects on \p loop and keeps \p holder up to date until destroyed. Both must outlive the link.
--- a/include/sapphirespool/Membership/clusterview.h
+++ b/include/sapphirespool/Membership/clusterview.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace sapphirespool::membership
@@ -99,10 +100,42 @@
     std::uint32_t priority = 0;
     /// A transaction whose caller says nothing for this long may be rolled back; zero: as the proxy's limits say.
     std::chrono::milliseconds transactionIdle{0};
+    /// Whether a caller must present the API key of a customer.
+    bool requiresKey = false;
 
     auto operator==(const ServiceView &) const -> bool = default;
 };
 
+/// Digest of an API key. Views carry digests, so that the keys stay in the operators' text.
+using KeyDigest = support::StrongType<struct KeyDigestTag, std::string>;
+
+/// \return the digest of \p key: the first half of its SHA-256
+[[nodiscard]] auto digestOf(std::string_view key) -> KeyDigest;
+
+/// Limit on the operations of a customer over all proxies.
+struct Quota
+{
+    double ratePerSecond = 0;
+    /// Operations that may run at once after a pause.
+    double burst = 0;
+
+    auto operator==(const Quota &) const -> bool = default;
+};
+
+/// A customer of the operators' text.
+struct CustomerView
+{
+    CustomerId id;
+    /// Each of its API keys identifies it.
+    std::vector<KeyDigest> keys;
+    /// Absent: unlimited.
+    std::optional<Quota> quota;
+    /// 0 is served first.
+    std::uint32_t priority = 0;
+
+    auto operator==(const CustomerView &) const -> bool = default;
+};
+
 /// A VM that runs the proxy role.
 struct ProxyView
 {
@@ -116,6 +149,8 @@
     bool leaving = false;
     /// Control has heard nothing of it for a while: it is down, frozen or cut off.
     bool silent = false;
+    /// Whether it may allocate quota: any proxy that held its part of a quota before it joined has stopped.
+    bool settled = false;
 
     auto operator==(const ProxyView &) const -> bool = default;
 };
@@ -129,6 +164,7 @@
     support::SharedList<ServiceView> services;
     std::vector<GroupView> groups;
     std::vector<ProxyView> proxies;
+    support::SharedList<CustomerView> customers = {};
 
     auto operator==(const ClusterView &) const -> bool = default;
     [[nodiscard]] auto findService(const ServiceId &service) const -> const ServiceView *;
--- a/include/sapphirespool/Membership/viewdelta.h
+++ b/include/sapphirespool/Membership/viewdelta.h
@@ -24,6 +24,8 @@
     std::vector<ServiceId> removedServices;
     std::vector<GroupId> removedGroups;
     std::vector<VmId> removedProxies;
+    support::SharedList<CustomerView> customers = {};
+    std::vector<CustomerId> removedCustomers = {};
 };
 
 /// \return \p view as a proxy that serves \p services needs it, ordered by ids; with no services the whole
--- a/include/sapphirespool/Rpc/bytes.h
+++ b/include/sapphirespool/Rpc/bytes.h
@@ -8,6 +8,8 @@
 #include <cstddef>
 #include <cstring>
 #include <span>
+#include <string>
+#include <string_view>
 
 namespace sapphirespool::rpc
 {
@@ -17,6 +19,16 @@
     return {reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()};
 }
 
+[[nodiscard]] inline auto toData(std::string_view bytes) -> capnp::Data::Reader
+{
+    return {reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()};
+}
+
+[[nodiscard]] inline auto toString(capnp::Data::Reader data) -> std::string
+{
+    return {reinterpret_cast<const char *>(data.begin()), data.size()};
+}
+
 [[nodiscard]] inline auto bytesOf(capnp::Data::Reader data) -> std::span<const std::byte>
 {
     return std::as_bytes(std::span(data.begin(), data.size()));
--- a/include/sapphirespool/Settings/settings.h
+++ b/include/sapphirespool/Settings/settings.h
@@ -67,8 +67,8 @@
     bool controlFoundBySeeds = false;
     /// Where this VM's control role listens if no entry of \a controlMembers says it.
     Endpoint controlAddress;
-    /// Whether this may be the very first start of the system, at which the control group is founded.
-    bool mayFoundGroup = true;
+    /// Whether this may be the very first start of the system: the control group is founded, and proxies may allocate quota at once.
+    bool firstStart = true;
     /// Control VMs that may be lost at once.
     std::uint32_t controlLosses = 3;
     std::uint32_t trafficThreads = 1;
--- a/include/sapphirespool/State/records.h
+++ b/include/sapphirespool/State/records.h
@@ -97,6 +97,8 @@
     ConfigurationVersion version;
     std::string text;
     support::SharedList<membership::ServiceView> services;
+    /// Ordered by name, as views list them.
+    support::SharedList<membership::CustomerView> customers;
     std::vector<GroupRecord> groups;
     std::vector<membership::ProxyView> vms;
     DutyGrant duty;
--- a/include/sapphirespool/Support/types.h
+++ b/include/sapphirespool/Support/types.h
@@ -29,6 +29,8 @@
 using UpstreamId = support::StrongType<struct UpstreamIdTag, std::string>;
 /// Name of a service of the operators' text.
 using ServiceId = support::StrongType<struct ServiceIdTag, std::string>;
+/// Name of a customer, on whose behalf callers run statements.
+using CustomerId = support::StrongType<struct CustomerIdTag, std::string>;
 /// Name of a caller's session; the caller keeps it, sapphirespool issues it.
 using SessionId = support::StrongType<struct SessionIdTag, std::string>;
 /// Name of a VM of the system.
--- a/lib/Control/codec.cpp
+++ b/lib/Control/codec.cpp
@@ -165,6 +165,7 @@
     out.setObjectiveMs(static_cast<std::uint64_t>(service.objective.count()));
     out.setPriority(service.priority);
     out.setTransactionIdleMs(static_cast<std::uint64_t>(service.transactionIdle.count()));
+    out.setRequiresKey(service.requiresKey);
 }
 
 auto read(schema::ServiceView::Reader in) -> membership::ServiceView
@@ -179,7 +180,37 @@
             membership::consistencyOf(in.getConsistency()),
             std::chrono::milliseconds(in.getObjectiveMs()),
             in.getPriority(),
-            std::chrono::milliseconds(in.getTransactionIdleMs())};
+            std::chrono::milliseconds(in.getTransactionIdleMs()),
+            in.getRequiresKey()};
+}
+
+auto write(const membership::CustomerView &customer, schema::CustomerView::Builder out) -> void
+{
+    out.setId(customer.id.value());
+    auto keys = out.initKeys(sizeOf(customer.keys));
+    auto index = 0U;
+    for (const auto &key : customer.keys) {
+        keys.set(index, toData(key.value()));
+        ++index;
+    }
+    out.setLimited(customer.quota.has_value());
+    out.setRatePerSecond(customer.quota ? customer.quota->ratePerSecond : 0);
+    out.setBurst(customer.quota ? customer.quota->burst : 0);
+    out.setPriority(customer.priority);
+}
+
+auto read(schema::CustomerView::Reader in) -> membership::CustomerView
+{
+    auto customer = membership::CustomerView();
+    customer.id = CustomerId(text(in.getId()));
+    for (const auto key : ofSaneLength(in.getKeys())) {
+        customer.keys.emplace_back(rpc::toString(key));
+    }
+    if (in.getLimited()) {
+        customer.quota = membership::Quota{in.getRatePerSecond(), in.getBurst()};
+    }
+    customer.priority = in.getPriority();
+    return customer;
 }
 
 auto write(const membership::ProxyView &proxy, schema::ProxyView::Builder out) -> void
@@ -191,6 +222,7 @@
     write(proxy.peers, out.initPeers());
     out.setLeaving(proxy.leaving);
     out.setSilent(proxy.silent);
+    out.setSettled(proxy.settled);
 }
 
 auto read(schema::ProxyView::Reader in) -> membership::ProxyView
@@ -201,7 +233,8 @@
             read(in.getCallers()),
             read(in.getPeers()),
             in.getLeaving(),
-            in.getSilent()};
+            in.getSilent(),
+            in.getSettled()};
 }
 
 auto write(const platform::Announcement &announcement, schema::Announcement::Builder out) -> void
@@ -276,6 +309,7 @@
     writeEach(view.services, out.initServices(sizeOf(view.services)));
     writeEach(view.groups, out.initGroups(sizeOf(view.groups)));
     writeEach(view.proxies, out.initProxies(sizeOf(view.proxies)));
+    writeEach(view.customers, out.initCustomers(sizeOf(view.customers)));
 }
 
 auto read(schema::ClusterView::Reader in) -> membership::ClusterView
@@ -290,16 +324,20 @@
     for (const auto proxy : ofSaneLength(in.getProxies())) {
         view.proxies.push_back(read(proxy));
     }
+    for (const auto customer : ofSaneLength(in.getCustomers())) {
+        view.customers.append(read(customer));
+    }
     return view;
 }
 
 auto write(const membership::ViewDelta &delta, schema::ViewDelta::Builder out) -> void
 {
     out.setBase(delta.base.value());
-    write(membership::ClusterView{delta.revision, delta.configuration, delta.services, delta.groups, delta.proxies}, out.initChanged());
+    write(membership::ClusterView{delta.revision, delta.configuration, delta.services, delta.groups, delta.proxies, delta.customers}, out.initChanged());
     writeIds(delta.removedServices, out.initRemovedServices(sizeOf(delta.removedServices)));
     writeIds(delta.removedGroups, out.initRemovedGroups(sizeOf(delta.removedGroups)));
     writeIds(delta.removedProxies, out.initRemovedProxies(sizeOf(delta.removedProxies)));
+    writeIds(delta.removedCustomers, out.initRemovedCustomers(sizeOf(delta.removedCustomers)));
 }
 
 auto read(schema::ViewDelta::Reader in) -> membership::ViewDelta
@@ -313,7 +351,9 @@
             std::move(changed.proxies),
             readIds<ServiceId>(in.getRemovedServices()),
             readIds<GroupId>(in.getRemovedGroups()),
-            readIds<VmId>(in.getRemovedProxies())};
+            readIds<VmId>(in.getRemovedProxies()),
+            std::move(changed.customers),
+            readIds<CustomerId>(in.getRemovedCustomers())};
 }
 
 auto pack(const membership::ClusterView &view) -> PackedView
@@ -360,6 +400,7 @@
     out.setConfiguration(heartbeat.configuration.value());
     writeEach(heartbeat.announcements, out.initAnnouncements(sizeOf(heartbeat.announcements)));
     writeEach(heartbeat.suspicions, out.initSuspicions(sizeOf(heartbeat.suspicions)));
+    out.setFirstStart(heartbeat.firstStart);
 }
 
 auto read(schema::VmHeartbeat::Reader in) -> VmHeartbeat
@@ -378,6 +419,7 @@
     for (const auto suspicion : ofSaneLength(in.getSuspicions())) {
         heartbeat.suspicions.push_back({GroupId(text(suspicion.getGroup())), Term(suspicion.getTerm()), UpstreamId(text(suspicion.getUpstream()))});
     }
+    heartbeat.firstStart = in.getFirstStart();
     return heartbeat;
 }
 
--- a/lib/Control/codec.h
+++ b/lib/Control/codec.h
@@ -27,6 +27,8 @@
 [[nodiscard]] auto read(schema::GroupView::Reader in) -> membership::GroupView;
 auto write(const membership::ServiceView &service, schema::ServiceView::Builder out) -> void;
 [[nodiscard]] auto read(schema::ServiceView::Reader in) -> membership::ServiceView;
+auto write(const membership::CustomerView &customer, schema::CustomerView::Builder out) -> void;
+[[nodiscard]] auto read(schema::CustomerView::Reader in) -> membership::CustomerView;
 auto write(const membership::ProxyView &proxy, schema::ProxyView::Builder out) -> void;
 [[nodiscard]] auto read(schema::ProxyView::Reader in) -> membership::ProxyView;
 auto write(const platform::Announcement &announcement, schema::Announcement::Builder out) -> void;
--- a/lib/Control/linkloop.cpp
+++ b/lib/Control/linkloop.cpp
@@ -132,6 +132,7 @@
     }
     heartbeat.suspicions = this->suspicions;
     this->suspicionsSent = this->suspicions.size();
+    heartbeat.firstStart = this->settings.firstStart;
     return heartbeat;
 }
 
--- a/lib/Control/viewbatch.cpp
+++ b/lib/Control/viewbatch.cpp
@@ -9,7 +9,7 @@
 /// \return whether the views differ in nothing but the VMs
 auto differInVmsOnly(const membership::ClusterView &left, const membership::ClusterView &right) -> bool
 {
-    return left.configuration == right.configuration && left.services == right.services && left.groups == right.groups;
+    return left.configuration == right.configuration && left.services == right.services && left.customers == right.customers && left.groups == right.groups;
 }
 
 } // namespace
--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -25,7 +25,7 @@
 
 auto viewOf(const control::VmHeartbeat &heartbeat) -> membership::ProxyView
 {
-    return {heartbeat.vm, heartbeat.zone, heartbeat.incarnation, heartbeat.callers, heartbeat.peers, heartbeat.leaving, false};
+    return {heartbeat.vm, heartbeat.zone, heartbeat.incarnation, heartbeat.callers, heartbeat.peers, heartbeat.leaving, false, heartbeat.firstStart};
 }
 
 auto viewOf(const platform::Announcement &announcement) -> membership::UpstreamView
@@ -79,6 +79,7 @@
     this->noteProxies(now);
     this->noteDuty(now);
     this->markSilentVms(now);
+    this->settleVms(now);
     this->forgetSilentVms();
     this->forgetGoneUpstreams(now);
     this->carryOut(this->promoter.tick(now));
@@ -216,6 +217,20 @@
     }
 }
 
+auto Leadership::settleVms(TimePoint now) -> void
+{
+    const auto view = this->parts.state.view();
+    if (view->customers.empty()) {
+        return;
+    }
+    for (auto &vm : this->settling.due(view->proxies, now)) {
+        if (this->tryRegister("settle " + vm.id.value())) {
+            vm.settled = true;
+            this->propose(state::RegisterVm{std::move(vm)}, {});
+        }
+    }
+}
+
 auto Leadership::forgetSilentVms() -> void
 {
     const auto view = this->parts.state.view();
--- a/lib/Controller/leadership.h
+++ b/lib/Controller/leadership.h
@@ -7,6 +7,7 @@
 #include "sapphirespool/Controller/controller.h"
 #include "sapphirespool/Controller/observers.h"
 #include "sapphirespool/Controller/promotionduty.h"
+#include "sapphirespool/Controller/vmsettling.h"
 #include "sapphirespool/Controller/vmtable.h"
 #include "sapphirespool/Promotion/promoter.h"
 
@@ -49,6 +50,8 @@
     auto isNews(const platform::Announcement &announcement) -> bool;
     /// Has the proxies give the work of VMs that control does not hear to others.
     auto markSilentVms(TimePoint now) -> void;
+    /// Lets VMs that joined a while ago allocate quota.
+    auto settleVms(TimePoint now) -> void;
     auto forgetSilentVms() -> void;
     /// Takes in that a VM of \p zone got no service from a primary.
     auto suspected(const VmId &vm, const ZoneId &zone, const membership::Suspicion &suspicion) -> void;
@@ -85,6 +88,7 @@
     TimePoint since;
     std::uint64_t number;
     VmTable vms;
+    VmSettling settling;
     promotion::Promoter promoter;
     MemberRegistry registry;
     Observers observers;
--- a/lib/Membership/clusterview.cpp
+++ b/lib/Membership/clusterview.cpp
@@ -1,6 +1,9 @@
 #include "sapphirespool/Membership/clusterview.h"
 
+#include <openssl/sha.h>
+
 #include <algorithm>
+#include <array>
 #include <cassert>
 #include <utility>
 
@@ -27,6 +30,13 @@
     return known ? static_cast<Consistency>(number) : Consistency::Strong;
 }
 
+auto digestOf(std::string_view key) -> KeyDigest
+{
+    auto digest = std::array<unsigned char, SHA256_DIGEST_LENGTH>();
+    ::SHA256(reinterpret_cast<const unsigned char *>(key.data()), key.size(), digest.data());
+    return KeyDigest(std::string(digest.begin(), digest.begin() + SHA256_DIGEST_LENGTH / 2));
+}
+
 auto GroupView::findMember(const UpstreamId &member) const -> const UpstreamView *
 {
     return findById(this->members, member);
--- a/lib/Membership/viewdelta.cpp
+++ b/lib/Membership/viewdelta.cpp
@@ -25,11 +25,12 @@
     std::sort(elements.begin(), elements.end(), ById());
 }
 
-auto sortById(support::SharedList<ServiceView> &services) -> void
+template <typename Element>
+auto sortById(support::SharedList<Element> &elements) -> void
 {
     // Sorted in place the list would no longer be shared with other views.
-    if (!std::is_sorted(services.begin(), services.end(), ById())) {
-        sortById(services.edit());
+    if (!std::is_sorted(elements.begin(), elements.end(), ById())) {
+        sortById(elements.edit());
     }
 }
 
@@ -93,6 +94,7 @@
         });
     }
     sortById(part.services);
+    sortById(part.customers);
     sortById(part.groups);
     sortById(part.proxies);
     return part;
@@ -105,6 +107,10 @@
         delta.services = changed(from.services, to.services);
         delta.removedServices = removed(from.services, to.services);
     }
+    if (!from.customers.sharesWith(to.customers)) {
+        delta.customers = changed(from.customers, to.customers);
+        delta.removedCustomers = removed(from.customers, to.customers);
+    }
     delta.groups = changed(from.groups, to.groups);
     delta.proxies = changed(from.proxies, to.proxies);
     delta.removedGroups = removed(from.groups, to.groups);
@@ -124,6 +130,9 @@
     if (!delta.services.empty() || !delta.removedServices.empty()) {
         merge(next.services.edit(), delta.services, delta.removedServices);
     }
+    if (!delta.customers.empty() || !delta.removedCustomers.empty()) {
+        merge(next.customers.edit(), delta.customers, delta.removedCustomers);
+    }
     merge(next.groups, delta.groups, delta.removedGroups);
     merge(next.proxies, delta.proxies, delta.removedProxies);
     return next;
--- a/lib/Node/controlaccess.cpp
+++ b/lib/Node/controlaccess.cpp
@@ -19,6 +19,7 @@
     about.incarnation = incarnation;
     about.callers = settings.callers;
     about.peers = settings.peers;
+    about.firstStart = settings.firstStart;
     for (const auto &member : settings.controlMembers) {
         about.controlVms.push_back(member.endpoint);
     }
--- a/lib/Node/controlpart.cpp
+++ b/lib/Node/controlpart.cpp
@@ -32,7 +32,7 @@
     for (const auto &member : settings.controlMembers) {
         replica.initialMembers.push_back({member.vm, member.endpoint, true, {}});
     }
-    replica.mayFound = settings.mayFoundGroup;
+    replica.mayFound = settings.firstStart;
     replica.openToOthers = settings.controlFoundBySeeds;
     replica.voters = 2 * settings.controlLosses + 1;
     replica.dataFolder = settings.dataFolder;
--- a/lib/Settings/settings.cpp
+++ b/lib/Settings/settings.cpp
@@ -191,6 +191,9 @@
         settings.readiness = readOptionalEndpoint(map, "readiness");
         settings.keyWarmup = map.duration("key_warmup", keyWarmupRange, settings.keyWarmup);
     }
+    if (settings.control || settings.proxy) {
+        settings.firstStart = map.choice("first_start", yesOrNo, settings.control ? 0 : 1) == 0;
+    }
     if (settings.control || settings.operatorsOnly) {
         settings.operators = readOptionalEndpoint(map, "operators");
     }
@@ -199,7 +202,6 @@
         settings.promotionService = readOptionalEndpoint(map, "promotion_service");
         settings.announcementInterval = map.duration("announcement_interval", announcementRange, settings.announcementInterval);
         settings.controlAddress = readOptionalEndpoint(map, "control");
-        settings.mayFoundGroup = map.choice("first_start", yesOrNo, 0) == 0;
         settings.controlLosses = static_cast<std::uint32_t>(map.number("control_losses", lossesRange, settings.controlLosses));
         if (!settings.controlEndpoint()) {
             map.report("vm", "the VM has the control role and is no control member", "add it to control_members or remove the role");
--- a/lib/State/clusterstate.cpp
+++ b/lib/State/clusterstate.cpp
@@ -24,7 +24,7 @@
 auto sameVm(const ProxyView &left, const ProxyView &right) -> bool
 {
     return left.zone == right.zone && left.incarnation == right.incarnation && left.callers == right.callers && left.peers == right.peers
-        && left.leaving == right.leaving && left.silent == right.silent;
+        && left.leaving == right.leaving && left.silent == right.silent && left.settled == right.settled;
 }
 
 /// \param elements sorted by id
@@ -61,13 +61,14 @@
     record.view.connectionLimit = group.connectionLimit;
 }
 
-/// \return the services sorted by id, as views list them, so that all views share one list
-auto sortedById(std::vector<membership::ServiceView> services) -> support::SharedList<membership::ServiceView>
+/// \return the elements sorted by id, as views list them, so that all views share one list
+template <typename Element>
+auto sortedById(std::vector<Element> elements) -> support::SharedList<Element>
 {
-    std::sort(services.begin(), services.end(), [](const membership::ServiceView &left, const membership::ServiceView &right) {
+    std::sort(elements.begin(), elements.end(), [](const Element &left, const Element &right) {
         return left.id < right.id;
     });
-    return services;
+    return elements;
 }
 
 auto digestOf(const std::string &text) -> std::uint64_t
@@ -184,6 +185,7 @@
     this->content.configuration = this->content.configuration.next();
     this->content.text = command.text;
     this->content.services = sortedById(command.content.services);
+    this->content.customers = sortedById(command.content.customers);
     for (const auto &group : command.content.groups) {
         const auto position = lowerBoundById(this->content.groups, group.id, groupIdOf);
         if (position != this->content.groups.end() && position->view.id == group.id) {
@@ -277,14 +279,19 @@
 {
     auto &vms = this->content.vms;
     const auto position = lowerBoundById(vms, command.vm.id, vmIdOf);
-    if (position == vms.end() || position->id != command.vm.id) {
-        vms.insert(position, command.vm);
+    auto vm = command.vm;
+    if (position == vms.end() || position->id != vm.id) {
+        // Before the first configuration no proxy can have allocated any quota.
+        vm.settled = vm.settled || this->content.configuration == Revision(0);
+        vms.insert(position, std::move(vm));
         return this->advanceRevision();
     }
-    if (sameVm(*position, command.vm)) {
+    // A restarted process takes up the parts of the one before it, which has ended.
+    vm.settled = vm.settled || position->settled;
+    if (sameVm(*position, vm)) {
         return Ignored();
     }
-    *position = command.vm;
+    *position = std::move(vm);
     return this->advanceRevision();
 }
 
@@ -334,6 +341,7 @@
     view.configuration = this->content.configuration;
     view.services = this->content.services;
     view.proxies = this->content.vms;
+    view.customers = this->content.customers;
     for (const auto &record : this->content.groups) {
         const auto named = std::any_of(view.services.begin(), view.services.end(), [&record](const membership::ServiceView &service) {
             return service.group == record.view.id;
--- a/lib/State/commandcodec.cpp
+++ b/lib/State/commandcodec.cpp
@@ -34,6 +34,7 @@
         builder.setText(command.text);
         builder.setVersion(command.content.version.value_or(ConfigurationVersion()).value());
         writeAll(builder.initServices(static_cast<unsigned>(command.content.services.size())), command.content.services);
+        writeAll(builder.initCustomers(static_cast<unsigned>(command.content.customers.size())), command.content.customers);
         auto groups = builder.initGroups(static_cast<unsigned>(command.content.groups.size()));
         auto index = 0U;
         for (const auto &group : command.content.groups) {
@@ -110,6 +111,7 @@
         command.content.version = ConfigurationVersion(from.getVersion());
     }
     command.content.services = readAll<membership::ServiceView>(from.getServices());
+    command.content.customers = readAll<membership::CustomerView>(from.getCustomers());
     for (const auto group : from.getGroups()) {
         command.content.groups.push_back(
             {GroupId(read(group.getId())), group.getSize(), group.getConnectionLimit(), group.getSelfReplicating(), group.getConfirmations()});
--- a/lib/State/recordcodec.cpp
+++ b/lib/State/recordcodec.cpp
@@ -33,6 +33,22 @@
     to.setObjectiveMs(static_cast<std::uint64_t>(from.objective.count()));
     to.setPriority(from.priority);
     to.setTransactionIdleMs(static_cast<std::uint64_t>(from.transactionIdle.count()));
+    to.setRequiresKey(from.requiresKey);
+}
+
+auto write(schema::Customer::Builder to, const membership::CustomerView &from) -> void
+{
+    to.setId(from.id.value());
+    auto keys = to.initKeys(static_cast<unsigned>(from.keys.size()));
+    auto index = 0U;
+    for (const auto &key : from.keys) {
+        keys.set(index, rpc::toData(key.value()));
+        ++index;
+    }
+    to.setLimited(from.quota.has_value());
+    to.setRatePerSecond(from.quota ? from.quota->ratePerSecond : 0);
+    to.setBurst(from.quota ? from.quota->burst : 0);
+    to.setPriority(from.priority);
 }
 
 auto write(schema::Upstream::Builder to, const membership::UpstreamView &from) -> void
@@ -55,6 +71,7 @@
     write(to.initPeers(), from.peers);
     to.setLeaving(from.leaving);
     to.setSilent(from.silent);
+    to.setSettled(from.settled);
 }
 
 namespace
@@ -118,9 +135,24 @@
     service.objective = std::chrono::milliseconds(from.getObjectiveMs());
     service.priority = from.getPriority();
     service.transactionIdle = std::chrono::milliseconds(from.getTransactionIdleMs());
+    service.requiresKey = from.getRequiresKey();
     return service;
 }
 
+auto read(schema::Customer::Reader from) -> membership::CustomerView
+{
+    auto customer = membership::CustomerView();
+    customer.id = CustomerId(read(from.getId()));
+    for (const auto key : from.getKeys()) {
+        customer.keys.emplace_back(rpc::toString(key));
+    }
+    if (from.getLimited()) {
+        customer.quota = membership::Quota{from.getRatePerSecond(), from.getBurst()};
+    }
+    customer.priority = from.getPriority();
+    return customer;
+}
+
 auto read(schema::Upstream::Reader from) -> membership::UpstreamView
 {
     auto upstream = membership::UpstreamView();
@@ -144,6 +176,7 @@
     vm.peers = read(from.getPeers());
     vm.leaving = from.getLeaving();
     vm.silent = from.getSilent();
+    vm.settled = from.getSettled();
     return vm;
 }
 
--- a/lib/State/recordcodec.h
+++ b/lib/State/recordcodec.h
@@ -19,12 +19,14 @@
 
 auto write(schema::Endpoint::Builder to, const Endpoint &from) -> void;
 auto write(schema::Service::Builder to, const membership::ServiceView &from) -> void;
+auto write(schema::Customer::Builder to, const membership::CustomerView &from) -> void;
 auto write(schema::Upstream::Builder to, const membership::UpstreamView &from) -> void;
 auto write(schema::Vm::Builder to, const membership::ProxyView &from) -> void;
 auto write(schema::Result::Builder to, const Result &from) -> void;
 
 [[nodiscard]] auto read(schema::Endpoint::Reader from) -> Endpoint;
 [[nodiscard]] auto read(schema::Service::Reader from) -> membership::ServiceView;
+[[nodiscard]] auto read(schema::Customer::Reader from) -> membership::CustomerView;
 [[nodiscard]] auto read(schema::Upstream::Reader from) -> membership::UpstreamView;
 [[nodiscard]] auto read(schema::Vm::Reader from) -> membership::ProxyView;
 [[nodiscard]] auto read(schema::Result::Reader from) -> Result;
--- a/lib/State/snapshotcodec.cpp
+++ b/lib/State/snapshotcodec.cpp
@@ -93,6 +93,7 @@
     content.version = ConfigurationVersion(from.getVersion());
     content.text = state::read(from.getText());
     content.services = readAll<membership::ServiceView>(from.getServices());
+    content.customers = readAll<membership::CustomerView>(from.getCustomers());
     for (const auto group : from.getGroups()) {
         content.groups.push_back(read(group));
     }
@@ -115,6 +116,7 @@
     root.setVersion(content.version.value());
     root.setText(content.text);
     writeAll(root.initServices(static_cast<unsigned>(content.services.size())), content.services);
+    writeAll(root.initCustomers(static_cast<unsigned>(content.customers.size())), content.customers);
     auto groups = root.initGroups(static_cast<unsigned>(content.groups.size()));
     for (auto index = 0U; index < content.groups.size(); ++index) {
         write(groups[index], content.groups[index]);
--- a/schema/control.capnp
+++ b/schema/control.capnp
@@ -44,6 +44,17 @@
   objectiveMs @8 :UInt64;
   priority @9 :UInt32;
   transactionIdleMs @10 :UInt64;
+  requiresKey @11 :Bool;
+}
+
+struct CustomerView {
+  id @0 :Text;
+  # Digests of its API keys.
+  keys @1 :List(Data);
+  limited @2 :Bool;
+  ratePerSecond @3 :Float64;
+  burst @4 :Float64;
+  priority @5 :UInt32;
 }
 
 struct ProxyView {
@@ -54,6 +65,7 @@
   peers @4 :Consensus.Endpoint;
   leaving @5 :Bool;
   silent @6 :Bool;
+  settled @7 :Bool;
 }
 
 struct ClusterView {
@@ -62,6 +74,7 @@
   services @2 :List(ServiceView);
   groups @3 :List(GroupView);
   proxies @4 :List(ProxyView);
+  customers @5 :List(CustomerView);
 }
 
 # What turns the view of one revision into that of another. Elements replace those of the same id or are new.
@@ -71,6 +84,7 @@
   removedServices @2 :List(Text);
   removedGroups @3 :List(Text);
   removedProxies @4 :List(Text);
+  removedCustomers @5 :List(Text);
 }
 
 struct Announcement {
@@ -108,6 +122,8 @@
   configuration @7 :UInt64;
   announcements @8 :List(Announcement);
   suspicions @9 :List(Suspicion);
+  # The VM takes part in the very first start of the system.
+  firstStart @10 :Bool;
 }
 
 # Why a request was not run, in the words of the refusals page.
--- a/schema/forwarding.capnp
+++ b/schema/forwarding.capnp
@@ -65,6 +65,8 @@
       # Until the caller wants the answer.
       objectiveMs @24 :UInt64;
       priority @25 :UInt32;
+      # Empty: a caller without a customer.
+      customer @29 :Text;
     }
     acquired :group {
       values @6 :List(Value);
@@ -108,5 +110,14 @@
     # Asks whether the receiver is there, and is answered at once.
     ping @26 :Void;
     pong @27 :Void;
+    # Takes one operation out of the part of a customer's quota that the receiver allocates.
+    takeQuota @30 :Text;
+    quotaTaken :group {
+      granted @31 :Bool;
+      # The sender allocates no part of the quota.
+      notAllocator @32 :Bool;
+      # Until the part has room again.
+      retryAfterUs @33 :UInt64;
+    }
   }
 }
--- a/schema/state.capnp
+++ b/schema/state.capnp
@@ -22,6 +22,17 @@
   objectiveMs @8 :UInt64;
   priority @9 :UInt32;
   transactionIdleMs @10 :UInt64;
+  requiresKey @11 :Bool;
+}
+
+struct Customer {
+  id @0 :Text;
+  # Digests of its API keys.
+  keys @1 :List(Data);
+  limited @2 :Bool;
+  ratePerSecond @3 :Float64;
+  burst @4 :Float64;
+  priority @5 :UInt32;
 }
 
 struct GroupSize {
@@ -51,6 +62,7 @@
   peers @4 :Endpoint;
   leaving @5 :Bool;
   silent @6 :Bool;
+  settled @7 :Bool;
 }
 
 struct Command {
@@ -63,6 +75,7 @@
       groups @4 :List(GroupSize);
       # 0: the change is bound to its base.
       version @18 :UInt64;
+      customers @26 :List(Customer);
     }
     registerUpstream :group {
       group @5 :Text;
@@ -151,4 +164,5 @@
   changes @6 :List(Change);
   version @7 :UInt64;
   duty @8 :DutyGrant;
+  customers @9 :List(Customer);
 }
--- a/unittests/Adapter/configurationreadertest.cpp
+++ b/unittests/Adapter/configurationreadertest.cpp
@@ -81,4 +81,51 @@
     }
 }
 
+TEST_CASE("customers are read with their keys and quotas, and routes ask for a key unless they are public")
+{
+    const auto text = [](std::string_view tenants) {
+        auto open = route("open", "huvo11a", "1000");
+        open.insert(open.size() - 1, R"(,"public":true)");
+        auto whole = document(route("fiti", "huvo11a", "1000") + "," + open);
+        whole.insert(whole.size() - 1, R"(,"tenants":)" + std::string(tenants));
+        return whole;
+    };
+    const auto outcome = read(text(R"([{"name":"miny","apiKeys":["k1","k2"],"priority":1,"ratePerS":164,"burst":40},{"name":"free","apiKeys":[]}])"));
+    REQUIRE(std::holds_alternative<configuration::Configuration>(outcome));
+    const auto &configuration = std::get<configuration::Configuration>(outcome);
+    REQUIRE(configuration.customers.size() == 2);
+    CHECK(configuration.customers[0].id == CustomerId("free"));
+    CHECK_FALSE(configuration.customers[0].quota);
+    CHECK(configuration.customers[1].keys == std::vector{membership::digestOf("k1"), membership::digestOf("k2")});
+    CHECK(configuration.customers[1].quota == membership::Quota{164, 40});
+    CHECK(configuration.customers[1].priority == 1);
+    CHECK(configuration.services[0].requiresKey);
+    CHECK_FALSE(configuration.services[1].requiresKey);
+    CHECK_FALSE(std::get<configuration::Configuration>(read(document(route("fiti", "huvo11a", "1000")))).services[0].requiresKey);
+}
+
+// A key of two customers would let one of them act for the other.
+TEST_CASE("customers that cannot be told apart or limited are rejected, without naming a key")
+{
+    const auto rejected = [](std::string_view tenants) {
+        auto text = document(route("fiti", "huvo11a", "1000"));
+        text.insert(text.size() - 1, R"(,"tenants":)" + std::string(tenants));
+        const auto outcome = read(text);
+        REQUIRE(std::holds_alternative<std::string>(outcome));
+        CHECK(std::get<std::string>(outcome).find("secret") == std::string::npos);
+        return std::get<std::string>(outcome);
+    };
+    CHECK(rejected(R"([{"name":"a","apiKeys":["secret"]},{"name":"b","apiKeys":["secret"]}])").find("stands twice") != std::string::npos);
+    CHECK(rejected(R"([{"name":"a","apiKeys":["secret","secret"]}])").find("stands twice") != std::string::npos);
+    CHECK(rejected(R"([{"name":"a","apiKeys":[]},{"name":"a","apiKeys":[]}])").find("stands twice") != std::string::npos);
+    CHECK(rejected(R"([{"name":"a","apiKeys":[""]}])").find("no text") != std::string::npos);
+    CHECK(rejected(R"([{"name":"a","apiKeys":[7]}])").find("no text") != std::string::npos);
+    CHECK(rejected(R"([{"name":"a b","apiKeys":[]}])").find("blank") != std::string::npos);
+    CHECK(rejected(R"([{"name":"","apiKeys":[]}])").find("'name'") != std::string::npos);
+    CHECK(rejected(R"([{"name":"a","apiKeys":["secret"],"ratePerS":-1}])").find("quantity") != std::string::npos);
+    CHECK(rejected(R"([{"name":"a","apiKeys":["secret"],"ratePerS":1e300}])").find("quantity") != std::string::npos);
+    CHECK(rejected(R"([{"name":"a","apiKeys":["secret"],"ratePerS":1,"burst":"many"}])").find("quantity") != std::string::npos);
+    CHECK(rejected(R"({"name":"a"})").find("no list") != std::string::npos);
+}
+
 } // namespace sapphirespool::adapter
--- a/unittests/Control/codectest.cpp
+++ b/unittests/Control/codectest.cpp
@@ -22,4 +22,23 @@
     CHECK_THROWS_AS(read(root.asReader()), kj::Exception);
 }
 
+TEST_CASE("customers survive packing in a view and in a delta")
+{
+    auto view = membership::ClusterView{Revision(3), Revision(2)};
+    view.services.append(membership::ServiceView{ServiceId("s"), GroupId("g")});
+    view.services.edit().front().requiresKey = true;
+    view.customers.append({CustomerId("a"), {membership::digestOf("k1"), membership::digestOf("k2")}, membership::Quota{164, 40}, 1});
+    view.customers.append({CustomerId("b"), {}, std::nullopt, 0});
+    auto proxy = membership::ProxyView();
+    proxy.id = VmId("vm");
+    proxy.settled = true;
+    view.proxies.push_back(proxy);
+    CHECK(unpackView(rpc::toData(pack(view))) == view);
+    auto next = view;
+    next.revision = Revision(4);
+    next.customers.edit().erase(next.customers.begin());
+    const auto delta = unpackDelta(rpc::toData(pack(membership::computeDelta(view, next))));
+    CHECK(membership::applyDelta(view, delta) == next);
+}
+
 } // namespace sapphirespool::control
--- a/unittests/Membership/viewdeltatest.cpp
+++ b/unittests/Membership/viewdeltatest.cpp
@@ -43,6 +43,9 @@
     view.proxies = someOf<ProxyView>([](const std::string &name, int value) {
         return ProxyView{VmId(name), ZoneId("z"), Incarnation(static_cast<std::uint64_t>(value))};
     });
+    view.customers = someOf<CustomerView>([](const std::string &name, int value) {
+        return CustomerView{CustomerId(name), {digestOf(name)}, Quota{static_cast<double>(value), 1}};
+    });
     return view;
 }
 
@@ -76,6 +79,29 @@
     CHECK(result.is<rc::detail::SuccessResult>());
 }
 
+TEST_CASE("a change of one customer moves that customer alone")
+{
+    auto first = ClusterView{Revision(1)};
+    for (const auto *const name : {"a", "b", "c"}) {
+        first.customers.append(CustomerView{CustomerId(name), {digestOf(name)}});
+    }
+    auto second = first;
+    second.revision = Revision(2);
+    second.customers.edit()[1].keys.clear();
+    const auto delta = computeDelta(first, second);
+    REQUIRE(delta.customers.size() == 1);
+    CHECK(delta.customers.front().id == CustomerId("b"));
+    CHECK(applyDelta(first, delta) == second);
+}
+
+TEST_CASE("the digest of a key is the first half of its SHA-256")
+{
+    // The digest of the empty text, as FIPS 180-4 defines it.
+    const auto expected = std::string("\xe3\xb0\xc4\x42\x98\xfc\x1c\x14\x9a\xfb\xf4\xc8\x99\x6f\xb9\x24");
+    CHECK(digestOf("").value() == expected);
+    CHECK(digestOf("a") != digestOf("b"));
+}
+
 TEST_CASE("a gap in the deltas is found")
 {
     // The caller sees: a proxy that sends work to an upstream that left, although its view calls itself current.
--- a/unittests/State/clusterstatetest.cpp
+++ b/unittests/State/clusterstatetest.cpp
@@ -165,4 +165,47 @@
     CHECK_THROWS_WITH(ClusterState().restore(broken), Catch::Contains("restore this VM's data folder"));
 }
 
+TEST_CASE("customers are in force with their configuration and survive a snapshot and the log")
+{
+    auto change = changeOf("first", 0, "text");
+    change.content.customers = {{CustomerId("b"), {membership::digestOf("k")}, membership::Quota{10, 5}, 2}, {CustomerId("a"), {}, std::nullopt, 0}};
+    change.content.services.front().requiresKey = true;
+    const auto decoded = decodeCommand(encode(Command(change)));
+    REQUIRE(decoded);
+    auto state = ClusterState();
+    state.execute(*decoded);
+    auto restored = ClusterState();
+    restored.restore(state.snapshot());
+    CHECK(*restored.view() == *state.view());
+    REQUIRE(restored.view()->customers.size() == 2);
+    CHECK(restored.view()->customers.front().id == CustomerId("a"));
+    CHECK(restored.view()->customers[1] == change.content.customers.front());
+    CHECK(restored.view()->services.front().requiresKey);
+    state.execute(changeOf("second", 1, "without customers"));
+    CHECK(state.view()->customers.empty());
+}
+
+// A proxy that joins later must not allocate quota at once: another one may still allocate the same part.
+TEST_CASE("a VM is settled if it registers before the first configuration, and a restart does not change that")
+{
+    auto state = ClusterState();
+    state.execute(RegisterVm{vmOf("early", 1)});
+    state.execute(changeOf("first", 0, "text"));
+    state.execute(RegisterVm{vmOf("late", 1)});
+    CHECK(state.view()->findProxy(VmId("early"))->settled);
+    CHECK_FALSE(state.view()->findProxy(VmId("late"))->settled);
+    state.execute(RegisterVm{vmOf("early", 2)});
+    CHECK(state.view()->findProxy(VmId("early"))->settled);
+    auto settled = vmOf("late", 1);
+    settled.settled = true;
+    CHECK(isApplied(state.execute(RegisterVm{settled})));
+    CHECK(isIgnored(state.execute(RegisterVm{vmOf("late", 1)})));
+    auto restored = ClusterState();
+    restored.restore(state.snapshot());
+    CHECK(restored.view()->findProxy(VmId("late"))->settled);
+    state.execute(ForgetVm{VmId("late"), Incarnation(1)});
+    state.execute(RegisterVm{vmOf("late", 1)});
+    CHECK_FALSE(state.view()->findProxy(VmId("late"))->settled);
+}
+
 } // namespace sapphirespool::state
