--- /dev/null
+++ b/include/sapphirespool/Decisions/quotaallocator.h
@@ -0,0 +1,58 @@
+// quotaallocator.h: allocates one proxy's parts of the customers' quotas.
+#pragma once
+
+#include "sapphirespool/Decisions/tokenbucket.h"
+#include "sapphirespool/Membership/clusterview.h"
+#include "sapphirespool/Support/types.h"
+
+#include <map>
+#include <span>
+#include <variant>
+
+namespace sapphirespool::decisions
+{
+
+/// The part of a customer's quota that one proxy allocates.
+struct QuotaPart
+{
+    CustomerId customer;
+    membership::Quota quota;
+};
+
+/// The operation may run.
+struct QuotaGranted
+{
+};
+
+/// This proxy allocates no part of the customer's quota.
+struct NotAllocator
+{
+};
+
+/// The part is used up.
+struct QuotaExhausted
+{
+    Duration retryAfter{};
+};
+
+using QuotaDecision = std::variant<QuotaGranted, NotAllocator, QuotaExhausted>;
+
+/// Token buckets of the parts that this proxy allocates.
+///
+/// Load pattern: a customer calls through all proxies, and each of them sees a few of its operations a second. A limit in each proxy
+/// either refuses customers whose callers are spread unevenly, or lets one run many times its quota. Here a few proxies allocate a part of the quota
+/// each, and all others ask them. A part that a proxy did not have before starts without tokens, so that a change of
+/// allocators gives no second burst.
+class QuotaAllocator
+{
+public:
+    /// Replaces the parts. One that stays keeps its tokens, within the new limits.
+    auto setParts(std::span<const QuotaPart> parts, TimePoint now) -> void;
+
+    [[nodiscard]] auto take(const CustomerId &customer, TimePoint now) -> QuotaDecision;
+
+private:
+    std::map<CustomerId, TokenBucket> buckets;
+};
+
+} // namespace sapphirespool::decisions
--- a/include/sapphirespool/Forwarding/forwardingpool.h
+++ b/include/sapphirespool/Forwarding/forwardingpool.h
@@ -3,6 +3,7 @@
 
 #include "sapphirespool/Forwarding/ownership.h"
 #include "sapphirespool/Interactive/connectionpool.h"
+#include "sapphirespool/Interactive/quotagate.h"
 #include "sapphirespool/Membership/clusterview.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -25,13 +26,19 @@
     /// Applies \p view, which determines the owners of each upstream and how many connections this proxy may open to it.
     virtual auto viewChanged(std::shared_ptr<const membership::ClusterView> view) -> void = 0;
 
+    /// \return what admits the operations of customers within their quotas
+    [[nodiscard]] virtual auto quota() -> std::shared_ptr<interactive::QuotaGate> = 0;
+
     /// Closes the connections to and from other proxies.
     virtual auto close() -> void = 0;
 };
 
 /// \param localPool pool of this proxy's own connections; the new pool sets its limits
-[[nodiscard]] auto
-makeForwardingPool(VmId self, ZoneId zone, std::shared_ptr<interactive::ConnectionPool> localPool, const boost::asio::any_io_executor &executor)
-    -> std::shared_ptr<ForwardingPool>;
+/// \param views the lease under which this proxy allocates quota
+[[nodiscard]] auto makeForwardingPool(VmId self,
+                                      ZoneId zone,
+                                      std::shared_ptr<interactive::ConnectionPool> localPool,
+                                      std::shared_ptr<const membership::ViewHolder> views,
+                                      const boost::asio::any_io_executor &executor) -> std::shared_ptr<ForwardingPool>;
 
 } // namespace sapphirespool::forwarding
--- a/include/sapphirespool/Interactive/connectionpool.h
+++ b/include/sapphirespool/Interactive/connectionpool.h
@@ -49,6 +49,10 @@
 /// A statement's request for a connection, with the values that determine its position in the queue.
 struct ConnectionRequest
 {
+    /// Customer whose connection is needed; empty for callers without a customer. An upstream learns the customer when a connection begins.
+    CustomerId customer;
+    /// Whether any customer's connection will do, for commands of the proxy itself.
+    bool anyCustomer = false;
     /// A connection that already has these values is preferred.
     SessionValues values;
     /// Longest wait until a connection becomes available.
--- a/include/sapphirespool/Interactive/reply.h
+++ b/include/sapphirespool/Interactive/reply.h
@@ -48,6 +48,10 @@
     UnknownDatabase,
     /// No statement was prepared under the given name.
     UnknownName,
+    /// Nothing was run: no customer holds the caller's API key.
+    Denied,
+    /// Nothing was run: the customer has reached its quota.
+    OverQuota,
 };
 
 /// \return the label of \p failure in logs and metrics
--- a/include/sapphirespool/Interactive/session.h
+++ b/include/sapphirespool/Interactive/session.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "sapphirespool/Interactive/connectionpool.h"
+#include "sapphirespool/Interactive/quotagate.h"
 #include "sapphirespool/Interactive/reply.h"
 #include "sapphirespool/Interactive/statement.h"
 #include "sapphirespool/Membership/clusterview.h"
@@ -77,7 +78,8 @@
     virtual ~SessionService() = default;
 
     /// \param database name by which the caller addresses a service
-    [[nodiscard]] virtual auto open(std::string_view database) -> OpenResult = 0;
+    /// \param key the caller's API key; ignored by a service that needs none
+    [[nodiscard]] virtual auto open(std::string_view database, std::string_view key) -> OpenResult = 0;
 
     /// Waits for a bounded time until this proxy has received its first view. Returns at once if it has one.
     virtual auto awaitFirstView() -> boost::asio::awaitable<void> = 0;
@@ -101,6 +103,8 @@
     /// Receives suspicions of unreachable primaries. If it is null, none are reported.
     std::shared_ptr<membership::ControlLink> control;
     std::shared_ptr<ConnectionPool> pool;
+    /// Admits the operations of customers within their quotas; null admits all.
+    std::shared_ptr<QuotaGate> quota;
     std::shared_ptr<SessionRecorder> recorder;
     boost::asio::any_io_executor executor;
 };
--- a/include/sapphirespool/Interactive/upstreamconnection.h
+++ b/include/sapphirespool/Interactive/upstreamconnection.h
@@ -120,7 +120,8 @@
     virtual ~UpstreamConnector() = default;
 
     /// Connects to \p upstream as a member of \p group within \p limit.
-    virtual auto connect(GroupId group, membership::UpstreamView upstream, Duration limit) -> boost::asio::awaitable<ConnectResult> = 0;
+    /// \param customer on whose behalf the connection is used until it closes; empty for callers without a customer
+    virtual auto connect(GroupId group, membership::UpstreamView upstream, CustomerId customer, Duration limit) -> boost::asio::awaitable<ConnectResult> = 0;
 
     /// \return whether \p upstream accepts a connection within \p limit. This costs the upstream no work and uses none of its connections.
     virtual auto reaches(membership::UpstreamView upstream, Duration limit) -> boost::asio::awaitable<bool> = 0;
--- a/include/sapphirespool/Support/events.h
+++ b/include/sapphirespool/Support/events.h
@@ -28,6 +28,7 @@
     StatementFailed = 1103,
     StatementMoved = 1104,
     StatementServed = 1105,
+    SessionRefused = 1106,
     UpstreamConnectionClosed = 1201,
     PrimarySuspected = 1202,
     ViewFollowed = 1203,
--- a/include/sapphirespool/Support/refusal.h
+++ b/include/sapphirespool/Support/refusal.h
@@ -43,6 +43,7 @@
     TransactionHolderLost,
     StatementFailed,
     PeerUnreachable,
+    UnknownKey,
     CallerOverQuota,
     RetryBudgetSpent,
     ControlUnreachable,
--- a/lib/Forwarding/codec.cpp
+++ b/lib/Forwarding/codec.cpp
@@ -118,7 +118,7 @@
 
 auto read(schema::Failure::Reader from) -> FailureReply
 {
-    auto failure = FailureReply{enumOrHighest(from.getFailure(), Failure::UnknownName), toString(from.getDetail()), {}};
+    auto failure = FailureReply{enumOrHighest(from.getFailure(), Failure::OverQuota), toString(from.getDetail()), {}};
     if (from.getRetryAfterMs() > 0) {
         failure.retryAfter = std::chrono::milliseconds(from.getRetryAfterMs());
     }
@@ -203,6 +203,7 @@
         out.setConnectMs(static_cast<std::uint64_t>(body.connectLimit.count()));
         out.setObjectiveMs(static_cast<std::uint64_t>(body.objective.count()));
         out.setPriority(body.priority);
+        out.setCustomer(body.customer.value());
     }
 
     auto operator()(const Acquired &body) -> void
@@ -274,6 +275,21 @@
     {
         this->to.setPong();
     }
+
+    auto operator()(const TakeQuota &body) -> void
+    {
+        this->to.setTakeQuota(body.customer.value());
+    }
+
+    auto operator()(const QuotaTaken &body) -> void
+    {
+        auto out = this->to.initQuotaTaken();
+        out.setGranted(std::holds_alternative<decisions::QuotaGranted>(body.decision));
+        out.setNotAllocator(std::holds_alternative<decisions::NotAllocator>(body.decision));
+        if (const auto *const exhausted = std::get_if<decisions::QuotaExhausted>(&body.decision)) {
+            out.setRetryAfterUs(static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::microseconds>(exhausted->retryAfter).count()));
+        }
+    }
 };
 
 auto readProve(schema::Message::Prove::Reader from) -> Prove
@@ -301,7 +317,8 @@
             std::chrono::milliseconds(from.getPatienceMs()),
             std::chrono::milliseconds(from.getConnectMs()),
             std::chrono::milliseconds(from.getObjectiveMs()),
-            from.getPriority()};
+            from.getPriority(),
+            CustomerId(toString(from.getCustomer()))};
 }
 
 auto readExchange(schema::Message::Exchange::Reader from) -> Exchange
@@ -324,6 +341,17 @@
     return exchanged;
 }
 
+auto readQuotaTaken(schema::Message::QuotaTaken::Reader from) -> QuotaTaken
+{
+    if (from.getGranted()) {
+        return {decisions::QuotaGranted()};
+    }
+    if (from.getNotAllocator()) {
+        return {decisions::NotAllocator()};
+    }
+    return {decisions::QuotaExhausted{std::chrono::microseconds(from.getRetryAfterUs())}};
+}
+
 auto readBody(schema::Message::Reader from) -> std::optional<Body>
 {
     switch (from.which()) {
@@ -347,6 +375,10 @@
         return Ping();
     case schema::Message::PONG:
         return Pong();
+    case schema::Message::TAKE_QUOTA:
+        return TakeQuota{CustomerId(toString(from.getTakeQuota()))};
+    case schema::Message::QUOTA_TAKEN:
+        return readQuotaTaken(from.getQuotaTaken());
     }
     return std::nullopt;
 }
--- a/lib/Forwarding/codec.h
+++ b/lib/Forwarding/codec.h
@@ -1,6 +1,7 @@
 // codec.h: the messages between proxies and their Cap'n Proto form.
 #pragma once
 
+#include "sapphirespool/Decisions/quotaallocator.h"
 #include "sapphirespool/Interactive/upstreamconnection.h"
 #include "sapphirespool/Support/types.h"
 
@@ -25,6 +26,7 @@
     /// Time within which the caller wants the answer.
     std::chrono::milliseconds objective{0};
     std::uint32_t priority = 0;
+    CustomerId customer;
 };
 
 struct Acquired
@@ -87,11 +89,22 @@
 {
 };
 
-using Body = std::variant<Acquire, Acquired, Refused, Exchange, Exchanged, Release, Prove, Proved, Ping, Pong>;
+/// Takes one operation out of the part of a customer's quota that the receiver allocates.
+struct TakeQuota
+{
+    CustomerId customer;
+};
+
+struct QuotaTaken
+{
+    decisions::QuotaDecision decision;
+};
+
+using Body = std::variant<Acquire, Acquired, Refused, Exchange, Exchanged, Release, Prove, Proved, Ping, Pong, TakeQuota, QuotaTaken>;
 
 struct Message
 {
-    /// Number of the lease, or of the request for Prove and Ping; assigned by the requesting proxy.
+    /// Number of the lease, or of the request for Prove, Ping and TakeQuota; assigned by the requesting proxy.
     std::uint64_t lease = 0;
     Body body;
 };
--- a/lib/Forwarding/forwardingpool.cpp
+++ b/lib/Forwarding/forwardingpool.cpp
@@ -1,9 +1,11 @@
 #include "sapphirespool/Forwarding/forwardingpool.h"
 
+#include "fleetquota.h"
 #include "ownerchannel.h"
 #include "ownerserver.h"
 
 #include "sapphirespool/Http/liveness.h"
+#include "sapphirespool/Support/clock.h"
 #include "sapphirespool/Support/signal.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -44,11 +46,16 @@
     std::map<VmId, std::uint32_t> loads;
 };
 
-class ForwardingPoolImpl : public ForwardingPool, public OwnedUpstreams, public std::enable_shared_from_this<ForwardingPoolImpl>
+class ForwardingPoolImpl : public ForwardingPool, public OwnedUpstreams, public PeerChannels, public std::enable_shared_from_this<ForwardingPoolImpl>
 {
 public:
-    ForwardingPoolImpl(VmId self, ZoneId zone, std::shared_ptr<ConnectionPool> localPool, const asio::any_io_executor &executor)
+    ForwardingPoolImpl(VmId self,
+                       ZoneId zone,
+                       std::shared_ptr<ConnectionPool> localPool,
+                       std::shared_ptr<const membership::ViewHolder> views,
+                       const asio::any_io_executor &executor)
         : self(self)
+        , fleetQuota(std::make_shared<FleetQuota>(self, zone, std::move(views)))
         , ownership(std::move(self), std::move(zone))
         , localPool(std::move(localPool))
         , executor(executor)
@@ -72,6 +79,8 @@
     {
         const auto previous = std::exchange(this->view, std::move(newView));
         this->ownership.viewChanged(*this->view);
+        this->fleetQuota->connect(this->weak_from_this());
+        this->fleetQuota->viewChanged(*this->view, support::now());
         for (const auto &group : this->view->groups) {
             for (const auto &member : group.members) {
                 this->localPool->setLimits(member.id, this->ownership.share(group, member));
@@ -85,6 +94,11 @@
         }
     }
 
+    [[nodiscard]] auto quota() -> std::shared_ptr<interactive::QuotaGate> override
+    {
+        return this->fleetQuota;
+    }
+
     auto close() -> void override
     {
         auto ignored = boost::system::error_code();
@@ -112,7 +126,8 @@
                                      std::chrono::ceil<std::chrono::milliseconds>(claim.waitLimit),
                                      std::chrono::ceil<std::chrono::milliseconds>(claim.connectLimit),
                                      std::chrono::ceil<std::chrono::milliseconds>(claim.objective),
-                                     claim.priority};
+                                     claim.priority,
+                                     claim.customer};
         const auto order = this->orderOwners(owners, upstream.id);
         auto failureReply
             = FailureReply{interactive::Failure::Busy, "no proxy that owns connections to " + upstream.id.value() + " answers", std::chrono::milliseconds(100)};
@@ -294,7 +309,7 @@
     auto serve(tcp::socket socket) -> void
     {
         auto framed = std::make_shared<FramedConnection>(std::move(socket));
-        const auto connection = std::make_shared<OwnerConnection>(std::move(framed), this->localPool, this->weak_from_this());
+        const auto connection = std::make_shared<OwnerConnection>(std::move(framed), this->localPool, this->weak_from_this(), this->fleetQuota);
         this->inboundConnections.insert(connection);
         connection->start([weak = this->weak_from_this(), weakConnection = std::weak_ptr(connection)] {
             if (const auto pool = weak.lock()) {
@@ -341,7 +356,7 @@
         return order;
     }
 
-    auto channelTo(const VmId &owner) -> std::shared_ptr<OwnerChannel>
+    auto channelTo(const VmId &owner) -> std::shared_ptr<OwnerChannel> override
     {
         if (const auto found = this->channels.find(owner); found != this->channels.end()) {
             return found->second.channel;
@@ -364,6 +379,7 @@
     }
 
     VmId self;
+    std::shared_ptr<FleetQuota> fleetQuota;
     Ownership ownership;
     std::shared_ptr<ConnectionPool> localPool;
     asio::any_io_executor executor;
@@ -377,10 +393,13 @@
 
 } // namespace
 
-auto makeForwardingPool(VmId self, ZoneId zone, std::shared_ptr<ConnectionPool> localPool, const asio::any_io_executor &executor)
-    -> std::shared_ptr<ForwardingPool>
+auto makeForwardingPool(VmId self,
+                        ZoneId zone,
+                        std::shared_ptr<ConnectionPool> localPool,
+                        std::shared_ptr<const membership::ViewHolder> views,
+                        const asio::any_io_executor &executor) -> std::shared_ptr<ForwardingPool>
 {
-    return std::make_shared<ForwardingPoolImpl>(std::move(self), std::move(zone), std::move(localPool), executor);
+    return std::make_shared<ForwardingPoolImpl>(std::move(self), std::move(zone), std::move(localPool), std::move(views), executor);
 }
 
 } // namespace sapphirespool::forwarding
--- a/lib/Forwarding/ownerchannel.cpp
+++ b/lib/Forwarding/ownerchannel.cpp
@@ -198,6 +198,29 @@
     co_return interactive::PositionProof{sentAt - proved->age, *proved->position};
 }
 
+auto OwnerChannel::takeQuota(CustomerId customer, Duration limit) -> asio::awaitable<decisions::QuotaDecision>
+{
+    const auto self = this->shared_from_this();
+    if (this->presence.isGivenUp(support::now())) {
+        co_return decisions::NotAllocator();
+    }
+    const auto connected = co_await this->connect(std::min<Duration>(connectTimeout, limit));
+    if (!connected) {
+        co_return decisions::NotAllocator();
+    }
+    auto message = Message{++this->lastLease, TakeQuota{std::move(customer)}};
+    const auto generation = this->generation();
+    const auto answer = co_await this->sendRequest(std::move(message), std::min<Duration>(limit, answerMargin), UnresponsivePolicy::Abandon);
+    const auto *const taken = answer ? std::get_if<QuotaTaken>(&answer->body) : nullptr;
+    if (taken == nullptr) {
+        if (generation == this->generation()) {
+            this->noteFailure();
+        }
+        co_return decisions::NotAllocator();
+    }
+    co_return taken->decision;
+}
+
 auto OwnerChannel::release(std::uint64_t lease, Release request) -> void
 {
     if (this->connection != nullptr) {
--- a/lib/Forwarding/ownerchannel.h
+++ b/lib/Forwarding/ownerchannel.h
@@ -3,6 +3,7 @@
 
 #include "framedconnection.h"
 
+#include "sapphirespool/Decisions/quotaallocator.h"
 #include "sapphirespool/Interactive/positionproofs.h"
 #include "sapphirespool/Interactive/upstreamconnection.h"
 #include "sapphirespool/Support/logbudget.h"
@@ -57,6 +58,10 @@
     /// Requests a proof of the current end of a group's log from the owner.
     auto prove(Prove request) -> boost::asio::awaitable<std::optional<interactive::PositionProof>>;
 
+    /// Takes one operation out of the part of a customer's quota that the proxy allocates. A proxy that does not answer counts as none
+    /// that allocates.
+    auto takeQuota(CustomerId customer, Duration limit) -> boost::asio::awaitable<decisions::QuotaDecision>;
+
     auto close() -> void;
 
     /// \return whether no failure was recorded since the last message from the owner
--- a/lib/Forwarding/ownerserver.cpp
+++ b/lib/Forwarding/ownerserver.cpp
@@ -38,10 +38,12 @@
 
 OwnerConnection::OwnerConnection(std::shared_ptr<FramedConnection> connection,
                                  std::shared_ptr<interactive::ConnectionPool> pool,
-                                 std::weak_ptr<OwnedUpstreams> owned)
+                                 std::weak_ptr<OwnedUpstreams> owned,
+                                 std::shared_ptr<QuotaParts> quota)
     : connection(std::move(connection))
     , pool(std::move(pool))
     , owned(std::move(owned))
+    , quota(std::move(quota))
     , leases(std::make_unique<Leases>())
 {
 }
@@ -77,6 +79,8 @@
         this->release(message.lease, std::move(*ending));
     } else if (auto *const proof = std::get_if<Prove>(&message.body)) {
         asio::co_spawn(this->connection->executor(), prove(self, message.lease, std::move(*proof)), asio::detached);
+    } else if (const auto *const taking = std::get_if<TakeQuota>(&message.body)) {
+        this->connection->send(Message{message.lease, QuotaTaken{this->quota->takeOwn(taking->customer, support::now())}});
     } else if (std::holds_alternative<Ping>(message.body)) {
         this->connection->send(Message{message.lease, Pong()});
     } else {
@@ -94,6 +98,7 @@
         co_return;
     }
     auto claim = interactive::ConnectionRequest();
+    claim.customer = std::move(request.customer);
     claim.values = std::move(request.values);
     claim.waitLimit = request.waitLimit;
     claim.connectLimit = request.connectLimit;
--- a/lib/Forwarding/ownerserver.h
+++ b/lib/Forwarding/ownerserver.h
@@ -3,6 +3,7 @@
 
 #include "framedconnection.h"
 
+#include "sapphirespool/Decisions/quotaallocator.h"
 #include "sapphirespool/Interactive/connectionpool.h"
 #include "sapphirespool/Membership/clusterview.h"
 
@@ -34,12 +35,28 @@
     virtual auto awaitOwned(GroupId group, UpstreamId upstream, Duration waitLimit) -> boost::asio::awaitable<std::optional<membership::UpstreamView>> = 0;
 };
 
+/// The parts of customers' quotas that this proxy allocates.
+class QuotaParts
+{
+public:
+    QuotaParts() = default;
+    QuotaParts(const QuotaParts &) = delete;
+    auto operator=(const QuotaParts &) -> QuotaParts & = delete;
+    virtual ~QuotaParts() = default;
+
+    /// Takes an operation out of this proxy's part of the quota of \p customer.
+    [[nodiscard]] virtual auto takeOwn(const CustomerId &customer, TimePoint now) -> decisions::QuotaDecision = 0;
+};
+
 /// Serves the requests of another proxy and holds its leases for as long as its connection lasts. When the connection ends, the leases
 /// are dropped: the connections to the upstreams are closed, and the upstreams roll back what was not committed.
 class OwnerConnection : public std::enable_shared_from_this<OwnerConnection>
 {
 public:
-    OwnerConnection(std::shared_ptr<FramedConnection> connection, std::shared_ptr<interactive::ConnectionPool> pool, std::weak_ptr<OwnedUpstreams> owned);
+    OwnerConnection(std::shared_ptr<FramedConnection> connection,
+                    std::shared_ptr<interactive::ConnectionPool> pool,
+                    std::weak_ptr<OwnedUpstreams> owned,
+                    std::shared_ptr<QuotaParts> quota);
     ~OwnerConnection();
 
     /// \param closed called once when the connection has ended
@@ -61,6 +78,7 @@
     std::shared_ptr<FramedConnection> connection;
     std::shared_ptr<interactive::ConnectionPool> pool;
     std::weak_ptr<OwnedUpstreams> owned;
+    std::shared_ptr<QuotaParts> quota;
     std::unique_ptr<Leases> leases;
 };
 
--- a/lib/Interactive/callersession.cpp
+++ b/lib/Interactive/callersession.cpp
@@ -42,9 +42,10 @@
     return {std::move(member), after};
 }
 
-CallerSession::CallerSession(std::shared_ptr<SessionCore> core, std::string database)
+CallerSession::CallerSession(std::shared_ptr<SessionCore> core, std::string database, membership::KeyDigest key)
     : core(std::move(core))
     , database(std::move(database))
+    , key(std::move(key))
 {
     ++this->core->counts.sessions;
 }
@@ -148,13 +149,15 @@
     if (this->core->refusesNewWork) {
         return this->fail(makeFailure(Failure::Busy, "the proxy is stopping; connect again", std::chrono::milliseconds(0)));
     }
-    const auto *const service = this->core->findService(this->database);
-    if (service == nullptr) {
-        return this->fail(makeFailure(Failure::UnknownDatabase, "no service is called " + this->database));
+    auto granted = this->core->authorize(this->database, this->key);
+    if (auto *const why = std::get_if<FailureReply>(&granted)) {
+        return this->fail(std::move(*why));
     }
+    auto &access = std::get<AccessGrant>(granted);
     // The transaction begins at the upstream with its first statement, so that a caller that pauses before it holds no connection.
     this->transaction = std::make_unique<Transaction>();
-    this->transaction->service = *service;
+    this->transaction->service = *access.service;
+    this->transaction->customer = std::move(access.customer);
     this->transaction->readOnly = statement.kind == StatementKind::BeginReadOnly;
     this->transactionStatus = TransactionStatus::Open;
     return makeReply(this->transactionStatus);
@@ -182,7 +185,7 @@
         co_await this->rollback();
         co_return this->fail(makeFailure(Failure::Aborted, "the transaction had failed and was rolled back"));
     }
-    auto context = this->makeContext(std::move(statement), this->transaction->service);
+    auto context = this->makeContext(std::move(statement), this->transaction->service, this->transaction->customer);
     if (!this->transaction->lease) {
         if (auto why = co_await this->openTransaction(context)) {
             this->transaction.reset();
@@ -200,17 +203,21 @@
         co_return this->transactionStatus == TransactionStatus::Open ? this->failTransaction(std::move(why)) : this->fail(std::move(why));
     }
     if (this->transactionStatus == TransactionStatus::Open) {
-        const auto context = this->makeContext(std::move(statement), this->transaction->service);
+        const auto context = this->makeContext(std::move(statement), this->transaction->service, this->transaction->customer);
         co_return co_await this->runInTransaction(context);
     }
     if (this->core->refusesNewWork) {
         co_return this->fail(makeFailure(Failure::Busy, "the proxy is stopping; connect again", std::chrono::milliseconds(0)));
     }
-    const auto *const service = this->core->findService(this->database);
-    if (service == nullptr) {
-        co_return this->fail(makeFailure(Failure::UnknownDatabase, "no service is called " + this->database));
+    auto granted = this->core->authorize(this->database, this->key);
+    if (auto *const why = std::get_if<FailureReply>(&granted)) {
+        co_return this->fail(std::move(*why));
+    }
+    auto &access = std::get<AccessGrant>(granted);
+    const auto context = this->makeContext(std::move(statement), *access.service, std::move(access.customer));
+    if (auto why = co_await this->admit(context)) {
+        co_return this->fail(*std::move(why));
     }
-    const auto context = this->makeContext(std::move(statement), *service);
     co_return co_await this->runSingle(context);
 }
 
@@ -370,7 +377,15 @@
     co_return toReply(result, TransactionStatus::None);
 }
 
-auto CallerSession::makeContext(Statement statement, membership::ServiceView service) const -> StatementContext
+auto CallerSession::admit(const StatementContext &context) -> asio::awaitable<std::optional<FailureReply>>
+{
+    if (context.customer.value().empty() || this->core->parts.quota == nullptr) {
+        co_return std::nullopt;
+    }
+    co_return co_await this->core->parts.quota->take(context.customer, context.remaining());
+}
+
+auto CallerSession::makeContext(Statement statement, membership::ServiceView service, CustomerId customer) const -> StatementContext
 {
     auto context = StatementContext();
     context.deadline = SteadyClock::now() + service.timeout;
@@ -381,6 +396,7 @@
     }
     context.statement = std::move(statement);
     context.service = std::move(service);
+    context.customer = std::move(customer);
     return context;
 }
 
@@ -434,6 +450,12 @@
     }
 }
 
+auto CallerSession::customer() const -> CustomerId
+{
+    const auto *const found = this->core->findCustomer(this->key);
+    return found == nullptr ? CustomerId() : found->id;
+}
+
 auto CallerSession::fail(FailureReply why) -> Reply
 {
     this->core->parts.recorder->refused(ServiceId(this->database), why.failure);
@@ -442,6 +464,7 @@
         support::log(support::Event::StatementFailed,
                      {{"id", this->currentId},
                       {"database", this->database},
+                      {"customer", this->customer().value()},
                       {"reason", name(why.failure)},
                       {"detail", why.detail},
                       {"upstream", this->currentUpstream},
--- a/lib/Interactive/callersession.h
+++ b/lib/Interactive/callersession.h
@@ -19,6 +19,8 @@
 struct Transaction
 {
     membership::ServiceView service;
+    /// Customer of the caller when the transaction began; empty for a service that needs no key.
+    CustomerId customer;
     bool readOnly = false;
     /// Whether a write was sent in this transaction.
     bool wrote = false;
@@ -33,7 +35,8 @@
 class CallerSession : public Session, public std::enable_shared_from_this<CallerSession>
 {
 public:
-    CallerSession(std::shared_ptr<SessionCore> core, std::string database);
+    /// \param key digest of the caller's API key
+    CallerSession(std::shared_ptr<SessionCore> core, std::string database, membership::KeyDigest key);
     ~CallerSession() override;
 
     auto execute(Statement statement) -> boost::asio::awaitable<Reply> override;
@@ -46,6 +49,7 @@
     {
         Statement statement;
         membership::ServiceView service;
+        CustomerId customer;
         /// Shape of the prepared statement; empty for other statements.
         std::optional<PreparedShape> shape;
         Access access = Access::Read;
@@ -115,7 +119,10 @@
     [[nodiscard]] auto neededPosition(const membership::ServiceView &service) const -> std::optional<DataPosition>;
     auto acquire(const Target &target, const StatementContext &context) -> boost::asio::awaitable<LeaseResult>;
 
-    auto makeContext(Statement statement, membership::ServiceView service) const -> StatementContext;
+    auto makeContext(Statement statement, membership::ServiceView service, CustomerId customer) const -> StatementContext;
+    /// Takes an operation out of the customer's quota.
+    /// \return why it may not run; nothing if it may
+    auto admit(const StatementContext &context) -> boost::asio::awaitable<std::optional<FailureReply>>;
     auto recordWrite(const GroupId &group, const std::optional<DataPosition> &position) -> void;
     auto recordProof(const Member &member, TimePoint sent, const std::optional<DataPosition> &position) -> void;
     /// Logs and counts an attempt at which the statement did not run, whether or not another attempt follows.
@@ -123,10 +130,13 @@
     /// Records that \p member lags behind the position that a read requires, as reported in \p why.
     auto recordLagging(const Member &member, const FailureReply &why) -> void;
     auto recordServed(const ServiceId &service, Access access, const Member &member, Duration latency) -> void;
+    /// \return the customer that holds the caller's key now; empty if none does
+    [[nodiscard]] auto customer() const -> CustomerId;
     auto fail(FailureReply why) -> Reply;
 
     std::shared_ptr<SessionCore> core;
     std::string database;
+    membership::KeyDigest key;
     SessionState state;
     TransactionStatus transactionStatus = TransactionStatus::None;
     std::unique_ptr<Transaction> transaction;
--- a/lib/Interactive/connectionpool.cpp
+++ b/lib/Interactive/connectionpool.cpp
@@ -72,11 +72,11 @@
             co_return unreachableReply(id);
         }
         if (!claim.takesSlot || (entry.waiters.empty() && entry.hasSlot())) {
-            if (auto connection = takeIdle(entry, claim.values)) {
+            if (auto connection = entry.idle.take(claim)) {
                 this->occupy(entry, claim.takesSlot);
                 co_return this->lease(id, std::move(connection), claim.takesSlot);
             }
-            if (entry.canOpen()) {
+            if (entry.canOpen() || entry.idle.evict()) {
                 this->occupy(entry, claim.takesSlot);
                 co_return co_await this->open(std::move(group), std::move(upstream), claim);
             }
@@ -88,8 +88,7 @@
             co_return busyReply("too many statements wait for " + id.value(), wait);
         }
         const auto ticket = entry.queue.push(statement);
-        const auto waiter = std::make_shared<Waiter>(this->executor);
-        waiter->takesSlot = claim.takesSlot;
+        const auto waiter = std::make_shared<Waiter>(this->executor, claim);
         entry.waiters.emplace(ticket, waiter);
         waiter->timer.expires_after(claim.waitLimit);
         co_await waiter->timer.async_wait(awaitTuple);
@@ -119,7 +118,7 @@
         if (!thorough) {
             co_return std::nullopt;
         }
-        auto result = co_await this->connector->connect(std::move(group), std::move(upstream), limit);
+        auto result = co_await this->connector->connect(std::move(group), std::move(upstream), CustomerId(), limit);
         if (auto *const connection = std::get_if<std::shared_ptr<UpstreamConnection>>(&result)) {
             (*connection)->close();
             co_return std::nullopt;
@@ -144,6 +143,7 @@
         claim.waitLimit = limit;
         claim.connectLimit = limit;
         claim.takesSlot = false;
+        claim.anyCustomer = true;
         auto leased = co_await this->acquire(std::move(group), std::move(upstream), std::move(claim));
         auto *const lease = std::get_if<ConnectionLease>(&leased);
         if (lease == nullptr) {
@@ -161,8 +161,7 @@
         auto &entry = this->entries[upstream];
         entry.limits = limits;
         while (!entry.idle.empty() && entry.idle.size() + entry.busy > limits.connections) {
-            entry.idle.front()->close();
-            entry.idle.erase(entry.idle.begin());
+            entry.idle.evict();
         }
         this->serveWaiters(entry);
         this->eraseIfUnused(upstream);
@@ -176,10 +175,7 @@
         }
         auto &entry = found->second;
         entry.retired = true;
-        for (const auto &connection : entry.idle) {
-            connection->close();
-        }
-        entry.idle.clear();
+        entry.idle.closeAll();
     }
 
     [[nodiscard]] auto counts(const UpstreamId &upstream) const -> ConnectionCounts override
@@ -259,29 +255,6 @@
         entry.withoutSlot += takesSlot ? 0 : 1;
     }
 
-    static auto takeIdle(UpstreamEntry &entry, const SessionValues &wanted) -> std::shared_ptr<MeteredConnection>
-    {
-        std::erase_if(entry.idle, [](const std::shared_ptr<MeteredConnection> &connection) {
-            if (!connection->isUsable()) {
-                connection->close();
-                return true;
-            }
-            return false;
-        });
-        if (entry.idle.empty()) {
-            return nullptr;
-        }
-        auto found = std::find_if(entry.idle.rbegin(), entry.idle.rend(), [&wanted](const std::shared_ptr<MeteredConnection> &connection) {
-            return connection->state.values == wanted;
-        });
-        if (found == entry.idle.rend()) {
-            found = entry.idle.rbegin();
-        }
-        auto connection = std::move(*found);
-        entry.idle.erase(std::next(found).base());
-        return connection;
-    }
-
     [[nodiscard]] auto provenSince(const UpstreamId &upstream, TimePoint moment) const -> std::optional<PositionProof>
     {
         const auto found = this->entries.find(upstream);
@@ -315,10 +288,10 @@
     auto open(GroupId group, membership::UpstreamView upstream, ConnectionRequest claim) -> asio::awaitable<LeaseResult>
     {
         const auto id = upstream.id;
-        auto result = co_await this->connector->connect(std::move(group), std::move(upstream), claim.connectLimit);
+        auto result = co_await this->connector->connect(std::move(group), std::move(upstream), claim.customer, claim.connectLimit);
         if (auto *const connection = std::get_if<std::shared_ptr<UpstreamConnection>>(&result)) {
             markReachable(id, this->entries[id]);
-            auto metered = std::make_shared<MeteredConnection>(std::move(*connection), this->weak_from_this(), id);
+            auto metered = std::make_shared<MeteredConnection>(std::move(*connection), this->weak_from_this(), id, std::move(claim.customer));
             co_return this->lease(id, std::move(metered), claim.takesSlot);
         }
         auto &entry = this->entries[id];
@@ -340,10 +313,7 @@
             support::log(support::Event::UpstreamAway, {{"upstream", upstream.value()}, {"waiting", entry.waiters.size()}, {"busy", entry.busy}});
         }
         // A network partition does not close connections. A statement sent on an idle one would wait until its deadline.
-        for (const auto &connection : entry.idle) {
-            connection->close();
-        }
-        entry.idle.clear();
+        entry.idle.closeAll();
         for (const auto &[ticket, waiter] : std::exchange(entry.waiters, {})) {
             entry.queue.erase(ticket);
             waiter->unreachable = true;
@@ -416,7 +386,7 @@
         }
         const auto keep = clean && !entry.retired && entry.idle.size() + entry.busy < entry.limits.connections && connection->isUsable();
         if (keep) {
-            entry.idle.push_back(std::move(connection));
+            entry.idle.put(std::move(connection));
         } else {
             connection->close();
         }
@@ -440,13 +410,9 @@
                 return;
             }
             const auto waiter = entry.waiters.extract(*next).mapped();
-            if (!entry.idle.empty()) {
-                waiter->connection = std::move(entry.idle.back());
-                entry.idle.pop_back();
-            } else {
-                waiter->mayOpen = true;
-            }
-            this->occupy(entry, waiter->takesSlot);
+            waiter->connection = entry.idle.take(waiter->request);
+            waiter->mayOpen = waiter->connection == nullptr && (entry.canOpen() || entry.idle.evict());
+            this->occupy(entry, waiter->request.takesSlot);
             waiter->timer.cancel();
         }
     }
--- a/lib/Interactive/meteredconnection.cpp
+++ b/lib/Interactive/meteredconnection.cpp
@@ -37,8 +37,9 @@
 
 } // namespace
 
-MeteredConnection::MeteredConnection(std::shared_ptr<UpstreamConnection> inner, std::weak_ptr<SlotObserver> observer, UpstreamId upstream)
-    : inner(std::move(inner))
+MeteredConnection::MeteredConnection(std::shared_ptr<UpstreamConnection> inner, std::weak_ptr<SlotObserver> observer, UpstreamId upstream, CustomerId customer)
+    : customer(std::move(customer))
+    , inner(std::move(inner))
     , observer(std::move(observer))
     , upstream(std::move(upstream))
 {
--- a/lib/Interactive/meteredconnection.h
+++ b/lib/Interactive/meteredconnection.h
@@ -44,7 +44,7 @@
 class MeteredConnection : public UpstreamConnection
 {
 public:
-    MeteredConnection(std::shared_ptr<UpstreamConnection> inner, std::weak_ptr<SlotObserver> observer, UpstreamId upstream);
+    MeteredConnection(std::shared_ptr<UpstreamConnection> inner, std::weak_ptr<SlotObserver> observer, UpstreamId upstream, CustomerId customer);
 
     auto exchange(std::span<const Command> commands, Duration limit) -> boost::asio::awaitable<ExchangeResult> override;
     auto close() -> void override;
@@ -52,6 +52,8 @@
 
     /// Whether the connection is busy and takes none of the upstream's slots.
     bool withoutSlot = false;
+    /// Customer whose statements the connection may carry; empty for callers without a customer.
+    const CustomerId customer;
 
 private:
     /// Releases the slot of the current exchange when \p timer expires, unless the exchange has ended by then.
--- a/lib/Interactive/reply.cpp
+++ b/lib/Interactive/reply.cpp
@@ -32,6 +32,10 @@
         return "unknown_database";
     case Failure::UnknownName:
         return "unknown_name";
+    case Failure::Denied:
+        return "denied";
+    case Failure::OverQuota:
+        return "over_quota";
     }
     return "unknown";
 }
@@ -46,6 +50,7 @@
     case Failure::WrongUpstream:
     case Failure::ConnectionLimit:
     case Failure::Unreachable:
+    case Failure::OverQuota:
         return true;
     case Failure::InDoubt:
     case Failure::TimedOut:
@@ -53,6 +58,7 @@
     case Failure::Malformed:
     case Failure::UnknownDatabase:
     case Failure::UnknownName:
+    case Failure::Denied:
         return false;
     }
     return false;
--- a/lib/Interactive/sessioncore.cpp
+++ b/lib/Interactive/sessioncore.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <iomanip>
+#include <sstream>
 #include <utility>
 
 namespace sapphirespool::interactive
@@ -17,6 +19,9 @@
 
 namespace asio = boost::asio;
 
+/// Retry delay for a caller that connects before the first view: control sends a started proxy its view within a few hundred milliseconds.
+constexpr auto noViewRetryAfter = std::chrono::milliseconds(500);
+
 /// How often upstreams are checked for unresponsiveness while statements are in progress.
 constexpr auto watchInterval = std::chrono::milliseconds(50);
 
@@ -48,6 +53,17 @@
 /// Control evaluates the suspicions of two seconds together; more than a few per proxy in that time add no information.
 constexpr auto minSuspicionInterval = std::chrono::milliseconds(300);
 
+/// \return the first bytes of \p digest in hexadecimal, which operators compare with those of the keys that they gave out
+auto shortDigest(const membership::KeyDigest &digest) -> std::string
+{
+    constexpr auto shownBytes = std::size_t{4};
+    auto text = std::ostringstream();
+    for (const auto byte : digest.value().substr(0, shownBytes)) {
+        text << std::hex << std::setw(2) << std::setfill('0') << static_cast<unsigned>(static_cast<unsigned char>(byte));
+    }
+    return text.str();
+}
+
 auto presentUpstreams(const membership::ClusterView &view) -> std::set<UpstreamId>
 {
     auto present = std::set<UpstreamId>();
@@ -89,6 +105,14 @@
             this->services.emplace(service.id.value(), &service);
         }
     }
+    if (this->customersByKey.empty() || !this->view->customers.sharesWith(former->customers)) {
+        this->customersByKey.clear();
+        for (const auto &customer : this->view->customers) {
+            for (const auto &key : customer.keys) {
+                this->customersByKey.emplace(key, &customer);
+            }
+        }
+    }
     this->retireRemovedConnections(*former);
     const auto present = presentUpstreams(*this->view);
     this->load.keepOnly(present);
@@ -106,6 +130,43 @@
     return found == this->services.end() ? nullptr : found->second;
 }
 
+auto SessionCore::authorize(std::string_view database, const membership::KeyDigest &key) const -> std::variant<AccessGrant, FailureReply>
+{
+    const auto *const service = this->findService(database);
+    const auto *const customer = this->findCustomer(key);
+    if (service != nullptr && (customer != nullptr || !service->requiresKey)) {
+        return AccessGrant{service, customer == nullptr ? CustomerId() : customer->id};
+    }
+    // Without a current view the proxy cannot distinguish a newly added name or key from one that does not exist.
+    if (!this->hasCurrentView()) {
+        return FailureReply{Failure::Busy, "the proxy has no current view of the configuration", noViewRetryAfter};
+    }
+    if (service == nullptr) {
+        return FailureReply{Failure::UnknownDatabase, "no service is called " + std::string(database), {}};
+    }
+    return FailureReply{Failure::Denied, "no customer holds this API key; use one of the configuration", {}};
+}
+
+auto SessionCore::recordOpenRefused(std::string_view database, const membership::KeyDigest &key, const FailureReply &why) -> void
+{
+    // A name that callers make up is not counted by name.
+    this->parts.recorder->refused(ServiceId(this->findService(database) == nullptr ? std::string() : std::string(database)), why.failure);
+    if (this->failureLines.tryTake(support::now())) {
+        support::log(support::Event::SessionRefused,
+                     {{"database", std::string(database)},
+                      {"reason", name(why.failure)},
+                      {"key_digest", shortDigest(key)},
+                      {"revision", this->revision().value()},
+                      {"lines_left_out", this->failureLines.takeDropped()}});
+    }
+}
+
+auto SessionCore::findCustomer(const membership::KeyDigest &key) const -> const membership::CustomerView *
+{
+    const auto found = this->customersByKey.find(key);
+    return found == this->customersByKey.end() ? nullptr : found->second;
+}
+
 auto SessionCore::hasCurrentView() const -> bool
 {
     return this->view->configuration > Revision(0) && this->parts.views->leaseLive(support::now());
--- a/lib/Interactive/sessioncore.h
+++ b/lib/Interactive/sessioncore.h
@@ -36,6 +36,14 @@
     bool isPrimary = false;
 };
 
+/// What a caller may use.
+struct AccessGrant
+{
+    const membership::ServiceView *service = nullptr;
+    /// Customer that holds the caller's key; empty for a service that needs no key.
+    CustomerId customer;
+};
+
 /// State shared by all sessions of a proxy: the current view indexed for lookups, the position proofs of the groups, and the recent
 /// load and failures of the upstreams. It also finds primaries, probes them and reports suspicions.
 ///
@@ -51,6 +59,15 @@
     /// \return the service that callers address as \p database; null if there is none
     [[nodiscard]] auto findService(std::string_view database) const -> const membership::ServiceView *;
 
+    /// \return what a caller with \p key may use as \p database, by the view in force, or why it may use nothing
+    [[nodiscard]] auto authorize(std::string_view database, const membership::KeyDigest &key) const -> std::variant<AccessGrant, FailureReply>;
+
+    /// Logs and counts a caller that was refused a session.
+    auto recordOpenRefused(std::string_view database, const membership::KeyDigest &key, const FailureReply &why) -> void;
+
+    /// \return the customer that holds \p key in the present view; null if there is none
+    [[nodiscard]] auto findCustomer(const membership::KeyDigest &key) const -> const membership::CustomerView *;
+
     /// \return whether control has sent a view and the lease on it is still valid
     [[nodiscard]] auto hasCurrentView() const -> bool;
 
@@ -128,6 +145,7 @@
 
     std::shared_ptr<const membership::ClusterView> view;
     std::unordered_map<std::string_view, const membership::ServiceView *> services;
+    std::unordered_map<membership::KeyDigest, const membership::CustomerView *> customersByKey;
     [[nodiscard]] auto isProofAgeing(const GroupId &group, Duration readAge) const -> bool;
     static auto replaceAgeingProof(std::shared_ptr<SessionCore> self, GroupId group, Duration readAge) -> boost::asio::awaitable<void>;
 
--- a/lib/Interactive/sessionplacement.cpp
+++ b/lib/Interactive/sessionplacement.cpp
@@ -118,6 +118,7 @@
 auto CallerSession::acquire(const Target &target, const StatementContext &context) -> asio::awaitable<LeaseResult>
 {
     auto request = ConnectionRequest();
+    request.customer = context.customer;
     request.values = this->state.values;
     request.waitLimit = std::min<Duration>(queueWaitLimit(context.service, target.member.isPrimary), context.remaining());
     request.connectLimit = std::min<Duration>(connectLimit, context.remaining());
--- a/lib/Interactive/sessionservice.cpp
+++ b/lib/Interactive/sessionservice.cpp
@@ -12,9 +12,6 @@
 namespace
 {
 
-/// Retry delay for a caller that connects before the first view: control sends a started proxy its view within a few hundred milliseconds.
-constexpr auto noViewRetryAfter = std::chrono::milliseconds(500);
-
 class DefaultSessionService : public SessionService
 {
 public:
@@ -23,16 +20,15 @@
     {
     }
 
-    [[nodiscard]] auto open(std::string_view database) -> OpenResult override
+    [[nodiscard]] auto open(std::string_view database, std::string_view key) -> OpenResult override
     {
-        if (this->core->findService(database) != nullptr) {
-            return std::make_shared<CallerSession>(this->core, std::string(database));
-        }
-        // Without a current view the proxy cannot distinguish a newly added name from one that does not exist.
-        if (!this->core->hasCurrentView()) {
-            return FailureReply{Failure::Busy, "the proxy has no current view of the configuration", noViewRetryAfter};
+        auto digest = membership::digestOf(key);
+        auto granted = this->core->authorize(database, digest);
+        if (auto *const why = std::get_if<FailureReply>(&granted)) {
+            this->core->recordOpenRefused(database, digest, *why);
+            return std::move(*why);
         }
-        return FailureReply{Failure::UnknownDatabase, "no service is called " + std::string(database), {}};
+        return std::make_shared<CallerSession>(this->core, std::string(database), std::move(digest));
     }
 
     auto awaitFirstView() -> boost::asio::awaitable<void> override
--- a/lib/Interactive/sessiontransaction.cpp
+++ b/lib/Interactive/sessiontransaction.cpp
@@ -31,6 +31,9 @@
 
 auto CallerSession::openTransaction(const StatementContext &context) -> asio::awaitable<std::optional<FailureReply>>
 {
+    if (auto refused = co_await this->admit(context)) {
+        co_return refused;
+    }
     auto excluded = std::set<UpstreamId>();
     auto stalePrimary = std::optional<Member>();
     auto why = makeFailure(Failure::Busy, "no upstream could take the transaction in time", promotionRetryAfter);
--- a/lib/Interactive/upstreamentry.h
+++ b/lib/Interactive/upstreamentry.h
@@ -1,6 +1,7 @@
 // upstreamentry.h: state of a proxy's connection pool for one upstream.
 #pragma once
 
+#include "idleconnections.h"
 #include "meteredconnection.h"
 
 #include "sapphirespool/Decisions/serviceestimate.h"
@@ -16,7 +17,7 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <vector>
+#include <utility>
 
 namespace sapphirespool::interactive
 {
@@ -27,13 +28,14 @@
 /// A session that waits for a connection.
 struct Waiter
 {
-    explicit Waiter(const boost::asio::any_io_executor &executor)
+    Waiter(const boost::asio::any_io_executor &executor, ConnectionRequest request)
         : timer(executor)
+        , request(std::move(request))
     {
     }
 
     boost::asio::steady_timer timer;
-    bool takesSlot = true;
+    ConnectionRequest request;
     /// The connection that became available.
     std::shared_ptr<MeteredConnection> connection;
     /// Whether the waiter may open a connection; the pool already counts it as busy.
@@ -46,8 +48,7 @@
 struct UpstreamEntry
 {
     ConnectionLimits limits = initialLimits;
-    /// Most recently used last.
-    std::vector<std::shared_ptr<MeteredConnection>> idle;
+    IdleConnections idle;
     std::size_t busy = 0;
     /// Busy connections that take none of the upstream's slots.
     std::size_t withoutSlot = 0;
--- a/lib/Node/interactivepart.cpp
+++ b/lib/Node/interactivepart.cpp
@@ -42,8 +42,11 @@
         , views(std::make_shared<membership::ViewHolder>())
         , control(linkToControl(controlLoop, settings, settings.vm, incarnation, this->views))
         , metrics(std::make_shared<metrics::Metrics>())
-        , pool(forwarding::makeForwardingPool(
-              settings.vm, settings.zone, interactive::makeConnectionPool(edge.upstreamConnector(traffic.dispatch()), traffic.dispatch()), traffic.dispatch()))
+        , pool(forwarding::makeForwardingPool(settings.vm,
+                                              settings.zone,
+                                              interactive::makeConnectionPool(edge.upstreamConnector(traffic.dispatch()), traffic.dispatch()),
+                                              this->views,
+                                              traffic.dispatch()))
         , sessions(interactive::makeSessionService(this->sessionParts()))
         , callers(edge.callerServer(traffic.dispatch(), this->sessions))
         , readiness(std::make_shared<callers::Readiness>())
@@ -111,6 +114,7 @@
         parts.views = this->views;
         parts.control = this->control;
         parts.pool = this->pool;
+        parts.quota = this->pool->quota();
         parts.recorder = makeSessionMetrics(this->metrics);
         parts.executor = this->traffic.dispatch();
         return parts;
--- a/lib/Node/sessionmetrics.cpp
+++ b/lib/Node/sessionmetrics.cpp
@@ -38,6 +38,10 @@
         return RefusalReason::MalformedRequest;
     case Failure::UnknownDatabase:
         return RefusalReason::UnknownService;
+    case Failure::Denied:
+        return RefusalReason::UnknownKey;
+    case Failure::OverQuota:
+        return RefusalReason::CallerOverQuota;
     }
     return RefusalReason::Internal;
 }
--- a/lib/Support/events.cpp
+++ b/lib/Support/events.cpp
@@ -22,6 +22,7 @@
     {Event::StatementFailed, Severity::Warning, "statement failed"},
     {Event::StatementMoved, Severity::Info, "statement tried elsewhere"},
     {Event::StatementServed, Severity::Info, "statement served"},
+    {Event::SessionRefused, Severity::Warning, "session refused"},
     {Event::UpstreamConnectionClosed, Severity::Warning, "upstream connection closed"},
     {Event::PrimarySuspected, Severity::Warning, "primary suspected"},
     {Event::ViewFollowed, Severity::Info, "view followed"},
--- a/lib/Support/refusal.cpp
+++ b/lib/Support/refusal.cpp
@@ -35,6 +35,7 @@
     {RefusalReason::TransactionHolderLost, "transaction_holder_lost", 410, "it was rolled back; begin a new transaction and repeat all of it"},
     {RefusalReason::StatementFailed, "statement_failed", 422, "correct the statement as the detail says"},
     {RefusalReason::PeerUnreachable, "peer_unreachable", 503, "send it again"},
+    {RefusalReason::UnknownKey, "unknown_key", 401, "send an API key of a customer of the configuration"},
     {RefusalReason::CallerOverQuota, "caller_over_quota", 429, "send less or wait for the time in Retry-After"},
     {RefusalReason::RetryBudgetSpent, "retry_budget_spent", 503, "wait before sending it again; too many of the service's requests are retries"},
     {RefusalReason::ControlUnreachable, "control_unreachable", 503, "send it again with the same change id; check the control VMs if it persists"},
--- a/unittests/Adapter/codectest.cpp
+++ b/unittests/Adapter/codectest.cpp
@@ -49,6 +49,17 @@
 
 } // namespace
 
+TEST_CASE("a session begins with the caller's key, and a connection with its customer's name")
+{
+    const auto message = readCallerLine("STARTUP lepu270 iikdrbn4");
+    REQUIRE(std::holds_alternative<SessionStart>(message));
+    CHECK(std::get<SessionStart>(message).key == "iikdrbn4");
+    CHECK(std::get<SessionStart>(readCallerLine("STARTUP lepu270")).key.empty());
+    CHECK(writeStartup(GroupId("huvo11a"), UpstreamId("i-7f3a"), CustomerId("miny420")) == "STARTUP huvo11a miny420 i-7f3a\r\n");
+    CHECK(codeOf(Failure::Denied) == "DENIED");
+    CHECK(codeOf(Failure::OverQuota) == "BUSY");
+}
+
 TEST_CASE("bytes are cut into lines wherever they are split")
 {
     auto buffer = LineBuffer();
@@ -144,7 +155,7 @@
     prepare.shape = {true, "q2c"};
     const auto commands = std::array{read, begin, prepare};
     CHECK(writeCommands(commands) == "QUERY 5c0e AFTER 3.1207 FETCH 1a4\r\nQUERY - BEGIN\r\nQUERY - PARSE p1 STORE q2c\r\n");
-    CHECK(writeStartup(GroupId("huvo11a"), UpstreamId("i-7f3a")) == "STARTUP huvo11a sapphirespool i-7f3a\r\n");
+    CHECK(writeStartup(GroupId("huvo11a"), UpstreamId("i-7f3a"), CustomerId()) == "STARTUP huvo11a sapphirespool i-7f3a\r\n");
 }
 
 TEST_CASE("answers are whole or nothing")
--- a/unittests/Adapter/wiretest.cpp
+++ b/unittests/Adapter/wiretest.cpp
@@ -63,7 +63,7 @@
         co_return;
     }
 
-    [[nodiscard]] auto open(std::string_view database) -> interactive::OpenResult override
+    [[nodiscard]] auto open(std::string_view database, std::string_view) -> interactive::OpenResult override
     {
         if (database != "orders") {
             return interactive::FailureReply{interactive::Failure::UnknownDatabase, "no such database", {}};
--- a/unittests/Forwarding/codectest.cpp
+++ b/unittests/Forwarding/codectest.cpp
@@ -99,4 +99,25 @@
     }
 }
 
+TEST_CASE("a request for quota and each of its answers survive encoding and decoding")
+{
+    const auto question = decode(encode(Message{9, TakeQuota{CustomerId("chefs")}}));
+    REQUIRE(question);
+    CHECK(std::get<TakeQuota>(question->body).customer == CustomerId("chefs"));
+    const auto answered = [](const decisions::QuotaDecision &decision) {
+        return std::get<QuotaTaken>(decode(encode(Message{9, QuotaTaken{decision}}))->body).decision;
+    };
+    CHECK(std::holds_alternative<decisions::QuotaGranted>(answered(decisions::QuotaGranted())));
+    CHECK(std::holds_alternative<decisions::NotAllocator>(answered(decisions::NotAllocator())));
+    const auto exhausted = answered(decisions::QuotaExhausted{std::chrono::milliseconds(70)});
+    CHECK(std::get<decisions::QuotaExhausted>(exhausted).retryAfter == std::chrono::milliseconds(70));
+}
+
+TEST_CASE("a request for a connection names its customer")
+{
+    auto request = Acquire();
+    request.customer = CustomerId("chefs");
+    CHECK(std::get<Acquire>(decode(encode(Message{1, request}))->body).customer == CustomerId("chefs"));
+}
+
 } // namespace sapphirespool::forwarding
--- a/unittests/Forwarding/forwardingpooltest.cpp
+++ b/unittests/Forwarding/forwardingpooltest.cpp
@@ -39,13 +39,13 @@
     {
     }
 
-    auto connect(GroupId group, membership::UpstreamView upstream, Duration limit) -> asio::awaitable<interactive::ConnectResult> override
+    auto connect(GroupId group, membership::UpstreamView upstream, CustomerId customer, Duration limit) -> asio::awaitable<interactive::ConnectResult> override
     {
         if (!this->reachable) {
             auto refusal = FailureReply{interactive::Failure::Unreachable, "cut off", {}};
             co_return refusal;
         }
-        co_return co_await this->inner->connect(std::move(group), std::move(upstream), limit);
+        co_return co_await this->inner->connect(std::move(group), std::move(upstream), std::move(customer), limit);
     }
 
     auto reaches(membership::UpstreamView upstream, Duration limit) -> asio::awaitable<bool> override
@@ -71,7 +71,7 @@
             const auto vm = VmId("vm-" + std::to_string(10 + number));
             this->connectors.push_back(std::make_shared<BlockableConnector>(this->databases.connector()));
             const auto localPool = interactive::makeConnectionPool(this->connectors.back(), this->io.get_executor());
-            this->pools.push_back(makeForwardingPool(vm, ZoneId("zone-a"), localPool, this->io.get_executor()));
+            this->pools.push_back(makeForwardingPool(vm, ZoneId("zone-a"), localPool, this->views, this->io.get_executor()));
             auto proxy = membership::ProxyView();
             proxy.id = vm;
             proxy.zone = ZoneId("zone-a");
@@ -253,6 +253,7 @@
         return begun;
     }
 
+    std::shared_ptr<membership::ViewHolder> views = std::make_shared<membership::ViewHolder>();
     interactive::FakeDatabases databases;
     asio::io_context io;
     std::shared_ptr<membership::ClusterView> view;
@@ -302,7 +303,7 @@
     {
         for (const auto &owner : fleet.ownersFor(proxy)) {
             const auto localPool = interactive::makeConnectionPool(fleet.databases.connector(), this->io.get_executor());
-            this->pools.push_back(makeForwardingPool(owner, ZoneId("zone-a"), localPool, this->io.get_executor()));
+            this->pools.push_back(makeForwardingPool(owner, ZoneId("zone-a"), localPool, fleet.views, this->io.get_executor()));
             for (auto &member : fleet.view->proxies) {
                 if (member.id == owner) {
                     member.peers = this->pools.back()->listen({"127.0.0.1", 0});
--- /dev/null
+++ b/unittests/Interactive/customertest.cpp
@@ -0,0 +1,260 @@
+#include "Interactive/sessionfixture.h"
+
+#include <catch2/catch.hpp>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
+#include <unistd.h>
+
+namespace sapphirespool::interactive
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using membership::Consistency;
+
+auto customerOf(const std::string &name, const std::vector<std::string> &keys) -> membership::CustomerView
+{
+    auto customer = membership::CustomerView();
+    customer.id = CustomerId(name);
+    for (const auto &key : keys) {
+        customer.keys.push_back(membership::digestOf(key));
+    }
+    return customer;
+}
+
+/// The log lines of its lifetime.
+class CapturedLog
+{
+public:
+    CapturedLog()
+        : path(std::filesystem::temp_directory_path() / ("sapphirespool-log-" + std::to_string(::getpid())))
+        , appender(std::make_shared<log4cxx::FileAppender>(std::make_shared<log4cxx::PatternLayout>("%m%n"), this->path.string(), false))
+    {
+        log4cxx::Logger::getLogger("sapphirespool")->addAppender(this->appender);
+    }
+
+    ~CapturedLog()
+    {
+        log4cxx::Logger::getLogger("sapphirespool")->removeAppender(this->appender);
+        this->appender->close();
+        std::filesystem::remove(this->path);
+    }
+
+    CapturedLog(const CapturedLog &) = delete;
+    auto operator=(const CapturedLog &) -> CapturedLog & = delete;
+
+    [[nodiscard]] auto text() const -> std::string
+    {
+        auto file = std::ifstream(this->path);
+        return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    }
+
+private:
+    std::filesystem::path path;
+    std::shared_ptr<log4cxx::FileAppender> appender;
+};
+
+/// A proxy in front of a service for two customers.
+struct CustomerProxy : Proxy
+{
+    CustomerProxy()
+        : Proxy(Consistency::Strong)
+    {
+        this->databases.service.requiresKey = true;
+        this->databases.service.timeout = 2s;
+        this->setCustomers({customerOf("chefs", {"key-of-chefs", "second-key"}), customerOf("shearers", {"key-of-shearers"})});
+    }
+
+    auto setCustomers(std::vector<membership::CustomerView> customers) -> void
+    {
+        this->databases.customers = std::move(customers);
+        ++this->databases.revision;
+        this->publish();
+    }
+
+    auto openFailure(std::string_view key) -> Failure
+    {
+        return std::get<FailureReply>(this->service->open("orders", key)).failure;
+    }
+
+    /// \return the customers for whom the statements with text \p text ran
+    [[nodiscard]] auto customersOf(const std::string &text) const -> std::vector<CustomerId>
+    {
+        auto customers = std::vector<CustomerId>();
+        for (const auto &received : this->databases.received) {
+            if (received.command.text == text) {
+                customers.push_back(received.customer);
+            }
+        }
+        return customers;
+    }
+};
+
+} // namespace
+
+// A caller with a key that no customer holds must not reach an upstream.
+TEST_CASE("a key that no customer holds is denied, and only by a proxy with a current view")
+{
+    auto proxy = CustomerProxy();
+    CHECK(proxy.openFailure("made-up") == Failure::Denied);
+    CHECK(proxy.openFailure("") == Failure::Denied);
+    CHECK(std::holds_alternative<std::shared_ptr<Session>>(proxy.service->open("orders", "second-key")));
+    // A key may have been added that this proxy has not heard of.
+    auto stale = std::make_shared<membership::ViewHolder>();
+    stale->publish(proxy.databases.view());
+    auto parts = SessionServiceDependencies();
+    parts.views = stale;
+    parts.pool = proxy.pool;
+    parts.recorder = proxy.recorder;
+    parts.executor = proxy.io.get_executor();
+    const auto cutOff = makeSessionService(std::move(parts));
+    CHECK(std::get<FailureReply>(cutOff->open("orders", "made-up")).failure == Failure::Busy);
+    CHECK(std::holds_alternative<std::shared_ptr<Session>>(cutOff->open("orders", "key-of-chefs")));
+}
+
+TEST_CASE("a service that needs no key serves any caller")
+{
+    auto proxy = CustomerProxy();
+    proxy.databases.service.requiresKey = false;
+    proxy.setCustomers({customerOf("chefs", {"key-of-chefs"})});
+    CHECK_FALSE(proxy.run(proxy.open("made-up"), store("a", "1")).failure);
+    CHECK_FALSE(proxy.run(proxy.open("key-of-chefs"), store("a", "2")).failure);
+    CHECK(proxy.customersOf("STORE a 1") == std::vector{CustomerId()});
+    CHECK(proxy.customersOf("STORE a 2") == std::vector{CustomerId("chefs")});
+}
+
+// A key that was taken away must not start another transaction, and an open one must end whole.
+TEST_CASE("a key that is taken away ends the session at the next transaction")
+{
+    auto proxy = CustomerProxy();
+    const auto session = proxy.open("key-of-chefs");
+    const auto open = proxy.open("key-of-chefs");
+    CHECK_FALSE(proxy.run(session, store("a", "1")).failure);
+    proxy.run(open, statementOf(StatementKind::Begin));
+    CHECK_FALSE(proxy.run(open, store("b", "1")).failure);
+    proxy.setCustomers({customerOf("chefs", {"second-key"}), customerOf("shearers", {"key-of-shearers"})});
+    CHECK(proxy.run(session, store("a", "2")).failure->failure == Failure::Denied);
+    CHECK(proxy.run(session, statementOf(StatementKind::Begin)).failure->failure == Failure::Denied);
+    CHECK_FALSE(proxy.run(open, store("b", "2")).failure);
+    CHECK_FALSE(proxy.run(open, statementOf(StatementKind::Commit)).failure);
+    CHECK(proxy.run(open, statementOf(StatementKind::Begin)).failure->failure == Failure::Denied);
+    CHECK(proxy.databases.member("a").items.at("a") == "1");
+    CHECK(proxy.databases.member("a").items.at("b") == "2");
+}
+
+TEST_CASE("a key that moves to another customer acts for it from the next transaction on")
+{
+    auto proxy = CustomerProxy();
+    const auto session = proxy.open("key-of-chefs");
+    proxy.run(session, store("a", "1"));
+    proxy.setCustomers({customerOf("chefs", {"second-key"}), customerOf("shearers", {"key-of-shearers", "key-of-chefs"})});
+    CHECK_FALSE(proxy.run(session, store("a", "2")).failure);
+    CHECK(proxy.customersOf("STORE a 1") == std::vector{CustomerId("chefs")});
+    CHECK(proxy.customersOf("STORE a 2") == std::vector{CustomerId("shearers")});
+}
+
+// An upstream must not run a statement on a connection that was opened for another customer.
+TEST_CASE("each statement runs on a connection of its customer, also when connections are scarce")
+{
+    auto proxy = CustomerProxy();
+    proxy.pool->setLimits(UpstreamId("a"), {1, 1});
+    const auto chef = proxy.open("key-of-chefs");
+    const auto shearer = proxy.open("key-of-shearers");
+    for (auto round = 0; round < 3; ++round) {
+        CHECK_FALSE(proxy.run(chef, store("c", std::to_string(round))).failure);
+        CHECK_FALSE(proxy.run(shearer, store("s", std::to_string(round))).failure);
+    }
+    // Two callers at once for the only connection: the second one's customer gets it as soon as the first is done.
+    const auto first = proxy.start(chef, store("c", "last"));
+    const auto second = proxy.start(shearer, store("s", "last"));
+    proxy.runFor(50ms);
+    REQUIRE(first->has_value());
+    REQUIRE(second->has_value());
+    CHECK_FALSE((*first)->failure);
+    CHECK_FALSE((*second)->failure);
+    for (const auto &received : proxy.databases.received) {
+        if (!received.command.id.empty()) {
+            CHECK(received.customer == CustomerId(received.command.text.starts_with("STORE c") ? "chefs" : "shearers"));
+        }
+    }
+    CHECK(proxy.databases.member("a").connections == 1);
+}
+
+TEST_CASE("the connections stay with the customers that call most")
+{
+    auto proxy = CustomerProxy();
+    proxy.setCustomers({customerOf("chefs", {"c"}), customerOf("rare-1", {"1"}), customerOf("rare-2", {"2"}), customerOf("rare-3", {"3"})});
+    proxy.pool->setLimits(UpstreamId("a"), {2, 2});
+    const auto chef = proxy.open("c");
+    proxy.run(chef, store("c", "0"));
+    for (const auto *key : {"1", "2", "3"}) {
+        proxy.run(proxy.open(key), store("r", key));
+        proxy.run(chef, store("c", key));
+    }
+    // One connection for the chefs, and one after the other for each of the rest.
+    CHECK(proxy.databases.connectionsMade == 4);
+}
+
+// An operation beyond the quota must not reach an upstream, and its refusal must say so and when to come back.
+TEST_CASE("an operation beyond the quota is refused before anything runs")
+{
+    auto proxy = CustomerProxy();
+    proxy.quota->exhausted.insert(CustomerId("chefs"));
+    const auto session = proxy.open("key-of-chefs");
+    const auto single = proxy.run(session, store("a", "1"));
+    REQUIRE(single.failure);
+    CHECK(single.failure->failure == Failure::OverQuota);
+    CHECK(guaranteesNoEffect(single.failure->failure));
+    CHECK(single.failure->retryAfter == 70ms);
+    proxy.run(session, statementOf(StatementKind::Begin));
+    CHECK(proxy.run(session, store("a", "1")).failure->failure == Failure::OverQuota);
+    proxy.run(session, statementOf(StatementKind::Rollback));
+    CHECK(proxy.databases.received.empty());
+    CHECK_FALSE(proxy.run(proxy.open("key-of-shearers"), store("a", "2")).failure);
+}
+
+TEST_CASE("a transaction counts as one operation")
+{
+    auto proxy = CustomerProxy();
+    const auto session = proxy.open("key-of-chefs");
+    proxy.run(session, statementOf(StatementKind::Begin));
+    proxy.run(session, store("a", "1"));
+    proxy.run(session, store("b", "1"));
+    proxy.run(session, statementOf(StatementKind::Commit));
+    CHECK(proxy.quota->taken[CustomerId("chefs")] == 1);
+}
+
+// A key in a log line or an error text would give access to whoever reads it.
+TEST_CASE("keys appear in no log line, error text or statement")
+{
+    auto proxy = CustomerProxy();
+    auto captured = CapturedLog();
+    auto texts = std::string();
+    const auto refused = proxy.service->open("orders", "made-up-key");
+    texts += std::get<FailureReply>(refused).detail;
+    proxy.quota->exhausted.insert(CustomerId("chefs"));
+    texts += proxy.run(proxy.open("key-of-chefs"), store("a", "1")).failure->detail;
+    CHECK_FALSE(proxy.run(proxy.open("key-of-shearers"), store("a", "1")).failure);
+    const auto logged = captured.text();
+    CHECK(logged.find("SP1106") != std::string::npos);
+    CHECK(logged.find("SP1103") != std::string::npos);
+    for (const auto &received : proxy.databases.received) {
+        texts += received.command.text + received.command.id + received.customer.value();
+    }
+    for (const auto *key : {"made-up-key", "key-of-chefs", "key-of-shearers"}) {
+        CHECK(logged.find(key) == std::string::npos);
+        CHECK(texts.find(key) == std::string::npos);
+    }
+}
+
+} // namespace sapphirespool::interactive
--- a/unittests/Interactive/fakedatabases.cpp
+++ b/unittests/Interactive/fakedatabases.cpp
@@ -21,10 +21,11 @@
 class FakeConnection : public UpstreamConnection
 {
 public:
-    FakeConnection(FakeDatabases &databases, std::string member, std::size_t number)
+    FakeConnection(FakeDatabases &databases, std::string member, std::size_t number, CustomerId customer)
         : databases(databases)
         , memberId(std::move(member))
         , number(number)
+        , customer(std::move(customer))
     {
         ++this->member().connections;
     }
@@ -84,7 +85,7 @@
         if (fault == Fault::BreakBefore) {
             return false;
         }
-        this->databases.received.push_back({this->memberId, this->number, command, this->values, support::now()});
+        this->databases.received.push_back({this->memberId, this->number, command, this->values, this->customer, support::now()});
         auto answer = fault == Fault::Busy ? this->refuse(Failure::Busy) : this->answer(command);
         this->answerLost = fault == Fault::NoAnswer;
         if (fault == Fault::BreakAfter || this->answerLost) {
@@ -223,6 +224,7 @@
     FakeDatabases &databases;
     std::string memberId;
     std::size_t number;
+    CustomerId customer;
     bool open = true;
     bool answerLost = false;
     SessionValues values;
@@ -240,14 +242,14 @@
     {
     }
 
-    auto connect(GroupId, membership::UpstreamView upstream, Duration) -> asio::awaitable<ConnectResult> override
+    auto connect(GroupId, membership::UpstreamView upstream, CustomerId customer, Duration) -> asio::awaitable<ConnectResult> override
     {
         auto &member = this->databases.member(upstream.id.value());
         if (!member.reachable || member.connections >= member.connectionLimit) {
             auto why = FailureReply{member.reachable ? Failure::ConnectionLimit : Failure::Unreachable, "no connection", {}};
             co_return why;
         }
-        co_return std::make_shared<FakeConnection>(this->databases, member.id, ++this->databases.connectionsMade);
+        co_return std::make_shared<FakeConnection>(this->databases, member.id, ++this->databases.connectionsMade, std::move(customer));
     }
 
     auto reaches(membership::UpstreamView upstream, Duration) -> asio::awaitable<bool> override
@@ -297,6 +299,7 @@
     view->revision = Revision(this->revision);
     view->configuration = Revision(1);
     view->services.append(this->service);
+    view->customers = this->customers;
     auto group = membership::GroupView();
     group.id = this->service.group;
     group.term = Term(this->revision);
--- a/unittests/Interactive/fakedatabases.h
+++ b/unittests/Interactive/fakedatabases.h
@@ -25,6 +25,8 @@
     std::size_t connection = 0;
     Command command;
     SessionValues values;
+    /// Customer for whom the connection was opened.
+    CustomerId customer;
     /// When it reached the member.
     TimePoint at{};
 };
@@ -76,6 +78,7 @@
     std::vector<ReceivedCommand> received;
     std::size_t connectionsMade = 0;
     membership::ServiceView service;
+    std::vector<membership::CustomerView> customers;
     /// The primary in the proxy's view.
     std::string viewedPrimary = "a";
     std::uint64_t revision = 1;
--- a/unittests/Interactive/sessionfixture.h
+++ b/unittests/Interactive/sessionfixture.h
@@ -11,13 +11,33 @@
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace sapphirespool::interactive
 {
 
+/// Refuses the operations of chosen customers.
+class FakeQuotaGate : public QuotaGate
+{
+public:
+    auto take(CustomerId customer, Duration) -> boost::asio::awaitable<std::optional<FailureReply>> override
+    {
+        ++this->taken[customer];
+        auto refusal = std::optional<FailureReply>();
+        if (this->exhausted.contains(customer)) {
+            refusal = FailureReply{Failure::OverQuota, "used up", std::chrono::milliseconds(70)};
+        }
+        co_return refusal;
+    }
+
+    std::set<CustomerId> exhausted;
+    std::map<CustomerId, std::size_t> taken;
+};
+
 class CountingRecorder : public SessionRecorder
 {
 public:
@@ -52,6 +72,7 @@
         parts.zone = ZoneId("zone-b");
         parts.views = this->views;
         parts.pool = makeConnectionPool(this->databases.connector(), this->io.get_executor());
+        parts.quota = this->quota;
         parts.recorder = this->recorder;
         parts.executor = this->io.get_executor();
         this->pool = parts.pool;
@@ -72,9 +93,9 @@
         }
     }
 
-    auto open() -> std::shared_ptr<Session>
+    auto open(std::string_view key = {}) -> std::shared_ptr<Session>
     {
-        return std::get<std::shared_ptr<Session>>(this->service->open("orders"));
+        return std::get<std::shared_ptr<Session>>(this->service->open("orders", key));
     }
 
     /// Starts \p statement.
@@ -108,6 +129,7 @@
     boost::asio::io_context io;
     std::shared_ptr<membership::ViewHolder> views = std::make_shared<membership::ViewHolder>();
     std::shared_ptr<CountingRecorder> recorder = std::make_shared<CountingRecorder>();
+    std::shared_ptr<FakeQuotaGate> quota = std::make_shared<FakeQuotaGate>();
     std::shared_ptr<ConnectionPool> pool;
     std::shared_ptr<SessionService> service;
 
--- a/unittests/Interactive/sessiontest.cpp
+++ b/unittests/Interactive/sessiontest.cpp
@@ -57,7 +57,7 @@
 class OneSidedConnector : public UpstreamConnector
 {
 public:
-    auto connect(GroupId, membership::UpstreamView, Duration) -> boost::asio::awaitable<ConnectResult> override
+    auto connect(GroupId, membership::UpstreamView, CustomerId, Duration) -> boost::asio::awaitable<ConnectResult> override
     {
         auto why = FailureReply{Failure::Unreachable, "an owner calls it unreachable", {}};
         co_return why;
@@ -365,7 +365,7 @@
 TEST_CASE("a database name without a service is unknown only if the proxy has a current view")
 {
     auto proxy = Proxy(Consistency::Strong);
-    CHECK(std::get<FailureReply>(proxy.service->open("nobody")).failure == Failure::UnknownDatabase);
+    CHECK(std::get<FailureReply>(proxy.service->open("nobody", {})).failure == Failure::UnknownDatabase);
     auto fresh = std::make_shared<membership::ViewHolder>();
     auto parts = SessionServiceDependencies();
     parts.views = fresh;
@@ -373,7 +373,7 @@
     parts.recorder = proxy.recorder;
     parts.executor = proxy.io.get_executor();
     const auto service = makeSessionService(std::move(parts));
-    CHECK(std::get<FailureReply>(service->open("orders")).failure == Failure::Busy);
+    CHECK(std::get<FailureReply>(service->open("orders", {})).failure == Failure::Busy);
 }
 
 TEST_CASE("a strong read leaves no transaction open")
@@ -534,7 +534,7 @@
     proxy.publish();
     proxy.runFor(1ms);
     CHECK(waited == 1);
-    CHECK(std::holds_alternative<std::shared_ptr<Session>>(proxy.service->open("orders")));
+    CHECK(std::holds_alternative<std::shared_ptr<Session>>(proxy.service->open("orders", {})));
     boost::asio::co_spawn(proxy.io, wait, boost::asio::detached);
     proxy.runFor(1ms);
     CHECK(waited == 2);
@@ -557,7 +557,7 @@
     boost::asio::co_spawn(proxy.io, wait, boost::asio::detached);
     proxy.runFor(500ms);
     CHECK(over);
-    const auto opened = service->open("orders");
+    const auto opened = service->open("orders", {});
     const auto *const why = std::get_if<FailureReply>(&opened);
     REQUIRE(why != nullptr);
     CHECK(why->failure == Failure::Busy);
