A customer's statements prefer one owner and one replica of each group; quotas use the tolerated slack

A connection serves one customer, and each proxy sent a customer's statements to another owner and replica, so that each of them opened connections for all 81 customers. Besides, the parts of a small quota hold an operation or two, and a customer below its limit is refused where the part that it meets is used up. Change: rendezvous hashing of customers to owners and replicas (decisions::affinity); a replica without a warm connection counts a handshake more. Each part of a quota holds its share of the tolerated slack (quota_slack) in addition. Deployments without customers are unchanged by construction: the preference is empty there.

--- a/include/sapphirespool/Forwarding/forwardingpool.h
+++ b/include/sapphirespool/Forwarding/forwardingpool.h
@@ -35,10 +35,12 @@
 
 /// \param localPool pool of this proxy's own connections; the new pool sets its limits
 /// \param views the lease under which this proxy allocates quota
+/// \param quotaSlack operations beyond a customer's quota that may run in its window
 [[nodiscard]] auto makeForwardingPool(VmId self,
                                       ZoneId zone,
                                       std::shared_ptr<interactive::ConnectionPool> localPool,
                                       std::shared_ptr<const membership::ViewHolder> views,
+                                      double quotaSlack,
                                       const boost::asio::any_io_executor &executor) -> std::shared_ptr<ForwardingPool>;
 
 } // namespace sapphirespool::forwarding
--- a/include/sapphirespool/Forwarding/ownership.h
+++ b/include/sapphirespool/Forwarding/ownership.h
@@ -47,8 +47,10 @@
     /// Recomputes the candidates for ownership from \p view.
     auto viewChanged(const membership::ClusterView &view) -> void;
 
+    /// \param customer for whom a connection is needed; all proxies prefer the same owner for it. Empty: any will do
     /// \return the owners of \p upstream in this proxy's order of preference; empty if each proxy opens its own connections
-    [[nodiscard]] auto ownersOf(const membership::GroupView &group, const membership::UpstreamView &upstream) const -> std::vector<VmId>;
+    [[nodiscard]] auto ownersOf(const membership::GroupView &group, const membership::UpstreamView &upstream, const CustomerId &customer = {}) const
+        -> std::vector<VmId>;
 
     /// \return the limits on this proxy's own connections to \p upstream; all zero if it is not an owner
     [[nodiscard]] auto share(const membership::GroupView &group, const membership::UpstreamView &upstream) const -> interactive::ConnectionLimits;
--- a/include/sapphirespool/Forwarding/quotaplacement.h
+++ b/include/sapphirespool/Forwarding/quotaplacement.h
@@ -24,7 +24,9 @@
     /// Parts of a large quota. Five of eight cover a customer that uses five eighths of its quota.
     static constexpr auto maxParts = std::size_t{8};
 
-    explicit QuotaPlacement(VmId self);
+    /// \param slack operations beyond a quota that may run in its window because it is split; a part that is used up while others have
+    ///              room would refuse customers below their limit
+    explicit QuotaPlacement(VmId self, double slack = 0);
 
     /// Recomputes the placement if \p view has other customers or other proxies than the view before.
     /// \return whether it changed
@@ -44,6 +46,7 @@
     };
 
     VmId self;
+    double slack;
     support::SharedList<membership::CustomerView> customers;
     std::vector<sessions::Holder> candidates;
     /// Whether this proxy may allocate, by the newest view.
--- a/include/sapphirespool/Interactive/upstreamload.h
+++ b/include/sapphirespool/Interactive/upstreamload.h
@@ -19,6 +19,8 @@
     bool inOwnZone = false;
     /// Statements of this proxy that the member runs or that wait for it.
     std::size_t inUse = 0;
+    /// Whether a connection for the caller's customer is likely open there.
+    bool isWarm = true;
 };
 
 /// Selects the member that is expected to finish a read first.
@@ -49,6 +51,8 @@
     static constexpr auto leastExpectedTime = std::chrono::milliseconds(5);
     /// Added to the expected time of a member in another zone, for the round trip and the cost of traffic between zones.
     static constexpr auto crossZonePenalty = std::chrono::milliseconds(3);
+    /// Added to the expected time of a member to which a connection must be opened first: a handshake takes this much of one of its slots.
+    static constexpr auto handshakePenalty = std::chrono::milliseconds(12);
     /// The primary also serves all writes and transactions, so a read there delays work that no other member can do. With this weight it
     /// gets reads only when the replicas are twice as busy.
     static constexpr auto primaryWeight = 2.0;
--- a/include/sapphirespool/Settings/settings.h
+++ b/include/sapphirespool/Settings/settings.h
@@ -77,6 +77,8 @@
     support::LogFormat logFormat = support::LogFormat::Text;
     http::ServerLimits limits;
     Shutdown shutdown;
+    /// Operations beyond a customer's quota that are tolerated in its window.
+    std::uint32_t quotaSlack = 0;
     /// Time after a start in which a proxy does not vouch that an idempotency key is new, since it may have forgotten it. Zero is
     /// sound only where no proxy of the system served before: at the first start of all.
     std::chrono::milliseconds keyWarmup{600'000};
--- a/lib/Forwarding/fleetquota.cpp
+++ b/lib/Forwarding/fleetquota.cpp
@@ -21,11 +21,11 @@
 
 } // namespace
 
-FleetQuota::FleetQuota(VmId self, ZoneId zone, std::shared_ptr<const membership::ViewHolder> views)
+FleetQuota::FleetQuota(VmId self, ZoneId zone, std::shared_ptr<const membership::ViewHolder> views, double slack)
     : self(self)
     , zone(std::move(zone))
     , views(std::move(views))
-    , placement(std::move(self))
+    , placement(std::move(self), slack)
 {
 }
 
--- a/lib/Forwarding/fleetquota.h
+++ b/lib/Forwarding/fleetquota.h
@@ -40,7 +40,8 @@
 {
 public:
     /// \param views the view and the lease on it, without which no quota is allocated
-    FleetQuota(VmId self, ZoneId zone, std::shared_ptr<const membership::ViewHolder> views);
+    /// \param slack see QuotaPlacement
+    FleetQuota(VmId self, ZoneId zone, std::shared_ptr<const membership::ViewHolder> views, double slack = 0);
 
     auto connect(std::weak_ptr<PeerChannels> newChannels) -> void;
 
--- a/lib/Forwarding/forwardingpool.cpp
+++ b/lib/Forwarding/forwardingpool.cpp
@@ -53,9 +53,10 @@
                        ZoneId zone,
                        std::shared_ptr<ConnectionPool> localPool,
                        std::shared_ptr<const membership::ViewHolder> views,
+                       double quotaSlack,
                        const asio::any_io_executor &executor)
         : self(self)
-        , fleetQuota(std::make_shared<FleetQuota>(self, zone, std::move(views)))
+        , fleetQuota(std::make_shared<FleetQuota>(self, zone, std::move(views), quotaSlack))
         , ownership(std::move(self), std::move(zone))
         , localPool(std::move(localPool))
         , executor(executor)
@@ -116,7 +117,7 @@
     {
         const auto keepAlive = this->shared_from_this();
         const auto *const groupView = this->view == nullptr ? nullptr : this->view->findGroup(group);
-        const auto owners = groupView == nullptr ? std::vector<VmId>() : this->ownership.ownersOf(*groupView, upstream);
+        const auto owners = groupView == nullptr ? std::vector<VmId>() : this->ownership.ownersOf(*groupView, upstream, claim.customer);
         if (owners.empty()) {
             co_return co_await this->localPool->acquire(group, upstream, std::move(claim));
         }
@@ -128,7 +129,7 @@
                                      std::chrono::ceil<std::chrono::milliseconds>(claim.objective),
                                      claim.priority,
                                      claim.customer};
-        const auto order = this->orderOwners(owners, upstream.id);
+        const auto order = this->orderOwners(owners, upstream.id, claim.customer);
         auto failureReply
             = FailureReply{interactive::Failure::Busy, "no proxy that owns connections to " + upstream.id.value() + " answers", std::chrono::milliseconds(100)};
         for (const auto &owner : order) {
@@ -161,7 +162,7 @@
         }
         const auto request
             = Prove{group, upstream.id, std::chrono::floor<std::chrono::milliseconds>(maxAge), std::chrono::ceil<std::chrono::milliseconds>(limit)};
-        for (const auto &owner : this->orderOwners(owners, upstream.id)) {
+        for (const auto &owner : this->orderOwners(owners, upstream.id, CustomerId())) {
             if (owner == this->self) {
                 co_return co_await this->localPool->prove(group, upstream, maxAge, limit);
             }
@@ -219,6 +220,8 @@
 private:
     /// Load recorded for an owner that refused a lease.
     static constexpr auto refusedLoad = std::uint32_t{1'000};
+    /// Statements at an owner below which a customer's own connection there serves sooner than a new one at another owner.
+    static constexpr auto affinityLoad = std::uint32_t{6};
 
     struct Channel
     {
@@ -329,18 +332,20 @@
         return *member;
     }
 
-    /// \return the owners sorted by reachability, then by load; equal ones stay in the order of \p owners
-    auto orderOwners(const std::vector<VmId> &owners, const UpstreamId &upstream) -> std::vector<VmId>
+    /// \return the owners sorted by reachability, then by load; equal ones stay in the order of \p owners. For a customer only a high load
+    ///         counts, since its connections are open at the first of them
+    auto orderOwners(const std::vector<VmId> &owners, const UpstreamId &upstream, const CustomerId &customer) -> std::vector<VmId>
     {
         auto &loads = this->remoteUsages[upstream].loads;
-        const auto rank = [this, &loads](const VmId &owner) {
+        const auto ignoredLoad = customer.value().empty() ? std::uint32_t{0} : affinityLoad;
+        const auto rank = [this, &loads, ignoredLoad](const VmId &owner) {
             const auto channel = owner == this->self ? nullptr : this->channelTo(owner);
             const auto isUnreachable = channel != nullptr && !channel->isReachable();
             // The reported load decays: it is halved each time it is read, so that a stale one loses its effect after a few statements.
             auto &load = loads[owner];
             const auto reported = load;
             load /= 2;
-            return std::pair(isUnreachable, reported);
+            return std::pair(isUnreachable, reported < ignoredLoad ? 0 : reported);
         };
         auto ranked = std::vector<std::pair<std::pair<bool, std::uint32_t>, VmId>>();
         for (const auto &owner : owners) {
@@ -397,9 +402,10 @@
                         ZoneId zone,
                         std::shared_ptr<ConnectionPool> localPool,
                         std::shared_ptr<const membership::ViewHolder> views,
+                        double quotaSlack,
                         const asio::any_io_executor &executor) -> std::shared_ptr<ForwardingPool>
 {
-    return std::make_shared<ForwardingPoolImpl>(std::move(self), std::move(zone), std::move(localPool), std::move(views), executor);
+    return std::make_shared<ForwardingPoolImpl>(std::move(self), std::move(zone), std::move(localPool), std::move(views), quotaSlack, executor);
 }
 
 } // namespace sapphirespool::forwarding
--- a/lib/Forwarding/ownership.cpp
+++ b/lib/Forwarding/ownership.cpp
@@ -1,5 +1,6 @@
 #include "sapphirespool/Forwarding/ownership.h"
 
+#include "sapphirespool/Decisions/affinity.h"
 #include "sapphirespool/Sessions/rendezvous.h"
 
 #include <xxhash.h>
@@ -39,7 +40,7 @@
     }
 }
 
-auto Ownership::ownersOf(const membership::GroupView &group, const membership::UpstreamView &upstream) const -> std::vector<VmId>
+auto Ownership::ownersOf(const membership::GroupView &group, const membership::UpstreamView &upstream, const CustomerId &customer) const -> std::vector<VmId>
 {
     if (this->proxies <= ownersPerUpstream || this->usableConnections(group, upstream) / this->proxies >= minEqualShare) {
         return {};
@@ -52,6 +53,12 @@
     for (const auto &holder : sessions::chooseHolders(upstream.id.value(), candidates, ownersPerUpstream)) {
         owners.push_back(holder.vm);
     }
+    if (!customer.value().empty()) {
+        std::sort(owners.begin(), owners.end(), [&customer](const VmId &left, const VmId &right) {
+            return decisions::affinity(customer, left.value()) > decisions::affinity(customer, right.value());
+        });
+        return owners;
+    }
     // Each proxy rotates the owners by the hash of its own VM, so that the proxies spread their requests over the owners.
     const auto &name = this->self.value();
     const auto offset = XXH64(name.data(), name.size(), 0) % std::max<std::size_t>(1, owners.size());
--- a/lib/Forwarding/quotaplacement.cpp
+++ b/lib/Forwarding/quotaplacement.cpp
@@ -29,8 +29,9 @@
 
 } // namespace
 
-QuotaPlacement::QuotaPlacement(VmId self)
+QuotaPlacement::QuotaPlacement(VmId self, double slack)
     : self(std::move(self))
+    , slack(slack)
 {
 }
 
@@ -51,7 +52,8 @@
             continue;
         }
         const auto parts = partsOf(*customer.quota, this->candidates.size());
-        const auto share = membership::Quota{customer.quota->ratePerSecond / static_cast<double>(parts), customer.quota->burst / static_cast<double>(parts)};
+        const auto divisor = static_cast<double>(parts);
+        const auto share = membership::Quota{customer.quota->ratePerSecond / divisor, (customer.quota->burst + this->slack) / divisor};
         this->placed.emplace(customer.id, Placed{share, sessions::chooseHolders(customer.id.value(), this->candidates, parts)});
     }
     return true;
--- a/lib/Interactive/sessionplacement.cpp
+++ b/lib/Interactive/sessionplacement.cpp
@@ -2,9 +2,11 @@
 #include "callersession.h"
 #include "sessionhelpers.h"
 
+#include "sapphirespool/Decisions/affinity.h"
 #include "sapphirespool/Support/clock.h"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 #include <vector>
 
@@ -43,6 +45,21 @@
     return service.objective.count() > 0 ? std::min(service.objective, service.timeout) : service.timeout;
 }
 
+/// \return the replica to which connections for \p customer are kept open
+auto preferredReplica(std::span<const Member> members, const CustomerId &customer) -> UpstreamId
+{
+    auto preferred = UpstreamId();
+    auto highest = std::uint64_t{0};
+    for (const auto &member : members) {
+        const auto score = member.isPrimary ? 0 : decisions::affinity(customer, member.upstream.id.value());
+        if (score > highest) {
+            highest = score;
+            preferred = member.upstream.id;
+        }
+    }
+    return preferred;
+}
+
 auto queueWaitLimit(const membership::ServiceView &service, bool atPrimary) -> Duration
 {
     return atPrimary ? service.timeout / primaryWaitDivisor : objectiveOf(service) / replicaWaitDivisor;
@@ -87,10 +104,15 @@
     std::erase_if(members, [&excluded](const Member &member) {
         return excluded.contains(member.upstream.id);
     });
+    const auto preferred = preferredReplica(members, context.customer);
     auto candidates = std::vector<ReadCandidate>();
     for (const auto &member : members) {
         const auto connections = this->core->parts.pool->counts(member.upstream.id);
-        candidates.push_back({member.upstream.id, member.isPrimary, member.upstream.zone == this->core->parts.zone, connections.busy + connections.waiting});
+        candidates.push_back({member.upstream.id,
+                              member.isPrimary,
+                              member.upstream.zone == this->core->parts.zone,
+                              connections.busy + connections.waiting,
+                              context.customer.value().empty() || member.upstream.id == preferred});
     }
     const auto *const chosen = this->core->load.choose(candidates, support::now());
     if (chosen == nullptr) {
--- a/lib/Interactive/upstreamload.cpp
+++ b/lib/Interactive/upstreamload.cpp
@@ -62,6 +62,7 @@
     constexpr auto backoffPenaltyMs = 1'000'000.0;
     auto average = inMs(leastExpectedTime);
     auto penalty = candidate.inOwnZone ? 0.0 : inMs(crossZonePenalty);
+    penalty += candidate.isWarm ? 0.0 : inMs(handshakePenalty);
     if (const auto found = this->members.find(candidate.upstream); found != this->members.end()) {
         const auto &member = found->second;
         const auto decayed = member.averageMs * std::exp2(-inMs(now - member.updatedAt) / inMs(halfLife));
--- a/lib/Node/interactivepart.cpp
+++ b/lib/Node/interactivepart.cpp
@@ -31,6 +31,14 @@
 /// How often the state of the connections is entered into the metrics.
 constexpr auto countInterval = std::chrono::milliseconds(1'000);
 
+/// A read whose answer was lost may run again without another token, which takes up the rest of the tolerated slack.
+constexpr auto splitPartOfSlack = 0.75;
+
+auto quotaSlackOf(const settings::Settings &settings) -> double
+{
+    return splitPartOfSlack * static_cast<double>(settings.quotaSlack);
+}
+
 } // namespace
 
 class InteractivePart::Parts : public std::enable_shared_from_this<Parts>
@@ -46,6 +54,7 @@
                                               settings.zone,
                                               interactive::makeConnectionPool(edge.upstreamConnector(traffic.dispatch()), traffic.dispatch()),
                                               this->views,
+                                              quotaSlackOf(settings),
                                               traffic.dispatch()))
         , sessions(interactive::makeSessionService(this->sessionParts()))
         , callers(edge.callerServer(traffic.dispatch(), this->sessions))
--- a/lib/Settings/settings.cpp
+++ b/lib/Settings/settings.cpp
@@ -37,6 +37,8 @@
 constexpr auto portRange = support::NumberRange{1, 65'535};
 /// Three losses need seven voters.
 constexpr auto lossesRange = support::NumberRange{1, 3};
+/// More than this is no slack but another quota.
+constexpr auto quotaSlackRange = support::NumberRange{0, 1'000};
 constexpr auto yesOrNo = std::to_array<std::string_view>({"true", "false"});
 constexpr auto controlMemberLimit = std::size_t{7};
 
@@ -189,6 +191,7 @@
         settings.callers = readEndpoint(map, "callers");
         settings.peers = readEndpoint(map, "peers");
         settings.readiness = readOptionalEndpoint(map, "readiness");
+        settings.quotaSlack = static_cast<std::uint32_t>(map.number("quota_slack", quotaSlackRange, settings.quotaSlack));
         settings.keyWarmup = map.duration("key_warmup", keyWarmupRange, settings.keyWarmup);
     }
     if (settings.control || settings.proxy) {
--- a/unittests/Forwarding/forwardingpooltest.cpp
+++ b/unittests/Forwarding/forwardingpooltest.cpp
@@ -71,7 +71,7 @@
             const auto vm = VmId("vm-" + std::to_string(10 + number));
             this->connectors.push_back(std::make_shared<BlockableConnector>(this->databases.connector()));
             const auto localPool = interactive::makeConnectionPool(this->connectors.back(), this->io.get_executor());
-            this->pools.push_back(makeForwardingPool(vm, ZoneId("zone-a"), localPool, this->views, this->io.get_executor()));
+            this->pools.push_back(makeForwardingPool(vm, ZoneId("zone-a"), localPool, this->views, 0, this->io.get_executor()));
             auto proxy = membership::ProxyView();
             proxy.id = vm;
             proxy.zone = ZoneId("zone-a");
@@ -303,7 +303,7 @@
     {
         for (const auto &owner : fleet.ownersFor(proxy)) {
             const auto localPool = interactive::makeConnectionPool(fleet.databases.connector(), this->io.get_executor());
-            this->pools.push_back(makeForwardingPool(owner, ZoneId("zone-a"), localPool, fleet.views, this->io.get_executor()));
+            this->pools.push_back(makeForwardingPool(owner, ZoneId("zone-a"), localPool, fleet.views, 0, this->io.get_executor()));
             for (auto &member : fleet.view->proxies) {
                 if (member.id == owner) {
                     member.peers = this->pools.back()->listen({"127.0.0.1", 0});
