Operations wait for room in their quota, and some connections of an upstream stay free for a restart

Change: an operation may wait for up to half of its objective for its token, which it reserves; a restarted allocator counts the tokens since its start, before which nobody else allocated its part. At most two thirds of an owner's connections stay open idle.

--- a/include/sapphirespool/Decisions/tokenbucket.h
+++ b/include/sapphirespool/Decisions/tokenbucket.h
@@ -4,6 +4,8 @@
 #include "sapphirespool/Membership/clusterview.h"
 #include "sapphirespool/Support/types.h"
 
+#include <optional>
+
 namespace sapphirespool::decisions
 {
 
@@ -16,17 +18,19 @@
     /// Changes the limits; the tokens that exceed the new burst are lost.
     auto setQuota(const membership::Quota &newQuota, TimePoint now) -> void;
 
-    /// Takes one token.
-    /// \return false if there is none
-    [[nodiscard]] auto tryTake(TimePoint now) -> bool;
+    /// Takes one token, or reserves the next one that comes.
+    /// \param maxWait longest time that the operation may wait for its token
+    /// \return the time until the operation may run; nothing if that is longer than \p maxWait
+    [[nodiscard]] auto take(TimePoint now, Duration maxWait) -> std::optional<Duration>;
 
-    /// \return time until the next token is there
+    /// \return time until there is a token that nobody has reserved
     [[nodiscard]] auto timeToToken(TimePoint now) -> Duration;
 
 private:
     auto refill(TimePoint now) -> void;
 
     membership::Quota quota;
+    /// Below zero if tokens are reserved.
     double tokens = 0.0;
     TimePoint filledAt;
 };
--- a/include/sapphirespool/Forwarding/ownership.h
+++ b/include/sapphirespool/Forwarding/ownership.h
@@ -34,6 +34,12 @@
     /// Connections left for the control group, which queries the members' state during a promotion.
     static constexpr auto reservedConnections = std::uint32_t{2};
 
+    /// Where connections belong to customers, at most two thirds of an owner's connections stay open idle. After a power loss an upstream
+    /// keeps the connections of the dead processes for seconds. If they were all that it accepts, the restarted owners would serve nobody
+    /// until it drops them.
+    static constexpr auto idleParts = std::size_t{2};
+    static constexpr auto allParts = std::size_t{3};
+
     /// Statements in flight per slot, summed over all proxies that open connections to the upstream. A forwarded statement counts during its
     /// round trip between proxies too, which for short statements takes as long as their execution: with one statement per slot the slots
     /// would idle half of the time.
@@ -62,6 +68,7 @@
     ZoneId zone;
     /// Number of proxies that accept callers and are not leaving.
     std::size_t proxies = 0;
+    bool hasCustomers = false;
     /// The proxies among them that may own connections: all of them, and grouped by availability zone. Computed once per view, since each
     /// statement looks up owners.
     std::vector<sessions::Holder> holders;
--- a/include/sapphirespool/Interactive/connectionpool.h
+++ b/include/sapphirespool/Interactive/connectionpool.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <variant>
@@ -74,6 +75,8 @@
     /// Statements that the upstream runs or queues at a time. Only a few more than its slots, because the upstream runs the statements that it queues in its
     /// own order, not by the callers' priorities and deadlines.
     std::size_t statements = 0;
+    /// Connections that stay open while they are idle.
+    std::size_t idle = std::numeric_limits<std::size_t>::max();
 };
 
 /// A lease, or the reason for its refusal; in that case no command was run.
--- a/include/sapphirespool/Interactive/quotagate.h
+++ b/include/sapphirespool/Interactive/quotagate.h
@@ -20,9 +20,11 @@
     auto operator=(const QuotaGate &) -> QuotaGate & = delete;
     virtual ~QuotaGate() = default;
 
-    /// Takes one operation out of the quota of \p customer.
+    /// Takes one operation out of the quota of \p customer, and waits until it may run.
+    /// \param maxWait longest time that it may wait for room in the quota
+    /// \param limit time limit for the answers of other proxies
     /// \return why the operation may not run; nothing if it may
-    virtual auto take(CustomerId customer, Duration limit) -> boost::asio::awaitable<std::optional<FailureReply>> = 0;
+    virtual auto take(CustomerId customer, Duration maxWait, Duration limit) -> boost::asio::awaitable<std::optional<FailureReply>> = 0;
 };
 
 } // namespace sapphirespool::interactive
--- a/lib/Decisions/tokenbucket.cpp
+++ b/lib/Decisions/tokenbucket.cpp
@@ -19,14 +19,14 @@
     this->tokens = std::min(this->tokens, newQuota.burst);
 }
 
-auto TokenBucket::tryTake(TimePoint now) -> bool
+auto TokenBucket::take(TimePoint now, Duration maxWait) -> std::optional<Duration>
 {
-    this->refill(now);
-    if (this->tokens < 1.0) {
-        return false;
+    const auto wait = this->timeToToken(now);
+    if (wait > maxWait) {
+        return std::nullopt;
     }
     this->tokens -= 1.0;
-    return true;
+    return wait;
 }
 
 auto TokenBucket::timeToToken(TimePoint now) -> Duration
--- a/lib/Forwarding/codec.cpp
+++ b/lib/Forwarding/codec.cpp
@@ -189,6 +189,12 @@
     return result;
 }
 
+/// \return \p time in whole microseconds, rounded up: a delay must not end early
+auto microseconds(Duration time) -> std::uint64_t
+{
+    return static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::microseconds>(time).count());
+}
+
 struct BodyWriter
 {
     schema::Message::Builder to;
@@ -278,7 +284,9 @@
 
     auto operator()(const TakeQuota &body) -> void
     {
-        this->to.setTakeQuota(body.customer.value());
+        auto out = this->to.initTakeQuota();
+        out.setCustomer(body.customer.value());
+        out.setMaxWaitUs(static_cast<std::uint64_t>(body.maxWait.count()));
     }
 
     auto operator()(const QuotaTaken &body) -> void
@@ -286,8 +294,10 @@
         auto out = this->to.initQuotaTaken();
         out.setGranted(std::holds_alternative<decisions::QuotaGranted>(body.decision));
         out.setNotAllocator(std::holds_alternative<decisions::NotAllocator>(body.decision));
-        if (const auto *const exhausted = std::get_if<decisions::QuotaExhausted>(&body.decision)) {
-            out.setRetryAfterUs(static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::microseconds>(exhausted->retryAfter).count()));
+        if (const auto *const granted = std::get_if<decisions::QuotaGranted>(&body.decision)) {
+            out.setDelayUs(microseconds(granted->delay));
+        } else if (const auto *const exhausted = std::get_if<decisions::QuotaExhausted>(&body.decision)) {
+            out.setDelayUs(microseconds(exhausted->retryAfter));
         }
     }
 };
@@ -344,12 +354,12 @@
 auto readQuotaTaken(schema::Message::QuotaTaken::Reader from) -> QuotaTaken
 {
     if (from.getGranted()) {
-        return {decisions::QuotaGranted()};
+        return {decisions::QuotaGranted{std::chrono::microseconds(from.getDelayUs())}};
     }
     if (from.getNotAllocator()) {
         return {decisions::NotAllocator()};
     }
-    return {decisions::QuotaExhausted{std::chrono::microseconds(from.getRetryAfterUs())}};
+    return {decisions::QuotaExhausted{std::chrono::microseconds(from.getDelayUs())}};
 }
 
 auto readBody(schema::Message::Reader from) -> std::optional<Body>
@@ -376,7 +386,7 @@
     case schema::Message::PONG:
         return Pong();
     case schema::Message::TAKE_QUOTA:
-        return TakeQuota{CustomerId(toString(from.getTakeQuota()))};
+        return TakeQuota{CustomerId(toString(from.getTakeQuota().getCustomer())), std::chrono::microseconds(from.getTakeQuota().getMaxWaitUs())};
     case schema::Message::QUOTA_TAKEN:
         return readQuotaTaken(from.getQuotaTaken());
     }
--- a/lib/Forwarding/codec.h
+++ b/lib/Forwarding/codec.h
@@ -93,6 +93,8 @@
 struct TakeQuota
 {
     CustomerId customer;
+    /// Longest time that the operation may wait for room.
+    std::chrono::microseconds maxWait{0};
 };
 
 struct QuotaTaken
--- a/lib/Forwarding/fleetquota.cpp
+++ b/lib/Forwarding/fleetquota.cpp
@@ -3,6 +3,11 @@
 #include "sapphirespool/Membership/quotatiming.h"
 #include "sapphirespool/Support/clock.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 #include <chrono>
 
@@ -19,13 +24,22 @@
 /// Retry delay when no allocator of a quota answers. Another one takes over its part, or it is back, within a second or so.
 constexpr auto noAllocatorRetryDelay = std::chrono::milliseconds(200);
 
+auto pause(Duration time) -> asio::awaitable<void>
+{
+    if (time > Duration(0)) {
+        auto timer = asio::steady_timer(co_await asio::this_coro::executor, time);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
 } // namespace
 
-FleetQuota::FleetQuota(VmId self, ZoneId zone, std::shared_ptr<const membership::ViewHolder> views, double slack)
+FleetQuota::FleetQuota(VmId self, ZoneId zone, std::shared_ptr<const membership::ViewHolder> views, double slack, TimePoint startedAt)
     : self(self)
     , zone(std::move(zone))
     , views(std::move(views))
     , placement(std::move(self), slack)
+    , startedAt(startedAt)
 {
 }
 
@@ -37,25 +51,52 @@
 auto FleetQuota::viewChanged(const membership::ClusterView &view, TimePoint now) -> void
 {
     if (this->placement.viewChanged(view)) {
-        this->allocator.setParts(this->placement.ownParts(), now);
+        const auto parts = this->placement.ownParts();
+        // With its first view a settled proxy takes up the parts that an earlier process of the same VM allocated.
+        this->allocator.setParts(parts, this->hasParts ? now : this->startedAt, now);
+        this->hasParts = true;
         this->exhaustedUntil.clear();
     }
 }
 
-auto FleetQuota::take(CustomerId customer, Duration limit) -> asio::awaitable<std::optional<FailureReply>>
+auto FleetQuota::take(CustomerId customer, Duration maxWait, Duration limit) -> asio::awaitable<std::optional<FailureReply>>
 {
     const auto keepAlive = this->shared_from_this();
-    const auto order = this->orderAllocators(customer);
+    auto order = this->orderAllocators(customer);
     if (order.empty()) {
         co_return std::nullopt;
     }
-    auto retryAfter = std::optional<Duration>();
+    const auto atOnce = co_await this->takeAtOnce(std::move(order), customer, limit);
+    if (atOnce.granted) {
+        co_return std::nullopt;
+    }
+    if (!atOnce.first) {
+        co_return FailureReply{Failure::Busy, "no proxy that allocates the customer's quota answers", noAllocatorRetryDelay};
+    }
+    auto wait = atOnce.wait;
+    if (wait <= maxWait) {
+        const auto decision = co_await this->takeFrom(*atOnce.first, customer, maxWait, limit);
+        if (const auto *const granted = std::get_if<decisions::QuotaGranted>(&decision)) {
+            co_await pause(granted->delay);
+            co_return std::nullopt;
+        }
+        if (const auto *const exhausted = std::get_if<decisions::QuotaExhausted>(&decision)) {
+            wait = exhausted->retryAfter;
+        }
+    }
+    co_return FailureReply{Failure::OverQuota, "customer " + customer.value() + " has reached its quota", std::chrono::ceil<std::chrono::milliseconds>(wait)};
+}
+
+auto FleetQuota::takeAtOnce(std::vector<VmId> order, CustomerId customer, Duration limit) -> asio::awaitable<AtOnce>
+{
+    auto result = AtOnce();
     for (const auto &vm : order) {
         auto wait = this->exhaustedFor(customer, vm);
         if (wait <= Duration(0)) {
-            const auto decision = co_await this->takeFrom(vm, customer, limit);
-            if (std::holds_alternative<decisions::QuotaGranted>(decision)) {
-                co_return std::nullopt;
+            const auto decision = co_await this->takeFrom(vm, customer, Duration(0), limit);
+            result.granted = std::holds_alternative<decisions::QuotaGranted>(decision);
+            if (result.granted) {
+                co_return result;
             }
             const auto *const exhausted = std::get_if<decisions::QuotaExhausted>(&decision);
             if (exhausted == nullptr) {
@@ -64,22 +105,21 @@
             wait = exhausted->retryAfter;
             this->exhaustedUntil[Part(customer, vm)] = support::now() + wait;
         }
-        retryAfter = std::min(retryAfter.value_or(wait), wait);
-    }
-    if (retryAfter) {
-        co_return FailureReply{
-            Failure::OverQuota, "customer " + customer.value() + " has reached its quota", std::chrono::ceil<std::chrono::milliseconds>(*retryAfter)};
+        if (!result.first || wait < result.wait) {
+            result.first = vm;
+            result.wait = wait;
+        }
     }
-    co_return FailureReply{Failure::Busy, "no proxy that allocates the customer's quota answers", noAllocatorRetryDelay};
+    co_return result;
 }
 
-auto FleetQuota::takeOwn(const CustomerId &customer, TimePoint now) -> decisions::QuotaDecision
+auto FleetQuota::takeOwn(const CustomerId &customer, TimePoint now, Duration maxWait) -> decisions::QuotaDecision
 {
     // A proxy that control has not confirmed for so long may have been replaced as an allocator.
     if (!this->views->leaseLive(now - membership::quotaHoldOver)) {
         return decisions::NotAllocator();
     }
-    return this->allocator.take(customer, now);
+    return this->allocator.take(customer, now, maxWait);
 }
 
 auto FleetQuota::orderAllocators(const CustomerId &customer) -> std::vector<VmId>
@@ -100,17 +140,17 @@
     return near;
 }
 
-auto FleetQuota::takeFrom(VmId allocatorVm, CustomerId customer, Duration limit) -> asio::awaitable<decisions::QuotaDecision>
+auto FleetQuota::takeFrom(VmId allocatorVm, CustomerId customer, Duration maxWait, Duration limit) -> asio::awaitable<decisions::QuotaDecision>
 {
     if (allocatorVm == this->self) {
-        co_return this->takeOwn(customer, support::now());
+        co_return this->takeOwn(customer, support::now(), maxWait);
     }
     const auto peers = this->channels.lock();
     const auto channel = peers == nullptr ? nullptr : peers->channelTo(allocatorVm);
     if (channel == nullptr) {
         co_return decisions::NotAllocator();
     }
-    co_return co_await channel->takeQuota(std::move(customer), limit);
+    co_return co_await channel->takeQuota(std::move(customer), maxWait, limit);
 }
 
 auto FleetQuota::exhaustedFor(const CustomerId &customer, const VmId &allocatorVm) const -> Duration
--- a/lib/Forwarding/fleetquota.h
+++ b/lib/Forwarding/fleetquota.h
@@ -41,22 +41,34 @@
 public:
     /// \param views the view and the lease on it, without which no quota is allocated
     /// \param slack see QuotaPlacement
-    FleetQuota(VmId self, ZoneId zone, std::shared_ptr<const membership::ViewHolder> views, double slack = 0);
+    /// \param startedAt when this process started
+    FleetQuota(VmId self, ZoneId zone, std::shared_ptr<const membership::ViewHolder> views, double slack, TimePoint startedAt);
 
     auto connect(std::weak_ptr<PeerChannels> newChannels) -> void;
 
     auto viewChanged(const membership::ClusterView &view, TimePoint now) -> void;
 
-    auto take(CustomerId customer, Duration limit) -> boost::asio::awaitable<std::optional<interactive::FailureReply>> override;
+    auto take(CustomerId customer, Duration maxWait, Duration limit) -> boost::asio::awaitable<std::optional<interactive::FailureReply>> override;
 
-    [[nodiscard]] auto takeOwn(const CustomerId &customer, TimePoint now) -> decisions::QuotaDecision override;
+    [[nodiscard]] auto takeOwn(const CustomerId &customer, TimePoint now, Duration maxWait = {}) -> decisions::QuotaDecision override;
 
 private:
     using Part = std::pair<CustomerId, VmId>;
 
+    struct AtOnce
+    {
+        bool granted = false;
+        std::optional<VmId> first;
+        /// Time until the part of \a first has room.
+        Duration wait{};
+    };
+
     /// \return the allocators in the order in which they are asked: those of this zone first, each set rotated from call to call
     [[nodiscard]] auto orderAllocators(const CustomerId &customer) -> std::vector<VmId>;
-    auto takeFrom(VmId allocator, CustomerId customer, Duration limit) -> boost::asio::awaitable<decisions::QuotaDecision>;
+    auto takeFrom(VmId allocator, CustomerId customer, Duration maxWait, Duration limit) -> boost::asio::awaitable<decisions::QuotaDecision>;
+    /// Asks the allocators in \p order for a token that is there now.
+    /// \return whether one granted it; otherwise the allocator whose part has room first, if any answered
+    auto takeAtOnce(std::vector<VmId> order, CustomerId customer, Duration limit) -> boost::asio::awaitable<AtOnce>;
     /// \return how long the part of \p allocator is known to be used up
     [[nodiscard]] auto exhaustedFor(const CustomerId &customer, const VmId &allocator) const -> Duration;
 
@@ -69,6 +81,9 @@
     /// When each part that was used up has its next token.
     std::map<Part, TimePoint> exhaustedUntil;
     std::size_t calls = 0;
+    /// When this process started. What an earlier process of the VM allocated, it allocated before.
+    TimePoint startedAt;
+    bool hasParts = false;
 };
 
 } // namespace sapphirespool::forwarding
--- a/lib/Forwarding/forwardingpool.cpp
+++ b/lib/Forwarding/forwardingpool.cpp
@@ -56,7 +56,7 @@
                        double quotaSlack,
                        const asio::any_io_executor &executor)
         : self(self)
-        , fleetQuota(std::make_shared<FleetQuota>(self, zone, std::move(views), quotaSlack))
+        , fleetQuota(std::make_shared<FleetQuota>(self, zone, std::move(views), quotaSlack, support::now()))
         , ownership(std::move(self), std::move(zone))
         , localPool(std::move(localPool))
         , executor(executor)
--- a/lib/Forwarding/ownerchannel.cpp
+++ b/lib/Forwarding/ownerchannel.cpp
@@ -198,7 +198,7 @@
     co_return interactive::PositionProof{sentAt - proved->age, *proved->position};
 }
 
-auto OwnerChannel::takeQuota(CustomerId customer, Duration limit) -> asio::awaitable<decisions::QuotaDecision>
+auto OwnerChannel::takeQuota(CustomerId customer, Duration maxWait, Duration limit) -> asio::awaitable<decisions::QuotaDecision>
 {
     const auto self = this->shared_from_this();
     if (this->presence.isGivenUp(support::now())) {
@@ -208,7 +208,7 @@
     if (!connected) {
         co_return decisions::NotAllocator();
     }
-    auto message = Message{++this->lastLease, TakeQuota{std::move(customer)}};
+    auto message = Message{++this->lastLease, TakeQuota{std::move(customer), std::chrono::floor<std::chrono::microseconds>(maxWait)}};
     const auto generation = this->generation();
     const auto answer = co_await this->sendRequest(std::move(message), std::min<Duration>(limit, answerMargin), UnresponsivePolicy::Abandon);
     const auto *const taken = answer ? std::get_if<QuotaTaken>(&answer->body) : nullptr;
--- a/lib/Forwarding/ownerchannel.h
+++ b/lib/Forwarding/ownerchannel.h
@@ -60,7 +60,7 @@
 
     /// Takes one operation out of the part of a customer's quota that the proxy allocates. A proxy that does not answer counts as none
     /// that allocates.
-    auto takeQuota(CustomerId customer, Duration limit) -> boost::asio::awaitable<decisions::QuotaDecision>;
+    auto takeQuota(CustomerId customer, Duration maxWait, Duration limit) -> boost::asio::awaitable<decisions::QuotaDecision>;
 
     auto close() -> void;
 
--- a/lib/Forwarding/ownerserver.cpp
+++ b/lib/Forwarding/ownerserver.cpp
@@ -80,7 +80,7 @@
     } else if (auto *const proof = std::get_if<Prove>(&message.body)) {
         asio::co_spawn(this->connection->executor(), prove(self, message.lease, std::move(*proof)), asio::detached);
     } else if (const auto *const taking = std::get_if<TakeQuota>(&message.body)) {
-        this->connection->send(Message{message.lease, QuotaTaken{this->quota->takeOwn(taking->customer, support::now())}});
+        this->connection->send(Message{message.lease, QuotaTaken{this->quota->takeOwn(taking->customer, support::now(), taking->maxWait)}});
     } else if (std::holds_alternative<Ping>(message.body)) {
         this->connection->send(Message{message.lease, Pong()});
     } else {
--- a/lib/Forwarding/ownerserver.h
+++ b/lib/Forwarding/ownerserver.h
@@ -45,7 +45,8 @@
     virtual ~QuotaParts() = default;
 
     /// Takes an operation out of this proxy's part of the quota of \p customer.
-    [[nodiscard]] virtual auto takeOwn(const CustomerId &customer, TimePoint now) -> decisions::QuotaDecision = 0;
+    /// \param maxWait longest time that it may wait for room
+    [[nodiscard]] virtual auto takeOwn(const CustomerId &customer, TimePoint now, Duration maxWait) -> decisions::QuotaDecision = 0;
 };
 
 /// Serves the requests of another proxy and holds its leases for as long as its connection lasts. When the connection ends, the leases
--- a/lib/Forwarding/ownership.cpp
+++ b/lib/Forwarding/ownership.cpp
@@ -20,6 +20,7 @@
 auto Ownership::viewChanged(const membership::ClusterView &view) -> void
 {
     this->proxies = 0;
+    this->hasCustomers = !view.customers.empty();
     this->holders.clear();
     this->holdersByZone.clear();
     auto unresponsive = std::vector<sessions::Holder>();
@@ -76,7 +77,8 @@
     const auto holders = owners.empty() ? std::max<std::size_t>(1, this->proxies) : owners.size();
     const auto connections = std::max<std::size_t>(1, this->usableConnections(group, upstream) / holders);
     const auto statements = std::max(minStatementsPerHolder, upstream.slots * statementsPerSlot / holders);
-    return {connections, statements};
+    const auto idle = this->hasCustomers ? std::max<std::size_t>(1, connections * idleParts / allParts) : connections;
+    return {connections, statements, idle};
 }
 
 auto Ownership::usableConnections(const membership::GroupView &group, const membership::UpstreamView &upstream) const -> std::size_t
--- a/lib/Interactive/callersession.cpp
+++ b/lib/Interactive/callersession.cpp
@@ -20,6 +20,9 @@
 constexpr auto valueLimit = std::size_t{64};
 constexpr auto nameLimit = std::size_t{256};
 
+/// An operation waits for room in its customer's quota for at most its objective divided by this; the rest is left to run it.
+constexpr auto quotaWaitDivisor = 2;
+
 } // namespace
 
 auto CallerSession::StatementContext::remaining() const -> Duration
@@ -382,7 +385,7 @@
     if (context.customer.value().empty() || this->core->parts.quota == nullptr) {
         co_return std::nullopt;
     }
-    co_return co_await this->core->parts.quota->take(context.customer, context.remaining());
+    co_return co_await this->core->parts.quota->take(context.customer, objectiveOf(context.service) / quotaWaitDivisor, context.remaining());
 }
 
 auto CallerSession::makeContext(Statement statement, membership::ServiceView service, CustomerId customer) const -> StatementContext
--- a/lib/Interactive/connectionpool.cpp
+++ b/lib/Interactive/connectionpool.cpp
@@ -387,6 +387,9 @@
         const auto keep = clean && !entry.retired && entry.idle.size() + entry.busy < entry.limits.connections && connection->isUsable();
         if (keep) {
             entry.idle.put(std::move(connection));
+            if (entry.idle.size() > entry.limits.idle) {
+                entry.idle.evict();
+            }
         } else {
             connection->close();
         }
--- a/lib/Interactive/sessionhelpers.cpp
+++ b/lib/Interactive/sessionhelpers.cpp
@@ -1,5 +1,6 @@
 #include "sessionhelpers.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -51,6 +52,11 @@
     return guaranteesNoEffect(failure) && failure != Failure::Aborted;
 }
 
+auto objectiveOf(const membership::ServiceView &service) -> Duration
+{
+    return service.objective.count() > 0 ? std::min(service.objective, service.timeout) : service.timeout;
+}
+
 auto rollBackAndRelease(std::shared_ptr<ConnectionLease> lease) -> asio::awaitable<void>
 {
     const auto commands = std::vector<Command>{makeCommand(CommandKind::Rollback)};
--- a/lib/Interactive/sessionhelpers.h
+++ b/lib/Interactive/sessionhelpers.h
@@ -41,6 +41,9 @@
 /// \return whether \p failure says that the upstream did not run the statement, so that it may be retried at another one
 [[nodiscard]] auto mayRetryElsewhere(Failure failure) -> bool;
 
+/// \return time within which a caller of \p service wants its operation served
+[[nodiscard]] auto objectiveOf(const membership::ServiceView &service) -> Duration;
+
 /// Rolls back the transaction on \p lease and returns the connection to the pool, so that it need not be reopened.
 auto rollBackAndRelease(std::shared_ptr<ConnectionLease> lease) -> boost::asio::awaitable<void>;
 
--- a/lib/Interactive/sessionplacement.cpp
+++ b/lib/Interactive/sessionplacement.cpp
@@ -40,11 +40,6 @@
     return service.consistency == membership::Consistency::BoundedStaleness || service.consistency == membership::Consistency::ReadYourWrites;
 }
 
-auto objectiveOf(const membership::ServiceView &service) -> Duration
-{
-    return service.objective.count() > 0 ? std::min(service.objective, service.timeout) : service.timeout;
-}
-
 /// \return the replica to which connections for \p customer are kept open
 auto preferredReplica(std::span<const Member> members, const CustomerId &customer) -> UpstreamId
 {
--- a/schema/forwarding.capnp
+++ b/schema/forwarding.capnp
@@ -111,13 +111,17 @@
     ping @26 :Void;
     pong @27 :Void;
     # Takes one operation out of the part of a customer's quota that the receiver allocates.
-    takeQuota @30 :Text;
+    takeQuota :group {
+      customer @30 :Text;
+      # Longest time that the operation may wait for room.
+      maxWaitUs @31 :UInt64;
+    }
     quotaTaken :group {
-      granted @31 :Bool;
+      granted @32 :Bool;
       # The sender allocates no part of the quota.
-      notAllocator @32 :Bool;
-      # Until the part has room again.
-      retryAfterUs @33 :UInt64;
+      notAllocator @33 :Bool;
+      # Granted: until the operation may run. Otherwise: until the part has room again.
+      delayUs @34 :UInt64;
     }
   }
 }
--- a/unittests/Forwarding/codectest.cpp
+++ b/unittests/Forwarding/codectest.cpp
@@ -101,13 +101,15 @@
 
 TEST_CASE("a request for quota and each of its answers survive encoding and decoding")
 {
-    const auto question = decode(encode(Message{9, TakeQuota{CustomerId("chefs")}}));
+    const auto question = decode(encode(Message{9, TakeQuota{CustomerId("chefs"), std::chrono::milliseconds(75)}}));
     REQUIRE(question);
     CHECK(std::get<TakeQuota>(question->body).customer == CustomerId("chefs"));
+    CHECK(std::get<TakeQuota>(question->body).maxWait == std::chrono::milliseconds(75));
     const auto answered = [](const decisions::QuotaDecision &decision) {
         return std::get<QuotaTaken>(decode(encode(Message{9, QuotaTaken{decision}}))->body).decision;
     };
-    CHECK(std::holds_alternative<decisions::QuotaGranted>(answered(decisions::QuotaGranted())));
+    const auto granted = answered(decisions::QuotaGranted{std::chrono::milliseconds(30)});
+    CHECK(std::get<decisions::QuotaGranted>(granted).delay == std::chrono::milliseconds(30));
     CHECK(std::holds_alternative<decisions::NotAllocator>(answered(decisions::NotAllocator())));
     const auto exhausted = answered(decisions::QuotaExhausted{std::chrono::milliseconds(70)});
     CHECK(std::get<decisions::QuotaExhausted>(exhausted).retryAfter == std::chrono::milliseconds(70));
--- a/unittests/Forwarding/quotatest.cpp
+++ b/unittests/Forwarding/quotatest.cpp
@@ -179,7 +179,7 @@
     auto start(Member &member) -> void
     {
         member.views = std::make_shared<membership::ViewHolder>();
-        member.quota = std::make_shared<FleetQuota>(member.id, ZoneId("zone-0"), member.views);
+        member.quota = std::make_shared<FleetQuota>(member.id, ZoneId("zone-0"), member.views, 0, this->now);
         member.lastContact = this->now;
     }
 
--- a/unittests/Interactive/customertest.cpp
+++ b/unittests/Interactive/customertest.cpp
@@ -205,6 +205,20 @@
     CHECK(proxy.databases.connectionsMade == 4);
 }
 
+// After a power loss an upstream keeps the connections of the dead processes for a while; they must not be all that it accepts.
+TEST_CASE("only a bounded number of connections stays open idle")
+{
+    auto proxy = CustomerProxy();
+    proxy.setCustomers({customerOf("one", {"1"}), customerOf("two", {"2"}), customerOf("three", {"3"})});
+    proxy.pool->setLimits(UpstreamId("a"), {10, 10, 2});
+    for (const auto *key : {"1", "2", "3"}) {
+        CHECK_FALSE(proxy.run(proxy.open(key), store("r", key)).failure);
+    }
+    CHECK(proxy.databases.member("a").connections == 2);
+    CHECK_FALSE(proxy.run(proxy.open("3"), store("r", "4")).failure);
+    CHECK(proxy.databases.connectionsMade == 3);
+}
+
 // An operation beyond the quota must not reach an upstream, and its refusal must say so and when to come back.
 TEST_CASE("an operation beyond the quota is refused before anything runs")
 {
--- a/unittests/Interactive/sessionfixture.h
+++ b/unittests/Interactive/sessionfixture.h
@@ -24,7 +24,7 @@
 class FakeQuotaGate : public QuotaGate
 {
 public:
-    auto take(CustomerId customer, Duration) -> boost::asio::awaitable<std::optional<FailureReply>> override
+    auto take(CustomerId customer, Duration, Duration) -> boost::asio::awaitable<std::optional<FailureReply>> override
     {
         ++this->taken[customer];
         auto refusal = std::optional<FailureReply>();
