--- a/include/sapphirespool/Forwarding/ownership.h
+++ b/include/sapphirespool/Forwarding/ownership.h
@@ -34,10 +34,10 @@
     /// Connections left for the control group, which queries the members' state during a promotion.
     static constexpr auto reservedConnections = std::uint32_t{2};
 
-    /// Where connections belong to customers, at most two thirds of an owner's connections stay open idle. After a power loss an upstream
+    /// Where connections belong to customers, at most a third of an owner's connections stay open idle. After a power loss an upstream
     /// keeps the connections of the dead processes for seconds. If they were all that it accepts, the restarted owners would serve nobody
     /// until it drops them.
-    static constexpr auto idleParts = std::size_t{2};
+    static constexpr auto idleParts = std::size_t{1};
     static constexpr auto allParts = std::size_t{3};
 
     /// Statements in flight per slot, summed over all proxies that open connections to the upstream. A forwarded statement counts during its
