Promotion, Controller: comments of the sources in the terms of the field

Probe, suspicion, announcement, leadership, grant and backoff in place of words of our own; no code changed.

--- a/lib/Controller/controller.cpp
+++ b/lib/Controller/controller.cpp
@@ -98,7 +98,7 @@
 
     auto tick() -> void override
     {
-        // Also VMs that do not lead count how old a grant is: any of them may be elected next.
+        // VMs that are not the leader track the age of grants too, since any of them may be elected next.
         noteGrant(this->parts, this->duty);
         if (const auto present = this->lead()) {
             present->tick();
@@ -212,7 +212,7 @@
         }
     }
 
-    /// \return what is kept while this VM leads; begun or dropped as the lead comes and goes
+    /// \return the state of the present leadership; created when this VM is elected, destroyed when it loses leadership
     auto lead() -> std::shared_ptr<Leadership>
     {
         const auto now = this->parts.clock();
--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -11,16 +11,16 @@
 namespace
 {
 
-/// A registration that did not change the state in this time is proposed again with the next heartbeat.
+/// Time after which a registration that has not changed the state is proposed again, with the next heartbeat.
 constexpr auto proposalLife = std::chrono::milliseconds(1'000);
 
-/// How often it is looked for members that are gone; a member that was replaced refuses what is meant for another one.
+/// Interval of the search for members that are gone. A member that was replaced refuses statements that are meant for another one.
 constexpr auto goneInterval = std::chrono::milliseconds(200);
 
-/// How often it is looked for VMs that have fallen silent.
+/// Interval of the search for silent VMs.
 constexpr auto silentInterval = std::chrono::milliseconds(100);
-/// VMs that are marked as silent at one look. A hundred that lose their way at once are marked within a second, and the log has room for other
-/// changes meanwhile.
+/// VMs that are marked as silent per search. A hundred that are partitioned at once are marked within a second, and the log has room for
+/// other changes.
 constexpr auto marksAtOnce = std::size_t{10};
 
 auto viewOf(const control::VmHeartbeat &heartbeat) -> membership::ProxyView
@@ -102,8 +102,8 @@
     for (const auto &suspicion : heartbeat.suspicions) {
         this->suspected(heartbeat.vm, heartbeat.zone, suspicion);
     }
-    // The next leader knows a lease only by the replicated list of VMs. A lease of a VM that is not there yet would run on unknown
-    // to it, and a change would be reported in force while that VM still served under the old text.
+    // The next leader derives the possible leases from the replicated list of VMs. If a VM that is not in the list held a lease, a change
+    // would be reported in force while that VM still served under the former configuration.
     if (this->parts.state.view()->findProxy(heartbeat.vm) == nullptr) {
         done(NotRun{RefusalReason::StaleView, "VM " + heartbeat.vm.value() + " is not registered yet"});
         return;
@@ -245,7 +245,7 @@
 {
     const auto weighs = this->observers.note(vm, suspicion.group, this->parts.state.groups().size(), this->parts.clock());
     this->handle(promotion::Suspected{zone, suspicion, weighs});
-    // Proxies of other zones meet the silence with work of their own, half a second apart. A look from here is there at once.
+    // Proxies of other zones detect a failure by their own statements, up to half a second later. A probe from here answers at once.
     if (weighs && zone != this->parts.zone) {
         this->look(suspicion);
     }
@@ -278,7 +278,7 @@
 auto Leadership::handle(const promotion::Event &event) -> void
 {
     const auto now = this->parts.clock();
-    // What was posted to this thread may run after the lead is lost, and before anything else has noticed.
+    // Work posted to this thread may run after leadership is lost and before its loss is detected.
     if (!this->isCurrent(now)) {
         return;
     }
@@ -290,7 +290,7 @@
 auto Leadership::propose(const state::Command &command, const GroupId &group) -> void
 {
     this->parts.log.propose(encode(command), [weak = this->weak_from_this(), post = this->parts.post, group](const consensus::ProposalOutcome &) {
-        // Whether it took effect is read from the state; a lost proposal is made again.
+        // The state shows whether it took effect; a lost proposal is repeated.
         post([weak, group] {
             if (const auto self = weak.lock()) {
                 self->handle(promotion::GroupChanged{group});
--- a/lib/Controller/leadershiporders.cpp
+++ b/lib/Controller/leadershiporders.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-/// Terms of one group that fit below the number of a leadership in a token: at five promotions a day more than a century's.
+/// Number of terms of one group that fit below the leadership number in a token: more than a century of five promotions a day.
 constexpr auto termBits = 20U;
 
 /// \return a number for an order to promote
@@ -65,7 +65,7 @@
                   {"leadership", this->number},
                   {"lead_ms", this->parts.clock() - this->since},
                   {"token", request.fencingToken}});
-    // A member that is told to step down after this may be the new primary.
+    // A member that receives an order to step down after this may be the new primary.
     this->openOrders.withdraw(action.group, promotion::Order::Fence);
     const auto underDuty = this->isUnderDuty(action.group);
     if (underDuty) {
@@ -102,7 +102,7 @@
                   {"upstream", action.command.primary.value()},
                   {"position", action.command.keptUpTo.value()}});
     this->propose(action.command, action.command.group);
-    // Asked for along with the choice, the grant holds up no promotion.
+    // The grant is proposed together with the choice, so that it delays no promotion.
     if (this->isUnderDuty(action.command.group)) {
         this->seekDuty(action.command.group);
     }
--- a/lib/Controller/memberregistry.cpp
+++ b/lib/Controller/memberregistry.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-/// Members that a group keeps however silent they are: a primary and one that could take its place.
+/// Members that a group keeps even if they are silent: a primary and a possible successor.
 constexpr auto membersKept = std::size_t{2};
 
 } // namespace
@@ -35,7 +35,7 @@
     if (announcement.gone) {
         return true;
     }
-    // A process that began earlier than the one that has the address now has ended, whatever it says.
+    // A process that started earlier than the present one at its address has ended.
     const auto endpoint = Endpoint{announcement.address, announcement.port};
     const auto [place, added] = this->tenants.try_emplace(endpoint, Tenant{id, incarnation});
     if (!added && place->second.id != id && incarnation < place->second.incarnation) {
--- a/lib/Controller/orderauthority.cpp
+++ b/lib/Controller/orderauthority.cpp
@@ -38,7 +38,7 @@
 auto OpenOrders::add(const GroupId &group, promotion::Order order, const platform::Authority &parent) -> platform::Authority
 {
     auto &open = this->orders[{group, order}];
-    // Those that nobody else keeps have been answered.
+    // Authorities without another owner belong to orders that have been answered.
     std::erase_if(open, [](const auto &authority) {
         return authority.use_count() == 1;
     });
--- a/lib/Controller/promotionduty.cpp
+++ b/lib/Controller/promotionduty.cpp
@@ -20,7 +20,7 @@
     const auto isOwn = grant.holder == this->self && this->proposal && this->proposal->number == grant.number;
     this->began = isOwn ? std::optional(this->proposal->first) : std::nullopt;
     const auto isOther = former.holder != grant.holder;
-    // By grants that were not seen here, as those before a restart, the duty may have passed on too.
+    // The duty may also have passed on by grants that this VM has not seen, for example before a restart.
     if ((isOther && former.number != 0) || grant.number > former.number + 1) {
         this->passedOn = now;
     }
@@ -46,7 +46,7 @@
 auto PromotionDuty::mayTake(Duration holderSilence, TimePoint now) const -> bool
 {
     const auto isFree = this->newest.number == 0 || this->newest.holder == this->self || this->age(now) >= dutyHandover;
-    // VMs that hear each other badly seem lost to each other. The duty would then pass to and fro as the lead does.
+    // VMs with a bad network path consider each other failed. The duty would then alternate with the leadership.
     const auto justPassedOn = this->passedOn && now - *this->passedOn < dutyHandover;
     return isFree || (holderSilence >= holderLostAfter && !justPassedOn);
 }
@@ -55,7 +55,7 @@
 {
     const auto next = this->newest.number + 1;
     const auto isRepeat = this->proposal && this->proposal->number == next;
-    // Whichever copy is committed, others may have seen it since the first was sent.
+    // Whichever copy is committed, others may have seen it at any time since the first proposal.
     this->proposal = Proposal{next, isRepeat ? this->proposal->first : now, now};
 }
 
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -53,7 +53,7 @@
 
 auto GroupPromotion::note(const Suspected &event, TimePoint now) -> void
 {
-    // A suspicion of an earlier term would end the term of the new primary, which nobody has tried yet.
+    // A suspicion from an earlier term must not end the term of the new primary, which no proxy has used yet.
     if (event.suspicion.term != this->term) {
         return;
     }
@@ -131,7 +131,7 @@
 {
     this->inMotion = true;
     if (group.view.term == Term(0)) {
-        // Members that are not there yet cannot be fenced, so that the first term would begin for nothing.
+        // Members that have not registered cannot be fenced, so the first term would end without a primary.
         return this->liveCount(group, now) < group.quorum() ? Actions() : this->endTerm(group, TermEnd::First, now);
     }
     if (this->members.highestTerm() > group.view.term) {
@@ -204,11 +204,11 @@
     const auto open = std::any_of(group.view.members.begin(), group.view.members.end(), [this](const membership::UpstreamView &member) {
         return this->suspect != member.id && !this->fenced.contains(member.id) && !this->unreached.contains(member.id);
     });
-    // A member that leaves or is suspected had better not be primary again while another one may still catch up with it.
+    // A member that leaves or is suspected is avoided while another one may still catch up with it.
     if (this->isBehind(choice.report) || (choice.avoided && open)) {
         return waited < catchUpGrace;
     }
-    // The former primary has stepped down and told all that it had, so that no further report could show more.
+    // The former primary has stepped down and reported its whole log, so no further report can show more.
     const auto avoid = this->membersToAvoid(group);
     const auto complete = std::any_of(this->fenced.begin(), this->fenced.end(), [&avoid](const auto &member) {
         return avoid.contains(member.first);
@@ -237,7 +237,7 @@
     }
     const auto reason = this->reasonToEnd(group, proxies.zones, now);
     this->inMotion = reason || leaving || !this->suspicions.empty() || !this->isPrimary(primary, this->term, group.primaryIncarnation);
-    // A member that leaves is gone after a few seconds whether or not another promotion has just been; it does not flap.
+    // No backoff for a leaving member: it is gone after a few seconds and does not flap.
     const auto leavesSoon = group.selfReplicating && reason == TermEnd::Leaving;
     if (reason && (leavesSoon || this->pause.allows(now))) {
         return this->endTerm(group, *reason, now);
--- a/lib/Promotion/groupstanding.cpp
+++ b/lib/Promotion/groupstanding.cpp
@@ -35,7 +35,7 @@
 auto GroupPromotion::reasonToEnd(const GroupRecord &group, std::size_t proxyZones, TimePoint now) const -> std::optional<TermEnd>
 {
     const auto &primary = *group.view.primary;
-    // Without a quorum there is nobody to go on with: the end of the term would only stop what still runs.
+    // Without a quorum no new primary can be chosen: ending the term would only stop what still runs.
     if (this->liveCount(group, now) < group.quorum()) {
         return std::nullopt;
     }
@@ -60,7 +60,7 @@
 auto GroupPromotion::isSilent(const GroupRecord &group, TimePoint now) const -> bool
 {
     const auto &primary = *group.view.primary;
-    // A new control leader has heard nobody yet; it counts from its own beginning, or it would replace every primary.
+    // A new control leader has received no announcements yet. It counts silence from its election, or it would replace every primary.
     const auto *const state = this->members.find(primary);
     const auto heard = state != nullptr && state->heard ? std::max(*state->heard, this->since) : this->since;
     const auto isSuspectedAtAll = this->suspected && now - *this->suspected < suspicionLife;
--- a/lib/Promotion/membertable.cpp
+++ b/lib/Promotion/membertable.cpp
@@ -10,15 +10,15 @@
 namespace
 {
 
-/// An announcement that was under way when the member was promoted says that it is none yet; a second one is newer than the promotion.
+/// An announcement in flight during the promotion still reports a replica; a second one is newer than the promotion.
 constexpr auto denialsBelieved = std::uint32_t{2};
 
-/// Takes in which part \p member says that it plays, after it has told its term in answer to an order.
+/// Records the role that \p member announces after it has reported its term in answer to an order.
 auto noteDenial(MemberState &member, platform::Role says) -> void
 {
     const auto denies = member.role == platform::Role::Primary && says != platform::Role::Primary;
     member.denials = denies ? member.denials + 1 : 0;
-    // Without this a primary that stepped down, by an order that came late, would be taken for primary for ever.
+    // Otherwise a primary that stepped down by a late order would count as primary forever.
     if (member.denials == denialsBelieved) {
         member.role = says;
         member.denials = 0;
@@ -79,7 +79,7 @@
 {
     const auto [place, added] = this->members.try_emplace(id);
     auto &member = place->second;
-    // Late words of a process that has ended would make its successor look restarted again.
+    // A late announcement of an ended process must not make its successor appear restarted.
     if (member.former.contains(news.incarnation)) {
         return nullptr;
     }
