Proxies that joined are settled also before customers are configured

Cause, found by reading: a system whose proxies joined after its first configuration would refuse every operation for 20 s when its text first lists customers, since nobody was settled and so nobody allocated quota. Change: a proxy is settled 20 s after it joined, with customers or without; one entry of the log for each proxy that joins.

--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -219,11 +219,8 @@
 
 auto Leadership::settleVms(TimePoint now) -> void
 {
-    const auto view = this->parts.state.view();
-    if (view->customers.empty()) {
-        return;
-    }
-    for (auto &vm : this->settling.due(view->proxies, now)) {
+    // Without customers too: otherwise nobody would allocate quota at first when they come.
+    for (auto &vm : this->settling.due(this->parts.state.view()->proxies, now)) {
         if (this->tryRegister("settle " + vm.id.value())) {
             vm.settled = true;
             this->propose(state::RegisterVm{std::move(vm)}, {});
--- a/unittests/Controller/controllertest.cpp
+++ b/unittests/Controller/controllertest.cpp
@@ -1,6 +1,7 @@
 #include "fakelog.h"
 
 #include "sapphirespool/Controller/controller.h"
+#include "sapphirespool/Controller/vmsettling.h"
 #include "sapphirespool/Controller/vmtable.h"
 
 #include <catch2/catch.hpp>
@@ -289,4 +290,26 @@
     CHECK(leading.state.view()->proxies.empty());
 }
 
+// A proxy that allocated quota as soon as it joined could do so beside one that is cut off and has not heard of it.
+TEST_CASE("a proxy that joins a configured system may allocate quota after a while, one of the first start at once")
+{
+    auto leading = Leading();
+    leading.apply("first", 0, text);
+    auto later = beatOf("hobart-2", 1, 1);
+    later.callers = {"127.0.0.1", 8480};
+    auto first = beatOf("hobart-3", 1, 1);
+    first.callers = {"127.0.0.1", 8480};
+    first.firstStart = true;
+    leading.beat(later);
+    leading.beat(first);
+    CHECK(leading.state.view()->findProxy(VmId("hobart-3"))->settled);
+    leading.pass(10ms);
+    leading.pass(VmSettling::settleAfter - 20ms);
+    CHECK_FALSE(leading.state.view()->findProxy(VmId("hobart-2"))->settled);
+    leading.pass(20ms);
+    CHECK(leading.state.view()->findProxy(VmId("hobart-2"))->settled);
+    leading.beat(later);
+    CHECK(leading.state.view()->findProxy(VmId("hobart-2"))->settled);
+}
+
 } // namespace sapphirespool::controller
