Delays in messages on quota are bounded

Cause, found by reading: a delay from a message of another build was converted to nanoseconds without a bound; a large one overflows, which is undefined behaviour. A test with a delay of a year gave it back whole before and gives a minute now.

--- a/lib/Forwarding/codec.cpp
+++ b/lib/Forwarding/codec.cpp
@@ -7,6 +7,7 @@
 #include <kj/exception.h>
 #include <kj/io.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace sapphirespool::forwarding
@@ -351,15 +352,22 @@
     return exchanged;
 }
 
+/// \return \p count microseconds, at most a minute: a message of another build must not overflow a duration
+auto saneMicroseconds(std::uint64_t count) -> std::chrono::microseconds
+{
+    constexpr auto longest = std::chrono::microseconds(std::chrono::minutes(1));
+    return std::chrono::microseconds(std::min<std::uint64_t>(count, longest.count()));
+}
+
 auto readQuotaTaken(schema::Message::QuotaTaken::Reader from) -> QuotaTaken
 {
     if (from.getGranted()) {
-        return {decisions::QuotaGranted{std::chrono::microseconds(from.getDelayUs())}};
+        return {decisions::QuotaGranted{saneMicroseconds(from.getDelayUs())}};
     }
     if (from.getNotAllocator()) {
         return {decisions::NotAllocator()};
     }
-    return {decisions::QuotaExhausted{std::chrono::microseconds(from.getDelayUs())}};
+    return {decisions::QuotaExhausted{saneMicroseconds(from.getDelayUs())}};
 }
 
 auto readBody(schema::Message::Reader from) -> std::optional<Body>
@@ -386,7 +394,7 @@
     case schema::Message::PONG:
         return Pong();
     case schema::Message::TAKE_QUOTA:
-        return TakeQuota{CustomerId(toString(from.getTakeQuota().getCustomer())), std::chrono::microseconds(from.getTakeQuota().getMaxWaitUs())};
+        return TakeQuota{CustomerId(toString(from.getTakeQuota().getCustomer())), saneMicroseconds(from.getTakeQuota().getMaxWaitUs())};
     case schema::Message::QUOTA_TAKEN:
         return readQuotaTaken(from.getQuotaTaken());
     }
--- a/unittests/Forwarding/codectest.cpp
+++ b/unittests/Forwarding/codectest.cpp
@@ -115,6 +115,15 @@
     CHECK(std::get<decisions::QuotaExhausted>(exhausted).retryAfter == std::chrono::milliseconds(70));
 }
 
+// A delay of centuries would overflow when it is added to a time.
+TEST_CASE("an absurd delay in an answer on quota is cut to a minute")
+{
+    const auto granted = decisions::QuotaGranted{std::chrono::hours(24 * 365)};
+    const auto answer = decode(encode(Message{9, QuotaTaken{granted}}));
+    REQUIRE(answer);
+    CHECK(std::get<decisions::QuotaGranted>(std::get<QuotaTaken>(answer->body).decision).delay == std::chrono::minutes(1));
+}
+
 TEST_CASE("a request for a connection names its customer")
 {
     auto request = Acquire();
