--- a/lib/Forwarding/fleetquota.cpp
+++ b/lib/Forwarding/fleetquota.cpp
@@ -21,7 +21,7 @@
 using interactive::Failure;
 using interactive::FailureReply;
 
-/// Retry delay when no allocator of a quota answers. Another one takes over its part, or it is back, within a second or so.
+/// Retry delay when no allocator of a quota answers: a restarted process allocates again within some hundred milliseconds.
 constexpr auto noAllocatorRetryDelay = std::chrono::milliseconds(200);
 
 auto pause(Duration time) -> asio::awaitable<void>
