A view of the state is built when it is asked for

What callers saw: after a loss of power of all control VMs with 240 groups nothing could be promoted or configured for seconds; one control leader followed the other.

Cause: each applied entry of the log built a whole view: it copied all groups and VMs and compared each group with each service. A new leader that replays 1,300 entries was silent for longer than an election timeout, and the next one had the same entries before it.

Change: ClusterState drops its view after a change and builds one when view() is called; what the leader looks up for each heartbeat (a VM, the revision, the configuration) it now reads from the state itself. The scan of all services for each group is a set. Nobody can read an old view between a change and view(), as the change drops it.

--- a/include/sapphirespool/State/clusterstate.h
+++ b/include/sapphirespool/State/clusterstate.h
@@ -8,6 +8,7 @@
 #include "sapphirespool/Support/types.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <span>
@@ -18,8 +19,9 @@
 
 /// Replicated state machine that holds the configuration, the database groups and the VMs.
 ///
-/// It applies the committed commands in log order, so that all control VMs hold equal states, and builds an immutable view after each
-/// change that readers can see. It is used on the control thread only.
+/// It applies the committed commands in log order, so that all control VMs hold equal states. The immutable view for readers is built
+/// when it is asked for, not after each change: a control VM that replays its log applies thousands of changes that nobody reads in
+/// between, and a view copies the whole state. It is used on the control thread only.
 class ClusterState : public consensus::StateMachine
 {
 public:
@@ -43,12 +45,23 @@
     /// Applies a decoded command; apply() decodes and calls it.
     auto execute(const Command &command) -> Result;
 
-    /// \return the view of the latest revision, never null
+    /// \return the view of the latest revision, never null; it lists only groups that a service names
     [[nodiscard]] auto view() const -> std::shared_ptr<const membership::ClusterView>;
+    /// \return the number of views built so far
+    [[nodiscard]] auto viewsBuilt() const -> std::uint64_t;
 
-    /// Registers \p listener, which is called each time view() is rebuilt. It replaces the previous listener; an empty one removes it.
+    /// Registers \p listener, which is called after each change of the state behind view(). It replaces the previous listener; an empty
+    /// one removes it.
     auto onChange(std::function<void()> listener) -> void;
 
+    /// \return the revision of view()
+    [[nodiscard]] auto revision() const -> Revision;
+    /// \return the revision of the configuration in force
+    [[nodiscard]] auto configuration() const -> Revision;
+    /// \return all registered VMs, ordered by id
+    [[nodiscard]] auto vms() const -> std::span<const membership::ProxyView>;
+    [[nodiscard]] auto findVm(const VmId &vm) const -> const membership::ProxyView *;
+
     /// \return the text of the configuration in force, as the operators sent it
     [[nodiscard]] auto text() const -> const std::string &;
 
@@ -77,13 +90,16 @@
     /// Keeps \p result for resends of \p command.
     auto recordResult(const ChangeConfiguration &command, const Result &result) -> void;
     auto group(const GroupId &id) -> GroupRecord *;
-    /// Increments the revision and rebuilds the view.
+    /// Increments the revision.
     auto advanceRevision() -> Applied;
-    /// Builds the view, which lists only groups that a service names, and notifies the listener.
-    auto buildView() -> void;
+    /// Discards the view of an earlier state and notifies the listener.
+    auto invalidateView() -> void;
+    [[nodiscard]] auto buildView() const -> std::shared_ptr<const membership::ClusterView>;
 
     StateContent content;
-    std::shared_ptr<const membership::ClusterView> builtView;
+    /// Null until view() is called after a change.
+    mutable std::shared_ptr<const membership::ClusterView> builtView;
+    mutable std::uint64_t builtViews = 0;
     std::function<void()> listener;
 };
 
--- a/lib/Controller/controller.cpp
+++ b/lib/Controller/controller.cpp
@@ -142,7 +142,7 @@
                 done(NotRun{RefusalReason::ControlUnreachable, "this control VM does not lead"});
                 return;
             }
-            done(membership::ConfigurationText{self->parts.state.view()->configuration, self->parts.state.text()});
+            done(membership::ConfigurationText{self->parts.state.configuration(), self->parts.state.text()});
         });
     }
 
--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -60,7 +60,7 @@
     , duty(duty)
     , since(parts.clock())
     , number(parts.log.leadershipNumber())
-    , vms(parts.state.view()->proxies, this->since)
+    , vms(parts.state.vms(), this->since)
     , promoter(parts.state, this->since, promotion::silenceAfter(parts.announcementInterval))
     , registry(this->since)
     , leadAuthority(std::make_shared<ExpiringAuthority>(parts.clock))
@@ -104,7 +104,7 @@
     }
     // The next leader derives the possible leases from the replicated list of VMs. If a VM that is not in the list held a lease, a change
     // would be reported in force while that VM still served under the former configuration.
-    if (this->parts.state.view()->findProxy(heartbeat.vm) == nullptr) {
+    if (this->parts.state.findVm(heartbeat.vm) == nullptr) {
         done(NotRun{RefusalReason::StaleView, "VM " + heartbeat.vm.value() + " is not registered yet"});
         return;
     }
@@ -128,19 +128,18 @@
 
 auto Leadership::noteProxies(TimePoint now) -> void
 {
-    this->promoter.setProxies(this->vms.standing(this->parts.state.view()->revision, now));
+    this->promoter.setProxies(this->vms.standing(this->parts.state.revision(), now));
 }
 
 auto Leadership::grant() const -> control::LeaseGrant
 {
-    return {leaseLength, this->parts.state.view()->revision};
+    return {leaseLength, this->parts.state.revision()};
 }
 
 auto Leadership::registerVm(const control::VmHeartbeat &heartbeat) -> void
 {
     const auto wanted = viewOf(heartbeat);
-    const auto view = this->parts.state.view();
-    const auto *const known = view->findProxy(heartbeat.vm);
+    const auto *const known = this->parts.state.findVm(heartbeat.vm);
     if ((known != nullptr && isSame(*known, wanted)) || !this->tryRegister("vm " + heartbeat.vm.value())) {
         return;
     }
@@ -203,9 +202,8 @@
         return;
     }
     this->lookedForSilent = now;
-    const auto view = this->parts.state.view();
     auto marked = std::size_t{0};
-    for (auto &vm : this->vms.silentFor(silentAfter, view->proxies, now)) {
+    for (auto &vm : this->vms.silentFor(silentAfter, this->parts.state.vms(), now)) {
         if (vm.silent || !this->tryRegister("mark " + vm.id.value())) {
             continue;
         }
@@ -220,7 +218,7 @@
 auto Leadership::settleVms(TimePoint now) -> void
 {
     // Without customers too: otherwise nobody would allocate quota at first when they come.
-    for (auto &vm : this->settling.due(this->parts.state.view()->proxies, now)) {
+    for (auto &vm : this->settling.due(this->parts.state.vms(), now)) {
         if (this->tryRegister("settle " + vm.id.value())) {
             vm.settled = true;
             this->propose(state::RegisterVm{std::move(vm)}, {});
@@ -230,8 +228,7 @@
 
 auto Leadership::forgetSilentVms() -> void
 {
-    const auto view = this->parts.state.view();
-    for (const auto &vm : this->vms.silentFor(forgetAfter, view->proxies, this->parts.clock())) {
+    for (const auto &vm : this->vms.silentFor(forgetAfter, this->parts.state.vms(), this->parts.clock())) {
         if (this->tryRegister("silent " + vm.id.value())) {
             this->propose(state::ForgetVm{vm.id, vm.incarnation}, {});
         }
--- a/lib/State/clusterstate.cpp
+++ b/lib/State/clusterstate.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace sapphirespool::state
@@ -81,7 +82,6 @@
 ClusterState::ClusterState()
     : content(changeLogLimit)
 {
-    this->buildView();
 }
 
 ClusterState::~ClusterState() = default;
@@ -100,7 +100,7 @@
 auto ClusterState::restore(std::span<const std::byte> snapshot) -> void
 {
     this->content = decodeContent(snapshot, changeLogLimit);
-    this->buildView();
+    this->invalidateView();
 }
 
 auto ClusterState::execute(const Command &command) -> Result
@@ -114,14 +114,44 @@
 
 auto ClusterState::view() const -> std::shared_ptr<const ClusterView>
 {
+    if (this->builtView == nullptr) {
+        this->builtView = this->buildView();
+        ++this->builtViews;
+    }
     return this->builtView;
 }
 
+auto ClusterState::viewsBuilt() const -> std::uint64_t
+{
+    return this->builtViews;
+}
+
 auto ClusterState::onChange(std::function<void()> newListener) -> void
 {
     this->listener = std::move(newListener);
 }
 
+auto ClusterState::revision() const -> Revision
+{
+    return this->content.revision;
+}
+
+auto ClusterState::configuration() const -> Revision
+{
+    return this->content.configuration;
+}
+
+auto ClusterState::vms() const -> std::span<const ProxyView>
+{
+    return this->content.vms;
+}
+
+auto ClusterState::findVm(const VmId &vm) const -> const ProxyView *
+{
+    const auto position = lowerBoundById(this->content.vms, vm, vmIdOf);
+    return position == this->content.vms.end() || position->id != vm ? nullptr : &*position;
+}
+
 auto ClusterState::text() const -> const std::string &
 {
     return this->content.text;
@@ -330,11 +360,19 @@
 auto ClusterState::advanceRevision() -> Applied
 {
     this->content.revision = this->content.revision.next();
-    this->buildView();
+    this->invalidateView();
     return Applied();
 }
 
-auto ClusterState::buildView() -> void
+auto ClusterState::invalidateView() -> void
+{
+    this->builtView.reset();
+    if (this->listener) {
+        this->listener();
+    }
+}
+
+auto ClusterState::buildView() const -> std::shared_ptr<const ClusterView>
 {
     auto view = ClusterView();
     view.revision = this->content.revision;
@@ -342,18 +380,16 @@
     view.services = this->content.services;
     view.proxies = this->content.vms;
     view.customers = this->content.customers;
+    auto named = std::set<GroupId>();
+    for (const auto &service : view.services) {
+        named.insert(service.group);
+    }
     for (const auto &record : this->content.groups) {
-        const auto named = std::any_of(view.services.begin(), view.services.end(), [&record](const membership::ServiceView &service) {
-            return service.group == record.view.id;
-        });
-        if (named) {
+        if (named.contains(record.view.id)) {
             view.groups.push_back(record.view);
         }
     }
-    this->builtView = std::make_shared<const ClusterView>(std::move(view));
-    if (this->listener) {
-        this->listener();
-    }
+    return std::make_shared<const ClusterView>(std::move(view));
 }
 
 } // namespace sapphirespool::state
--- a/unittests/State/clusterstatetest.cpp
+++ b/unittests/State/clusterstatetest.cpp
@@ -37,6 +37,33 @@
 
 } // namespace
 
+TEST_CASE("the log is replayed without a view for each of its entries")
+{
+    // Failure: a new control leader is silent for longer than an election timeout while it replays the log, and loses the lead.
+    auto state = ClusterState();
+    state.execute(changeOf("first", 0, "text"));
+    for (std::uint64_t incarnation = 1; incarnation <= 1'000; ++incarnation) {
+        state.execute(RegisterUpstream{orders, upstreamOf("a", incarnation)});
+    }
+    CHECK(state.viewsBuilt() == 0);
+    CHECK(state.view()->revision == state.revision());
+    CHECK(state.view()->findGroup(orders)->members.front().incarnation == Incarnation(1'000));
+    CHECK(state.viewsBuilt() == 1);
+}
+
+TEST_CASE("a view that was handed out stays as it is, and the next one shows each change")
+{
+    auto state = runningGroup();
+    const auto before = state->view();
+    state->execute(BeginTerm{orders, Term(1), Term(2)});
+    CHECK(before->findGroup(orders)->term == Term(1));
+    CHECK(state->view()->findGroup(orders)->term == Term(2));
+    auto restored = ClusterState();
+    static_cast<void>(restored.view());
+    restored.restore(state->snapshot());
+    CHECK(*restored.view() == *state->view());
+}
+
 TEST_CASE("a resent change gets its first result, also after a snapshot and later changes")
 {
     // An operator loses the response to a change and resends it, after another operator's change and to a control VM that was restored
