--- a/lib/Consensus/replica.cpp
+++ b/lib/Consensus/replica.cpp
@@ -1,5 +1,6 @@
 #include "sapphirespool/Consensus/replica.h"
 
+#include "applyqueue.h"
 #include "codec.h"
 #include "diskthread.h"
 #include "formation.h"
@@ -85,7 +86,10 @@
     auto handle(const CoreEvent &event) -> void;
     auto perform(Action action) -> void;
     auto sendMessage(const Send &send) -> void;
-    auto apply(const Apply &apply) -> void;
+    /// Applies what is committed, for a bounded time, and has the rest applied later.
+    auto applyCommitted() -> void;
+    auto onApplied(const ApplyQueue::Work &work, Bytes result) -> void;
+    auto onEntryApplied(const Apply &apply, Bytes result) -> void;
     auto fail(const Failed &failed) -> void;
     auto startWriting() -> void;
     auto onDiskOutcome(const DiskOutcome &outcome) -> void;
@@ -106,6 +110,8 @@
     rpc::LoopContext &context;
     ReplicaSettings settings;
     StateMachine &machine;
+    ApplyQueue applyQueue;
+    bool applyScheduled = false;
     std::unique_ptr<storage::Folder> folder;
     ReplicaId self;
     std::unique_ptr<Core> core;
@@ -166,6 +172,10 @@
     : context(context)
     , settings(std::move(settings))
     , machine(machine)
+    , applyQueue(machine,
+                 [this](const ApplyQueue::Work &work, Bytes result) {
+                     this->onApplied(work, std::move(result));
+                 })
     , folder(std::move(folder))
     , self(store->replica())
     , formation(this->settings.vm, this->settings.initialMembers, this->settings.mayFound, this->settings.openToOthers)
@@ -198,7 +208,7 @@
         this->perform(std::move(action));
     }
     this->startWriting();
-    this->snapshotIfDue();
+    this->applyCommitted();
     this->armTimer();
     this->logLeaderChange();
     this->leadershipLogger.update(*this->core, clockNow());
@@ -212,16 +222,12 @@
         this->pendingWrites.emplace_back(std::move(*persist));
     } else if (auto *const save = std::get_if<SaveSnapshot>(&action)) {
         this->pendingWrites.emplace_back(std::move(*save));
-    } else if (const auto *const applied = std::get_if<Apply>(&action)) {
-        this->apply(*applied);
-    } else if (const auto *const restored = std::get_if<Restore>(&action)) {
-        this->machine.restore(restored->snapshot->state);
-        this->entriesSinceSnapshot = 0;
-        this->bytesSinceSnapshot = 0;
+    } else if (auto *const applied = std::get_if<Apply>(&action)) {
+        this->applyQueue.push(std::move(*applied));
+    } else if (auto *const restored = std::get_if<Restore>(&action)) {
+        this->applyQueue.push(std::move(*restored));
     } else if (const auto *const ready = std::get_if<ReadReady>(&action)) {
-        if (auto found = this->reads.extract(ready->number)) {
-            found.mapped()(std::nullopt);
-        }
+        this->applyQueue.push(*ready);
     } else {
         this->fail(std::get<Failed>(action));
     }
@@ -242,12 +248,38 @@
     });
 }
 
-auto ReplicaNode::apply(const Apply &apply) -> void
+auto ReplicaNode::applyCommitted() -> void
+{
+    this->applyQueue.run(clockNow);
+    this->snapshotIfDue();
+    if (this->applyQueue.empty() || std::exchange(this->applyScheduled, true)) {
+        return;
+    }
+    // By a timer, as the loop would do work that is merely put off before it looks at its sockets.
+    this->tasks.add(this->context.timer.afterDelay(0 * kj::MILLISECONDS).then([this] {
+        this->applyScheduled = false;
+        this->applyCommitted();
+    }));
+}
+
+auto ReplicaNode::onApplied(const ApplyQueue::Work &work, Bytes result) -> void
+{
+    if (const auto *const applied = std::get_if<Apply>(&work)) {
+        this->onEntryApplied(*applied, std::move(result));
+    } else if (const auto *const ready = std::get_if<ReadReady>(&work)) {
+        if (auto found = this->reads.extract(ready->number)) {
+            found.mapped()(std::nullopt);
+        }
+    } else {
+        this->entriesSinceSnapshot = 0;
+        this->bytesSinceSnapshot = 0;
+    }
+}
+
+auto ReplicaNode::onEntryApplied(const Apply &apply, Bytes result) -> void
 {
-    auto result = Bytes();
     ++this->entriesSinceSnapshot;
     if (const auto *const command = std::get_if<Command>(&apply.entry.content)) {
-        result = this->machine.apply(apply.entry.index, command->bytes);
         this->bytesSinceSnapshot += command->bytes.size();
     }
     if (!apply.number) {
@@ -309,7 +341,9 @@
 
 auto ReplicaNode::snapshotIfDue() -> void
 {
-    if (this->entriesSinceSnapshot < snapshotEntries && this->bytesSinceSnapshot < snapshotBytes) {
+    // The state is that of the commit index only when nothing waits.
+    const auto isDue = this->entriesSinceSnapshot >= snapshotEntries || this->bytesSinceSnapshot >= snapshotBytes;
+    if (!isDue || !this->applyQueue.empty()) {
         return;
     }
     this->entriesSinceSnapshot = 0;
@@ -485,7 +519,8 @@
 
 auto ReplicaNode::leaderLeaseEnd() const -> TimePoint
 {
-    return this->core->leaderLeaseEnd();
+    // A leader that has not applied what earlier leaders committed would decide by an old state.
+    return this->applyQueue.lacksEntriesBefore(this->core->term()) ? TimePoint::min() : this->core->leaderLeaseEnd();
 }
 
 auto ReplicaNode::leadershipNumber() const -> std::uint64_t
--- a/unittests/Consensus/replicatest.cpp
+++ b/unittests/Consensus/replicatest.cpp
@@ -1,3 +1,4 @@
+#include "sapphirespool/Consensus/coretypes.h"
 #include "sapphirespool/Consensus/replica.h"
 
 #include <boost/leaf/handle_errors.hpp>
@@ -13,6 +14,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <thread>
 
 namespace sapphirespool::consensus
 {
@@ -26,6 +28,7 @@
 public:
     auto apply(LogIndex, std::span<const std::byte> command) -> Bytes override
     {
+        std::this_thread::sleep_for(this->applyTime);
         this->commands.insert(this->commands.end(), command.begin(), command.end());
         return Bytes(command.begin(), command.end());
     }
@@ -41,6 +44,7 @@
     }
 
     Bytes commands;
+    std::chrono::milliseconds applyTime{0};
 };
 
 /// A control VM of the test: its replica, and the listener that accepts connections of the other replicas.
@@ -208,4 +212,44 @@
     CHECK(group.leader()->machine.commands == Bytes{std::byte(1), std::byte(2), std::byte(3)});
 }
 
+TEST_CASE("a control VM that applies a long log still attends to heartbeats")
+{
+    // Failure: after a restart of all control VMs each new leader is silent for longer than an election timeout, and loses the lead.
+    constexpr auto entries = std::size_t{500};
+    auto group = ThreeVmFixture();
+    for (auto &vm : group.vms) {
+        group.start(vm);
+    }
+    group.runUntil([&group] {
+        return group.voters() == 3;
+    });
+    auto *const first = group.leader();
+    REQUIRE(first != nullptr);
+    for (std::size_t entry = 0; entry < entries; ++entry) {
+        first->replica->propose(Bytes{std::byte(1)}, [](const ProposalOutcome &) {});
+    }
+    const auto allApplied = [&group] {
+        return std::all_of(group.vms.begin(), group.vms.end(), [](const ControlVm &vm) {
+            return vm.machine.commands.size() >= entries;
+        });
+    };
+    group.runUntil(allApplied);
+    for (auto &vm : group.vms) {
+        group.stop(vm);
+    }
+    for (auto &vm : group.vms) {
+        vm.machine.applyTime = std::chrono::milliseconds(1);
+        group.start(vm);
+    }
+    auto longestGap = std::chrono::steady_clock::duration();
+    auto last = std::chrono::steady_clock::now();
+    group.runUntil([&] {
+        const auto now = std::chrono::steady_clock::now();
+        longestGap = std::max(longestGap, now - last);
+        last = now;
+        return allApplied();
+    });
+    CHECK(longestGap < CoreSettings().minimumElectionTimeout);
+}
+
 } // namespace sapphirespool::consensus
