The leading control VM logs its load once a second

A control VM that is short of processor time showed itself only by lost leads. SP2006 tells how many heartbeats, announcements and views a second had, how many views were built for it, the processor time of the process, and the longest time by which a timer of the control thread was late.

--- a/include/sapphirespool/Support/events.h
+++ b/include/sapphirespool/Support/events.h
@@ -42,6 +42,7 @@
     ConsensusTaskFailed = 2003,
     ControlLeadLost = 2004,
     ElectionStarted = 2005,
+    ControlLoad = 2006,
     StorageFailed = 2101,
     ConfigurationAccepted = 2201,
     TermEnded = 2401,
--- a/lib/Control/controlserver.cpp
+++ b/lib/Control/controlserver.cpp
@@ -1,6 +1,7 @@
 #include "sapphirespool/Control/controlserver.h"
 
 #include "codec.h"
+#include "controlload.h"
 #include "viewbatch.h"
 #include "viewhistory.h"
 #include "viewpacer.h"
@@ -12,6 +13,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <ctime>
 #include <functional>
 #include <map>
 #include <span>
@@ -29,6 +31,28 @@
 /// How often it is looked for VMs that have not taken in what they were sent, while others wait for their turn.
 constexpr auto turnInterval = 100 * kj::MILLISECONDS;
 
+/// How often the delay of the control thread is measured.
+constexpr auto loadInterval = std::chrono::milliseconds(100);
+
+/// \return the processor time of this process since its start
+auto processorTime() -> Duration
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::microseconds(std::clock() * (std::micro::den / CLOCKS_PER_SEC)));
+}
+
+auto logLoad(const LoadSample &sample) -> void
+{
+    support::log(support::Event::ControlLoad,
+                 {{"heartbeats", sample.heartbeats},
+                  {"announcements", sample.announcements},
+                  {"views_built", sample.viewsBuilt},
+                  {"views_sent", sample.viewsSent},
+                  {"whole", sample.wholeViewsSent},
+                  {"view_bytes", sample.viewBytes},
+                  {"cpu_ms", sample.processorTime},
+                  {"delay_ms", sample.longestDelay}});
+}
+
 /// What the RPC objects of a server share.
 class Shared : private kj::TaskSet::ErrorHandler
 {
@@ -42,6 +66,7 @@
         this->service.onViewChange([this] {
             this->viewChanged();
         });
+        this->measureLoad(support::now());
     }
 
     virtual ~Shared() noexcept = default;
@@ -97,6 +122,9 @@
     auto newestRevision() -> Revision
     {
         const auto view = this->service.currentView();
+        if (view->revision > std::exchange(this->newest, view->revision)) {
+            this->load.addBuiltView();
+        }
         this->history.note(view);
         this->batch.note(view, support::now());
         return view->revision;
@@ -138,6 +166,7 @@
     rpc::LoopContext &context;
     consensus::Replica &replica;
     ControlService &service;
+    ControlLoad load;
 
 private:
     struct Turn
@@ -187,11 +216,25 @@
         }
     }
 
+    auto measureLoad(TimePoint began) -> void
+    {
+        this->tasks.add(this->context.timer.afterDelay(loadInterval.count() * kj::MILLISECONDS).then([this, began] {
+            const auto now = support::now();
+            this->load.addDelay(now - began - loadInterval);
+            const auto sample = this->load.report(now, processorTime());
+            if (sample && this->leads()) {
+                logLoad(*sample);
+            }
+            this->measureLoad(now);
+        }));
+    }
+
     auto taskFailed(kj::Exception &&) -> void override
     {
     }
 
     bool detached = false;
+    Revision newest;
     ViewHistory history;
     ViewBatch batch;
     bool batchTimerRuns = false;
@@ -244,6 +287,7 @@
             return kj::READY_NOW;
         }
         auto heartbeat = read(call.getParams().getHeartbeat());
+        this->shared->load.addHeartbeat(heartbeat.announcements.size());
         auto outcome = awaitOutcome<HeartbeatOutcome>([this, &heartbeat](std::function<void(HeartbeatOutcome)> done) {
             this->shared->service.heartbeat(std::move(heartbeat), std::move(done));
         });
@@ -382,6 +426,7 @@
             return;
         }
         const auto update = this->shared->updateFrom(known, servicesOf(call));
+        this->shared->load.addSentView(update.content->size(), update.isDelta);
         if (update.isDelta) {
             answer.setDelta(toData(*update.content));
         } else {
--- a/lib/Support/events.cpp
+++ b/lib/Support/events.cpp
@@ -36,6 +36,7 @@
     {Event::ConsensusTaskFailed, Severity::Warning, "consensus task failed"},
     {Event::ControlLeadLost, Severity::Warning, "control lead lost"},
     {Event::ElectionStarted, Severity::Warning, "election started"},
+    {Event::ControlLoad, Severity::Info, "control load"},
     {Event::StorageFailed, Severity::Error, "storage failed"},
     {Event::ConfigurationAccepted, Severity::Info, "configuration accepted"},
     {Event::TermEnded, Severity::Warning, "term ended"},
