Views are built and sent at a bounded rate

What callers saw: with 100 VMs a third of the requests served, with 300 none; configurations in force seconds late or never.

Cause: work of the leader and of each proxy that grows as changes times VMs. A first start makes over a thousand changes of groups within seconds, and each one was sent to each VM as a view of its own, compared and packed anew for each revision that a VM held; each VM took in each of them, ranked the owners of all members anew and confirmed it with a heartbeat.

A view is built at the end of the event that changed the state, also where an event brings many changes. All VMs get the view that was built last, so that a difference is computed once for each revision that is held. Kept views are ordered once and not copied for each difference.

--- a/lib/Control/controlserver.cpp
+++ b/lib/Control/controlserver.cpp
@@ -4,6 +4,7 @@
 #include "controlload.h"
 #include "viewbatch.h"
 #include "viewhistory.h"
+#include "viewpace.h"
 #include "viewpacer.h"
 
 #include "sapphirespool/Support/clock.h"
@@ -116,31 +117,29 @@
     {
         auto signal = kj::newPromiseAndFulfiller<void>();
         this->waiting.push_back(kj::mv(signal.fulfiller));
+        this->scheduleView();
         return signal.promise.exclusiveJoin(this->context.timer.afterDelay(watchLimit));
     }
 
-    auto newestRevision() -> Revision
+    /// \return the revision of the view that is sent now
+    [[nodiscard]] auto sentRevision() const -> Revision
     {
-        const auto view = this->service.currentView();
-        if (view->revision > std::exchange(this->newest, view->revision)) {
-            this->load.addBuiltView();
-        }
-        this->history.note(view);
-        this->batch.note(view, support::now());
-        return view->revision;
+        return this->newest;
     }
 
-    /// \return whether a VM that holds \p known is to be sent the newest view now
+    /// \return whether a VM that holds \p known is to be sent a view now
     auto isDue(Revision known) -> bool
     {
-        this->newestRevision();
+        // What a VM got from another leader may be newer than the view that was built here last.
+        if (known > this->newest || support::now() >= this->pace.nextAt()) {
+            this->buildView();
+        }
         return this->batch.isDue(known, support::now());
     }
 
-    /// \return what brings a VM from \p known to the newest view
+    /// \return what brings a VM from \p known to the view that is sent now
     auto updateFrom(Revision known, std::span<const ServiceId> services) -> ViewUpdate
     {
-        this->newestRevision();
         return this->history.updateFrom(known, services);
     }
 
@@ -196,7 +195,43 @@
 
     auto viewChanged() -> void
     {
-        this->newestRevision();
+        this->isStale = true;
+        this->scheduleView();
+    }
+
+    /// Has a view built for the VMs that wait for one, as soon as its pace allows.
+    auto scheduleView() -> void
+    {
+        if (!this->isStale || this->waiting.empty() || std::exchange(this->viewScheduled, true)) {
+            return;
+        }
+        const auto wait = std::chrono::ceil<std::chrono::milliseconds>(this->pace.nextAt() - support::now());
+        // After the present event: the log may apply many changes in one.
+        auto turn = wait.count() > 0 ? this->context.timer.afterDelay(wait.count() * kj::MILLISECONDS) : kj::evalLast([] {});
+        this->tasks.add(turn.then([this] {
+            this->viewScheduled = false;
+            this->buildView();
+            this->sendView();
+        }));
+    }
+
+    auto buildView() -> void
+    {
+        if (this->detached || !std::exchange(this->isStale, false)) {
+            return;
+        }
+        const auto view = this->service.currentView();
+        const auto now = support::now();
+        this->load.addBuiltView();
+        this->pace.built(view->proxies.size(), now);
+        this->history.note(view);
+        this->batch.note(view, now);
+        this->newest = view->revision;
+    }
+
+    /// Wakes the VMs that wait for a view, unless its changes are gathered.
+    auto sendView() -> void
+    {
         const auto at = this->batch.sendsAt();
         if (!at) {
             this->wakeWatches();
@@ -234,7 +269,12 @@
     }
 
     bool detached = false;
+    /// Of the view that was built last.
     Revision newest;
+    /// Whether the state has changed since then.
+    bool isStale = true;
+    bool viewScheduled = false;
+    ViewPace pace;
     ViewHistory history;
     ViewBatch batch;
     bool batchTimerRuns = false;
@@ -403,7 +443,7 @@
 
     auto answerInTurn(WatchContext call, Revision known) -> kj::Promise<void>
     {
-        if (!this->shared->leads() || this->shared->newestRevision() == known) {
+        if (!this->shared->leads() || this->shared->sentRevision() == known) {
             this->answerWatch(call, known);
             return kj::READY_NOW;
         }
@@ -421,7 +461,7 @@
             this->shared->writeRedirect(answer.initRedirect());
             return;
         }
-        if (this->shared->newestRevision() == known) {
+        if (this->shared->sentRevision() == known) {
             answer.setUnchanged();
             return;
         }
--- a/lib/Control/viewhistory.cpp
+++ b/lib/Control/viewhistory.cpp
@@ -12,7 +12,8 @@
     if (!this->views.empty() && this->views.back()->revision >= view->revision) {
         return;
     }
-    this->views.push_back(view);
+    // Ordered by ids, as comparisons need it.
+    this->views.push_back(std::make_shared<const membership::ClusterView>(membership::viewFor(*view, {})));
     this->updates.clear();
     if (this->views.size() > viewsKept) {
         this->views.pop_front();
@@ -40,12 +41,14 @@
 
 auto ViewHistory::makeUpdate(Revision known, std::span<const ServiceId> services) const -> ViewUpdate
 {
-    const auto newest = membership::viewFor(*this->views.back(), services);
-    if (const auto base = this->viewAt(known)) {
-        const auto delta = membership::computeDelta(membership::viewFor(*base, services), newest);
-        return {true, std::make_shared<const PackedView>(pack(delta))};
+    const auto &newest = *this->views.back();
+    const auto base = this->viewAt(known);
+    if (base == nullptr) {
+        return {false, std::make_shared<const PackedView>(services.empty() ? pack(newest) : pack(membership::viewFor(newest, services)))};
     }
-    return {false, std::make_shared<const PackedView>(pack(newest))};
+    const auto delta = services.empty() ? membership::computeDelta(*base, newest)
+                                        : membership::computeDelta(membership::viewFor(*base, services), membership::viewFor(newest, services));
+    return {true, std::make_shared<const PackedView>(pack(delta))};
 }
 
 } // namespace sapphirespool::control
