A grant of a lease is not replaced before its view has arrived

What callers saw: a proxy that received its views without a lease, so that it refused names and keys as unknown to it for now.

Cause: the proxy kept one grant that waited for its view, and each heartbeat replaced it by one for a newer view. While the state changes faster than views arrive, no grant was ever covered.

Each still extends the lease only once a view at least as new as its floor is there, to its own end.

--- a/lib/Control/leasekeeper.cpp
+++ b/lib/Control/leasekeeper.cpp
@@ -12,7 +12,10 @@
 
 auto LeaseKeeper::granted(TimePoint expiry, Revision floor) -> void
 {
-    this->pending = Grant{expiry, floor};
+    if (!this->pending.empty() && (this->pending.back().floor >= floor || this->pending.size() == maxPending)) {
+        this->pending.pop_back();
+    }
+    this->pending.push_back(Grant{expiry, floor});
     this->extendIfCovered();
 }
 
@@ -24,10 +27,14 @@
 
 auto LeaseKeeper::extendIfCovered() -> void
 {
-    if (this->pending && this->holder.current()->revision >= this->pending->floor) {
-        this->holder.extendLease(this->pending->expiry);
-        this->pending.reset();
-    }
+    const auto revision = this->holder.current()->revision;
+    std::erase_if(this->pending, [this, revision](const Grant &grant) {
+        const auto covered = grant.floor <= revision;
+        if (covered) {
+            this->holder.extendLease(grant.expiry);
+        }
+        return covered;
+    });
 }
 
 } // namespace sapphirespool::control
