The first primary of a group is not replaced for announcing itself late

What callers saw: at a first start with many groups some primaries were stopped while they served, and replicas promoted in their place.

Cause: the first term began as soon as two members of three had announced themselves. If both were replicas they were fenced, were a quorum, and one of them was chosen. The primary announced itself a moment later.

Change: a self-replicating group without a first primary waits until a member says that it is primary, until all members have announced themselves, or for as long as a member may stay silent. The wait is bounded, so that a group whose primary is dead from the start gets one.

--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -63,6 +63,8 @@
     auto enterTerm(const state::GroupRecord &group, Revision current, TimePoint now) -> void;
     auto elect(const state::GroupRecord &group, TimePoint now) -> Actions;
     auto adopt(const state::GroupRecord &group, TimePoint now) -> Actions;
+    /// \return whether a member that has not announced itself yet may be the primary that the group has had before this system
+    auto awaitsFirstPrimary(const state::GroupRecord &group, TimePoint now) -> bool;
     auto fenceMembers(const state::GroupRecord &group, TimePoint now) -> Actions;
     auto choose(const state::GroupRecord &group, TimePoint now) -> Actions;
     auto lead(const state::GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions;
@@ -126,6 +128,8 @@
     std::optional<TimePoint> suspected;
     /// Primary whose term was ended here because it did not serve.
     std::optional<UpstreamId> suspect;
+    /// When a quorum had announced itself to this leader, for a group without a first primary.
+    std::optional<TimePoint> firstQuorumAt;
     std::optional<TimePoint> leavingSince;
     bool inMotion = true;
     TimePoint wake;
--- a/include/sapphirespool/Promotion/membertable.h
+++ b/include/sapphirespool/Promotion/membertable.h
@@ -50,6 +50,8 @@
 
     /// \return the one live member that calls itself primary without a term; nothing if there is none, or two
     [[nodiscard]] auto selfAppointed(TimePoint now) const -> std::optional<UpstreamId>;
+    /// \return whether a live member says that it is primary
+    [[nodiscard]] auto namesPrimary(TimePoint now) const -> bool;
 
     /// \return the highest term that any member has seen
     [[nodiscard]] auto highestTerm() const -> Term;
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -4,6 +4,7 @@
 #include "sapphirespool/Promotion/timing.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <utility>
 #include <vector>
 
@@ -15,6 +16,9 @@
 
 using state::GroupRecord;
 
+/// The first term in which a group that is handed to this system can have a primary.
+constexpr auto firstTermNumber = std::uint64_t{1};
+
 auto fenceOf(const GroupRecord &group, const membership::UpstreamView &member) -> SendFence
 {
     return {group.view.id, member.id, member.endpoint, {group.view.term.value()}};
@@ -130,9 +134,15 @@
 auto GroupPromotion::elect(const GroupRecord &group, TimePoint now) -> Actions
 {
     this->inMotion = true;
-    if (group.view.term == Term(0)) {
+    if (group.view.term == Term(0) && this->liveCount(group, now) < group.quorum()) {
         // Members that have not registered cannot be fenced, so the first term would end without a primary.
-        return this->liveCount(group, now) < group.quorum() ? Actions() : this->endTerm(group, TermEnd::First, now);
+        return {};
+    }
+    if (this->awaitsFirstPrimary(group, now)) {
+        return {};
+    }
+    if (group.view.term == Term(0)) {
+        return this->endTerm(group, TermEnd::First, now);
     }
     if (this->members.highestTerm() > group.view.term) {
         return this->endTerm(group, TermEnd::Overtaken, now);
@@ -159,6 +169,20 @@
     return {ProposePrimary{{group.view.id, group.view.term, primary, this->incarnationOf(group, primary), LogPosition()}}};
 }
 
+auto GroupPromotion::awaitsFirstPrimary(const GroupRecord &group, TimePoint now) -> bool
+{
+    // When the system starts, the members of many groups announce themselves in any order. Two replicas that come before their primary
+    // are a quorum: one of them would be promoted, and the primary stopped while it serves.
+    const auto isNew = group.selfReplicating && group.view.history.empty() && group.view.term <= Term(firstTermNumber);
+    if (!isNew || this->members.namesPrimary(now) || this->liveCount(group, now) >= group.size) {
+        return false;
+    }
+    if (!this->firstQuorumAt) {
+        this->firstQuorumAt = now;
+    }
+    return now - *this->firstQuorumAt < this->silence;
+}
+
 auto GroupPromotion::fenceMembers(const GroupRecord &group, TimePoint now) -> Actions
 {
     const auto retry = group.selfReplicating && !this->fenced.empty() ? catchUpRetry : orderRetry;
--- a/lib/Promotion/membertable.cpp
+++ b/lib/Promotion/membertable.cpp
@@ -131,6 +131,13 @@
     return primary;
 }
 
+auto MemberTable::namesPrimary(TimePoint now) const -> bool
+{
+    return std::any_of(this->members.begin(), this->members.end(), [this, now](const auto &member) {
+        return member.second.role == platform::Role::Primary && this->isLive(member.first, now);
+    });
+}
+
 auto MemberTable::highestTerm() const -> Term
 {
     auto highest = Term();
--- a/unittests/Promotion/selfreplicatingtest.cpp
+++ b/unittests/Promotion/selfreplicatingtest.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <cstdint>
+#include <optional>
 #include <string>
 
 namespace sapphirespool::promotion
@@ -112,6 +114,60 @@
     CHECK(find<SendFence>(adopted) == nullptr);
 }
 
+TEST_CASE("a primary that announces itself after its replicas is neither fenced nor replaced")
+{
+    // Failure: at the first start a replica is promoted in the place of a primary that serves.
+    for (const auto term : {std::uint64_t{0}, std::uint64_t{1}}) {
+        auto group = Group(term);
+        group.record.size = 3;
+        group.promotion = GroupPromotion(start, silenceAfter(1'200ms));
+        group.promotion.note(announcementOf("b", platform::Role::Replica), start);
+        group.promotion.note(announcementOf("c", platform::Role::Replica), start);
+        for (auto passed = 0ms; passed < 1'200ms; passed += 20ms) {
+            CHECK(group.advance(start + passed).empty());
+        }
+        group.announce(start + 1'200ms);
+        auto actions = group.advance(start + 1'200ms);
+        if (group.record.view.term == Term(0)) {
+            REQUIRE(find<ProposeTerm>(actions) != nullptr);
+            group.record.view.term = Term(1);
+            actions = group.advance(start + 1'201ms);
+        }
+        REQUIRE(find<ProposePrimary>(actions) != nullptr);
+        CHECK(find<ProposePrimary>(actions)->command.primary == UpstreamId("a"));
+        CHECK(find<SendFence>(actions) == nullptr);
+    }
+}
+
+TEST_CASE("a new group whose primary never announces itself gets one all the same")
+{
+    const auto elects = [](const Actions &actions) {
+        return find<SendFence>(actions) != nullptr;
+    };
+    auto group = Group(1);
+    group.record.size = 3;
+    group.promotion = GroupPromotion(start, silenceAfter(1'200ms));
+    auto began = std::optional<TimePoint>();
+    for (auto passed = 0ms; passed <= 5s && !began; passed += 100ms) {
+        group.promotion.note(announcementOf("b", platform::Role::Replica), start + passed);
+        group.promotion.note(announcementOf("c", platform::Role::Replica), start + passed);
+        if (elects(group.advance(start + passed))) {
+            began = start + passed;
+        }
+    }
+    REQUIRE(began);
+    CHECK(*began <= start + silenceAfter(1'200ms));
+
+    // All members have announced themselves, and none of them is primary.
+    auto without = Group(1);
+    without.record.size = 3;
+    without.promotion = GroupPromotion(start, silenceAfter(1'200ms));
+    for (const auto *const id : {"a", "b", "c"}) {
+        without.promotion.note(announcementOf(id, platform::Role::Replica), start);
+    }
+    CHECK(elects(without.advance(start)));
+}
+
 TEST_CASE("two members that both call themselves primary are not guessed between")
 {
     auto group = Group(1);
