Large views go to a VM in parts

What callers saw: with a view of some 200 KB, as thousands of customers make it, no request was served by 300 VMs, ever.

Cause: answers to heartbeats come by the same connection as views. A link of 2 Mbit/s carries 226 KB in 0.9 s; a heartbeat without an answer ends the connection after 0.5 s. The VM connects again, is sent the whole view again, and so on: the leader's link is full of views that never arrive.

Change: a view of more than 32 KiB is fetched in parts, each of which takes a thin link 0.13 s. The leader keeps the content of a transfer until its last part; a part goes before views that have not begun. Old and new processes understand each other: a VM that names no limit gets whole views, and a leader that does not know the limit sends them.

--- a/lib/Control/controlserver.cpp
+++ b/lib/Control/controlserver.cpp
@@ -6,7 +6,9 @@
 #include "viewhistory.h"
 #include "viewpace.h"
 #include "viewpacer.h"
+#include "viewtransfer.h"
 
+#include "sapphirespool/Rpc/bytes.h"
 #include "sapphirespool/Support/clock.h"
 #include "sapphirespool/Support/log.h"
 
@@ -29,6 +31,9 @@
 /// A watch is answered after this long at the latest, so that a proxy learns soon that the VM no longer leads.
 constexpr auto watchLimit = 500 * kj::MILLISECONDS;
 
+/// Smallest part of a view that is sent, whatever a VM asks for.
+constexpr auto smallestPart = std::size_t{4} * 1024;
+
 /// How often the delay of the control thread is measured.
 constexpr auto loadInterval = std::chrono::milliseconds(100);
 
@@ -140,16 +145,19 @@
         return this->history.updateFrom(known, services);
     }
 
-    /// \return a promise fulfilled when a view of \p bytes may go out to \p vm
+    /// \return a promise fulfilled when a view of \p bytes, or its first part, may go out to \p vm
     auto awaitTurn(const VmId &vm, std::size_t bytes) -> kj::Promise<void>
     {
         if (bytes <= ViewPacer::smallView) {
             return kj::READY_NOW;
         }
-        auto signal = kj::newPromiseAndFulfiller<void>();
-        this->turns.emplace(this->pacer.enter(vm, bytes), Turn{vm, kj::mv(signal.fulfiller)});
-        this->giveTurns();
-        return kj::mv(signal.promise);
+        return this->awaitTicket(vm, this->pacer.enter(vm, bytes));
+    }
+
+    /// \return a promise fulfilled when a further part of \p bytes may go out to \p vm
+    auto awaitTurnOfPart(const VmId &vm, std::size_t bytes) -> kj::Promise<void>
+    {
+        return this->awaitTicket(vm, this->pacer.enterPart(vm, bytes));
     }
 
     /// Notes that \p vm has taken in the views that it was sent.
@@ -163,6 +171,7 @@
     consensus::Replica &replica;
     ControlService &service;
     ControlLoad load;
+    ViewTransfers transfers;
 
 private:
     struct Turn
@@ -171,6 +180,14 @@
         kj::Own<kj::PromiseFulfiller<void>> fulfiller;
     };
 
+    auto awaitTicket(const VmId &vm, ViewPacer::Ticket ticket) -> kj::Promise<void>
+    {
+        auto signal = kj::newPromiseAndFulfiller<void>();
+        this->turns.emplace(ticket, Turn{vm, kj::mv(signal.fulfiller)});
+        this->giveTurns();
+        return kj::mv(signal.promise);
+    }
+
     auto giveTurns() -> void
     {
         for (const auto ticket : this->pacer.due(support::now())) {
@@ -349,11 +366,15 @@
     {
         const auto params = call.getParams();
         const auto known = Revision(params.getKnown());
-        this->shared->viewTaken(VmId(params.getVm().cStr()));
+        const auto vm = VmId(params.getVm().cStr());
+        this->shared->viewTaken(vm);
         if (!this->shared->leads()) {
             this->shared->writeRedirect(call.getResults().initAnswer().initRedirect());
             return kj::READY_NOW;
         }
+        if (this->shared->transfers.holds(vm, params.getTransfer())) {
+            return this->answerPartInTurn(call);
+        }
         if (this->shared->isDue(known)) {
             return this->answerInTurn(call, known);
         }
@@ -446,25 +467,65 @@
             return kj::READY_NOW;
         }
         const auto update = this->shared->updateFrom(known, servicesOf(call));
+        const auto limit = partLimitOf(call);
+        const auto size = limit == 0 ? update.content->size() : std::min(update.content->size(), limit);
         // What is newest when the turn comes is sent, however many changes there were meanwhile.
-        return this->shared->awaitTurn(VmId(call.getParams().getVm().cStr()), update.content->size()).then([this, call, known]() mutable {
+        return this->shared->awaitTurn(VmId(call.getParams().getVm().cStr()), size).then([this, call, known]() mutable {
             this->answerWatch(call, known);
         });
     }
 
+    /// \return the largest part of a view that the VM takes; 0 if it takes views whole
+    static auto partLimitOf(WatchContext &call) -> std::size_t
+    {
+        const auto limit = std::size_t{call.getParams().getPartLimit()};
+        return limit == 0 ? 0 : std::max(limit, smallestPart);
+    }
+
+    auto answerPartInTurn(WatchContext call) -> kj::Promise<void>
+    {
+        return this->shared->awaitTurnOfPart(VmId(call.getParams().getVm().cStr()), partLimitOf(call)).then([this, call]() mutable {
+            const auto params = call.getParams();
+            if (!this->answerPart(call, params.getTransfer(), params.getOffset())) {
+                // Another call of the VM has ended the transfer.
+                call.getResults().initAnswer().setUnchanged();
+            }
+        });
+    }
+
+    /// \return false if there is no such part
+    auto answerPart(WatchContext &call, std::uint64_t transfer, std::size_t offset) -> bool
+    {
+        const auto vm = VmId(call.getParams().getVm().cStr());
+        const auto part = this->shared->transfers.partAt(vm, transfer, offset, partLimitOf(call));
+        if (!part) {
+            return false;
+        }
+        auto out = call.getResults().initAnswer().initPart();
+        out.setTransfer(part->transfer);
+        out.setTotal(part->total);
+        out.setIsDelta(part->isDelta);
+        out.setData(rpc::toData(part->data));
+        return true;
+    }
+
     auto answerWatch(WatchContext &call, Revision known) -> void
     {
-        auto answer = call.getResults().initAnswer();
         if (!this->shared->leads()) {
-            this->shared->writeRedirect(answer.initRedirect());
+            this->shared->writeRedirect(call.getResults().initAnswer().initRedirect());
             return;
         }
         if (this->shared->sentRevision() == known) {
-            answer.setUnchanged();
+            call.getResults().initAnswer().setUnchanged();
             return;
         }
         const auto update = this->shared->updateFrom(known, servicesOf(call));
         this->shared->load.addSentView(update.content->size(), update.isDelta);
+        if (const auto limit = partLimitOf(call); limit != 0 && update.content->size() > limit) {
+            this->answerPart(call, this->shared->transfers.begin(VmId(call.getParams().getVm().cStr()), update), 0);
+            return;
+        }
+        auto answer = call.getResults().initAnswer();
         if (update.isDelta) {
             answer.setDelta(toData(*update.content));
         } else {
--- a/lib/Control/linkloop.cpp
+++ b/lib/Control/linkloop.cpp
@@ -1,6 +1,7 @@
 #include "linkloop.h"
 
 #include "codec.h"
+#include "sapphirespool/Rpc/bytes.h"
 #include "sapphirespool/Support/clock.h"
 
 #include <chrono>
@@ -106,6 +107,7 @@
 {
     auto control = connected->bootstrap().castAs<schema::Control>();
     this->client = control;
+    this->incoming.clear();
     // After a change of the VM the first heartbeat goes out at once: the lease runs.
     auto session = this->heartbeats(control).exclusiveJoin(this->watches(control)).exclusiveJoin(connected->onDisconnect().then([]() -> kj::Promise<void> {
         return endSession();
@@ -184,13 +186,16 @@
     auto request = control.watchRequest();
     request.setVm(this->settings.vm.value());
     request.setKnown(this->snapshotNeeded ? 0 : this->holder->current()->revision.value());
+    request.setPartLimit(viewPartBytes);
+    request.setTransfer(this->incoming.transfer());
+    request.setOffset(this->incoming.content().size());
     auto services = request.initServices(static_cast<unsigned>(this->settings.services.size()));
     for (auto index = 0U; index < services.size(); ++index) {
         services.set(index, this->settings.services[index].value());
     }
     return this->context.timer.timeoutAfter(watchLimit, request.send())
         .then([this](capnp::Response<schema::Control::WatchResults> &&response) {
-            this->takeView(response.getAnswer());
+            this->takeAnswer(response.getAnswer());
             return this->context.timer.afterDelay(heartbeatSpacing);
         })
         .then([this, control]() mutable {
@@ -198,23 +203,53 @@
         });
 }
 
-auto LinkLoop::takeView(schema::WatchAnswer::Reader answer) -> void
+auto LinkLoop::takeAnswer(schema::WatchAnswer::Reader answer) -> void
 {
     if (answer.isRedirect()) {
         this->followRedirect(answer.getRedirect());
         kj::throwFatalException(endSession());
     }
+    if (answer.isPart()) {
+        this->takePart(answer.getPart());
+        return;
+    }
+    this->incoming.clear();
     if (answer.isSnapshot()) {
-        this->snapshotNeeded = false;
-        this->leases.viewArrived(std::make_shared<const membership::ClusterView>(unpackView(answer.getSnapshot())));
-        this->wakeHeartbeat();
+        this->takeSnapshot(answer.getSnapshot());
     } else if (answer.isDelta()) {
-        auto next = membership::applyDelta(*this->holder->current(), unpackDelta(answer.getDelta()));
-        this->snapshotNeeded = !next.has_value();
-        if (next) {
-            this->leases.viewArrived(std::make_shared<const membership::ClusterView>(*std::move(next)));
-            this->wakeHeartbeat();
-        }
+        this->takeDelta(answer.getDelta());
+    }
+}
+
+auto LinkLoop::takePart(schema::ViewPart::Reader part) -> void
+{
+    if (!this->incoming.add({part.getTransfer(), part.getTotal(), part.getIsDelta(), rpc::bytesOf(part.getData())})) {
+        return;
+    }
+    const auto content = this->incoming.content();
+    const auto packed = std::vector<std::byte>(content.begin(), content.end());
+    this->incoming.clear();
+    if (part.getIsDelta()) {
+        this->takeDelta(toData(packed));
+    } else {
+        this->takeSnapshot(toData(packed));
+    }
+}
+
+auto LinkLoop::takeSnapshot(capnp::Data::Reader packed) -> void
+{
+    this->snapshotNeeded = false;
+    this->leases.viewArrived(std::make_shared<const membership::ClusterView>(unpackView(packed)));
+    this->wakeHeartbeat();
+}
+
+auto LinkLoop::takeDelta(capnp::Data::Reader packed) -> void
+{
+    auto next = membership::applyDelta(*this->holder->current(), unpackDelta(packed));
+    this->snapshotNeeded = !next.has_value();
+    if (next) {
+        this->leases.viewArrived(std::make_shared<const membership::ClusterView>(*std::move(next)));
+        this->wakeHeartbeat();
     }
 }
 
--- a/lib/Control/linkloop.h
+++ b/lib/Control/linkloop.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "leasekeeper.h"
+#include "viewtransfer.h"
 #include "sapphirespool/Control/controlservice.h"
 #include "sapphirespool/Control/proxylink.h"
 #include "sapphirespool/Rpc/connection.h"
@@ -58,7 +59,10 @@
     auto takeHeartbeat() -> VmHeartbeat;
     auto takeAnswer(schema::HeartbeatAnswer::Reader answer, TimePoint sentAt) -> void;
     auto watches(schema::Control::Client control) -> kj::Promise<void>;
-    auto takeView(schema::WatchAnswer::Reader answer) -> void;
+    auto takeAnswer(schema::WatchAnswer::Reader answer) -> void;
+    auto takePart(schema::ViewPart::Reader part) -> void;
+    auto takeSnapshot(capnp::Data::Reader packed) -> void;
+    auto takeDelta(capnp::Data::Reader packed) -> void;
     auto followRedirect(schema::Redirect::Reader redirect) -> void;
     auto nextTarget() -> Endpoint;
     auto wakeHeartbeat() -> void;
@@ -78,6 +82,8 @@
     bool wentStraight = false;
     kj::Maybe<schema::Control::Client> client;
     bool snapshotNeeded = false;
+    /// The view that is fetched in parts.
+    ViewAssembly incoming;
     std::map<std::string, platform::Announcement> announcements;
     std::map<std::string, platform::Announcement> announcementsSent;
     std::vector<membership::Suspicion> suspicions;
--- a/lib/Control/viewpacer.cpp
+++ b/lib/Control/viewpacer.cpp
@@ -21,6 +21,12 @@
     return this->last;
 }
 
+auto ViewPacer::enterPart(const VmId &vm, std::size_t bytes) -> Ticket
+{
+    this->queue.push_front({++this->last, vm, bytes});
+    return this->last;
+}
+
 auto ViewPacer::taken(const VmId &vm) -> void
 {
     if (const auto sent = this->underWay.extract(vm)) {
--- a/lib/Control/viewpacer.h
+++ b/lib/Control/viewpacer.h
@@ -37,6 +37,9 @@
     /// \p vm is to get a view of \p bytes.
     auto enter(const VmId &vm, std::size_t bytes) -> Ticket;
 
+    /// \p vm is to get a further part of its view, of \p bytes. It goes before views that have not begun, so that the first VMs serve early.
+    auto enterPart(const VmId &vm, std::size_t bytes) -> Ticket;
+
     /// \p vm has taken in what it was sent.
     auto taken(const VmId &vm) -> void;
 
--- a/schema/control.capnp
+++ b/schema/control.capnp
@@ -158,7 +158,8 @@
 interface Control {
   heartbeat @0 (heartbeat :VmHeartbeat) -> (answer :HeartbeatAnswer);
   # Answers as soon as the view differs from the known revision, or after a while. The VM has taken in the answers before this call.
-  watch @1 (known :UInt64, services :List(Text), vm :Text) -> (answer :WatchAnswer);
+  # A view of more than partLimit bytes comes in parts; 0: never. Further parts are asked for by transfer and offset, one at a time.
+  watch @1 (known :UInt64, services :List(Text), vm :Text, partLimit :UInt32, transfer :UInt64, offset :UInt64) -> (answer :WatchAnswer);
   # The text is compressed.
   changeConfiguration @2 (change :Text, base :UInt64, text :Data) -> (answer :ChangeAnswer);
   readConfiguration @3 () -> (answer :TextAnswer);
@@ -186,9 +187,19 @@
     snapshot @2 :Data;
     # A compressed message that holds a ViewDelta.
     delta @3 :Data;
+    # Of a snapshot or a delta.
+    part @4 :ViewPart;
   }
 }
 
+struct ViewPart {
+  transfer @0 :UInt64;
+  # Bytes of all parts together.
+  total @1 :UInt64;
+  isDelta @2 :Bool;
+  data @3 :Data;
+}
+
 struct ChangeAnswer {
   union {
     redirect @0 :Redirect;
--- a/unittests/Control/proxylinktest.cpp
+++ b/unittests/Control/proxylinktest.cpp
@@ -258,6 +258,30 @@
     CHECK(vms.otherService.heartbeats == 0);
 }
 
+TEST_CASE("a view larger than a part arrives whole, and so does the change after it")
+{
+    // Failure: a large view on a thin link holds up the answers to heartbeats until the connection ends, each time anew.
+    auto vms = TwoControlVms();
+    auto large = viewOf(1, "bookings");
+    for (std::uint64_t number = 0; number < 5'000; ++number) {
+        // Names that do not compress.
+        large.services.append({ServiceId(std::to_string(number * 0x9e3779b97f4a7c15U)), GroupId("g")});
+    }
+    vms.change(large);
+    vms.awaitRevision(1);
+    CHECK(vms.holder->current()->services.size() == 5'001);
+    auto next = large;
+    next.revision = Revision(2);
+    next.configuration = Revision(2);
+    next.services.append({ServiceId("zz"), GroupId("g")});
+    vms.change(next);
+    vms.awaitRevision(2);
+    CHECK(vms.holder->current()->findService(ServiceId("zz")) != nullptr);
+    waitUntil([&vms] {
+        return vms.leaseLive() && vms.service.confirmed == 2;
+    });
+}
+
 TEST_CASE("a control VM that no longer leads grants no lease")
 {
     // The caller sees: a write acknowledged by a proxy whose primary was replaced.
