Calls of connections that have ended take no turns from waiting VMs

Cause: a watch went on at the leader after its connection had ended, was answered at the next change, and its view took a place on the link in the pacer's account. VMs that connect again each half second leave one such call each time.

Evidence: found by reading; the new tests of the pacer need what this adds.

Change: a watch may be cancelled, and a ticket whose call has ended leaves the queue.

--- a/lib/Control/controlserver.cpp
+++ b/lib/Control/controlserver.cpp
@@ -151,13 +151,13 @@
         if (bytes <= ViewPacer::smallView) {
             return kj::READY_NOW;
         }
-        return this->awaitTicket(vm, this->pacer.enter(vm, bytes));
+        return this->awaitTicket(this->pacer.enter(vm, bytes));
     }
 
     /// \return a promise fulfilled when a further part of \p bytes may go out to \p vm
     auto awaitTurnOfPart(const VmId &vm, std::size_t bytes) -> kj::Promise<void>
     {
-        return this->awaitTicket(vm, this->pacer.enterPart(vm, bytes));
+        return this->awaitTicket(this->pacer.enterPart(vm, bytes));
     }
 
     /// Notes that \p vm has taken in the views that it was sent.
@@ -174,29 +174,21 @@
     ViewTransfers transfers;
 
 private:
-    struct Turn
-    {
-        VmId vm;
-        kj::Own<kj::PromiseFulfiller<void>> fulfiller;
-    };
-
-    auto awaitTicket(const VmId &vm, ViewPacer::Ticket ticket) -> kj::Promise<void>
+    auto awaitTicket(ViewPacer::Ticket ticket) -> kj::Promise<void>
     {
         auto signal = kj::newPromiseAndFulfiller<void>();
-        this->turns.emplace(ticket, Turn{vm, kj::mv(signal.fulfiller)});
+        this->turns.emplace(ticket, kj::mv(signal.fulfiller));
         this->giveTurns();
-        return kj::mv(signal.promise);
+        return signal.promise.attach(kj::defer([this, ticket] {
+            this->pacer.leave(ticket);
+            this->turns.erase(ticket);
+        }));
     }
 
     auto giveTurns() -> void
     {
         for (const auto ticket : this->pacer.due(support::now())) {
-            auto turn = kj::mv(this->turns.extract(ticket).mapped());
-            if (turn.fulfiller->isWaiting()) {
-                turn.fulfiller->fulfill();
-            } else {
-                this->pacer.taken(turn.vm);
-            }
+            this->turns.extract(ticket).mapped()->fulfill();
         }
         const auto next = this->pacer.nextAt();
         if (this->pacer.isWaiting() && next && !std::exchange(this->turnTimerRuns, true)) {
@@ -294,7 +286,7 @@
     ViewBatch batch;
     bool batchTimerRuns = false;
     ViewPacer pacer;
-    std::map<ViewPacer::Ticket, Turn> turns;
+    std::map<ViewPacer::Ticket, kj::Own<kj::PromiseFulfiller<void>>> turns;
     bool turnTimerRuns = false;
     std::vector<kj::Own<kj::PromiseFulfiller<void>>> waiting;
     kj::TaskSet tasks;
@@ -364,6 +356,8 @@
 
     auto watch(WatchContext call) -> kj::Promise<void> override
     {
+        // Otherwise calls of connections that have ended would still be answered, and take turns from VMs that wait.
+        call.allowCancellation();
         const auto params = call.getParams();
         const auto known = Revision(params.getKnown());
         const auto vm = VmId(params.getVm().cStr());
--- a/lib/Control/viewpacer.cpp
+++ b/lib/Control/viewpacer.cpp
@@ -27,6 +27,13 @@
     return this->last;
 }
 
+auto ViewPacer::leave(Ticket ticket) -> void
+{
+    std::erase_if(this->queue, [ticket](const Entry &entry) {
+        return entry.ticket == ticket;
+    });
+}
+
 auto ViewPacer::taken(const VmId &vm) -> void
 {
     if (const auto sent = this->underWay.extract(vm)) {
--- a/lib/Control/viewpacer.h
+++ b/lib/Control/viewpacer.h
@@ -40,6 +40,9 @@
     /// \p vm is to get a further part of its view, of \p bytes. It goes before views that have not begun, so that the first VMs serve early.
     auto enterPart(const VmId &vm, std::size_t bytes) -> Ticket;
 
+    /// Gives up \p ticket; without effect once its turn has come.
+    auto leave(Ticket ticket) -> void;
+
     /// \p vm has taken in what it was sent.
     auto taken(const VmId &vm) -> void;
 
--- a/unittests/Control/viewpacertest.cpp
+++ b/unittests/Control/viewpacertest.cpp
@@ -125,6 +125,32 @@
     CHECK(outcome.allServed < std::chrono::seconds(8));
 }
 
+TEST_CASE("views that nobody waits for any more take no time on the link")
+{
+    // Failure: VMs that connect again and again leave calls behind, and the views of those hold up all others.
+    auto pacer = ViewPacer();
+    for (auto call = 0; call < 1'000; ++call) {
+        pacer.leave(pacer.enter(VmId("restarting"), 48'000));
+    }
+    const auto live = pacer.enter(VmId("live"), 48'000);
+    CHECK(pacer.due(start) == std::vector{live});
+    CHECK_FALSE(pacer.isWaiting());
+    pacer.leave(live);
+    REQUIRE(pacer.nextAt());
+    CHECK(*pacer.nextAt() < start + milliseconds(10));
+}
+
+TEST_CASE("a further part of a view goes before views that have not begun")
+{
+    auto pacer = ViewPacer();
+    const auto first = pacer.enter(VmId("a"), ViewPacer::bytesUnderWay);
+    CHECK(pacer.due(start) == std::vector{first});
+    static_cast<void>(pacer.enter(VmId("b"), ViewPacer::bytesUnderWay));
+    pacer.taken(VmId("a"));
+    const auto part = pacer.enterPart(VmId("a"), ViewPacer::bytesUnderWay);
+    CHECK(pacer.due(start) == std::vector{part});
+}
+
 TEST_CASE("a VM that asks again has taken in what it was sent")
 {
     auto pacer = ViewPacer();
