--- a/lib/Control/linkloop.h
+++ b/lib/Control/linkloop.h
@@ -2,10 +2,10 @@
 #pragma once
 
 #include "leasekeeper.h"
-#include "viewtransfer.h"
 #include "sapphirespool/Control/controlservice.h"
 #include "sapphirespool/Control/proxylink.h"
 #include "sapphirespool/Rpc/connection.h"
+#include "viewtransfer.h"
 
 #include <control.capnp.h>
 #include <kj/async.h>
--- a/lib/Control/viewtransfer.h
+++ b/lib/Control/viewtransfer.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "codec.h"
-#include "viewhistory.h"
 #include "sapphirespool/Support/types.h"
+#include "viewhistory.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/unittests/Consensus/replicatest.cpp
+++ b/unittests/Consensus/replicatest.cpp
@@ -1,5 +1,5 @@
-#include "sapphirespool/Consensus/coretypes.h"
 #include "sapphirespool/Consensus/replica.h"
+#include "sapphirespool/Consensus/coretypes.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <capnp/rpc-twoparty.h>
