Control VMs that do not lead keep views too

A VM that takes the lead had no views of before, and would have sent each VM the whole view, also to those one revision behind.

Cause: views were only built while VMs waited for them.

Change: a changed state has a view built on each control VM, at the bounded rate. Parts of a view are also sent only under the leader's lease, and what a call leaves behind keeps the server's state alive until it is done. The log of the load no longer tells processor time: the clock of the process goes with the time of day on the users' platform, where it read 1,000 ms in each second.

--- a/lib/Control/controlload.cpp
+++ b/lib/Control/controlload.cpp
@@ -29,14 +29,13 @@
     this->sample.longestDelay = std::max(this->sample.longestDelay, delay);
 }
 
-auto ControlLoad::report(TimePoint now, Duration processorTime) -> std::optional<LoadSample>
+auto ControlLoad::report(TimePoint now) -> std::optional<LoadSample>
 {
     if (this->reportedAt && now - *this->reportedAt < reportInterval) {
         return std::nullopt;
     }
     const auto isFirst = !std::exchange(this->reportedAt, now);
-    auto done = std::exchange(this->sample, {});
-    done.processorTime = processorTime - std::exchange(this->reportedProcessorTime, processorTime);
+    const auto done = std::exchange(this->sample, {});
     return isFirst ? std::nullopt : std::optional(done);
 }
 
--- a/lib/Control/controlload.h
+++ b/lib/Control/controlload.h
@@ -22,8 +22,6 @@
     /// Those of viewsSent that were not deltas.
     std::uint64_t wholeViewsSent = 0;
     std::uint64_t viewBytes = 0;
-    /// Processor time of the whole process.
-    Duration processorTime{};
     /// Longest time by which a timer of the control thread was late.
     Duration longestDelay{};
 };
@@ -39,14 +37,12 @@
     auto addSentView(std::size_t bytes, bool isDelta) -> void;
     auto addDelay(Duration delay) -> void;
 
-    /// \param processorTime of the process since its start
     /// \return the work since the last report if one is due at \p now
-    [[nodiscard]] auto report(TimePoint now, Duration processorTime) -> std::optional<LoadSample>;
+    [[nodiscard]] auto report(TimePoint now) -> std::optional<LoadSample>;
 
 private:
     LoadSample sample;
     std::optional<TimePoint> reportedAt;
-    Duration reportedProcessorTime{};
 };
 
 } // namespace sapphirespool::control
--- a/lib/Control/controlserver.cpp
+++ b/lib/Control/controlserver.cpp
@@ -16,7 +16,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <ctime>
 #include <functional>
 #include <map>
 #include <span>
@@ -37,12 +36,6 @@
 /// How often the delay of the control thread is measured.
 constexpr auto loadInterval = std::chrono::milliseconds(100);
 
-/// \return the processor time of this process since its start
-auto processorTime() -> Duration
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::microseconds(std::clock() * (std::micro::den / CLOCKS_PER_SEC)));
-}
-
 auto logLoad(const LoadSample &sample) -> void
 {
     support::log(support::Event::ControlLoad,
@@ -52,12 +45,11 @@
                   {"views_sent", sample.viewsSent},
                   {"whole", sample.wholeViewsSent},
                   {"view_bytes", sample.viewBytes},
-                  {"cpu_ms", sample.processorTime},
                   {"delay_ms", sample.longestDelay}});
 }
 
 /// What the RPC objects of a server share.
-class Shared : private kj::TaskSet::ErrorHandler
+class Shared : public std::enable_shared_from_this<Shared>, private kj::TaskSet::ErrorHandler
 {
 public:
     Shared(rpc::LoopContext &context, consensus::Replica &replica, ControlService &service)
@@ -119,7 +111,6 @@
     {
         auto signal = kj::newPromiseAndFulfiller<void>();
         this->waiting.push_back(kj::mv(signal.fulfiller));
-        this->scheduleView();
         return signal.promise.exclusiveJoin(this->context.timer.afterDelay(watchLimit));
     }
 
@@ -179,9 +170,9 @@
         auto signal = kj::newPromiseAndFulfiller<void>();
         this->turns.emplace(ticket, kj::mv(signal.fulfiller));
         this->giveTurns();
-        return signal.promise.attach(kj::defer([this, ticket] {
-            this->pacer.leave(ticket);
-            this->turns.erase(ticket);
+        return signal.promise.attach(kj::defer([self = this->shared_from_this(), ticket] {
+            self->pacer.leave(ticket);
+            self->turns.erase(ticket);
         }));
     }
 
@@ -206,10 +197,10 @@
         this->scheduleView();
     }
 
-    /// Has a view built for the VMs that wait for one, as soon as its pace allows.
+    /// Has a view built as soon as its pace allows, also on a VM that does not lead: once it does, it needs the views that VMs hold.
     auto scheduleView() -> void
     {
-        if (!this->isStale || this->waiting.empty() || std::exchange(this->viewScheduled, true)) {
+        if (std::exchange(this->viewScheduled, true)) {
             return;
         }
         const auto wait = std::chrono::ceil<std::chrono::milliseconds>(this->pace.nextAt() - support::now());
@@ -263,7 +254,7 @@
         this->tasks.add(this->context.timer.afterDelay(loadInterval.count() * kj::MILLISECONDS).then([this, began] {
             const auto now = support::now();
             this->load.addDelay(now - began - loadInterval);
-            const auto sample = this->load.report(now, processorTime());
+            const auto sample = this->load.report(now);
             if (sample && this->leads()) {
                 logLoad(*sample);
             }
@@ -480,7 +471,9 @@
     {
         return this->shared->awaitTurnOfPart(VmId(call.getParams().getVm().cStr()), partLimitOf(call)).then([this, call]() mutable {
             const auto params = call.getParams();
-            if (!this->answerPart(call, params.getTransfer(), params.getOffset())) {
+            if (!this->shared->leads()) {
+                this->shared->writeRedirect(call.getResults().initAnswer().initRedirect());
+            } else if (!this->answerPart(call, params.getTransfer(), params.getOffset())) {
                 // Another call of the VM has ended the transfer.
                 call.getResults().initAnswer().setUnchanged();
             }
