--- a/lib/Control/controlserver.cpp
+++ b/lib/Control/controlserver.cpp
@@ -27,7 +27,7 @@
 namespace
 {
 
-/// A watch is answered after this long at the latest, so that a proxy learns soon that the VM no longer leads.
+/// Longest time until a watch is answered, so that a proxy learns soon that the VM is no longer leader.
 constexpr auto watchLimit = 500 * kj::MILLISECONDS;
 
 /// Smallest part of a view that is sent, whatever a VM asks for.
@@ -48,7 +48,7 @@
                   {"delay_ms", sample.longestDelay}});
 }
 
-/// What the RPC objects of a server share.
+/// State that the RPC objects of a server share.
 class Shared : public std::enable_shared_from_this<Shared>, private kj::TaskSet::ErrorHandler
 {
 public:
@@ -66,8 +66,8 @@
 
     virtual ~Shared() noexcept = default;
 
-    /// To be called when the server ends. Calls that proxies have under way hold this object until their connections are taken down,
-    /// some turns of the loop later; the replica and the service are gone by then.
+    /// Called when the server is destroyed. Calls in progress keep this object alive until their connections are closed, some turns of
+    /// the loop later, when the replica and the service no longer exist.
     auto detach() -> void
     {
         this->service.onViewChange({});
@@ -106,7 +106,7 @@
         }
     }
 
-    /// \return a promise fulfilled at the next change of the view, or when it is time to answer anyway
+    /// \return a promise fulfilled when a view is sent or the watch has timed out
     auto awaitChange() -> kj::Promise<void>
     {
         auto signal = kj::newPromiseAndFulfiller<void>();
@@ -283,7 +283,7 @@
     kj::TaskSet tasks;
 };
 
-/// Turns a callback that is called once into a promise.
+/// Converts a callback that is called once into a promise.
 template <typename Outcome>
 auto awaitOutcome(const std::function<void(std::function<void(Outcome)>)> &call) -> kj::Promise<Outcome>
 {
@@ -331,7 +331,7 @@
         });
         return outcome.then([this, call](const HeartbeatOutcome &given) mutable {
             auto answer = call.getResults().initAnswer();
-            // A leader that lost its lease meanwhile may have a successor, which does not know of the proxy's lease.
+            // If leadership was lost meanwhile, the next leader does not know of the lease that would be granted here.
             if (!this->shared->leads()) {
                 this->shared->writeRedirect(answer.initRedirect());
             } else if (const auto *const grant = std::get_if<LeaseGrant>(&given)) {
@@ -454,7 +454,7 @@
         const auto update = this->shared->updateFrom(known, servicesOf(call));
         const auto limit = partLimitOf(call);
         const auto size = limit == 0 ? update.content->size() : std::min(update.content->size(), limit);
-        // What is newest when the turn comes is sent, however many changes there were meanwhile.
+        // The view that is sent is the one that is current when the turn comes.
         return this->shared->awaitTurn(VmId(call.getParams().getVm().cStr()), size).then([this, call, known]() mutable {
             this->answerWatch(call, known);
         });
--- a/lib/Control/linkloop.cpp
+++ b/lib/Control/linkloop.cpp
@@ -13,23 +13,23 @@
 namespace
 {
 
-/// Five heartbeats fit into the shortest useful lease of about a second, so that one lost heartbeat costs nothing.
+/// Five heartbeats fit into the shortest useful lease of about a second, so that one may be lost.
 constexpr auto heartbeatInterval = 200 * kj::MILLISECONDS;
-/// What changes is passed on no faster than this, so that many announcements share a heartbeat.
+/// Minimum interval between two heartbeats, so that many announcements share one.
 constexpr auto heartbeatSpacing = 5 * kj::MILLISECONDS;
-/// A heartbeat without an answer for so long ends the connection; three times a round trip with a sync on a busy disk.
+/// Timeout of a heartbeat, after which the connection is closed: three times a round trip with a sync on a busy disk.
 constexpr auto heartbeatLimit = 500 * kj::MILLISECONDS;
-/// A large view waits for its turn at the server and takes its time over a thin link. That the VM is there is told by the heartbeats.
+/// Timeout of a watch. A large view waits for its turn at the server; heartbeats detect a server that has failed.
 constexpr auto watchLimit = 10 * kj::SECONDS;
-/// Pause before the next VM is tried; an election takes a few of them.
+/// Backoff before the next VM is tried; an election takes a few of them.
 constexpr auto reconnectPause = 50 * kj::MILLISECONDS;
-/// One send of an operator's request; a commit takes a few milliseconds.
+/// Timeout of one attempt of an operator's request; a commit takes a few milliseconds.
 constexpr auto attemptLimit = 2000 * kj::MILLISECONDS;
-/// An operator waits this long at most; an election and a few retries fit into it.
+/// Deadline of an operator's request, which leaves time for an election and a few retries.
 constexpr auto requestLife = std::chrono::seconds(8);
 constexpr auto attemptPause = 50 * kj::MILLISECONDS;
 
-/// A change as it is sent, however often.
+/// A change in the form in which each attempt sends it.
 struct PackedChange
 {
     ChangeId change;
@@ -69,7 +69,7 @@
     if (this->redirected) {
         return *std::exchange(this->redirected, std::nullopt);
     }
-    // Those of the settings and those that the group named: the settings may name VMs that have been replaced since.
+    // The settings may name only control VMs that have been replaced since, so that those of the last lease are tried too.
     const auto &given = this->settings.controlVms;
     const auto place = this->nextVm++ % (given.size() + this->heardOf.size());
     return place < given.size() ? given[place] : this->heardOf[place - given.size()];
@@ -94,7 +94,7 @@
 
 auto LinkLoop::pauseBeforeNext() -> kj::Promise<void>
 {
-    // The VM that a redirect named is tried at once; after two in a row the VMs do not agree on who leads, and asking faster does not help.
+    // A redirect is followed at once. After a second one in a row the control VMs do not agree on their leader yet.
     const auto straight = this->redirected && !std::exchange(this->wentStraight, true);
     if (straight) {
         return kj::READY_NOW;
@@ -108,7 +108,7 @@
     auto control = connected->bootstrap().castAs<schema::Control>();
     this->client = control;
     this->incoming.clear();
-    // After a change of the VM the first heartbeat goes out at once: the lease runs.
+    // The first heartbeat is sent at once, since the lease granted by the former leader expires.
     auto session = this->heartbeats(control).exclusiveJoin(this->watches(control)).exclusiveJoin(connected->onDisconnect().then([]() -> kj::Promise<void> {
         return endSession();
     }));
@@ -126,7 +126,7 @@
                                  this->leaving,
                                  view->revision,
                                  view->configuration};
-    // What had no answer is sent again, unless the upstream announced something newer.
+    // Announcements without an answer are resent, unless the upstream has sent a newer one.
     this->announcements.merge(this->announcementsSent);
     this->announcementsSent = std::exchange(this->announcements, {});
     for (const auto &[id, announcement] : this->announcementsSent) {
@@ -169,7 +169,7 @@
     }
     this->announcementsSent.clear();
     this->holder->noteContact(support::now());
-    // A suspicion that got no answer goes along with the next heartbeat: the proxy may not notice anything more.
+    // A suspicion without an answer is resent with the next heartbeat, as the proxy may observe no further failure.
     this->suspicions.erase(this->suspicions.begin(), this->suspicions.begin() + static_cast<std::ptrdiff_t>(this->suspicionsSent));
     if (answer.isLease()) {
         const auto lease = answer.getLease();
@@ -270,7 +270,7 @@
 
 auto LinkLoop::announce(platform::Announcement announcement) -> void
 {
-    // Only the newest of an upstream counts; what was not yet sent is replaced.
+    // A newer announcement of an upstream replaces one that has not been sent.
     const auto id = announcement.id;
     this->announcements.insert_or_assign(id, std::move(announcement));
     this->wakeHeartbeat();
@@ -330,7 +330,7 @@
         request.setChange(change.change.value());
         request.setBase(change.base.value());
         request.setText(toData(change.text));
-        // Without an answer it may have been accepted; the change id makes the next send harmless.
+        // Without an answer the change may have been accepted. The change id makes a resend idempotent.
         const auto sentBefore = std::exchange(attempt->sent, true);
         return request.send().then([done, attempt, sentBefore](capnp::Response<schema::Control::ChangeConfigurationResults> &&response) {
             const auto answer = response.getAnswer();
