--- a/lib/Control/viewpace.h
+++ b/lib/Control/viewpace.h
@@ -20,8 +20,7 @@
 public:
     /// Views that may follow each other at once.
     static constexpr auto burst = 3;
-    /// Interval between further views, for each VM that they go to. Sending a view to a VM and taking in its answers costs the leader
-    /// about 0.1 ms of processor time, a fifth of this.
+    /// Interval between further views, for each VM that they go to.
     static constexpr auto intervalPerVm = std::chrono::microseconds(500);
 
     /// \return the time from which the next view may be built
