--- a/include/sapphirespool/Promotion/choice.h
+++ b/include/sapphirespool/Promotion/choice.h
@@ -12,22 +12,22 @@
 namespace sapphirespool::promotion
 {
 
-/// The member whose log goes on.
+/// The chosen primary.
 struct Choice
 {
     platform::PositionReport report;
-    /// Whether the member is one of those to avoid.
+    /// Whether the member was chosen although it is in the set to avoid.
     bool avoided = false;
 };
 
 /// Picks the member with the highest (lastTerm, position) of a fenced majority.
 ///
-/// Each acknowledged write was confirmed by two members of the old term, and each majority holds one of them. A member that was fenced
-/// confirms no write of an older term any more, so the highest log of the majority holds every write that is or will be acknowledged.
-/// Where the others are a majority by themselves, the members to avoid are left out.
+/// Two members confirmed each acknowledged write in the old term, and every majority contains one of them. A fenced member confirms no
+/// further write of an older term, so the highest log of the majority contains every write that is or will be acknowledged. Members to
+/// avoid are excluded if the remaining members form a majority.
 ///
-/// \param fenced reports of the members, each taken after it was fenced
-/// \return nothing if \p fenced is no quorum
+/// \param fenced position reports, each sent by its member after it was fenced
+/// \return nothing if \p fenced is not a quorum
 [[nodiscard]] auto choosePrimary(std::span<const platform::PositionReport> fenced, std::size_t quorum, const std::set<UpstreamId> &avoid)
     -> std::optional<Choice>;
 
--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -1,17 +1,17 @@
-// grouppromotion.h: keeps one database group under a primary that the replicated state names.
+// grouppromotion.h: drives the members of one database group towards the primary that the replicated state names.
 //
-// A control leader compares what the replicated state wants of the group with what its members say, and orders what is missing.
-// Everything that must outlast the leader is in the replicated state; what is kept here can be lost at any time, and the next
-// leader finds out by itself where the promotion stands:
+// The control leader compares the replicated state of the group with the reports of its members and sends the missing orders. Everything
+// that must survive a change of the leader is in the replicated state. The state kept here is soft: a new leader derives the progress of
+// a promotion from the replicated state and from new reports:
 //
-//     state says                  members say                     next step
-//     term t, no primary          fewer than a quorum fenced      fence them
-//     term t, no primary          a quorum fenced at t            propose the highest of them as primary
+//     replicated state            reports of the members          next step
+//     term t, no primary          fewer than a quorum fenced      fence the members
+//     term t, no primary          a quorum fenced at t            propose the member with the highest log as primary
 //     term t, primary p           p is not primary of t           promote p
-//     term t, primary p           m does not follow in t          tell m to follow p
+//     term t, primary p           m does not follow in t          order m to follow p
 //     term t, primary p           p silent, suspected, ...        propose term t + 1
 //
-// The spec's transitions of the same names stand in spec/promotion.pml.
+// spec/promotion.pml models these steps as transitions of the same names.
 #pragma once
 
 #include "sapphirespool/Promotion/choice.h"
@@ -29,29 +29,29 @@
 namespace sapphirespool::promotion
 {
 
-/// Promotion of one group on the control leader; pure.
+/// Promotion of one group on the control leader; a state machine without I/O.
 class GroupPromotion
 {
 public:
     /// \param since when this VM became control leader
-    /// \param silence time without an announcement after which a member counts as lost
+    /// \param silence time since the last health report of a member after which it counts as lost
     explicit GroupPromotion(TimePoint since, std::chrono::milliseconds silence = silenceLimit);
 
     auto note(const Announced &event, TimePoint now) -> void;
     auto note(const Suspected &event, TimePoint now) -> void;
     auto note(const OrderAnswered &event, TimePoint now) -> void;
 
-    /// Says whether this VM may order promotions of self-replicating groups. Other members judge an order by its term.
+    /// Sets whether this VM may order promotions of self-replicating groups. Members of other groups reject orders of an old term themselves.
     auto setDuty(bool held) -> void;
 
-    /// \return the next steps
+    /// \return the orders to send and the changes to propose next
     auto advance(const state::GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions;
 
-    /// \return when advance() is due even if no event comes
+    /// \return when advance() is due if no event arrives earlier
     [[nodiscard]] auto wakeAt() const -> TimePoint;
 
 private:
-    /// The last order that a member was sent.
+    /// The last order that was sent to a member.
     struct SentOrder
     {
         Order order;
@@ -63,7 +63,7 @@
     auto enterTerm(const state::GroupRecord &group, Revision current, TimePoint now) -> void;
     auto elect(const state::GroupRecord &group, TimePoint now) -> Actions;
     auto adopt(const state::GroupRecord &group, TimePoint now) -> Actions;
-    /// \return whether a member that has not announced itself yet may be the primary that the group has had before this system
+    /// \return whether a member without a health report so far may be the primary that served the group before this system was started
     auto awaitsFirstPrimary(const state::GroupRecord &group, TimePoint now) -> bool;
     auto fenceMembers(const state::GroupRecord &group, TimePoint now) -> Actions;
     auto choose(const state::GroupRecord &group, TimePoint now) -> Actions;
@@ -71,17 +71,17 @@
     auto orderMembers(const state::GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions;
     auto endTerm(const state::GroupRecord &group, TermEnd reason, TimePoint now) -> Actions;
     [[nodiscard]] auto mayImprove(const state::GroupRecord &group, const Choice &choice, TimePoint now) const -> bool;
-    /// Has the members asked again that lack what another one reported.
+    /// Discards the reports of members that are behind another one, so that these members are sent their fence again.
     auto askLaggingAgain(const state::GroupRecord &group) -> void;
-    /// \param retry time after which the same order may be sent again
-    /// \return whether \p order may be sent to \p member now; notes that it is
+    /// Records \p order as sent unless it is a repetition within \p retry.
+    /// \return whether the caller may send it
     auto tryOpen(const UpstreamId &member, Order order, Term term, TimePoint now, Duration retry = orderRetry) -> bool;
     auto tryPropose(TimePoint now) -> bool;
 
     // groupstanding.cpp
     [[nodiscard]] auto reasonToEnd(const state::GroupRecord &group, std::size_t proxyZones, TimePoint now) const -> std::optional<TermEnd>;
     [[nodiscard]] auto isSilent(const state::GroupRecord &group, TimePoint now) const -> bool;
-    /// \return whether a member that is not to be primary reported more than \p choice has
+    /// \return whether a fenced member reported a higher log than \p choice
     [[nodiscard]] auto isBehind(const platform::PositionReport &choice) const -> bool;
     [[nodiscard]] auto isLeaving(const state::GroupRecord &group, const UpstreamId &member) const -> bool;
     [[nodiscard]] auto hasSuccessor(const state::GroupRecord &group, TimePoint now) const -> bool;
@@ -93,7 +93,7 @@
     [[nodiscard]] auto incarnationOf(const state::GroupRecord &group, const UpstreamId &member) const -> Incarnation;
     [[nodiscard]] auto isFenced(const UpstreamId &member) const -> bool;
     [[nodiscard]] auto isPrimary(const UpstreamId &member, Term term, Incarnation incarnation) const -> bool;
-    /// \return whether the primary that this leader found has yet to announce its role
+    /// \return whether the primary was chosen before this leader was elected and has sent it no health report yet
     [[nodiscard]] auto awaitsRole(const state::GroupRecord &group, TimePoint now) const -> bool;
     [[nodiscard]] auto isFollowing(const UpstreamId &member, Term term) const -> bool;
     [[nodiscard]] auto membersToAvoid(const state::GroupRecord &group) const -> std::set<UpstreamId>;
@@ -102,33 +102,33 @@
     std::chrono::milliseconds silence;
     MemberTable members;
     PromotionPause pause;
-    /// Term that the fields below belong to.
+    /// Term of the fields below.
     Term term;
     bool hasPrimary = false;
     bool holdsDuty = true;
-    /// Whether any term was entered.
+    /// Whether enterTerm() was called before.
     bool entered = false;
-    /// Whether this leader proposes the primary that the group came with.
+    /// Whether this leader has proposed the primary that served the group before this system was started.
     bool adopted = false;
-    /// Whether the primary was in its role before this leader gave any order, so that the role it announces is that of the term.
+    /// Whether the primary had its role before this leader sent any order, so that the role in its health reports is that of the term.
     bool trustsRole = false;
-    /// When this leader first saw the term, and the revision of the replicated state then.
+    /// When this leader entered the term, and the revision of the replicated state at that time.
     TimePoint termSeen;
     Revision termRevision;
-    /// Reports of the members that were fenced at the term.
+    /// Position reports of the members that are fenced at the term.
     std::map<UpstreamId, platform::PositionReport> fenced;
-    /// Members that could not be fenced at the term when they were last told to.
+    /// Members from which an order to be fenced at the term got no answer, or the answer of another process.
     std::set<UpstreamId> unreached;
     std::optional<TimePoint> quorumSince;
     std::map<UpstreamId, SentOrder> orders;
     std::optional<TimePoint> proposed;
-    /// Zones that suspect the primary, and when they last said so.
+    /// Time of the last credible suspicion of the primary from each zone.
     std::map<ZoneId, TimePoint> suspicions;
-    /// When any proxy last suspected the primary.
+    /// Time of the last suspicion of the primary from any proxy.
     std::optional<TimePoint> suspected;
-    /// Primary whose term was ended here because it did not serve.
+    /// Primary whose term this leader ended because it was silent or suspected.
     std::optional<UpstreamId> suspect;
-    /// When a quorum had announced itself to this leader, for a group without a first primary.
+    /// When this leader began to wait for a health report of the primary that served the group before this system was started.
     std::optional<TimePoint> firstQuorumAt;
     std::optional<TimePoint> leavingSince;
     bool inMotion = true;
--- a/include/sapphirespool/Promotion/membertable.h
+++ b/include/sapphirespool/Promotion/membertable.h
@@ -1,4 +1,4 @@
-// membertable.h: what the members of a group last said of themselves.
+// membertable.h: the last reported state of each member of a group.
 #pragma once
 
 #include "sapphirespool/Platform/messages.h"
@@ -13,52 +13,52 @@
 namespace sapphirespool::promotion
 {
 
-/// The newest that is known of a member.
+/// State of a member according to its newest health report or position report.
 struct MemberState
 {
-    /// When its last announcement arrived; absent if none did.
+    /// Arrival of its last health report; absent if none has arrived.
     std::optional<TimePoint> heard;
     Incarnation incarnation;
     Term term;
     platform::Role role = platform::Role::Replica;
     Term lastTerm;
     LogPosition position;
-    /// When its position last moved.
+    /// When its log position last changed.
     TimePoint moved{};
     bool leaving = false;
-    /// Announcements in a row by which a member that was promoted says that it is not primary.
+    /// Successive health reports in which a promoted member reports another role than primary.
     std::uint32_t denials = 0;
-    /// Processes that came before this one.
+    /// Incarnations of earlier processes of the member.
     std::set<Incarnation> former;
 };
 
-/// Members by their ids. Soft state of one control leader.
+/// Soft state of one control leader.
 class MemberTable
 {
 public:
-    /// \param silence time without an announcement after which a member does not count as live
+    /// \param silence time since the last health report after which a member does not count as live
     explicit MemberTable(std::chrono::milliseconds silence = silenceLimit);
 
     auto note(const platform::Announcement &announcement, TimePoint now) -> void;
     auto note(const platform::PositionReport &report, TimePoint now) -> void;
 
-    /// \return null if the member never said anything
+    /// \return null if no report of the member has arrived
     [[nodiscard]] auto find(const UpstreamId &member) const -> const MemberState *;
 
-    /// \return whether an announcement of the member arrived lately
+    /// \return whether the time since the last health report of the member is below the limit
     [[nodiscard]] auto isLive(const UpstreamId &member, TimePoint now) const -> bool;
 
-    /// \return the one live member that calls itself primary without a term; nothing if there is none, or two
+    /// \return the only live member that reports the role of primary without a term; nothing if there is none or more than one
     [[nodiscard]] auto selfAppointed(TimePoint now) const -> std::optional<UpstreamId>;
-    /// \return whether a live member says that it is primary
+    /// \return whether a live member reports the role of primary
     [[nodiscard]] auto namesPrimary(TimePoint now) const -> bool;
 
-    /// \return the highest term that any member has seen
+    /// \return the highest term that any member has reported
     [[nodiscard]] auto highestTerm() const -> Term;
 
 private:
-    /// Takes in what a member said that does not tell terms.
-    /// \return false if nothing better is known of the member than what it said
+    /// Handles a health report without a term of a member whose term is known from its answer to an order.
+    /// \return false if no such answer of this process is known, so that the report replaces the state
     auto noteWithoutTerm(const platform::Announcement &announcement, TimePoint now) -> bool;
     auto update(const UpstreamId &id, const MemberState &news, TimePoint now) -> MemberState *;
 
--- a/include/sapphirespool/Promotion/messages.h
+++ b/include/sapphirespool/Promotion/messages.h
@@ -1,4 +1,4 @@
-// messages.h: what promotion hears and what it wants done.
+// messages.h: events and actions of the promotion state machine.
 #pragma once
 
 #include "sapphirespool/Membership/controllink.h"
@@ -14,40 +14,41 @@
 namespace sapphirespool::promotion
 {
 
-/// A member announced itself to a proxy, which passed it on.
+/// A health report that a member sent to a proxy and the proxy relayed.
 struct Announced
 {
     platform::Announcement announcement;
 };
 
-/// A proxy of a zone got no service from a primary.
+/// A proxy in a zone reported that a primary does not serve.
 struct Suspected
 {
     ZoneId zone;
     membership::Suspicion suspicion;
-    /// Whether it may end the term together with those of another zone; else it only shortens the silence that is waited for.
+    /// Whether the suspicion counts towards the zones that end a term. Otherwise it only shortens the time after which a silent primary is
+    /// replaced.
     bool weighs = true;
 };
 
-/// What is known of the proxies while a group is looked at.
+/// State of all proxies, as far as promotion depends on it.
 struct ProxyStanding
 {
     /// Zones with live proxies.
     std::size_t zones = 0;
-    /// Revision of the replicated state now.
+    /// Current revision of the replicated state.
     Revision current;
-    /// Oldest revision under which a proxy with a live lease may still serve; current if there is no such proxy.
+    /// Oldest revision that a proxy with a live lease may still use; the current one if no proxy has a live lease.
     Revision oldestServed;
 };
 
-/// What a member is told to do.
+/// Kind of an order to a member.
 enum class Order {
     Fence,
     Promote,
     Follow,
 };
 
-/// A member answered an order, or did not in time.
+/// A member answered an order, or the order timed out.
 struct OrderAnswered
 {
     Order order;
@@ -65,7 +66,7 @@
 
 using Event = std::variant<Announced, Suspected, OrderAnswered, GroupChanged>;
 
-/// Tell a member to refuse terms below that of the request.
+/// Order a member to refuse terms below that of the request.
 struct SendFence
 {
     GroupId group;
@@ -74,7 +75,7 @@
     platform::FenceRequest request;
 };
 
-/// Tell the chosen member to be primary.
+/// Order the chosen member to become primary.
 struct SendPromote
 {
     GroupId group;
@@ -83,7 +84,7 @@
     platform::PromoteRequest request;
 };
 
-/// Tell a member to follow the primary.
+/// Order a member to follow the primary.
 struct SendFollow
 {
     GroupId group;
@@ -92,23 +93,23 @@
     platform::FollowRequest request;
 };
 
-/// Why a term is ended.
+/// Reason for which a term is ended.
 enum class TermEnd {
     /// The group has had no primary yet.
     First,
-    /// No announcement of the primary arrived for long.
+    /// The last health report of the primary is too old.
     Silent,
-    /// Proxies of several zones get no service from it.
+    /// Proxies of several zones suspect the primary.
     Suspected,
-    /// Its process is another one than the one that was chosen.
+    /// The primary runs as another process than the one that was chosen.
     Restarted,
-    /// A member has seen a higher term than the replicated state knows.
+    /// A member has reported a higher term than that of the replicated state.
     Overtaken,
-    /// It is to stop; others have all that it holds.
+    /// The primary is shutting down, and another member can take over.
     Leaving,
 };
 
-/// \return a word for logs
+/// \return the name of \p reason in log events
 [[nodiscard]] auto name(TermEnd reason) -> std::string_view;
 
 /// Propose the end of a term.
@@ -124,7 +125,7 @@
     state::ChoosePrimary command;
 };
 
-/// A promotion is due, and this VM does not hold the duty to order it.
+/// A promotion is due, but this VM does not hold the promotion duty.
 struct AwaitDuty
 {
     GroupId group;
--- a/include/sapphirespool/Promotion/pause.h
+++ b/include/sapphirespool/Promotion/pause.h
@@ -1,4 +1,4 @@
-// pause.h: spaces out the promotions of one group.
+// pause.h: backoff between promotions of one group.
 #pragma once
 
 #include "sapphirespool/Support/types.h"
@@ -8,14 +8,14 @@
 namespace sapphirespool::promotion
 {
 
-/// Pause between promotions that doubles while they keep coming.
+/// Exponential backoff that is reset after a time without promotions.
 class PromotionPause
 {
 public:
-    /// \return whether a promotion may begin
+    /// \return whether a promotion may begin at \p now
     [[nodiscard]] auto allows(TimePoint now) const -> bool;
 
-    /// Records that one begins.
+    /// Records that a promotion begins.
     auto begin(TimePoint now) -> void;
 
 private:
--- a/include/sapphirespool/Promotion/promoter.h
+++ b/include/sapphirespool/Promotion/promoter.h
@@ -13,23 +13,24 @@
 namespace sapphirespool::promotion
 {
 
-/// One for each time in which this VM leads; pure.
+/// Exists for one leadership of this VM; a state machine without I/O.
 class Promoter
 {
 public:
     /// \param state is read at each call and must outlive the promoter
-    /// \param silence time without an announcement after which a member counts as lost
+    /// \param since when this VM became control leader
+    /// \param silence time since the last health report of a member after which it counts as lost
     Promoter(const state::ClusterState &state, TimePoint since, std::chrono::milliseconds silence = silenceLimit);
 
     auto handle(const Event &event, TimePoint now) -> Actions;
 
-    /// Looks at the groups that are due.
+    /// Advances the groups that are due.
     auto tick(TimePoint now) -> Actions;
 
-    /// Tells what is known of the proxies by now.
+    /// Sets the state of the proxies for the calls that follow.
     auto setProxies(const ProxyStanding &standing) -> void;
 
-    /// Says whether this VM may order promotions of self-replicating groups; not until it is told so.
+    /// Sets whether this VM may order promotions of self-replicating groups; initially it may not.
     auto setDuty(bool held) -> void;
 
 private:
--- a/include/sapphirespool/Promotion/timing.h
+++ b/include/sapphirespool/Promotion/timing.h
@@ -1,4 +1,4 @@
-// timing.h: the times of promotion and their grounds.
+// timing.h: timing constants of promotion, each with its reason.
 #pragma once
 
 #include <algorithm>
@@ -7,74 +7,77 @@
 namespace sapphirespool::promotion
 {
 
-/// How often members announce themselves unless the settings say otherwise.
+/// Default interval of the health reports of a member.
 constexpr auto usualAnnouncementInterval = std::chrono::milliseconds(200);
 
-/// Members announce themselves every 200 ms. Four in a row are missing at the end of this time: a lost segment, which TCP sends
-/// again after 200 to 400 ms, or a stall of half a second does not cost a promotion; the gap stays far below the 7 s allowed.
+/// Lower bound of the time since the last health report after which a member counts as lost. At the default interval of 200 ms four
+/// successive reports are then missing: neither a lost segment, which TCP retransmits after 200 to 400 ms, nor a stall of half a second
+/// causes a promotion. The failover still takes far less than the allowed 7 s.
 constexpr auto silenceLimit = std::chrono::milliseconds(1'000);
 
-/// \return how long a member may be silent that announces itself every \p interval
+/// \return the time since the last health report after which a member that sends one every \p interval counts as lost
 ///
-/// Two announcements in a row are missing at the end of two and a half intervals, so that one that was lost or is late costs no
-/// promotion. Where announcements are that rare, the proxies' suspicions are what finds a dead primary early.
+/// After two and a half intervals two successive reports are missing, so a single lost or delayed report causes no promotion. With long
+/// intervals a failed primary is detected earlier by the suspicions of the proxies.
 constexpr auto silenceAfter(std::chrono::milliseconds interval) -> std::chrono::milliseconds
 {
     return std::max(silenceLimit, interval * 5 / 2);
 }
 
-/// Length of a proxy's lease on its view. It outlasts an election of control, which takes up to about 2 s, so that acknowledging does
-/// not stop with each lost control VM. A promotion waits this long at most for a proxy that is lost or cut off at the same time, and
-/// not at all while all proxies answer; with the detection before it that stays below the 7 s allowed.
+/// Length of a proxy's lease on its view. It is longer than a control election, which takes up to about 2 s, so that the loss of a control
+/// VM does not stop acknowledgements. A promotion is delayed by at most this time if a proxy is lost or partitioned at the same time, and
+/// not at all while all proxies answer; together with the detection that is less than the allowed 7 s.
 constexpr auto leaseLength = std::chrono::milliseconds(3'000);
 
-/// Suspicions of different zones count together within this time. Proxies whose callers are few notice a dead primary up to a
-/// timeout of 2 s apart.
+/// Time for which a suspicion counts. Proxies with few callers may detect the same failed primary up to one statement timeout of 2 s
+/// apart.
 constexpr auto suspicionLife = std::chrono::milliseconds(2'000);
 
-/// Zones that must suspect a primary: one zone that lost its way to it is no reason to stop it for the others.
+/// Zones that must suspect a primary before its term ends. If only one zone is partitioned from it, it still serves the others.
 constexpr auto suspectingZones = std::size_t{2};
 
-/// An order that got no answer is sent again. A way between zones takes 3 ms there and back and a sync of a disk up to 20 ms, so
-/// that no answer after this time means a lost one.
+/// Time after which an unanswered order is sent again. The round trip between zones takes 3 ms and a disk sync up to 20 ms, so an order
+/// or answer that has not arrived by then is lost.
 constexpr auto orderRetry = std::chrono::milliseconds(250);
 
-/// A proposal that did not change the state in this time is made again; a commit takes a few syncs.
+/// Time after which a proposal that has not changed the state is repeated. A commit takes a few disk syncs.
 constexpr auto proposalRetry = std::chrono::milliseconds(1'000);
 
-/// How long a fenced majority waits for one more member, when it could only choose a member that had better not be primary. The
-/// fences go out at the same time, so that the last answer is a sync behind the others.
+/// Time for which the choice is delayed if the fenced majority leaves only a member that should be avoided. All fences are sent at the same
+/// time, so the last answer arrives about one disk sync after the others.
 constexpr auto choiceGrace = std::chrono::milliseconds(60);
 
-/// How long the choice in a self-replicating group waits for the reports of members that have neither answered nor failed to. Nobody
-/// promises that any one of them holds the last acknowledged writes, so that each further report may save some; an order takes a few
-/// milliseconds, or some hundred where the member's slots are taken.
+/// Time for which the choice in a self-replicating group is delayed while an order to a member is neither answered nor failed. No single
+/// member is guaranteed to have the last acknowledged writes, so each further report may save some. An order takes a few milliseconds, or
+/// a few hundred if all slots of the member are in use.
 constexpr auto reportGrace = std::chrono::milliseconds(300);
 
-/// How long the choice waits for a replica to receive what the former primary acknowledged before it stepped down, and how often the
-/// replicas are asked meanwhile. What was acknowledged is on its way to them already, some milliseconds behind; a replica that has not
-/// received it after a second is cut off from the former primary.
+/// Time for which the choice is delayed until a replica has received all writes that the former primary acknowledged before it stepped
+/// down, and the interval at which replicas are asked for their position meanwhile. Replication lags by some milliseconds; a replica
+/// that has not caught up after a second is partitioned from the former primary.
 constexpr auto catchUpGrace = std::chrono::milliseconds(1'000);
 constexpr auto catchUpRetry = std::chrono::milliseconds(40);
 
-/// A silent primary that no proxy suspects is replaced after this many times the usual silence: announcements may be cut off from
-/// control alone while proxies are served.
+/// Factor on the time after which a silent primary of a self-replicating group is replaced if no proxy suspects it: the primary may be
+/// partitioned from control only and still serve the proxies.
 constexpr auto unsuspectedSilence = 4;
 
-/// A leaving primary is quiet when its position has not moved for this time: longer than an announcement takes from each member.
+/// Time without a change of position after which a leaving primary counts as idle; longer than a health report of any member takes to
+/// arrive.
 constexpr auto handoverQuiet = std::chrono::milliseconds(300);
 
-/// A leaving primary that does not become quiet is replaced after this time; writes in flight then end unknown, none is lost.
+/// Time after which a leaving primary is replaced even if it is not idle. Writes in flight then have an unknown outcome, but no acknowledged
+/// write is lost.
 constexpr auto handoverDeadline = std::chrono::milliseconds(5'000);
 
-/// Second promotion within calmTime waits this long from the first one, each further one twice as long as the one before. On a
-/// flapping link each promotion stops all writes of the group for a while, so that promotions without a pause would stop them for
-/// good; two in a row still end within the 7 s allowed.
+/// Backoff between promotions: it begins at firstPause, doubles with each promotion up to longestPause, and is reset after calmTime without
+/// a promotion. Each promotion stops the writes of the group for a while, so on a flapping network path promotions without backoff would
+/// stop them permanently. Two successive promotions still end within the allowed 7 s.
 constexpr auto firstPause = std::chrono::milliseconds(2'000);
 constexpr auto longestPause = std::chrono::milliseconds(30'000);
 constexpr auto calmTime = std::chrono::milliseconds(60'000);
 
-/// How often a group that is in motion is looked at.
+/// Interval of advance() while a promotion or handover is in progress.
 constexpr auto motionInterval = std::chrono::milliseconds(20);
 
 } // namespace sapphirespool::promotion
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -16,7 +16,7 @@
 
 using state::GroupRecord;
 
-/// The first term in which a group that is handed to this system can have a primary.
+/// The first term in which a group can have a primary.
 constexpr auto firstTermNumber = std::uint64_t{1};
 
 auto fenceOf(const GroupRecord &group, const membership::UpstreamView &member) -> SendFence
@@ -69,7 +69,7 @@
 
 auto GroupPromotion::note(const OrderAnswered &event, TimePoint now) -> void
 {
-    // Another process may have taken over the address of a member; its log says nothing of the member's.
+    // Another process may have taken over the address of the member; its report does not describe the log of the member.
     if (!event.report || event.report->id != event.member.value()) {
         if (event.order == Order::Fence && event.term == this->term) {
             this->unreached.insert(event.member);
@@ -77,8 +77,8 @@
         return;
     }
     this->members.note(*event.report, now);
-    // Only a report that a member gives while it is fenced at this very term tells where its log ends: a late report of an earlier
-    // term is older than what the member wrote since, and by it the choice could pass over the log with the acknowledged writes.
+    // Only the report of a member that is fenced at this term gives the end of its log. After a late report of an earlier term the member
+    // may have written more, and the choice could miss the log that holds the acknowledged writes.
     const auto fencedHere = event.report->role == platform::Role::Fenced && Term(event.report->term) == this->term;
     if (event.order == Order::Fence && event.term == this->term && fencedHere) {
         this->fenced.insert_or_assign(event.member, *event.report);
@@ -159,8 +159,8 @@
 
 auto GroupPromotion::adopt(const GroupRecord &group, TimePoint now) -> Actions
 {
-    // A group that is handed to the system while it serves has a primary already, and no proxy knows of it yet. Fencing it would
-    // stop its callers for nothing, and its members know no term that they could be fenced at.
+    // A group that served before this system was started already has a primary. Fencing it would interrupt its callers without need, and its
+    // members do not store a term at which they could be fenced.
     const auto primary = *this->members.selfAppointed(now);
     if (group.view.findMember(primary) == nullptr || !this->tryPropose(now)) {
         return {};
@@ -171,8 +171,8 @@
 
 auto GroupPromotion::awaitsFirstPrimary(const GroupRecord &group, TimePoint now) -> bool
 {
-    // When the system starts, the members of many groups announce themselves in any order. Two replicas that come before their primary
-    // are a quorum: one of them would be promoted, and the primary stopped while it serves.
+    // After the first start of the system the health reports of the members arrive in any order. Two replicas that report before their
+    // primary are a quorum: one of them would be promoted, and the primary would be fenced while it serves.
     const auto isNew = group.selfReplicating && group.view.history.empty() && group.view.term <= Term(firstTermNumber);
     if (!isNew || this->members.namesPrimary(now) || this->liveCount(group, now) >= group.size) {
         return false;
@@ -228,11 +228,11 @@
     const auto open = std::any_of(group.view.members.begin(), group.view.members.end(), [this](const membership::UpstreamView &member) {
         return this->suspect != member.id && !this->fenced.contains(member.id) && !this->unreached.contains(member.id);
     });
-    // A member that leaves or is suspected is avoided while another one may still catch up with it.
+    // While another member may still catch up, a member that is leaving or suspected is not chosen.
     if (this->isBehind(choice.report) || (choice.avoided && open)) {
         return waited < catchUpGrace;
     }
-    // The former primary has stepped down and reported its whole log, so no further report can show more.
+    // The former primary has stepped down and reported its position, so no further report can be higher.
     const auto avoid = this->membersToAvoid(group);
     const auto complete = std::any_of(this->fenced.begin(), this->fenced.end(), [&avoid](const auto &member) {
         return avoid.contains(member.first);
@@ -261,7 +261,7 @@
     }
     const auto reason = this->reasonToEnd(group, proxies.zones, now);
     this->inMotion = reason || leaving || !this->suspicions.empty() || !this->isPrimary(primary, this->term, group.primaryIncarnation);
-    // No backoff for a leaving member: it is gone after a few seconds and does not flap.
+    // No backoff for a leaving member: it ends after a few seconds and does not flap.
     const auto leavesSoon = group.selfReplicating && reason == TermEnd::Leaving;
     if (reason && (leavesSoon || this->pause.allows(now))) {
         return this->endTerm(group, *reason, now);
@@ -317,8 +317,8 @@
 
 auto GroupPromotion::tryOpen(const UpstreamId &member, Order order, Term inTerm, TimePoint now, Duration retry) -> bool
 {
-    // Also an order that was answered waits: a control leader that is behind the state may ask for what the member is past, and would
-    // ask again as fast as the answers come.
+    // The limit also applies to an order that was answered. A control leader whose state lags may send an order for which the member is
+    // already in a later state, and would otherwise repeat it at the rate of the answers.
     const auto found = this->orders.find(member);
     const auto waits = found != this->orders.end() && found->second.order == order && found->second.term == inTerm && now - found->second.sent < retry;
     if (waits) {
--- a/lib/Promotion/groupstanding.cpp
+++ b/lib/Promotion/groupstanding.cpp
@@ -60,7 +60,7 @@
 auto GroupPromotion::isSilent(const GroupRecord &group, TimePoint now) const -> bool
 {
     const auto &primary = *group.view.primary;
-    // A new control leader has received no announcements yet. It counts silence from its election, or it would replace every primary.
+    // A new control leader has received no health reports yet. If it did not count from its election, it would replace every primary.
     const auto *const state = this->members.find(primary);
     const auto heard = state != nullptr && state->heard ? std::max(*state->heard, this->since) : this->since;
     const auto isSuspectedAtAll = this->suspected && now - *this->suspected < suspicionLife;
@@ -79,13 +79,13 @@
 
 auto GroupPromotion::isReleased(const GroupRecord &group, const ProxyStanding &proxies, TimePoint now) const -> bool
 {
-    // A proxy that is cut off together with the old primary still reads from it. A session that writes to the new primary by another
-    // proxy and then roams to this one without its token would not find its own write. So nobody is primary of the new term
-    // before each proxy with a live lease has confirmed a view in which the old term has ended. Whoever cannot confirm loses its lease:
-    // from the moment the term was seen, leases are granted for views of this term only.
+    // A proxy that is partitioned together with the old primary still reads from it. A session that writes to the new primary through
+    // another proxy and then moves to this one without its token would not read its own write. Therefore no member is promoted before
+    // each proxy with a live lease has confirmed a view in which the old term has ended. The lease of a proxy that cannot confirm expires:
+    // since this leader entered the term, leases are granted only for views of the term.
     //
-    // The upstreams of a self-replicating group keep that promise themselves: one that was replaced refuses writes and whatever must be
-    // current, also from proxies that know of no promotion, and the age of other reads is bounded by proofs. There is nothing to wait for.
+    // The upstreams of a self-replicating group give this guarantee themselves: a replaced primary refuses writes and reads that must be
+    // current, also from proxies without the new view, and position proofs bound the age of other reads.
     const auto firstTerm = group.view.history.size() <= 1;
     return firstTerm || group.selfReplicating || proxies.oldestServed >= this->termRevision || now - this->termSeen >= leaseLength;
 }
@@ -93,8 +93,8 @@
 auto GroupPromotion::isReadyForHandover(const GroupRecord &group, TimePoint now) const -> bool
 {
     if (group.selfReplicating) {
-        // The members do not tell how far they are. The old primary says so when it steps down, and the choice waits for a replica
-        // that has it all.
+        // The health reports of these members contain no position. The old primary reports it when it steps down, and the choice is
+        // delayed until a replica has reached it.
         return this->leavingSince && this->hasSuccessor(group, now);
     }
     const auto *const primary = this->members.find(*group.view.primary);
@@ -143,14 +143,14 @@
     if (state == nullptr || state->role != platform::Role::Primary || state->incarnation != incarnation) {
         return false;
     }
-    // A role without a term that is reported before any answer to an order of this leader is that of the term in which the leader found it.
+    // Until a member answers an order of this leader, a role that it reports without a term is that of the term in which the leader was elected.
     return state->term == inTerm || (this->trustsRole && state->term == Term(0));
 }
 
 auto GroupPromotion::awaitsRole(const GroupRecord &group, TimePoint now) const -> bool
 {
-    // A new leader that took a primary for missing before its first announcement would order promotions of groups that are well. Members
-    // that know their term refuse such an order or repeat nothing; a platform carries it out.
+    // If a new leader did not wait for the first health report of a primary, it would order a promotion for each healthy group. Members that
+    // store their term ignore or refuse such an order, but members on a platform without terms carry it out.
     const auto *const state = this->members.find(*group.view.primary);
     const auto isReported = state != nullptr && state->heard;
     return this->trustsRole && group.selfReplicating && !isReported && now - this->since < this->silence;
--- a/lib/Promotion/membertable.cpp
+++ b/lib/Promotion/membertable.cpp
@@ -10,10 +10,10 @@
 namespace
 {
 
-/// An announcement in flight during the promotion still reports a replica; a second one is newer than the promotion.
+/// A health report in flight during the promotion still reports a replica; a second one was sent after the promotion.
 constexpr auto denialsBelieved = std::uint32_t{2};
 
-/// Records the role that \p member announces after it has reported its term in answer to an order.
+/// Records the role in a health report without a term of a \p member that has reported its term in answer to an order.
 auto noteDenial(MemberState &member, platform::Role says) -> void
 {
     const auto denies = member.role == platform::Role::Primary && says != platform::Role::Primary;
@@ -79,13 +79,13 @@
 {
     const auto [place, added] = this->members.try_emplace(id);
     auto &member = place->second;
-    // A late announcement of an ended process must not make its successor appear restarted.
+    // A delayed health report of an ended process must not make its successor appear restarted.
     if (member.former.contains(news.incarnation)) {
         return nullptr;
     }
     const auto sameProcess = added || member.incarnation == news.incarnation;
-    // An announcement that a slow proxy relays late would show a promoted member as fenced, or a fenced one as primary, and orders
-    // would be sent again. A process never goes back to a lower term.
+    // A process never returns to a lower term. A health report that a slow proxy relays late would show a promoted member as fenced, or a
+    // fenced one as primary, and orders would be repeated.
     if (sameProcess && news.term < member.term) {
         return nullptr;
     }
--- a/unittests/Promotion/choicetest.cpp
+++ b/unittests/Promotion/choicetest.cpp
@@ -33,28 +33,32 @@
 
 } // namespace
 
-TEST_CASE("the highest term goes before the highest position")
+// Failure: a long log of an earlier term is preferred, and acknowledged writes of the last term are lost.
+TEST_CASE("a log of a higher term is chosen before a longer log of a lower term")
 {
     CHECK(chosen({reportOf("a", 1, 90), reportOf("b", 2, 50)}) == "b");
     CHECK(chosen({reportOf("a", 2, 51), reportOf("b", 2, 50), reportOf("c", 2, 50)}) == "a");
 }
 
-TEST_CASE("less than a quorum chooses nobody")
+// Failure: a primary is chosen from a minority that may lack acknowledged writes.
+TEST_CASE("no primary is chosen from less than a quorum")
 {
     CHECK(chosen({}) == "nobody");
     CHECK(chosen({reportOf("a", 1, 90)}) == "nobody");
 }
 
-TEST_CASE("members to avoid are left out only where the others are a quorum")
+// Failure: a member that should be avoided is excluded although only its log is known to hold each acknowledged write.
+TEST_CASE("members to avoid are excluded only if the remaining members are a quorum")
 {
     const auto avoid = std::set<UpstreamId>{UpstreamId("a")};
     CHECK(chosen({reportOf("a", 1, 90), reportOf("b", 1, 70), reportOf("c", 1, 80)}, avoid) == "c");
-    // The log of a is the only one of this majority that is sure to hold each acknowledged write.
+    // Of this majority only the log of a is certain to hold each acknowledged write.
     CHECK(chosen({reportOf("a", 1, 90), reportOf("b", 1, 70)}, avoid) == "a");
     CHECK(chosen({reportOf("a", 1, 90), reportOf("b", 1, 90)}, avoid) == "b");
 }
 
-TEST_CASE("promotions that keep coming are spaced out, and a calm minute ends that")
+// Failure: promotions on a flapping network path stop the writes of the group permanently, or the backoff is never reset.
+TEST_CASE("the backoff doubles with each promotion and is reset after a minute without one")
 {
     auto pause = PromotionPause();
     const auto start = TimePoint();
--- a/unittests/Promotion/failovertest.cpp
+++ b/unittests/Promotion/failovertest.cpp
@@ -27,7 +27,8 @@
 
 } // namespace
 
-TEST_CASE("a group that announces itself gets a primary without an order")
+// Failure: a new group serves only after an operator intervenes.
+TEST_CASE("a group whose members send health reports gets a primary without operator action")
 {
     auto world = World(1, {});
     CHECK(world.runUntilServed(2s));
@@ -35,10 +36,9 @@
     CHECK(world.termEnds() == std::vector<TermEnd>{TermEnd::First});
 }
 
-TEST_CASE("a new control leader replaces no primary that it has not heard of yet")
+// Failure: after each loss of a control VM the new leader counts a primary without a health report as silent and replaces it.
+TEST_CASE("a new control leader keeps a primary whose first health report has not arrived yet")
 {
-    // Control VMs are lost one after the other while the group is well. The new leader hears the replicas first; did it take the
-    // primary for silent, callers would see a gap at each loss of a control VM.
     for (std::uint32_t seed = 1; seed <= 20; ++seed) {
         const auto world = served(seed);
         for (auto loss = 0; loss < 10; ++loss) {
@@ -49,17 +49,17 @@
     }
 }
 
-TEST_CASE("a quiet group keeps its primary")
+// Failure: a healthy group is promoted without a fault.
+TEST_CASE("a healthy group keeps its primary")
 {
     const auto world = served(1);
     world->run(120s);
     CHECK(world->record().view.term == Term(1));
 }
 
+// Failure: after the process of the primary has ended, writes are refused for longer than 3 s.
 TEST_CASE("a stopped primary is replaced")
 {
-    // Callers see writes refused while there is no primary. The primary's process ends; its announcements stay away and two zones
-    // suspect it; the other two members are fenced, the higher one is promoted and the other follows it.
     const auto world = served(2);
     auto &stopped = *world->primary();
     stopped.running = false;
@@ -68,11 +68,10 @@
     CHECK(world->primary() != &stopped);
 }
 
-TEST_CASE("a primary that is cut off from control and the members but still answers proxies acknowledges nothing more")
+// Failure: writes that a partitioned primary still accepts are acknowledged and then discarded.
+TEST_CASE("no write is acknowledged through a primary that is partitioned from control and the members but reachable for proxies")
 {
-    // The old primary goes on taking writes of proxies that reach it. Its announcements stay away, the others are fenced and go on
-    // without it; no second member confirms its writes, so that its proxies never acknowledge them. After the cut it follows and
-    // drops its tail.
+    // World checks each acknowledgement. After the partition the old primary follows and discards the end of its log.
     const auto world = served(3);
     auto &old = *world->primary();
     old.controlReaches = false;
@@ -88,9 +87,9 @@
     CHECK(old.term == world->record().view.term);
 }
 
-TEST_CASE("a primary that two zones cannot reach is replaced though it announces itself, and is not chosen again")
+// Failure: the old primary answers its fence with the highest log, is chosen again, and the same zones suspect it again.
+TEST_CASE("a primary that two zones cannot reach is replaced despite its health reports and is not chosen again")
 {
-    // The old primary answers its fence and has the highest log. Were it chosen, the same zones would suspect it again.
     for (std::uint32_t seed = 1; seed <= 20; ++seed) {
         const auto world = served(seed);
         auto &old = *world->primary();
@@ -102,7 +101,8 @@
     }
 }
 
-TEST_CASE("a primary that one zone cannot reach stays")
+// Failure: a partition of one zone stops the writes of all zones.
+TEST_CASE("a primary that only one zone cannot reach is kept")
 {
     const auto world = served(5);
     world->primary()->cutZones = {ZoneId("hobart")};
@@ -110,10 +110,9 @@
     CHECK(world->record().view.term == Term(1));
 }
 
-TEST_CASE("a restarted primary does not go on in its term")
+// Failure: a restarted primary that lost unsynced entries assigns positions of its term a second time.
+TEST_CASE("a restarted primary does not continue its term")
 {
-    // The primary's process ends and comes back at once, from its disk. Whether all of its answers had been synced is not known to
-    // control; the highest log of a fenced majority goes on, so that no position of the term is given out a second time.
     const auto world = served(6);
     auto &primary = *world->primary();
     world->restart(primary);
@@ -123,10 +122,9 @@
     CHECK(world->termEnds().back() == TermEnd::Restarted);
 }
 
-TEST_CASE("a leaving primary hands over once another member holds all that it holds")
+// Failure: the planned stop of a primary interrupts writes for as long as a failover, or loses acknowledged writes.
+TEST_CASE("a leaving primary hands over once a replica has its whole log")
 {
-    // An operator stops the primary's VM. It announces that it leaves; proxies send it no new work; once its position is quiet and a
-    // replica has reached it, the replica becomes primary. No write is lost and the gap is a fraction of a second.
     const auto world = served(7);
     auto &old = *world->primary();
     const auto taken = old.log.size();
@@ -137,7 +135,8 @@
     CHECK(world->primary()->log.size() >= taken);
 }
 
-TEST_CASE("a group of which only the primary is left keeps it")
+// Failure: a term is ended without a live quorum, so that no primary can be chosen and the requests that were still served stop.
+TEST_CASE("a group with only its primary left keeps it")
 {
     const auto world = served(8);
     auto &primary = *world->primary();
@@ -150,10 +149,10 @@
     CHECK(world->record().view.term == Term(1));
 }
 
-TEST_CASE("a flapping link does not cause a storm of promotions")
+// Failure: without backoff a network path that flaps four times a second causes a promotion every half second.
+TEST_CASE("a flapping network path causes few promotions")
 {
-    // The way from two zones to whichever member is primary fails and comes back four times a second. Each promotion stops the
-    // writes; without a pause there would be one every half second.
+    // The paths from two zones to the current primary fail and recover in turn.
     const auto world = served(9);
     const auto before = world->termEnds().size();
     for (auto round = 0; round < 240; ++round) {
@@ -168,10 +167,10 @@
     CHECK(world->termEnds().size() - before <= 6);
 }
 
-TEST_CASE("the control leader is lost between any two steps of a promotion")
+// Failure: the loss of the control leader in the middle of a promotion stops the promotion or breaks a guarantee.
+TEST_CASE("a promotion survives the loss of the control leader between any two steps")
 {
-    // The primary stops; after each single action of the control leader in turn it is lost and another VM leads, once ending the
-    // former leader, once leaving it in the belief that it leads. Callers see the gap and nothing else.
+    // The former leader either ends or continues to act as leader.
     const auto believes = GENERATE(false, true);
     const auto doubled = GENERATE(0U, 50U);
     for (std::size_t step = 1; step <= 14; ++step) {
@@ -196,10 +195,9 @@
     }
 }
 
-TEST_CASE("a second primary is lost right after the first was replaced")
+// Failure: a second failover right after the first loses the writes acknowledged in between.
+TEST_CASE("the loss of a new primary right after the first promotion causes a second one")
 {
-    // The new primary is cut off as soon as it serves, when the first one has just come back. Callers see a second gap; the writes
-    // acknowledged in between are all there.
     const auto world = served(10);
     auto &first = *world->primary();
     first.running = false;
@@ -213,7 +211,8 @@
     CHECK(world->primary() != &second);
 }
 
-TEST_CASE("control whose state was lost starts above the terms that members have seen")
+// Failure: members refuse the orders of a control group that lost its state, because its terms are lower than theirs.
+TEST_CASE("a control group without state begins above the terms of the members")
 {
     auto world = World(11, {});
     for (std::size_t place = 0; place < 3; ++place) {
--- a/unittests/Promotion/grouppromotiontest.cpp
+++ b/unittests/Promotion/grouppromotiontest.cpp
@@ -14,7 +14,7 @@
 
 const auto start = TimePoint(1h);
 
-/// Three zones, and no proxy that serves under an ended term.
+/// Three zones, and no proxy that still uses a view of an ended term.
 const auto released = ProxyStanding{3, Revision(7), Revision(7)};
 
 /// A group in \p term with members a, b and c, without a primary.
@@ -54,7 +54,7 @@
     return found;
 }
 
-/// A promotion that has sent the fences of term 2.
+/// A promotion that has sent the orders to be fenced at term 2.
 struct Fencing
 {
     state::GroupRecord group = fencingGroup(2);
@@ -70,7 +70,8 @@
 
 } // namespace
 
-TEST_CASE("fences go to all members at once and are repeated where no answer came")
+// Failure: one lost order, or one slow member, delays the promotion.
+TEST_CASE("fences are sent to all members at once and repeated to those that have not answered")
 {
     auto fencing = Fencing();
     CHECK(count<SendFence>(fencing.first) == 3);
@@ -79,7 +80,8 @@
     CHECK(count<SendFence>(fencing.promotion.advance(fencing.group, released, start + orderRetry)) == 2);
 }
 
-TEST_CASE("a fenced majority is enough, and the choice names where the log is cut")
+// Failure: the promotion waits for a lost member, or replicas keep entries above the log of the new primary.
+TEST_CASE("a fenced majority is enough, and the proposal contains the end of the log that is kept")
 {
     auto fencing = Fencing();
     fencing.answer(answerOf("a", 2, platform::Role::Fenced, 10));
@@ -91,17 +93,17 @@
     CHECK(count<SendPromote>(actions) == 0);
 }
 
-TEST_CASE("one member that answers twice is no majority")
+// Failure: a repeated answer of one member counts as a quorum.
+TEST_CASE("two answers of one member are not a majority")
 {
     auto fencing = Fencing();
     fencing.answer(answerOf("a", 2, platform::Role::Fenced, 10));
     CHECK(fencing.answer(answerOf("a", 2, platform::Role::Fenced, 10)).empty());
 }
 
-TEST_CASE("a late answer of an earlier fence does not count")
+// Failure: a report from before the member's last confirmed writes lowers its position in the choice, and these writes are lost.
+TEST_CASE("a late answer to the fence of an earlier term does not count")
 {
-    // The fence of term 1 was answered late; since then the member wrote and confirmed more. By the old report the choice would pass
-    // over its log, and the writes that it confirmed would be lost.
     auto fencing = Fencing();
     fencing.answer(answerOf("a", 2, platform::Role::Fenced, 10));
     CHECK(count<ProposePrimary>(fencing.answer(answerOf("b", 1, platform::Role::Fenced, 5))) == 0);
@@ -112,10 +114,9 @@
     CHECK(count<ProposePrimary>(fencing.answer(follower)) == 0);
 }
 
-TEST_CASE("an answer that does not help does not bring the next order at once")
+// Failure: a former control leader and members that already follow a new primary exchange fences and answers without a pause.
+TEST_CASE("an answer that is no progress does not trigger the next order at once")
 {
-    // A former control leader does not know that a primary was chosen. Each member answers its fence as a follower; were the next
-    // fence sent at once, leader and members would exchange them as fast as they can.
     auto fencing = Fencing();
     for (auto answer = 1; answer < 10; ++answer) {
         CHECK(fencing.answer(answerOf("a", 2, platform::Role::Replica, 10), answer * 1ms).empty());
@@ -123,7 +124,8 @@
     CHECK(count<SendFence>(fencing.promotion.advance(fencing.group, released, start + orderRetry)) == 3);
 }
 
-TEST_CASE("an answer of another process at the member's address does not count")
+// Failure: the log of another member at the same address is taken for that of the fenced one.
+TEST_CASE("an answer from another member at the address does not count")
 {
     auto fencing = Fencing();
     fencing.answer(answerOf("a", 2, platform::Role::Fenced, 10));
@@ -132,7 +134,8 @@
     CHECK(count<ProposePrimary>(fencing.answer(stranger)) == 0);
 }
 
-TEST_CASE("a member that has seen a higher term makes control go above it")
+// Failure: a member with a higher term refuses each order of the group forever.
+TEST_CASE("a member with a higher term makes control propose a term above it")
 {
     auto fencing = Fencing();
     auto ahead = answerOf("a", 9, platform::Role::Fenced, 10);
@@ -142,7 +145,8 @@
     CHECK(std::get<ProposeTerm>(actions.front()).command.next == Term(10));
 }
 
-TEST_CASE("only the committed primary is promoted, and the others follow once it is")
+// Failure: a member is promoted that the replicated state does not name, so two members may be primary in one term.
+TEST_CASE("only the committed primary is promoted, and the others follow after its promotion")
 {
     auto fencing = Fencing();
     auto &group = fencing.group;
@@ -159,11 +163,10 @@
     CHECK(std::get<SendFollow>(following.front()).request.keptUpTo == 12);
 }
 
-TEST_CASE("nobody is promoted while a proxy may still serve under the ended term")
+// Failure: a session that wrote to the new primary reads stale data from the old one through a partitioned proxy with a live lease.
+TEST_CASE("no member is promoted while a proxy may still use a view of the ended term")
 {
-    // A proxy is cut off from control together with the old primary and still reads from it under its lease. Its caller has just
-    // written to the new primary by another proxy and would not find its own write. The promotion waits until the proxy has confirmed
-    // the end of the term, or until its lease is over.
+    // The promotion is delayed until the proxy confirms the end of the term or its lease expires.
     const auto behind = ProxyStanding{3, Revision(7), Revision(6)};
     auto fencing = Fencing();
     auto &group = fencing.group;
@@ -177,7 +180,8 @@
     CHECK(count<SendPromote>(fencing.promotion.advance(group, behind, start + leaseLength)) == 1);
 }
 
-TEST_CASE("suspicions of an ended term say nothing of the new primary")
+// Failure: delayed suspicions of the former primary end the term of the new one.
+TEST_CASE("suspicions of an ended term do not count against the new primary")
 {
     auto fencing = Fencing();
     auto &group = fencing.group;
--- a/unittests/Promotion/membertabletest.cpp
+++ b/unittests/Promotion/membertabletest.cpp
@@ -26,10 +26,9 @@
 
 } // namespace
 
-TEST_CASE("late words of an ended process are dropped")
+// Failure: a health report from before a restart, relayed late, makes the member appear restarted twice more and ends two terms.
+TEST_CASE("delayed health reports of an ended process are dropped")
 {
-    // A slow proxy passes on what the member said before its restart. Were it believed, the member would look restarted twice more,
-    // and each time its term would be ended.
     auto table = MemberTable();
     table.note(announcementOf(1, 1, platform::Role::Primary), TimePoint(1h));
     table.note(announcementOf(2, 1, platform::Role::Primary), TimePoint(1h + 1ms));
@@ -37,7 +36,8 @@
     CHECK(table.find(member)->incarnation == Incarnation(2));
 }
 
-TEST_CASE("late words of a lower term are dropped")
+// Failure: a delayed health report shows a fenced member as primary.
+TEST_CASE("delayed health reports of a lower term are dropped")
 {
     auto table = MemberTable();
     table.note(announcementOf(1, 2, platform::Role::Fenced), TimePoint(1h));
@@ -45,7 +45,8 @@
     CHECK(table.find(member)->role == platform::Role::Fenced);
 }
 
-TEST_CASE("a member is live until its announcements stay away")
+// Failure: a lost member counts as live, or a live one as lost.
+TEST_CASE("a member is live until the time since its last health report reaches the limit")
 {
     auto table = MemberTable();
     table.note(announcementOf(1, 1, platform::Role::Replica), TimePoint(1h));
--- a/unittests/Promotion/randomscheduletest.cpp
+++ b/unittests/Promotion/randomscheduletest.cpp
@@ -13,7 +13,7 @@
 
 constexpr auto faultCount = std::size_t{12};
 
-/// One fault, as drawn.
+/// Injects the fault that \p draw selects.
 auto cause(World &world, std::uint32_t draw) -> void
 {
     auto &member = world.member((draw >> 8U) % 3);
@@ -56,11 +56,11 @@
 
 } // namespace
 
-TEST_CASE("no schedule of faults loses an acknowledged write or gives a term two primaries")
+// Failure: a combination of faults that no single test covers loses an acknowledged write, gives a term two primaries or stops a group forever.
+TEST_CASE("random faults lose no acknowledged write and give no term two primaries")
 {
-    // Faults come at any moment and together: members stop, restart and are cut off from control, proxies or each other, control
-    // leaders are lost or go on believing, orders and answers are late, lost or doubled. The promises are checked by the world at each
-    // promotion and acknowledgement; after the faults the group serves again.
+    // Members stop, restart and are partitioned, control leaders are lost or continue to act as leaders, and orders and answers are delayed,
+    // lost or duplicated. World checks the invariants at each promotion and acknowledgement.
     const auto sound = rc::check([](std::uint32_t seed) {
         const auto faults = *rc::gen::container<std::vector<std::uint32_t>>(faultCount, rc::gen::resize(100, rc::gen::arbitrary<std::uint32_t>()));
         auto delays = Delays();
--- a/unittests/Promotion/selfreplicatingtest.cpp
+++ b/unittests/Promotion/selfreplicatingtest.cpp
@@ -58,7 +58,7 @@
     return nullptr;
 }
 
-/// A self-replicating group of a, b and c, of which a says that it is primary.
+/// A self-replicating group of a, b and c, of which a reports the role of primary.
 struct Group
 {
     explicit Group(std::uint64_t term)
@@ -100,9 +100,9 @@
 
 } // namespace
 
-TEST_CASE("a group that serves already keeps the primary that it has")
+// Failure: the first start of the system fences the primary of a group that already serves, and interrupts its callers.
+TEST_CASE("a group that already serves keeps its primary")
 {
-    // The system starts before databases that are in use. Fenced for a first term, they would stop serving for nothing.
     auto group = Group(0);
     const auto begun = group.advance(start);
     REQUIRE(find<ProposeTerm>(begun) != nullptr);
@@ -114,9 +114,9 @@
     CHECK(find<SendFence>(adopted) == nullptr);
 }
 
-TEST_CASE("a primary that announces itself after its replicas is neither fenced nor replaced")
+// Failure: at the first start a replica is promoted in place of a primary that serves.
+TEST_CASE("a primary whose first health report arrives after those of its replicas is neither fenced nor replaced")
 {
-    // Failure: at the first start a replica is promoted in the place of a primary that serves.
     for (const auto term : {std::uint64_t{0}, std::uint64_t{1}}) {
         auto group = Group(term);
         group.record.size = 3;
@@ -139,7 +139,8 @@
     }
 }
 
-TEST_CASE("a new group whose primary never announces itself gets one all the same")
+// Failure: a group whose former primary is lost before the first start never gets a primary.
+TEST_CASE("a new group without a health report of a primary gets a primary after a limited time")
 {
     const auto elects = [](const Actions &actions) {
         return find<SendFence>(actions) != nullptr;
@@ -158,7 +159,7 @@
     REQUIRE(began);
     CHECK(*began <= start + silenceAfter(1'200ms));
 
-    // All members have announced themselves, and none of them is primary.
+    // All members have sent health reports, and none of them is primary.
     auto without = Group(1);
     without.record.size = 3;
     without.promotion = GroupPromotion(start, silenceAfter(1'200ms));
@@ -168,17 +169,17 @@
     CHECK(elects(without.advance(start)));
 }
 
-TEST_CASE("two members that both call themselves primary are not guessed between")
+// Failure: of two members that report the role of primary the wrong one is kept, and the writes of the other are lost.
+TEST_CASE("no primary is adopted if two members report the role of primary")
 {
     auto group = Group(1);
     group.promotion.note(announcementOf("b", platform::Role::Primary), start);
     CHECK(find<ProposePrimary>(group.advance(start + 1ms)) == nullptr);
 }
 
-TEST_CASE("a leaving primary is replaced at once, by a member that has what it acknowledged")
+// Failure: a replica is promoted before it has received the last acknowledged writes, or the leaving primary gets requests after its end.
+TEST_CASE("a leaving primary is replaced at once by a replica that has received all acknowledged writes")
 {
-    // A database says that it leaves while callers write. Its last acknowledged writes are on their way to the replicas. Promoted at
-    // once, a replica would lack them; kept until the end, the leaving one would get new work after it has gone.
     auto group = Group(1);
     group.lead("a");
     group.announce(start + 100ms, true);
@@ -200,9 +201,9 @@
     CHECK(find<ProposePrimary>(chosen)->command.primary == UpstreamId("b"));
 }
 
-TEST_CASE("one replica that is left takes over where no replica confirms writes")
+// Failure: after the loss of the primary and a replica the group never serves again, although no quorum is required for its writes.
+TEST_CASE("the only replica left is promoted if writes are acknowledged without a replica's confirmation")
 {
-    // The primary and a replica are lost together. Nobody promises that the other replica has the last writes, and nobody else can serve.
     auto group = Group(1);
     group.lead("a");
     group.advance(start);
@@ -218,10 +219,9 @@
     CHECK(find<ProposePrimary>(chosen)->command.primary == UpstreamId("b"));
 }
 
-TEST_CASE("the choice does not wait for the member that is suspected")
+// Failure: the order to a primary without power stays unanswered, and the choice is delayed by reportGrace while no caller can write.
+TEST_CASE("the choice is not delayed for the suspected member")
 {
-    // The primary's VM has lost its power; its order stays without an answer. Each moment in which the choice waits for it is one in
-    // which no caller of the group can write.
     auto group = Group(1);
     group.lead("a");
     group.advance(start);
@@ -239,10 +239,9 @@
     CHECK(find<ProposePrimary>(chosen)->command.primary == UpstreamId("c"));
 }
 
-TEST_CASE("the promotion of a self-replicating group waits for no proxy that is cut off from control")
+// Failure: writes stop for 3 s longer until the lease of a partitioned proxy expires, although the former primary refuses its requests.
+TEST_CASE("the promotion of a self-replicating group is not delayed for a proxy that is partitioned from control")
 {
-    // The caller sees: no writes for three seconds more, because proxies that cannot be reached might go by the ended term.
-    // What such a proxy sends to the former primary is refused there, so that nobody needs to wait for its lease.
     const auto behind = ProxyStanding{3, Revision(7), Revision(6)};
     auto group = Group(1);
     group.lead("a");
@@ -254,10 +253,9 @@
     CHECK(find<SendPromote>(promoting)->member == UpstreamId("b"));
 }
 
-TEST_CASE("suspicions of VMs that have lost their own way end no term")
+// Failure: two VMs with saturated network links suspect a healthy primary, and its writes are refused for a second.
+TEST_CASE("suspicions of VMs with a network fault of their own end no term")
 {
-    // The caller sees: writes refused for a second, although the primary is well. Two VMs whose links are full suspect it, as they suspect
-    // the primaries of most other groups.
     auto group = Group(1);
     group.lead("a");
     group.advance(start);
@@ -267,9 +265,9 @@
     CHECK(find<ProposeTerm>(group.advance(start + 1ms)) == nullptr);
 }
 
-TEST_CASE("where a replica confirms each write, one report is not enough")
+// Failure: a replica is promoted that lacks the last acknowledged write, which only the unanswered replica has.
+TEST_CASE("if a replica confirms each write, one report is not enough")
 {
-    // The write that was acknowledged last is on the lost primary and on one replica, which may be the one that has not answered.
     auto group = Group(2);
     group.record.confirmations = 1;
     group.record.view.history.push_back({Term(1), LogPosition(0)});
@@ -284,9 +282,9 @@
     CHECK(find<ProposePrimary>(chosen)->command.primary == UpstreamId("c"));
 }
 
-TEST_CASE("a primary whose announcements stay away is kept while its proxies are served")
+// Failure: a primary that is partitioned from control only is replaced, which interrupts callers that it still serves.
+TEST_CASE("a silent primary is kept for longer while no proxy suspects it")
 {
-    // Databases are cut off from control alone. Their callers notice nothing, and a promotion would only stop them.
     auto group = Group(1);
     group.lead("a");
     const auto silent = silenceAfter(1'200ms);
@@ -300,8 +298,8 @@
     CHECK(find<ProposeTerm>(ended)->reason == TermEnd::Silent);
 }
 
-// A primary that an order told to step down after its promotion must not leave the group without one.
-TEST_CASE("a promoted member that twice says that it is not primary is promoted again")
+// Failure: a primary that steps down by a late order leaves its group without a primary forever.
+TEST_CASE("a promoted member that reports another role twice is promoted again")
 {
     auto group = Group(4);
     group.lead("b");
@@ -314,21 +312,21 @@
     group.promotion.note(OrderAnswered{Order::Promote, GroupId("g"), Term(4), UpstreamId("b"), report}, start + 300ms);
     group.promotion.note(announcementOf("b", platform::Role::Replica), start + 310ms);
     CHECK(find<SendPromote>(group.advance(start + 310ms)) == nullptr);
-    SECTION("the first word was under way when it was promoted")
+    SECTION("the first health report was sent before the promotion")
     {
         group.promotion.note(announcementOf("b", platform::Role::Primary), start + 320ms);
         group.promotion.note(announcementOf("b", platform::Role::Replica), start + 330ms);
         CHECK(find<SendPromote>(group.advance(start + 330ms)) == nullptr);
     }
-    SECTION("it has stepped down")
+    SECTION("the member has stepped down")
     {
         group.promotion.note(announcementOf("b", platform::Role::Replica), start + 1'500ms);
         CHECK(find<SendPromote>(group.advance(start + 1'500ms)) != nullptr);
     }
 }
 
-// A control VM without the promotion duty must order nothing, and go on as soon as it has it.
-TEST_CASE("a promotion waits for the duty to order it")
+// Failure: a control VM without the promotion duty orders promotions, or stays idle after it is granted the duty.
+TEST_CASE("a promotion is ordered only under the promotion duty")
 {
     auto group = Group(4);
     group.lead("b");
@@ -341,8 +339,8 @@
     CHECK(find<SendPromote>(group.advance(start + 2ms)) != nullptr);
 }
 
-// Members that judge an order by its term must not wait for a duty that their promotion does not need.
-TEST_CASE("a promotion of members that tell their term needs no duty")
+// Failure: the promotion of members that reject orders of an old term themselves is delayed until the duty is granted.
+TEST_CASE("a promotion of members that store their term needs no duty")
 {
     auto group = Group(4);
     group.record.selfReplicating = false;
@@ -351,14 +349,14 @@
     CHECK(find<SendPromote>(group.advance(start + 1ms)) != nullptr);
 }
 
-// A new control leader must order what is missing of a promotion, and nothing of one that was carried out.
-TEST_CASE("a new control leader trusts the role that the primary it finds announces")
+// Failure: a new control leader repeats a promotion that was carried out, or does not complete one that was not.
+TEST_CASE("a new control leader trusts the role in the health reports of the primary in the replicated state")
 {
     auto group = Group(4);
     group.lead("a");
     auto fresh = GroupPromotion(start, silenceAfter(1'200ms));
     REQUIRE(find<SendPromote>(fresh.advance(group.record, released, start)) == nullptr);
-    SECTION("it leads")
+    SECTION("it is primary")
     {
         fresh.note(announcementOf("a", platform::Role::Primary), start + 100ms);
         CHECK(find<SendPromote>(fresh.advance(group.record, released, start + 100ms)) == nullptr);
@@ -366,20 +364,20 @@
         fresh.note(announcementOf("a", platform::Role::Replica), start + 6s);
         CHECK(find<SendPromote>(fresh.advance(group.record, released, start + 6s)) != nullptr);
     }
-    SECTION("it does not lead yet")
+    SECTION("it is not primary yet")
     {
         fresh.note(announcementOf("a", platform::Role::Replica), start + 100ms);
         CHECK(find<SendPromote>(fresh.advance(group.record, released, start + 100ms)) != nullptr);
     }
-    SECTION("its announcements do not arrive")
+    SECTION("its health reports do not arrive")
     {
         CHECK(find<SendPromote>(fresh.advance(group.record, released, start + silenceAfter(1'200ms) - 1ms)) == nullptr);
         CHECK(find<SendPromote>(fresh.advance(group.record, released, start + silenceAfter(1'200ms))) != nullptr);
     }
 }
 
-// A primary that the new control leader has chosen itself must not wait for its next announcement.
-TEST_CASE("a new control leader promotes at once whom it has chosen itself")
+// Failure: the promotion of a primary that the new control leader itself has chosen is delayed until the next health report.
+TEST_CASE("a new control leader promotes a primary of its own choice at once")
 {
     auto group = Group(4);
     auto fresh = GroupPromotion(start, silenceAfter(1'200ms));
@@ -388,8 +386,8 @@
     CHECK(find<SendPromote>(fresh.advance(group.record, released, start + 20ms)) != nullptr);
 }
 
-// A group that serves already needs no order for the primary that it came with.
-TEST_CASE("an adopted primary is not ordered to be primary")
+// Failure: a primary that already serves is sent an order to become primary, which may interrupt its callers.
+TEST_CASE("an adopted primary is sent no order to become primary")
 {
     auto group = Group(0);
     REQUIRE(find<ProposeTerm>(group.advance(start)) != nullptr);
--- a/unittests/Promotion/world.cpp
+++ b/unittests/Promotion/world.cpp
@@ -17,7 +17,7 @@
 const auto zones = std::vector<ZoneId>{ZoneId("hobart"), ZoneId("launceston"), ZoneId("devonport")};
 
 constexpr auto writeInterval = 20ms;
-/// A write that was not confirmed in this time is given up by its proxy.
+/// Time after which a proxy abandons a write that is not confirmed.
 constexpr auto callerPatience = 5s;
 
 auto textWithGroup() -> state::Command
@@ -213,7 +213,7 @@
     });
 }
 
-/// Members announce to proxies, which pass it on with their next heartbeat.
+/// Members send health reports to proxies, which relay them with the next heartbeat.
 auto World::announceAll() -> void
 {
     for (const auto &member : this->members) {
@@ -236,7 +236,7 @@
     }
 }
 
-/// Copies one entry, or drops one that the primary does not have.
+/// Discards the entries that the primary does not have and copies one further entry.
 auto World::replicate(FakeMember &replica) -> void
 {
     if (replica.primary.value().empty()) {
@@ -247,7 +247,7 @@
     if (!admits || this->chance(20)) {
         return;
     }
-    // Entries are unique, so that logs with an equal entry at a place are equal up to there.
+    // Entries are unique, so logs with equal entries at a position are equal up to that position.
     while (!replica.log.empty() && (replica.log.size() > source.log.size() || replica.log.back() != source.log[replica.log.size() - 1])) {
         replica.log.pop_back();
     }
@@ -256,7 +256,7 @@
     }
 }
 
-/// Each zone's proxy sends a write to each member that might take it: also to one that was replaced and does not know it.
+/// Proxies send a write to each member in the role of primary, including a replaced one that has received no order yet.
 auto World::writeAll() -> void
 {
     for (auto &member : this->members) {
@@ -272,7 +272,7 @@
     }
 }
 
-/// A proxy acknowledges once a member other than the primary reports the position in the term of the write.
+/// Proxies acknowledge a write after a replica of the term has reached its position.
 auto World::confirmAll() -> void
 {
     const auto confirmed = [this](const PendingWrite &write) {
@@ -357,7 +357,7 @@
     }
 }
 
-/// Delivers an order and its answer, each late, lost or twice.
+/// Delivers an order and its answer with random delay, loss and duplication.
 template <typename Send, typename Obey>
 auto World::send(const std::shared_ptr<FakeLeader> &leader, Order order, const Send &message, Obey obey) -> void
 {
@@ -409,7 +409,7 @@
     }
 }
 
-/// Called whenever a member becomes primary: it holds every acknowledged write, and no other member had the term.
+/// Checks at each promotion that the new primary has every acknowledged write of earlier terms and that its term had no other primary.
 auto World::checkPrimary(const FakeMember &member) -> void
 {
     if (member.role != platform::Role::Primary) {
@@ -427,7 +427,7 @@
     for (const auto &entry : member.log) {
         held.insert(entry.write);
     }
-    // An order that was under way for long may promote a member for a term that has ended; of later terms it knows nothing.
+    // A delayed order may promote a member for a term that has ended; it need not have the writes of later terms.
     for (const auto &[write, writeTerm] : this->acknowledged) {
         if (writeTerm < member.term && !held.contains(write)) {
             throw std::logic_error("a new primary lacks an acknowledged write");
@@ -435,7 +435,7 @@
     }
 }
 
-/// Called for each acknowledgement: the primaries of later terms hold the write already.
+/// Checks at each acknowledgement that the primaries of later terms have the write.
 auto World::checkAcknowledged(const PendingWrite &write) -> void
 {
     for (const auto &member : this->members) {
--- a/unittests/Promotion/world.h
+++ b/unittests/Promotion/world.h
@@ -1,7 +1,7 @@
-// world.h: a database group, proxies that write to it and control leaders, under virtual time and drawn faults.
+// world.h: simulation of a database group, proxies that write to it and control leaders, with virtual time and random faults.
 //
-// Small fakes at the interfaces of promotion: members keep docs/PLATFORM.md, control commits in one list, proxies acknowledge as the
-// traffic path does. The promises are checked at each step.
+// Fakes implement the interfaces of promotion: members behave as docs/PLATFORM.md specifies, control commits commands to one list, and proxies
+// acknowledge writes as the traffic path does. The invariants are checked at each promotion and acknowledgement.
 #pragma once
 
 #include "sapphirespool/Promotion/promoter.h"
@@ -31,15 +31,15 @@
     auto operator==(const Entry &) const -> bool = default;
 };
 
-/// A member as docs/PLATFORM.md describes it.
+/// A member as docs/PLATFORM.md specifies it.
 struct FakeMember
 {
     UpstreamId id;
     Incarnation incarnation{1};
     bool running = true;
-    /// Whether control, other members and the proxies of each zone reach it.
     bool controlReaches = true;
     bool membersReach = true;
+    /// Zones whose proxies do not reach it.
     std::set<ZoneId> cutZones;
     bool leaving = false;
     Term term;
@@ -53,19 +53,19 @@
     auto follow(const platform::FollowRequest &request) -> std::optional<platform::PositionReport>;
 };
 
-/// A control VM that leads, or believes so.
+/// A control VM that is leader or still acts as leader.
 struct FakeLeader
 {
     state::ClusterState state;
     std::size_t applied = 0;
     std::unique_ptr<Promoter> promoter;
-    /// Whether its proposals are still committed.
+    /// Whether its proposals are committed.
     bool current = true;
-    /// Whether it still gets what proxies pass on and still reaches members.
+    /// Whether it receives messages from proxies and exchanges messages with members.
     bool connected = true;
 };
 
-/// A write that a proxy sent to a primary and that waits for a second member.
+/// A write that a proxy sent to a primary and that a second member has not confirmed yet.
 struct PendingWrite
 {
     std::uint64_t write = 0;
@@ -75,7 +75,7 @@
     TimePoint sent;
 };
 
-/// Moments of a failover, in order.
+/// Times of the steps of a failover, in order.
 struct Milestones
 {
     std::optional<TimePoint> termProposed;
@@ -86,30 +86,31 @@
     std::optional<TimePoint> acknowledged;
 };
 
-/// How long things take; drawn evenly up to these.
+/// Upper bounds of uniformly distributed delays.
 struct Delays
 {
     Duration network = std::chrono::milliseconds(3);
     Duration commit = std::chrono::milliseconds(12);
     Duration heartbeat = std::chrono::milliseconds(100);
-    /// Parts of a hundred of the orders and answers that are lost, and that come twice.
+    /// Percentage of the orders and answers that are lost, and of the orders that are duplicated.
     std::uint32_t lost = 0;
     std::uint32_t doubled = 0;
 };
 
-/// All of it.
+/// The simulation.
 class World
 {
 public:
     World(std::uint32_t seed, Delays delays);
 
-    /// Lets virtual time pass.
+    /// Advances virtual time.
     auto run(Duration length) -> void;
 
-    /// Runs until a write is acknowledged that was sent after now; fails after \p limit.
+    /// Runs until a write that was sent after this call is acknowledged.
+    /// \return false if that takes longer than \p limit
     auto runUntilServed(Duration limit) -> bool;
 
-    /// Takes the lead away from the present leader, which goes on believing in it if \p believes.
+    /// Ends the leadership of the current leader and starts another one. If \p believes, the former leader continues to act as leader.
     auto changeLeader(bool believes) -> void;
 
     auto member(std::size_t place) -> FakeMember &;
@@ -119,13 +120,13 @@
     auto leader() -> FakeLeader &;
     auto record() -> const state::GroupRecord &;
 
-    /// \return the term ends that were proposed so far
+    /// \return the reasons of all term ends proposed so far
     [[nodiscard]] auto termEnds() const -> const std::vector<TermEnd> &;
     [[nodiscard]] auto acknowledgedCount() const -> std::size_t;
     [[nodiscard]] auto time() const -> TimePoint;
     [[nodiscard]] auto milestones() -> Milestones &;
 
-    /// Called after each action of a leader was carried out, with its number; the way into every gap between two steps.
+    /// Called with the number of each action of a leader after it is carried out, so that tests can inject a fault between two actions.
     std::function<void(std::size_t)> afterAction;
 
 private:
@@ -173,11 +174,11 @@
     std::vector<state::Command> committed;
     std::vector<std::shared_ptr<FakeLeader>> leaders;
     std::vector<PendingWrite> pending;
-    /// Acknowledged writes and the terms in which they were.
+    /// Acknowledged writes and their terms.
     std::map<std::uint64_t, Term> acknowledged;
     std::uint64_t nextWrite = 1;
     std::size_t actionCount = 0;
-    /// The one member that was primary in a term.
+    /// The member that was primary in each term.
     std::map<Term, UpstreamId> primaries;
     std::vector<TermEnd> ends;
     Milestones marks;
