--- a/include/sapphirespool/Promotion/membertable.h
+++ b/include/sapphirespool/Promotion/membertable.h
@@ -17,7 +17,7 @@
 struct MemberState
 {
     /// Arrival of its last health report; absent if none has arrived.
-    std::optional<TimePoint> heard;
+    std::optional<TimePoint> lastContact;
     Incarnation incarnation;
     Term term;
     platform::Role role = platform::Role::Replica;
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -99,8 +99,8 @@
     this->wake = now + motionInterval;
     if (!this->inMotion && group.view.primary) {
         const auto *const primary = this->members.find(*group.view.primary);
-        const auto heard = primary != nullptr && primary->heard ? *primary->heard : this->since;
-        this->wake = std::max(this->wake, heard + this->silence);
+        const auto lastContact = primary != nullptr && primary->lastContact ? *primary->lastContact : this->since;
+        this->wake = std::max(this->wake, lastContact + this->silence);
     }
     return actions;
 }
--- a/lib/Promotion/groupstanding.cpp
+++ b/lib/Promotion/groupstanding.cpp
@@ -62,10 +62,10 @@
     const auto &primary = *group.view.primary;
     // A new control leader has received no health reports yet. If it did not count from its election, it would replace every primary.
     const auto *const state = this->members.find(primary);
-    const auto heard = state != nullptr && state->heard ? std::max(*state->heard, this->since) : this->since;
+    const auto lastContact = state != nullptr && state->lastContact ? std::max(*state->lastContact, this->since) : this->since;
     const auto isSuspectedAtAll = this->suspected && now - *this->suspected < suspicionLife;
     const auto limit = group.selfReplicating && !isSuspectedAtAll ? this->silence * unsuspectedSilence : this->silence;
-    return now - heard >= limit;
+    return now - lastContact >= limit;
 }
 
 auto GroupPromotion::isSuspected(std::size_t proxyZones, TimePoint now) const -> bool
@@ -152,7 +152,7 @@
     // If a new leader did not wait for the first health report of a primary, it would order a promotion for each healthy group. Members that
     // store their term ignore or refuse such an order, but members on a platform without terms carry it out.
     const auto *const state = this->members.find(*group.view.primary);
-    const auto isReported = state != nullptr && state->heard;
+    const auto isReported = state != nullptr && state->lastContact;
     return this->trustsRole && group.selfReplicating && !isReported && now - this->since < this->silence;
 }
 
--- a/lib/Promotion/membertable.cpp
+++ b/lib/Promotion/membertable.cpp
@@ -45,7 +45,7 @@
     news.position = LogPosition(announcement.position);
     auto *const member = this->update(UpstreamId(announcement.id), news, now);
     if (member != nullptr) {
-        member->heard = now;
+        member->lastContact = now;
         member->leaving = announcement.leaving;
     }
 }
@@ -58,7 +58,7 @@
         return false;
     }
     auto &member = found->second;
-    member.heard = now;
+    member.lastContact = now;
     member.leaving = announcement.leaving;
     noteDenial(member, announcement.role);
     return true;
@@ -113,7 +113,7 @@
 auto MemberTable::isLive(const UpstreamId &member, TimePoint now) const -> bool
 {
     const auto *const state = this->find(member);
-    return state != nullptr && state->heard && now - *state->heard < this->silence;
+    return state != nullptr && state->lastContact && now - *state->lastContact < this->silence;
 }
 
 auto MemberTable::selfAppointed(TimePoint now) const -> std::optional<UpstreamId>
