--- a/include/sapphirespool/Promotion/membertable.h
+++ b/include/sapphirespool/Promotion/membertable.h
@@ -24,7 +24,7 @@
     Term lastTerm;
     LogPosition position;
     /// When its log position last changed.
-    TimePoint moved{};
+    TimePoint positionChanged{};
     bool leaving = false;
     /// Successive health reports in which a promoted member reports another role than primary.
     std::uint32_t denials = 0;
--- a/lib/Promotion/groupstanding.cpp
+++ b/lib/Promotion/groupstanding.cpp
@@ -101,7 +101,7 @@
     if (!this->leavingSince || primary == nullptr || !this->hasCaughtUp(group, *primary, now)) {
         return false;
     }
-    const auto quiet = now - std::max(primary->moved, *this->leavingSince) >= handoverQuiet;
+    const auto quiet = now - std::max(primary->positionChanged, *this->leavingSince) >= handoverQuiet;
     return quiet || now - *this->leavingSince >= handoverDeadline;
 }
 
--- a/lib/Promotion/membertable.cpp
+++ b/lib/Promotion/membertable.cpp
@@ -90,7 +90,7 @@
         return nullptr;
     }
     if (!sameProcess || news.position != member.position || news.lastTerm != member.lastTerm) {
-        member.moved = now;
+        member.positionChanged = now;
     }
     if (!sameProcess) {
         member.former.insert(member.incarnation);
