--- a/include/sapphirespool/Controller/vmtable.h
+++ b/include/sapphirespool/Controller/vmtable.h
@@ -59,7 +59,7 @@
     {
         ZoneId zone;
         Incarnation incarnation;
-        std::set<Incarnation> former;
+        std::set<Incarnation> formerIncarnations;
         Revision confirmed;
         Revision configuration;
         TimePoint leaseEnd;
--- a/include/sapphirespool/Promotion/membertable.h
+++ b/include/sapphirespool/Promotion/membertable.h
@@ -29,7 +29,7 @@
     /// Successive health reports in which a promoted member reports another role than primary.
     std::uint32_t denials = 0;
     /// Incarnations of earlier processes of the member.
-    std::set<Incarnation> former;
+    std::set<Incarnation> formerIncarnations;
 };
 
 /// Soft state of one control leader.
--- a/lib/Controller/vmtable.cpp
+++ b/lib/Controller/vmtable.cpp
@@ -19,11 +19,11 @@
 auto VmTable::note(const control::VmHeartbeat &heartbeat, TimePoint now) -> bool
 {
     auto &vm = this->vms[heartbeat.vm];
-    if (vm.former.contains(heartbeat.incarnation)) {
+    if (vm.formerIncarnations.contains(heartbeat.incarnation)) {
         return false;
     }
     if (vm.incarnation != heartbeat.incarnation) {
-        vm.former.insert(vm.incarnation);
+        vm.formerIncarnations.insert(vm.incarnation);
         vm.incarnation = heartbeat.incarnation;
     }
     vm.zone = heartbeat.zone;
--- a/lib/Promotion/membertable.cpp
+++ b/lib/Promotion/membertable.cpp
@@ -80,7 +80,7 @@
     const auto [place, added] = this->members.try_emplace(id);
     auto &member = place->second;
     // A delayed health report of an ended process must not make its successor appear restarted.
-    if (member.former.contains(news.incarnation)) {
+    if (member.formerIncarnations.contains(news.incarnation)) {
         return nullptr;
     }
     const auto sameProcess = added || member.incarnation == news.incarnation;
@@ -93,7 +93,7 @@
         member.positionChanged = now;
     }
     if (!sameProcess) {
-        member.former.insert(member.incarnation);
+        member.formerIncarnations.insert(member.incarnation);
     }
     member.incarnation = news.incarnation;
     member.term = news.term;
