--- a/include/sapphirespool/Promotion/membertable.h
+++ b/include/sapphirespool/Promotion/membertable.h
@@ -49,7 +49,7 @@
     [[nodiscard]] auto isLive(const UpstreamId &member, TimePoint now) const -> bool;
 
     /// \return the only live member that reports the role of primary without a term; nothing if there is none or more than one
-    [[nodiscard]] auto selfAppointed(TimePoint now) const -> std::optional<UpstreamId>;
+    [[nodiscard]] auto reportedPrimary(TimePoint now) const -> std::optional<UpstreamId>;
     /// \return whether a live member reports the role of primary
     [[nodiscard]] auto namesPrimary(TimePoint now) const -> bool;
 
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -147,7 +147,7 @@
     if (this->members.highestTerm() > group.view.term) {
         return this->endTerm(group, TermEnd::Overtaken, now);
     }
-    if (group.view.history.empty() && this->members.selfAppointed(now)) {
+    if (group.view.history.empty() && this->members.reportedPrimary(now)) {
         return this->adopt(group, now);
     }
     auto actions = this->fenceMembers(group, now);
@@ -161,7 +161,7 @@
 {
     // A group that served before this system was started already has a primary. Fencing it would interrupt its callers without need, and its
     // members do not store a term at which they could be fenced.
-    const auto primary = *this->members.selfAppointed(now);
+    const auto primary = *this->members.reportedPrimary(now);
     if (group.view.findMember(primary) == nullptr || !this->tryPropose(now)) {
         return {};
     }
--- a/lib/Promotion/membertable.cpp
+++ b/lib/Promotion/membertable.cpp
@@ -116,7 +116,7 @@
     return state != nullptr && state->lastContact && now - *state->lastContact < this->silence;
 }
 
-auto MemberTable::selfAppointed(TimePoint now) const -> std::optional<UpstreamId>
+auto MemberTable::reportedPrimary(TimePoint now) const -> std::optional<UpstreamId>
 {
     auto primary = std::optional<UpstreamId>();
     for (const auto &[id, member] : this->members) {
