--- a/include/sapphirespool/Promotion/membertable.h
+++ b/include/sapphirespool/Promotion/membertable.h
@@ -51,7 +51,7 @@
     /// \return the only live member that reports the role of primary without a term; nothing if there is none or more than one
     [[nodiscard]] auto reportedPrimary(TimePoint now) const -> std::optional<UpstreamId>;
     /// \return whether a live member reports the role of primary
-    [[nodiscard]] auto namesPrimary(TimePoint now) const -> bool;
+    [[nodiscard]] auto hasLivePrimary(TimePoint now) const -> bool;
 
     /// \return the highest term that any member has reported
     [[nodiscard]] auto highestTerm() const -> Term;
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -174,7 +174,7 @@
     // After the first start of the system the health reports of the members arrive in any order. Two replicas that report before their
     // primary are a quorum: one of them would be promoted, and the primary would be fenced while it serves.
     const auto isNew = group.selfReplicating && group.view.history.empty() && group.view.term <= Term(firstTermNumber);
-    if (!isNew || this->members.namesPrimary(now) || this->liveCount(group, now) >= group.size) {
+    if (!isNew || this->members.hasLivePrimary(now) || this->liveCount(group, now) >= group.size) {
         return false;
     }
     if (!this->firstQuorumAt) {
--- a/lib/Promotion/membertable.cpp
+++ b/lib/Promotion/membertable.cpp
@@ -131,7 +131,7 @@
     return primary;
 }
 
-auto MemberTable::namesPrimary(TimePoint now) const -> bool
+auto MemberTable::hasLivePrimary(TimePoint now) const -> bool
 {
     return std::any_of(this->members.begin(), this->members.end(), [this, now](const auto &member) {
         return member.second.role == platform::Role::Primary && this->isLive(member.first, now);
