--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -34,8 +34,8 @@
 {
 public:
     /// \param since when this VM became control leader
-    /// \param silence time since the last health report of a member after which it counts as lost
-    explicit GroupPromotion(TimePoint since, std::chrono::milliseconds silence = silenceLimit);
+    /// \param contactTimeout time since the last health report of a member after which it counts as lost
+    explicit GroupPromotion(TimePoint since, std::chrono::milliseconds contactTimeout = minimumContactTimeout);
 
     auto note(const Announced &event, TimePoint now) -> void;
     auto note(const Suspected &event, TimePoint now) -> void;
@@ -99,7 +99,7 @@
     [[nodiscard]] auto membersToAvoid(const state::GroupRecord &group) const -> std::set<UpstreamId>;
 
     TimePoint since;
-    std::chrono::milliseconds silence;
+    std::chrono::milliseconds contactTimeout;
     MemberTable members;
     PromotionPause pause;
     /// Term of the fields below.
--- a/include/sapphirespool/Promotion/membertable.h
+++ b/include/sapphirespool/Promotion/membertable.h
@@ -36,8 +36,8 @@
 class MemberTable
 {
 public:
-    /// \param silence time since the last health report after which a member does not count as live
-    explicit MemberTable(std::chrono::milliseconds silence = silenceLimit);
+    /// \param contactTimeout time since the last health report after which a member does not count as live
+    explicit MemberTable(std::chrono::milliseconds contactTimeout = minimumContactTimeout);
 
     auto note(const platform::Announcement &announcement, TimePoint now) -> void;
     auto note(const platform::PositionReport &report, TimePoint now) -> void;
@@ -62,7 +62,7 @@
     auto noteWithoutTerm(const platform::Announcement &announcement, TimePoint now) -> bool;
     auto update(const UpstreamId &id, const MemberState &news, TimePoint now) -> MemberState *;
 
-    std::chrono::milliseconds silence;
+    std::chrono::milliseconds contactTimeout;
     std::map<UpstreamId, MemberState> members;
 };
 
--- a/include/sapphirespool/Promotion/promoter.h
+++ b/include/sapphirespool/Promotion/promoter.h
@@ -19,8 +19,8 @@
 public:
     /// \param state is read at each call and must outlive the promoter
     /// \param since when this VM became control leader
-    /// \param silence time since the last health report of a member after which it counts as lost
-    Promoter(const state::ClusterState &state, TimePoint since, std::chrono::milliseconds silence = silenceLimit);
+    /// \param contactTimeout time since the last health report of a member after which it counts as lost
+    Promoter(const state::ClusterState &state, TimePoint since, std::chrono::milliseconds contactTimeout = minimumContactTimeout);
 
     auto handle(const Event &event, TimePoint now) -> Actions;
 
@@ -39,7 +39,7 @@
 
     const state::ClusterState &state;
     TimePoint since;
-    std::chrono::milliseconds silence;
+    std::chrono::milliseconds contactTimeout;
     ProxyStanding proxies;
     bool holdsDuty = false;
     std::map<GroupId, GroupPromotion> groups;
--- a/include/sapphirespool/Promotion/timing.h
+++ b/include/sapphirespool/Promotion/timing.h
@@ -13,15 +13,15 @@
 /// Lower bound of the time since the last health report after which a member counts as lost. At the default interval of 200 ms four
 /// successive reports are then missing: neither a lost segment, which TCP retransmits after 200 to 400 ms, nor a stall of half a second
 /// causes a promotion. The failover still takes far less than the allowed 7 s.
-constexpr auto silenceLimit = std::chrono::milliseconds(1'000);
+constexpr auto minimumContactTimeout = std::chrono::milliseconds(1'000);
 
 /// \return the time since the last health report after which a member that sends one every \p interval counts as lost
 ///
 /// After two and a half intervals two successive reports are missing, so a single lost or delayed report causes no promotion. With long
 /// intervals a failed primary is detected earlier by the suspicions of the proxies.
-constexpr auto silenceAfter(std::chrono::milliseconds interval) -> std::chrono::milliseconds
+constexpr auto contactTimeoutFor(std::chrono::milliseconds interval) -> std::chrono::milliseconds
 {
-    return std::max(silenceLimit, interval * 5 / 2);
+    return std::max(minimumContactTimeout, interval * 5 / 2);
 }
 
 /// Length of a proxy's lease on its view. It is longer than a control election, which takes up to about 2 s, so that the loss of a control
@@ -60,7 +60,7 @@
 
 /// Factor on the time after which a silent primary of a self-replicating group is replaced if no proxy suspects it: the primary may be
 /// partitioned from control only and still serve the proxies.
-constexpr auto unsuspectedSilence = 4;
+constexpr auto unsuspectedTimeoutFactor = 4;
 
 /// Time without a change of position after which a leaving primary counts as idle; longer than a health report of any member takes to
 /// arrive.
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -42,10 +42,10 @@
 
 } // namespace
 
-GroupPromotion::GroupPromotion(TimePoint since, std::chrono::milliseconds silence)
+GroupPromotion::GroupPromotion(TimePoint since, std::chrono::milliseconds contactTimeout)
     : since(since)
-    , silence(silence)
-    , members(silence)
+    , contactTimeout(contactTimeout)
+    , members(contactTimeout)
     , wake(since)
 {
 }
@@ -100,7 +100,7 @@
     if (!this->inMotion && group.view.primary) {
         const auto *const primary = this->members.find(*group.view.primary);
         const auto lastContact = primary != nullptr && primary->lastContact ? *primary->lastContact : this->since;
-        this->wake = std::max(this->wake, lastContact + this->silence);
+        this->wake = std::max(this->wake, lastContact + this->contactTimeout);
     }
     return actions;
 }
@@ -180,7 +180,7 @@
     if (!this->firstQuorumAt) {
         this->firstQuorumAt = now;
     }
-    return now - *this->firstQuorumAt < this->silence;
+    return now - *this->firstQuorumAt < this->contactTimeout;
 }
 
 auto GroupPromotion::fenceMembers(const GroupRecord &group, TimePoint now) -> Actions
--- a/lib/Promotion/groupstanding.cpp
+++ b/lib/Promotion/groupstanding.cpp
@@ -64,7 +64,7 @@
     const auto *const state = this->members.find(primary);
     const auto lastContact = state != nullptr && state->lastContact ? std::max(*state->lastContact, this->since) : this->since;
     const auto isSuspectedAtAll = this->suspected && now - *this->suspected < suspicionLife;
-    const auto limit = group.selfReplicating && !isSuspectedAtAll ? this->silence * unsuspectedSilence : this->silence;
+    const auto limit = group.selfReplicating && !isSuspectedAtAll ? this->contactTimeout * unsuspectedTimeoutFactor : this->contactTimeout;
     return now - lastContact >= limit;
 }
 
@@ -153,7 +153,7 @@
     // store their term ignore or refuse such an order, but members on a platform without terms carry it out.
     const auto *const state = this->members.find(*group.view.primary);
     const auto isReported = state != nullptr && state->lastContact;
-    return this->trustsRole && group.selfReplicating && !isReported && now - this->since < this->silence;
+    return this->trustsRole && group.selfReplicating && !isReported && now - this->since < this->contactTimeout;
 }
 
 auto GroupPromotion::isFollowing(const UpstreamId &member, Term inTerm) const -> bool
--- a/lib/Promotion/membertable.cpp
+++ b/lib/Promotion/membertable.cpp
@@ -27,8 +27,8 @@
 
 } // namespace
 
-MemberTable::MemberTable(std::chrono::milliseconds silence)
-    : silence(silence)
+MemberTable::MemberTable(std::chrono::milliseconds contactTimeout)
+    : contactTimeout(contactTimeout)
 {
 }
 
@@ -113,7 +113,7 @@
 auto MemberTable::isLive(const UpstreamId &member, TimePoint now) const -> bool
 {
     const auto *const state = this->find(member);
-    return state != nullptr && state->lastContact && now - *state->lastContact < this->silence;
+    return state != nullptr && state->lastContact && now - *state->lastContact < this->contactTimeout;
 }
 
 auto MemberTable::reportedPrimary(TimePoint now) const -> std::optional<UpstreamId>
--- a/lib/Promotion/promoter.cpp
+++ b/lib/Promotion/promoter.cpp
@@ -60,10 +60,10 @@
     return "unknown";
 }
 
-Promoter::Promoter(const state::ClusterState &state, TimePoint since, std::chrono::milliseconds silence)
+Promoter::Promoter(const state::ClusterState &state, TimePoint since, std::chrono::milliseconds contactTimeout)
     : state(state)
     , since(since)
-    , silence(silence)
+    , contactTimeout(contactTimeout)
 {
 }
 
@@ -114,7 +114,7 @@
 
 auto Promoter::promotionOf(const GroupId &group) -> GroupPromotion &
 {
-    return this->groups.try_emplace(group, this->since, this->silence).first->second;
+    return this->groups.try_emplace(group, this->since, this->contactTimeout).first->second;
 }
 
 } // namespace sapphirespool::promotion
--- a/unittests/Promotion/membertabletest.cpp
+++ b/unittests/Promotion/membertabletest.cpp
@@ -50,8 +50,8 @@
 {
     auto table = MemberTable();
     table.note(announcementOf(1, 1, platform::Role::Replica), TimePoint(1h));
-    CHECK(table.isLive(member, TimePoint(1h) + silenceLimit - 1ms));
-    CHECK(!table.isLive(member, TimePoint(1h) + silenceLimit));
+    CHECK(table.isLive(member, TimePoint(1h) + minimumContactTimeout - 1ms));
+    CHECK(!table.isLive(member, TimePoint(1h) + minimumContactTimeout));
 }
 
 } // namespace sapphirespool::promotion
--- a/unittests/Promotion/selfreplicatingtest.cpp
+++ b/unittests/Promotion/selfreplicatingtest.cpp
@@ -95,7 +95,7 @@
     }
 
     state::GroupRecord record;
-    GroupPromotion promotion{start, silenceAfter(1'200ms)};
+    GroupPromotion promotion{start, contactTimeoutFor(1'200ms)};
 };
 
 } // namespace
@@ -120,7 +120,7 @@
     for (const auto term : {std::uint64_t{0}, std::uint64_t{1}}) {
         auto group = Group(term);
         group.record.size = 3;
-        group.promotion = GroupPromotion(start, silenceAfter(1'200ms));
+        group.promotion = GroupPromotion(start, contactTimeoutFor(1'200ms));
         group.promotion.note(announcementOf("b", platform::Role::Replica), start);
         group.promotion.note(announcementOf("c", platform::Role::Replica), start);
         for (auto passed = 0ms; passed < 1'200ms; passed += 20ms) {
@@ -147,7 +147,7 @@
     };
     auto group = Group(1);
     group.record.size = 3;
-    group.promotion = GroupPromotion(start, silenceAfter(1'200ms));
+    group.promotion = GroupPromotion(start, contactTimeoutFor(1'200ms));
     auto began = std::optional<TimePoint>();
     for (auto passed = 0ms; passed <= 5s && !began; passed += 100ms) {
         group.promotion.note(announcementOf("b", platform::Role::Replica), start + passed);
@@ -157,12 +157,12 @@
         }
     }
     REQUIRE(began);
-    CHECK(*began <= start + silenceAfter(1'200ms));
+    CHECK(*began <= start + contactTimeoutFor(1'200ms));
 
     // All members have sent health reports, and none of them is primary.
     auto without = Group(1);
     without.record.size = 3;
-    without.promotion = GroupPromotion(start, silenceAfter(1'200ms));
+    without.promotion = GroupPromotion(start, contactTimeoutFor(1'200ms));
     for (const auto *const id : {"a", "b", "c"}) {
         without.promotion.note(announcementOf(id, platform::Role::Replica), start);
     }
@@ -287,7 +287,7 @@
 {
     auto group = Group(1);
     group.lead("a");
-    const auto silent = silenceAfter(1'200ms);
+    const auto silent = contactTimeoutFor(1'200ms);
     for (const auto *const id : {"b", "c"}) {
         group.promotion.note(announcementOf(id, platform::Role::Replica), start + silent);
     }
@@ -354,7 +354,7 @@
 {
     auto group = Group(4);
     group.lead("a");
-    auto fresh = GroupPromotion(start, silenceAfter(1'200ms));
+    auto fresh = GroupPromotion(start, contactTimeoutFor(1'200ms));
     REQUIRE(find<SendPromote>(fresh.advance(group.record, released, start)) == nullptr);
     SECTION("it is primary")
     {
@@ -371,8 +371,8 @@
     }
     SECTION("its health reports do not arrive")
     {
-        CHECK(find<SendPromote>(fresh.advance(group.record, released, start + silenceAfter(1'200ms) - 1ms)) == nullptr);
-        CHECK(find<SendPromote>(fresh.advance(group.record, released, start + silenceAfter(1'200ms))) != nullptr);
+        CHECK(find<SendPromote>(fresh.advance(group.record, released, start + contactTimeoutFor(1'200ms) - 1ms)) == nullptr);
+        CHECK(find<SendPromote>(fresh.advance(group.record, released, start + contactTimeoutFor(1'200ms))) != nullptr);
     }
 }
 
@@ -380,7 +380,7 @@
 TEST_CASE("a new control leader promotes a primary of its own choice at once")
 {
     auto group = Group(4);
-    auto fresh = GroupPromotion(start, silenceAfter(1'200ms));
+    auto fresh = GroupPromotion(start, contactTimeoutFor(1'200ms));
     REQUIRE(find<SendFence>(fresh.advance(group.record, released, start)) != nullptr);
     group.lead("b");
     CHECK(find<SendPromote>(fresh.advance(group.record, released, start + 20ms)) != nullptr);
