--- a/include/sapphirespool/Controller/controller.h
+++ b/include/sapphirespool/Controller/controller.h
@@ -37,7 +37,7 @@
     /// Language of the operators' text.
     std::shared_ptr<const configuration::Reader> reader = configuration::makeYamlReader();
     /// How often members of database groups announce themselves.
-    std::chrono::milliseconds announcementInterval = promotion::usualAnnouncementInterval;
+    std::chrono::milliseconds announcementInterval = promotion::defaultAnnouncementInterval;
     /// Zone of this VM.
     ZoneId zone = {};
 };
--- a/include/sapphirespool/Promotion/timing.h
+++ b/include/sapphirespool/Promotion/timing.h
@@ -8,7 +8,7 @@
 {
 
 /// Default interval of the health reports of a member.
-constexpr auto usualAnnouncementInterval = std::chrono::milliseconds(200);
+constexpr auto defaultAnnouncementInterval = std::chrono::milliseconds(200);
 
 /// Lower bound of the time since the last health report after which a member counts as lost. At the default interval of 200 ms four
 /// successive reports are then missing: neither a lost segment, which TCP retransmits after 200 to 400 ms, nor a stall of half a second
