--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -67,7 +67,7 @@
     auto awaitsFirstPrimary(const state::GroupRecord &group, TimePoint now) -> bool;
     auto fenceMembers(const state::GroupRecord &group, TimePoint now) -> Actions;
     auto choose(const state::GroupRecord &group, TimePoint now) -> Actions;
-    auto lead(const state::GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions;
+    auto maintainTerm(const state::GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions;
     auto orderMembers(const state::GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions;
     auto endTerm(const state::GroupRecord &group, TermEnd reason, TimePoint now) -> Actions;
     [[nodiscard]] auto mayImprove(const state::GroupRecord &group, const Choice &choice, TimePoint now) const -> bool;
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -95,7 +95,7 @@
     if (group.view.term != this->term || group.view.primary.has_value() != this->hasPrimary) {
         this->enterTerm(group, proxies.current, now);
     }
-    auto actions = group.view.primary ? this->lead(group, proxies, now) : this->elect(group, now);
+    auto actions = group.view.primary ? this->maintainTerm(group, proxies, now) : this->elect(group, now);
     this->wake = now + motionInterval;
     if (!this->inMotion && group.view.primary) {
         const auto *const primary = this->members.find(*group.view.primary);
@@ -250,7 +250,7 @@
     });
 }
 
-auto GroupPromotion::lead(const GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions
+auto GroupPromotion::maintainTerm(const GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions
 {
     const auto &primary = *group.view.primary;
     const auto leaving = this->isLeaving(group, primary);
