--- a/unittests/Promotion/selfreplicatingtest.cpp
+++ b/unittests/Promotion/selfreplicatingtest.cpp
@@ -82,7 +82,7 @@
         this->promotion.note(announcementOf("c", platform::Role::Replica), now);
     }
 
-    auto lead(std::string_view primary) -> void
+    auto setPrimary(std::string_view primary) -> void
     {
         this->record.view.primary = UpstreamId(std::string(primary));
         this->record.primaryIncarnation = Incarnation(1);
@@ -181,7 +181,7 @@
 TEST_CASE("a leaving primary is replaced at once by a replica that has received all acknowledged writes")
 {
     auto group = Group(1);
-    group.lead("a");
+    group.setPrimary("a");
     group.announce(start + 100ms, true);
     const auto ended = group.advance(start + 100ms);
     REQUIRE(find<ProposeTerm>(ended) != nullptr);
@@ -205,7 +205,7 @@
 TEST_CASE("the only replica left is promoted if writes are acknowledged without a replica's confirmation")
 {
     auto group = Group(1);
-    group.lead("a");
+    group.setPrimary("a");
     group.advance(start);
     group.record.view.term = Term(2);
     group.record.view.primary.reset();
@@ -223,7 +223,7 @@
 TEST_CASE("the choice is not delayed for the suspected member")
 {
     auto group = Group(1);
-    group.lead("a");
+    group.setPrimary("a");
     group.advance(start);
     for (const auto *const zone : {"z1", "z2"}) {
         group.promotion.note(Suspected{ZoneId(zone), {GroupId("g"), Term(1), UpstreamId("a")}}, start + 1ms);
@@ -244,10 +244,10 @@
 {
     const auto behind = ProxyStanding{3, Revision(7), Revision(6)};
     auto group = Group(1);
-    group.lead("a");
+    group.setPrimary("a");
     group.promotion.advance(group.record, behind, start);
     group.record.view.term = Term(2);
-    group.lead("b");
+    group.setPrimary("b");
     const auto promoting = group.promotion.advance(group.record, behind, start + 1ms);
     REQUIRE(find<SendPromote>(promoting) != nullptr);
     CHECK(find<SendPromote>(promoting)->member == UpstreamId("b"));
@@ -257,7 +257,7 @@
 TEST_CASE("suspicions of VMs with a network fault of their own end no term")
 {
     auto group = Group(1);
-    group.lead("a");
+    group.setPrimary("a");
     group.advance(start);
     for (const auto *const zone : {"z1", "z2"}) {
         group.promotion.note(Suspected{ZoneId(zone), {GroupId("g"), Term(1), UpstreamId("a")}, false}, start + 1ms);
@@ -286,7 +286,7 @@
 TEST_CASE("a silent primary is kept for longer while no proxy suspects it")
 {
     auto group = Group(1);
-    group.lead("a");
+    group.setPrimary("a");
     const auto silent = contactTimeoutFor(1'200ms);
     for (const auto *const id : {"b", "c"}) {
         group.promotion.note(announcementOf(id, platform::Role::Replica), start + silent);
@@ -302,7 +302,7 @@
 TEST_CASE("a promoted member that reports another role twice is promoted again")
 {
     auto group = Group(4);
-    group.lead("b");
+    group.setPrimary("b");
     REQUIRE(find<SendPromote>(group.advance(start)) != nullptr);
     auto report = platform::PositionReport();
     report.id = "b";
@@ -329,7 +329,7 @@
 TEST_CASE("a promotion is ordered only under the promotion duty")
 {
     auto group = Group(4);
-    group.lead("b");
+    group.setPrimary("b");
     group.promotion.setDuty(false);
     const auto waiting = group.advance(start + 1ms);
     CHECK(find<SendPromote>(waiting) == nullptr);
@@ -344,7 +344,7 @@
 {
     auto group = Group(4);
     group.record.selfReplicating = false;
-    group.lead("b");
+    group.setPrimary("b");
     group.promotion.setDuty(false);
     CHECK(find<SendPromote>(group.advance(start + 1ms)) != nullptr);
 }
@@ -353,7 +353,7 @@
 TEST_CASE("a new control leader trusts the role in the health reports of the primary in the replicated state")
 {
     auto group = Group(4);
-    group.lead("a");
+    group.setPrimary("a");
     auto fresh = GroupPromotion(start, contactTimeoutFor(1'200ms));
     REQUIRE(find<SendPromote>(fresh.advance(group.record, released, start)) == nullptr);
     SECTION("it is primary")
@@ -382,7 +382,7 @@
     auto group = Group(4);
     auto fresh = GroupPromotion(start, contactTimeoutFor(1'200ms));
     REQUIRE(find<SendFence>(fresh.advance(group.record, released, start)) != nullptr);
-    group.lead("b");
+    group.setPrimary("b");
     CHECK(find<SendPromote>(fresh.advance(group.record, released, start + 20ms)) != nullptr);
 }
 
@@ -393,7 +393,7 @@
     REQUIRE(find<ProposeTerm>(group.advance(start)) != nullptr);
     group.record.view.term = Term(1);
     REQUIRE(find<ProposePrimary>(group.advance(start + 1ms)) != nullptr);
-    group.lead("a");
+    group.setPrimary("a");
     CHECK(find<SendPromote>(group.advance(start + 2ms)) == nullptr);
     group.announce(start + 1s);
     CHECK(find<SendPromote>(group.advance(start + 1s)) == nullptr);
