--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -70,7 +70,7 @@
     auto maintainTerm(const state::GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions;
     auto orderMembers(const state::GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions;
     auto endTerm(const state::GroupRecord &group, TermEnd reason, TimePoint now) -> Actions;
-    [[nodiscard]] auto mayImprove(const state::GroupRecord &group, const Choice &choice, TimePoint now) const -> bool;
+    [[nodiscard]] auto awaitsReports(const state::GroupRecord &group, const Choice &choice, TimePoint now) const -> bool;
     /// Discards the reports of members that are behind another one, so that these members are sent their fence again.
     auto askLaggingAgain(const state::GroupRecord &group) -> void;
     /// Records \p order as sent unless it is a repetition within \p retry.
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -208,7 +208,7 @@
     if (!this->quorumSince) {
         this->quorumSince = now;
     }
-    if (this->mayImprove(group, *choice, now)) {
+    if (this->awaitsReports(group, *choice, now)) {
         this->askLaggingAgain(group);
         return {};
     }
@@ -219,7 +219,7 @@
     return {ProposePrimary{{group.view.id, group.view.term, UpstreamId(report.id), Incarnation(report.incarnation), LogPosition(report.position)}}};
 }
 
-auto GroupPromotion::mayImprove(const GroupRecord &group, const Choice &choice, TimePoint now) const -> bool
+auto GroupPromotion::awaitsReports(const GroupRecord &group, const Choice &choice, TimePoint now) const -> bool
 {
     const auto waited = now - *this->quorumSince;
     if (!group.selfReplicating) {
