--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -72,7 +72,7 @@
     auto endTerm(const state::GroupRecord &group, TermEnd reason, TimePoint now) -> Actions;
     [[nodiscard]] auto awaitsReports(const state::GroupRecord &group, const Choice &choice, TimePoint now) const -> bool;
     /// Discards the reports of members that are behind another one, so that these members are sent their fence again.
-    auto askLaggingAgain(const state::GroupRecord &group) -> void;
+    auto discardLaggingReports(const state::GroupRecord &group) -> void;
     /// Records \p order as sent unless it is a repetition within \p retry.
     /// \return whether the caller may send it
     auto tryOpen(const UpstreamId &member, Order order, Term term, TimePoint now, Duration retry = orderRetry) -> bool;
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -209,7 +209,7 @@
         this->quorumSince = now;
     }
     if (this->awaitsReports(group, *choice, now)) {
-        this->askLaggingAgain(group);
+        this->discardLaggingReports(group);
         return {};
     }
     if (!this->tryPropose(now)) {
@@ -240,7 +240,7 @@
     return !complete && open && waited < reportGrace;
 }
 
-auto GroupPromotion::askLaggingAgain(const GroupRecord &group) -> void
+auto GroupPromotion::discardLaggingReports(const GroupRecord &group) -> void
 {
     if (!group.selfReplicating) {
         return;
