--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -75,7 +75,7 @@
     auto discardLaggingReports(const state::GroupRecord &group) -> void;
     /// Records \p order as sent unless it is a repetition within \p retry.
     /// \return whether the caller may send it
-    auto tryOpen(const UpstreamId &member, Order order, Term term, TimePoint now, Duration retry = orderRetry) -> bool;
+    auto tryOrder(const UpstreamId &member, Order order, Term term, TimePoint now, Duration retry = orderRetry) -> bool;
     auto tryPropose(TimePoint now) -> bool;
 
     // groupstanding.cpp
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -188,7 +188,7 @@
     const auto retry = group.selfReplicating && !this->fenced.empty() ? catchUpRetry : orderRetry;
     auto actions = Actions();
     for (const auto &member : group.view.members) {
-        if (!this->isFenced(member.id) && this->tryOpen(member.id, Order::Fence, group.view.term, now, retry)) {
+        if (!this->isFenced(member.id) && this->tryOrder(member.id, Order::Fence, group.view.term, now, retry)) {
             actions.emplace_back(fenceOf(group, member));
         }
     }
@@ -282,7 +282,7 @@
         if (group.selfReplicating && !this->holdsDuty) {
             return {AwaitDuty{group.view.id}};
         }
-        return this->tryOpen(primary->id, Order::Promote, this->term, now) ? Actions{promoteOf(group, *primary)} : Actions();
+        return this->tryOrder(primary->id, Order::Promote, this->term, now) ? Actions{promoteOf(group, *primary)} : Actions();
     }
     auto actions = Actions();
     if (group.selfReplicating) {
@@ -293,7 +293,7 @@
             continue;
         }
         this->inMotion = true;
-        if (this->tryOpen(member.id, Order::Follow, this->term, now)) {
+        if (this->tryOrder(member.id, Order::Follow, this->term, now)) {
             actions.emplace_back(followOf(group, member, *primary));
         }
     }
@@ -315,7 +315,7 @@
     return {ProposeTerm{{group.view.id, group.view.term, next}, reason}};
 }
 
-auto GroupPromotion::tryOpen(const UpstreamId &member, Order order, Term inTerm, TimePoint now, Duration retry) -> bool
+auto GroupPromotion::tryOrder(const UpstreamId &member, Order order, Term inTerm, TimePoint now, Duration retry) -> bool
 {
     // The limit also applies to an order that was answered. A control leader whose state lags may send an order for which the member is
     // already in a later state, and would otherwise repeat it at the rate of the answers.
