--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -131,7 +131,7 @@
     /// When this leader began to wait for a health report of the primary that served the group before this system was started.
     std::optional<TimePoint> firstQuorumAt;
     std::optional<TimePoint> leavingSince;
-    bool inMotion = true;
+    bool inTransition = true;
     TimePoint wake;
 };
 
--- a/include/sapphirespool/Promotion/timing.h
+++ b/include/sapphirespool/Promotion/timing.h
@@ -78,6 +78,6 @@
 constexpr auto calmTime = std::chrono::milliseconds(60'000);
 
 /// Interval of advance() while a promotion or handover is in progress.
-constexpr auto motionInterval = std::chrono::milliseconds(20);
+constexpr auto transitionInterval = std::chrono::milliseconds(20);
 
 } // namespace sapphirespool::promotion
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -96,8 +96,8 @@
         this->enterTerm(group, proxies.current, now);
     }
     auto actions = group.view.primary ? this->maintainTerm(group, proxies, now) : this->elect(group, now);
-    this->wake = now + motionInterval;
-    if (!this->inMotion && group.view.primary) {
+    this->wake = now + transitionInterval;
+    if (!this->inTransition && group.view.primary) {
         const auto *const primary = this->members.find(*group.view.primary);
         const auto lastContact = primary != nullptr && primary->lastContact ? *primary->lastContact : this->since;
         this->wake = std::max(this->wake, lastContact + this->contactTimeout);
@@ -133,7 +133,7 @@
 
 auto GroupPromotion::elect(const GroupRecord &group, TimePoint now) -> Actions
 {
-    this->inMotion = true;
+    this->inTransition = true;
     if (group.view.term == Term(0) && this->liveCount(group, now) < group.quorum()) {
         // Members that have not registered cannot be fenced, so the first term would end without a primary.
         return {};
@@ -260,7 +260,7 @@
         this->leavingSince.reset();
     }
     const auto reason = this->reasonToEnd(group, proxies.zones, now);
-    this->inMotion = reason || leaving || !this->suspicions.empty() || !this->isPrimary(primary, this->term, group.primaryIncarnation);
+    this->inTransition = reason || leaving || !this->suspicions.empty() || !this->isPrimary(primary, this->term, group.primaryIncarnation);
     // No backoff for a leaving member: it ends after a few seconds and does not flap.
     const auto leavesSoon = group.selfReplicating && reason == TermEnd::Leaving;
     if (reason && (leavesSoon || this->pause.allows(now))) {
@@ -292,7 +292,7 @@
         if (member.id == primary->id || this->isFollowing(member.id, this->term)) {
             continue;
         }
-        this->inMotion = true;
+        this->inTransition = true;
         if (this->tryOrder(member.id, Order::Follow, this->term, now)) {
             actions.emplace_back(followOf(group, member, *primary));
         }
