--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -125,9 +125,9 @@
     /// Time of the last credible suspicion of the primary from each zone.
     std::map<ZoneId, TimePoint> suspicions;
     /// Time of the last suspicion of the primary from any proxy.
-    std::optional<TimePoint> suspected;
+    std::optional<TimePoint> lastSuspicion;
     /// Primary whose term this leader ended because it was silent or suspected.
-    std::optional<UpstreamId> suspect;
+    std::optional<UpstreamId> suspectedPrimary;
     /// When this leader began to wait for a health report of the primary that served the group before this system was started.
     std::optional<TimePoint> firstQuorumAt;
     std::optional<TimePoint> leavingSince;
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -61,7 +61,7 @@
     if (event.suspicion.term != this->term) {
         return;
     }
-    this->suspected = now;
+    this->lastSuspicion = now;
     if (event.weighs) {
         this->suspicions[event.zone] = now;
     }
@@ -125,7 +125,7 @@
     this->orders.clear();
     this->proposed.reset();
     this->suspicions.clear();
-    this->suspected.reset();
+    this->lastSuspicion.reset();
     this->leavingSince.reset();
     this->fenced.clear();
     this->unreached.clear();
@@ -226,7 +226,7 @@
         return choice.avoided && this->fenced.size() < group.view.members.size() && waited < choiceGrace;
     }
     const auto open = std::any_of(group.view.members.begin(), group.view.members.end(), [this](const membership::UpstreamView &member) {
-        return this->suspect != member.id && !this->fenced.contains(member.id) && !this->unreached.contains(member.id);
+        return this->suspectedPrimary != member.id && !this->fenced.contains(member.id) && !this->unreached.contains(member.id);
     });
     // While another member may still catch up, a member that is leaving or suspected is not chosen.
     if (this->isBehind(choice.report) || (choice.avoided && open)) {
@@ -309,7 +309,7 @@
         this->pause.begin(now);
     }
     if (reason == TermEnd::Silent || reason == TermEnd::Suspected) {
-        this->suspect = group.view.primary;
+        this->suspectedPrimary = group.view.primary;
     }
     const auto next = std::max(group.view.term, this->members.highestTerm()).next();
     return {ProposeTerm{{group.view.id, group.view.term, next}, reason}};
--- a/lib/Promotion/groupstanding.cpp
+++ b/lib/Promotion/groupstanding.cpp
@@ -63,7 +63,7 @@
     // A new control leader has received no health reports yet. If it did not count from its election, it would replace every primary.
     const auto *const state = this->members.find(primary);
     const auto lastContact = state != nullptr && state->lastContact ? std::max(*state->lastContact, this->since) : this->since;
-    const auto isSuspectedAtAll = this->suspected && now - *this->suspected < suspicionLife;
+    const auto isSuspectedAtAll = this->lastSuspicion && now - *this->lastSuspicion < suspicionLife;
     const auto limit = group.selfReplicating && !isSuspectedAtAll ? this->contactTimeout * unsuspectedTimeoutFactor : this->contactTimeout;
     return now - lastContact >= limit;
 }
@@ -165,8 +165,8 @@
 auto GroupPromotion::membersToAvoid(const GroupRecord &group) const -> std::set<UpstreamId>
 {
     auto avoid = std::set<UpstreamId>();
-    if (this->suspect) {
-        avoid.insert(*this->suspect);
+    if (this->suspectedPrimary) {
+        avoid.insert(*this->suspectedPrimary);
     }
     for (const auto &member : group.view.members) {
         const auto *const state = this->members.find(member.id);
