--- a/include/sapphirespool/Promotion/messages.h
+++ b/include/sapphirespool/Promotion/messages.h
@@ -27,7 +27,7 @@
     membership::Suspicion suspicion;
     /// Whether the suspicion counts towards the zones that end a term. Otherwise it only shortens the time after which a silent primary is
     /// replaced.
-    bool weighs = true;
+    bool credible = true;
 };
 
 /// State of all proxies, as far as promotion depends on it.
--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -237,10 +237,10 @@
 
 auto Leadership::suspected(const VmId &vm, const ZoneId &zone, const membership::Suspicion &suspicion) -> void
 {
-    const auto weighs = this->observers.note(vm, suspicion.group, this->parts.state.groups().size(), this->parts.clock());
-    this->handle(promotion::Suspected{zone, suspicion, weighs});
+    const auto credible = this->observers.note(vm, suspicion.group, this->parts.state.groups().size(), this->parts.clock());
+    this->handle(promotion::Suspected{zone, suspicion, credible});
     // Proxies of other zones detect a failure by their own statements, up to half a second later. A probe from here answers at once.
-    if (weighs && zone != this->parts.zone) {
+    if (credible && zone != this->parts.zone) {
         this->look(suspicion);
     }
 }
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -62,7 +62,7 @@
         return;
     }
     this->lastSuspicion = now;
-    if (event.weighs) {
+    if (event.credible) {
         this->suspicions[event.zone] = now;
     }
 }
