--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -17,7 +17,7 @@
 #include "sapphirespool/Promotion/choice.h"
 #include "sapphirespool/Promotion/membertable.h"
 #include "sapphirespool/Promotion/messages.h"
-#include "sapphirespool/Promotion/pause.h"
+#include "sapphirespool/Promotion/promotionbackoff.h"
 #include "sapphirespool/State/records.h"
 #include "sapphirespool/Support/types.h"
 
@@ -101,7 +101,7 @@
     TimePoint since;
     std::chrono::milliseconds contactTimeout;
     MemberTable members;
-    PromotionPause pause;
+    PromotionBackoff backoff;
     /// Term of the fields below.
     Term term;
     bool hasPrimary = false;
--- a/include/sapphirespool/Promotion/pause.h
+++ b/include/sapphirespool/Promotion/promotionbackoff.h
@@ -1,4 +1,4 @@
-// pause.h: backoff between promotions of one group.
+// promotionbackoff.h: backoff between promotions of one group.
 #pragma once
 
 #include "sapphirespool/Support/types.h"
@@ -9,7 +9,7 @@
 {
 
 /// Exponential backoff that is reset after a time without promotions.
-class PromotionPause
+class PromotionBackoff
 {
 public:
     /// \return whether a promotion may begin at \p now
--- a/include/sapphirespool/Promotion/timing.h
+++ b/include/sapphirespool/Promotion/timing.h
@@ -70,12 +70,12 @@
 /// write is lost.
 constexpr auto handoverDeadline = std::chrono::milliseconds(5'000);
 
-/// Backoff between promotions: it begins at firstPause, doubles with each promotion up to longestPause, and is reset after calmTime without
+/// Backoff between promotions: it begins at initialBackoff, doubles with each promotion up to maximumBackoff, and is reset after backoffResetTime without
 /// a promotion. Each promotion stops the writes of the group for a while, so on a flapping network path promotions without backoff would
 /// stop them permanently. Two successive promotions still end within the allowed 7 s.
-constexpr auto firstPause = std::chrono::milliseconds(2'000);
-constexpr auto longestPause = std::chrono::milliseconds(30'000);
-constexpr auto calmTime = std::chrono::milliseconds(60'000);
+constexpr auto initialBackoff = std::chrono::milliseconds(2'000);
+constexpr auto maximumBackoff = std::chrono::milliseconds(30'000);
+constexpr auto backoffResetTime = std::chrono::milliseconds(60'000);
 
 /// Interval of advance() while a promotion or handover is in progress.
 constexpr auto transitionInterval = std::chrono::milliseconds(20);
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -263,7 +263,7 @@
     this->inTransition = reason || leaving || !this->suspicions.empty() || !this->isPrimary(primary, this->term, group.primaryIncarnation);
     // No backoff for a leaving member: it ends after a few seconds and does not flap.
     const auto leavesSoon = group.selfReplicating && reason == TermEnd::Leaving;
-    if (reason && (leavesSoon || this->pause.allows(now))) {
+    if (reason && (leavesSoon || this->backoff.allows(now))) {
         return this->endTerm(group, *reason, now);
     }
     return this->orderMembers(group, proxies, now);
@@ -306,7 +306,7 @@
         return {};
     }
     if (group.view.primary) {
-        this->pause.begin(now);
+        this->backoff.begin(now);
     }
     if (reason == TermEnd::Silent || reason == TermEnd::Suspected) {
         this->suspectedPrimary = group.view.primary;
--- a/unittests/Promotion/choicetest.cpp
+++ b/unittests/Promotion/choicetest.cpp
@@ -1,6 +1,6 @@
 #include "sapphirespool/Promotion/choice.h"
 
-#include "sapphirespool/Promotion/pause.h"
+#include "sapphirespool/Promotion/promotionbackoff.h"
 #include "sapphirespool/Promotion/timing.h"
 
 #include <catch2/catch.hpp>
@@ -60,18 +60,18 @@
 // Failure: promotions on a flapping network path stop the writes of the group permanently, or the backoff is never reset.
 TEST_CASE("the backoff doubles with each promotion and is reset after a minute without one")
 {
-    auto pause = PromotionPause();
+    auto backoff = PromotionBackoff();
     const auto start = TimePoint();
-    CHECK(pause.allows(start));
-    pause.begin(start);
-    CHECK(!pause.allows(start + firstPause - 1ms));
-    CHECK(pause.allows(start + firstPause));
-    pause.begin(start + firstPause);
-    CHECK(!pause.allows(start + 3 * firstPause - 1ms));
-    CHECK(pause.allows(start + 3 * firstPause));
-    const auto calm = start + firstPause + calmTime;
-    pause.begin(calm);
-    CHECK(pause.allows(calm + firstPause));
+    CHECK(backoff.allows(start));
+    backoff.begin(start);
+    CHECK(!backoff.allows(start + initialBackoff - 1ms));
+    CHECK(backoff.allows(start + initialBackoff));
+    backoff.begin(start + initialBackoff);
+    CHECK(!backoff.allows(start + 3 * initialBackoff - 1ms));
+    CHECK(backoff.allows(start + 3 * initialBackoff));
+    const auto resetTime = start + initialBackoff + backoffResetTime;
+    backoff.begin(resetTime);
+    CHECK(backoff.allows(resetTime + initialBackoff));
 }
 
 } // namespace sapphirespool::promotion
