--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -78,7 +78,7 @@
     auto tryOrder(const UpstreamId &member, Order order, Term term, TimePoint now, Duration retry = orderRetry) -> bool;
     auto tryPropose(TimePoint now) -> bool;
 
-    // groupstanding.cpp
+    // groupconditions.cpp
     [[nodiscard]] auto reasonToEnd(const state::GroupRecord &group, std::size_t proxyZones, TimePoint now) const -> std::optional<TermEnd>;
     [[nodiscard]] auto isSilent(const state::GroupRecord &group, TimePoint now) const -> bool;
     /// \return whether a fenced member reported a higher log than \p choice
