--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -129,7 +129,7 @@
     /// Primary whose term this leader ended because it was silent or suspected.
     std::optional<UpstreamId> suspectedPrimary;
     /// When this leader began to wait for a health report of the primary that served the group before this system was started.
-    std::optional<TimePoint> firstQuorumAt;
+    std::optional<TimePoint> firstPrimaryAwaitedSince;
     std::optional<TimePoint> leavingSince;
     bool inTransition = true;
     TimePoint wake;
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -177,10 +177,10 @@
     if (!isNew || this->members.hasLivePrimary(now) || this->liveCount(group, now) >= group.size) {
         return false;
     }
-    if (!this->firstQuorumAt) {
-        this->firstQuorumAt = now;
+    if (!this->firstPrimaryAwaitedSince) {
+        this->firstPrimaryAwaitedSince = now;
     }
-    return now - *this->firstQuorumAt < this->contactTimeout;
+    return now - *this->firstPrimaryAwaitedSince < this->contactTimeout;
 }
 
 auto GroupPromotion::fenceMembers(const GroupRecord &group, TimePoint now) -> Actions
