--- a/include/sapphirespool/Promotion/timing.h
+++ b/include/sapphirespool/Promotion/timing.h
@@ -31,7 +31,7 @@
 
 /// Time for which a suspicion counts. Proxies with few callers may detect the same failed primary up to one statement timeout of 2 s
 /// apart.
-constexpr auto suspicionLife = std::chrono::milliseconds(2'000);
+constexpr auto suspicionLifetime = std::chrono::milliseconds(2'000);
 
 /// Zones that must suspect a primary before its term ends. If only one zone is partitioned from it, it still serves the others.
 constexpr auto suspectingZones = std::size_t{2};
--- a/lib/Controller/observers.cpp
+++ b/lib/Controller/observers.cpp
@@ -12,7 +12,7 @@
     auto &ofVm = this->suspected[vm];
     ofVm[group] = now;
     std::erase_if(ofVm, [now](const auto &suspicion) {
-        return now - suspicion.second >= promotion::suspicionLife;
+        return now - suspicion.second >= promotion::suspicionLifetime;
     });
     return ofVm.size() <= std::max(alwaysBelieved, groups / believedPart);
 }
--- a/lib/Promotion/groupconditions.cpp
+++ b/lib/Promotion/groupconditions.cpp
@@ -63,7 +63,7 @@
     // A new control leader has received no health reports yet. If it did not count from its election, it would replace every primary.
     const auto *const state = this->members.find(primary);
     const auto lastContact = state != nullptr && state->lastContact ? std::max(*state->lastContact, this->since) : this->since;
-    const auto isSuspectedAtAll = this->lastSuspicion && now - *this->lastSuspicion < suspicionLife;
+    const auto isSuspectedAtAll = this->lastSuspicion && now - *this->lastSuspicion < suspicionLifetime;
     const auto limit = group.selfReplicating && !isSuspectedAtAll ? this->contactTimeout * unsuspectedTimeoutFactor : this->contactTimeout;
     return now - lastContact >= limit;
 }
@@ -71,7 +71,7 @@
 auto GroupPromotion::isSuspected(std::size_t proxyZones, TimePoint now) const -> bool
 {
     const auto recent = std::count_if(this->suspicions.begin(), this->suspicions.end(), [now](const auto &suspicion) {
-        return now - suspicion.second < suspicionLife;
+        return now - suspicion.second < suspicionLifetime;
     });
     const auto needed = std::clamp(proxyZones, std::size_t{1}, suspectingZones);
     return static_cast<std::size_t>(recent) >= needed;
--- a/unittests/Controller/observerstest.cpp
+++ b/unittests/Controller/observerstest.cpp
@@ -61,7 +61,7 @@
     for (auto number = 0; number < 20; ++number) {
         observers.note(VmId("a"), group(number), manyGroups, start);
     }
-    CHECK(observers.note(VmId("a"), group(0), manyGroups, start + promotion::suspicionLife));
+    CHECK(observers.note(VmId("a"), group(0), manyGroups, start + promotion::suspicionLifetime));
 }
 
 } // namespace sapphirespool::controller
