--- a/unittests/Promotion/failovertest.cpp
+++ b/unittests/Promotion/failovertest.cpp
@@ -12,7 +12,7 @@
 
 using namespace std::chrono_literals;
 
-auto served(std::uint32_t seed, Delays delays = {}) -> std::unique_ptr<World>
+auto servingWorld(std::uint32_t seed, Delays delays = {}) -> std::unique_ptr<World>
 {
     auto world = std::make_unique<World>(seed, delays);
     REQUIRE(world->runUntilServed(5s));
@@ -40,7 +40,7 @@
 TEST_CASE("a new control leader keeps a primary whose first health report has not arrived yet")
 {
     for (std::uint32_t seed = 1; seed <= 20; ++seed) {
-        const auto world = served(seed);
+        const auto world = servingWorld(seed);
         for (auto loss = 0; loss < 10; ++loss) {
             world->changeLeader(false);
             world->run(std::chrono::milliseconds(100 + loss * 30));
@@ -52,7 +52,7 @@
 // Failure: a healthy group is promoted without a fault.
 TEST_CASE("a healthy group keeps its primary")
 {
-    const auto world = served(1);
+    const auto world = servingWorld(1);
     world->run(120s);
     CHECK(world->record().view.term == Term(1));
 }
@@ -60,7 +60,7 @@
 // Failure: after the process of the primary has ended, writes are refused for longer than 3 s.
 TEST_CASE("a stopped primary is replaced")
 {
-    const auto world = served(2);
+    const auto world = servingWorld(2);
     auto &stopped = *world->primary();
     stopped.running = false;
     CHECK(world->runUntilServed(3s));
@@ -72,7 +72,7 @@
 TEST_CASE("no write is acknowledged through a primary that is partitioned from control and the members but reachable for proxies")
 {
     // World checks each acknowledgement. After the partition the old primary follows and discards the end of its log.
-    const auto world = served(3);
+    const auto world = servingWorld(3);
     auto &old = *world->primary();
     old.controlReaches = false;
     old.membersReach = false;
@@ -91,7 +91,7 @@
 TEST_CASE("a primary that two zones cannot reach is replaced despite its health reports and is not chosen again")
 {
     for (std::uint32_t seed = 1; seed <= 20; ++seed) {
-        const auto world = served(seed);
+        const auto world = servingWorld(seed);
         auto &old = *world->primary();
         cutFromProxies(old);
         world->run(8s);
@@ -104,7 +104,7 @@
 // Failure: a partition of one zone stops the writes of all zones.
 TEST_CASE("a primary that only one zone cannot reach is kept")
 {
-    const auto world = served(5);
+    const auto world = servingWorld(5);
     world->primary()->cutZones = {ZoneId("hobart")};
     world->run(10s);
     CHECK(world->record().view.term == Term(1));
@@ -113,7 +113,7 @@
 // Failure: a restarted primary that lost unsynced entries assigns positions of its term a second time.
 TEST_CASE("a restarted primary does not continue its term")
 {
-    const auto world = served(6);
+    const auto world = servingWorld(6);
     auto &primary = *world->primary();
     world->restart(primary);
     world->run(1s);
@@ -125,7 +125,7 @@
 // Failure: the planned stop of a primary interrupts writes for as long as a failover, or loses acknowledged writes.
 TEST_CASE("a leaving primary hands over once a replica has its whole log")
 {
-    const auto world = served(7);
+    const auto world = servingWorld(7);
     auto &old = *world->primary();
     const auto taken = old.log.size();
     old.leaving = true;
@@ -138,7 +138,7 @@
 // Failure: a term is ended without a live quorum, so that no primary can be chosen and the requests that were still served stop.
 TEST_CASE("a group with only its primary left keeps it")
 {
-    const auto world = served(8);
+    const auto world = servingWorld(8);
     auto &primary = *world->primary();
     for (std::size_t place = 0; place < 3; ++place) {
         world->member(place).running = &world->member(place) == &primary;
@@ -153,7 +153,7 @@
 TEST_CASE("a flapping network path causes few promotions")
 {
     // The paths from two zones to the current primary fail and recover in turn.
-    const auto world = served(9);
+    const auto world = servingWorld(9);
     const auto before = world->termEnds().size();
     for (auto round = 0; round < 240; ++round) {
         auto *const primary = world->primary();
@@ -171,20 +171,20 @@
 TEST_CASE("a promotion survives the loss of the control leader between any two steps")
 {
     // The former leader either ends or continues to act as leader.
-    const auto believes = GENERATE(false, true);
-    const auto doubled = GENERATE(0U, 50U);
+    const auto staysActive = GENERATE(false, true);
+    const auto duplicated = GENERATE(0U, 50U);
     for (std::size_t step = 1; step <= 14; ++step) {
-        CAPTURE(believes, doubled, step);
+        CAPTURE(staysActive, duplicated, step);
         auto delays = Delays();
-        delays.doubled = doubled;
-        const auto world = served(static_cast<std::uint32_t>(step), delays);
+        delays.duplicated = duplicated;
+        const auto world = servingWorld(static_cast<std::uint32_t>(step), delays);
         auto first = std::optional<std::size_t>();
         auto lost = false;
         world->afterAction = [&](std::size_t action) {
             first = first.value_or(action);
             if (!lost && action - *first + 1 == step) {
                 lost = true;
-                world->changeLeader(believes);
+                world->changeLeader(staysActive);
             }
         };
         world->primary()->running = false;
@@ -198,7 +198,7 @@
 // Failure: a second failover right after the first loses the writes acknowledged in between.
 TEST_CASE("the loss of a new primary right after the first promotion causes a second one")
 {
-    const auto world = served(10);
+    const auto world = servingWorld(10);
     auto &first = *world->primary();
     first.running = false;
     REQUIRE(world->runUntilServed(3s));
--- a/unittests/Promotion/randomscheduletest.cpp
+++ b/unittests/Promotion/randomscheduletest.cpp
@@ -14,7 +14,7 @@
 constexpr auto faultCount = std::size_t{12};
 
 /// Injects the fault that \p draw selects.
-auto cause(World &world, std::uint32_t draw) -> void
+auto injectFault(World &world, std::uint32_t draw) -> void
 {
     auto &member = world.member((draw >> 8U) % 3);
     switch (draw % 10) {
@@ -66,11 +66,11 @@
         auto delays = Delays();
         delays.network = std::chrono::milliseconds(seed % 3 == 0 ? 400 : 5);
         delays.lost = seed % 4 * 10;
-        delays.doubled = seed % 5 * 10;
+        delays.duplicated = seed % 5 * 10;
         auto world = World(seed, delays);
         world.run(1s);
         for (const auto fault : faults) {
-            cause(world, fault);
+            injectFault(world, fault);
             world.run(std::chrono::milliseconds(fault >> 12U & 0x3ffU));
         }
         world.heal();
--- a/unittests/Promotion/world.cpp
+++ b/unittests/Promotion/world.cpp
@@ -18,9 +18,9 @@
 
 constexpr auto writeInterval = 20ms;
 /// Time after which a proxy abandons a write that is not confirmed.
-constexpr auto callerPatience = 5s;
+constexpr auto writeTimeout = 5s;
 
-auto textWithGroup() -> state::Command
+auto configurationWithGroup() -> state::Command
 {
     auto change = state::ChangeConfiguration{ChangeId("first"), Revision(0), "text", {}};
     auto service = membership::ServiceView();
@@ -67,10 +67,10 @@
         member.id = UpstreamId(id);
         this->members.push_back(std::move(member));
     }
-    this->committed.push_back(textWithGroup());
+    this->committed.push_back(configurationWithGroup());
     this->startLeader();
     this->every(200ms, [this] {
-        this->announceAll();
+        this->sendHealthReports();
     });
     this->every(5ms, [this] {
         this->replicateAll();
@@ -117,12 +117,12 @@
     return false;
 }
 
-auto World::changeLeader(bool believes) -> void
+auto World::changeLeader(bool staysActive) -> void
 {
     auto &former = *this->leaders.back();
     former.current = false;
-    former.connected = believes;
-    if (!believes) {
+    former.connected = staysActive;
+    if (!staysActive) {
         former.promoter = std::make_unique<Promoter>(former.state, this->now);
         this->leaders.pop_back();
     }
@@ -214,7 +214,7 @@
 }
 
 /// Members send health reports to proxies, which relay them with the next heartbeat.
-auto World::announceAll() -> void
+auto World::sendHealthReports() -> void
 {
     for (const auto &member : this->members) {
         if (!member.running || !member.controlReaches) {
@@ -222,7 +222,7 @@
         }
         this->after(this->draw(this->delays.heartbeat), [this, announcement = announcementOf(member), view = viewOf(member)] {
             this->propose(this->leaders.back(), state::RegisterUpstream{group, view});
-            this->tellLeaders(Announced{announcement});
+            this->deliverToLeaders(Announced{announcement});
         });
     }
 }
@@ -282,7 +282,7 @@
         });
     };
     std::erase_if(this->pending, [this](const PendingWrite &write) {
-        return this->now - write.sent > callerPatience;
+        return this->now - write.sent > writeTimeout;
     });
     std::erase_if(this->pending, [&](const PendingWrite &write) {
         if (!confirmed(write)) {
@@ -306,12 +306,12 @@
         }
         const auto suspicion = membership::Suspicion{group, this->record().view.term, primary->id};
         this->after(this->draw(this->delays.heartbeat), [this, zone, suspicion] {
-            this->tellLeaders(Suspected{zone, suspicion});
+            this->deliverToLeaders(Suspected{zone, suspicion});
         });
     }
 }
 
-auto World::tellLeaders(const Event &event) -> void
+auto World::deliverToLeaders(const Event &event) -> void
 {
     for (const auto &leader : std::vector(this->leaders)) {
         if (leader->connected) {
@@ -358,20 +358,20 @@
 }
 
 /// Delivers an order and its answer with random delay, loss and duplication.
-template <typename Send, typename Obey>
-auto World::send(const std::shared_ptr<FakeLeader> &leader, Order order, const Send &message, Obey obey) -> void
+template <typename Send, typename Execute>
+auto World::send(const std::shared_ptr<FakeLeader> &leader, Order order, const Send &message, Execute execute) -> void
 {
-    const auto copies = this->chance(this->delays.doubled) ? 2 : 1;
+    const auto copies = this->chance(this->delays.duplicated) ? 2 : 1;
     for (auto copy = 0; copy < copies; ++copy) {
         if (this->chance(this->delays.lost)) {
             continue;
         }
-        this->after(this->draw(this->delays.network), [this, leader, order, message, obey] {
+        this->after(this->draw(this->delays.network), [this, leader, order, message, execute] {
             auto &member = this->find(message.member);
             if (!member.running || !member.controlReaches || !leader->connected) {
                 return;
             }
-            const auto answer = OrderAnswered{order, group, Term(message.request.term), message.member, obey(member)};
+            const auto answer = OrderAnswered{order, group, Term(message.request.term), message.member, execute(member)};
             if (this->chance(this->delays.lost)) {
                 return;
             }
--- a/unittests/Promotion/world.h
+++ b/unittests/Promotion/world.h
@@ -94,7 +94,7 @@
     Duration heartbeat = std::chrono::milliseconds(100);
     /// Percentage of the orders and answers that are lost, and of the orders that are duplicated.
     std::uint32_t lost = 0;
-    std::uint32_t doubled = 0;
+    std::uint32_t duplicated = 0;
 };
 
 /// The simulation.
@@ -110,8 +110,8 @@
     /// \return false if that takes longer than \p limit
     auto runUntilServed(Duration limit) -> bool;
 
-    /// Ends the leadership of the current leader and starts another one. If \p believes, the former leader continues to act as leader.
-    auto changeLeader(bool believes) -> void;
+    /// Ends the leadership of the current leader and starts another one. If \p staysActive, the former leader continues to act as leader.
+    auto changeLeader(bool staysActive) -> void;
 
     auto member(std::size_t place) -> FakeMember &;
     auto primary() -> FakeMember *;
@@ -147,19 +147,19 @@
     auto chance(std::uint32_t percent) -> bool;
     auto every(Duration interval, std::function<void()> work) -> void;
 
-    auto announceAll() -> void;
+    auto sendHealthReports() -> void;
     auto replicateAll() -> void;
     auto replicate(FakeMember &replica) -> void;
     auto writeAll() -> void;
     auto confirmAll() -> void;
     auto suspectAll() -> void;
-    auto tellLeaders(const Event &event) -> void;
+    auto deliverToLeaders(const Event &event) -> void;
     auto carryOut(const std::shared_ptr<FakeLeader> &leader, const Actions &actions) -> void;
     auto carryOut(const std::shared_ptr<FakeLeader> &leader, const Action &action) -> void;
     auto propose(const std::shared_ptr<FakeLeader> &leader, const state::Command &command) -> void;
     auto applyCommitted(FakeLeader &leader) -> void;
-    template <typename Send, typename Obey>
-    auto send(const std::shared_ptr<FakeLeader> &leader, Order order, const Send &message, Obey obey) -> void;
+    template <typename Send, typename Execute>
+    auto send(const std::shared_ptr<FakeLeader> &leader, Order order, const Send &message, Execute execute) -> void;
     auto checkPrimary(const FakeMember &member) -> void;
     auto checkAcknowledged(const PendingWrite &write) -> void;
     auto find(const UpstreamId &id) -> FakeMember &;
