--- a/include/sapphirespool/Controller/controller.h
+++ b/include/sapphirespool/Controller/controller.h
@@ -1,4 +1,4 @@
-// controller.h: the control role of a VM: what a leading control VM does with the replicated state.
+// controller.h: the control role of a VM, which manages the replicated state while the VM is control leader.
 #pragma once
 
 #include "sapphirespool/Configuration/reader.h"
@@ -17,14 +17,14 @@
 namespace sapphirespool::controller
 {
 
-/// How often tick() is due.
+/// Interval of Controller::tick().
 constexpr auto tickInterval = std::chrono::milliseconds(20);
 
-/// Changes of the configuration that are let through in a second, on average; state::ClusterState::changeLogLimit rests on it. The
-/// fleet that the design is for has 6,300 a day.
+/// Average rate limit of configuration changes; state::ClusterState::changeLogLimit is derived from it. The largest planned deployment has
+/// 6,300 changes a day.
 constexpr auto changesPerSecond = std::uint32_t{20};
 
-/// What the controller works with. The references must outlive it.
+/// Dependencies of the controller. The references must outlive it.
 struct ControllerParts
 {
     VmId vm;
@@ -32,21 +32,21 @@
     state::ClusterState &state;
     std::shared_ptr<platform::GroupOperator> groupOperator;
     std::function<TimePoint()> clock;
-    /// Runs work on the control thread later; called from any thread.
+    /// Queues work for the control thread; called from any thread.
     std::function<void(std::function<void()>)> post;
-    /// Language of the operators' text.
+    /// Parser of the configuration language.
     std::shared_ptr<const configuration::Reader> reader = configuration::makeYamlReader();
-    /// How often members of database groups announce themselves.
+    /// Interval of the health reports of database group members.
     std::chrono::milliseconds announcementInterval = promotion::defaultAnnouncementInterval;
     /// Zone of this VM.
     ZoneId zone = {};
 };
 
-/// Lives on the control thread. On a VM that does not lead it only hands out the view.
+/// Used on the control thread only. On a VM that is not leader it only provides the view.
 class Controller : public control::ControlService
 {
 public:
-    /// Lets time pass; due each tickInterval.
+    /// Performs the work that is due; called every tickInterval.
     virtual auto tick() -> void = 0;
 };
 
--- a/include/sapphirespool/Controller/observers.h
+++ b/include/sapphirespool/Controller/observers.h
@@ -1,4 +1,4 @@
-// observers.h: tells VMs that noticed a dead primary from VMs that have lost their own way.
+// observers.h: distinguishes suspicions of a failed primary from those of VMs with a network fault of their own.
 #pragma once
 
 #include "sapphirespool/Support/types.h"
@@ -9,27 +9,27 @@
 namespace sapphirespool::controller
 {
 
-/// Judges the VMs that suspect primaries.
+/// Counts the primaries that each VM suspects at a time.
 ///
-/// Load pattern: the link of a VM is full for seconds, for example of a text that an operator sends by it. Its connections to all primaries
-/// come late, and it suspects one after the other; a second such VM in another zone would be enough to replace them all, each a second
-/// without writes, although every other VM is served. The loss of a zone looks different: there each VM suspects the
-/// primaries of that zone, about a third of them, and no others.
+/// Load pattern: the network link of a VM is saturated for seconds, for example by a configuration that an operator sends through it. Its
+/// connections to all primaries time out, and it suspects one primary after another. A second such VM in another zone would cause the
+/// replacement of all primaries, each with a second without writes, although every other VM is served. If a zone is lost, in contrast, each
+/// VM suspects only the primaries in that zone, about a third of all.
 class Observers
 {
 public:
-    /// Groups that a VM may suspect at a time whatever their number: in a system of three groups all primaries may be in one zone.
+    /// Number of groups that a VM may always suspect at a time: in a system of three groups all primaries may be in one zone.
     static constexpr auto alwaysBelieved = std::size_t{3};
-    /// Of many groups, one VM may suspect this part.
+    /// Divisor of the number of groups that gives the groups that a VM may suspect at a time.
     static constexpr auto believedPart = std::size_t{3};
 
-    /// Notes that \p vm suspects the primary of \p group.
-    /// \param groups how many groups there are
-    /// \return whether that says something of the primary; else it says more of the VM
+    /// Records that \p vm suspects the primary of \p group.
+    /// \param groups number of all groups
+    /// \return whether the suspicion is credible; otherwise a fault of the VM's own network is more likely
     auto note(const VmId &vm, const GroupId &group, std::size_t groups, TimePoint now) -> bool;
 
 private:
-    /// When each VM last suspected the primary of each group.
+    /// Time of the last suspicion from each VM for each group.
     std::map<VmId, std::map<GroupId, TimePoint>> suspected;
 };
 
--- a/include/sapphirespool/Controller/vmsettling.h
+++ b/include/sapphirespool/Controller/vmsettling.h
@@ -1,4 +1,4 @@
-// vmsettling.h: decides when a proxy that joined may allocate quota.
+// vmsettling.h: decides when a new proxy may allocate quota.
 #pragma once
 
 #include "sapphirespool/Membership/clusterview.h"
@@ -13,22 +13,22 @@
 namespace sapphirespool::controller
 {
 
-/// Soft state of one control leader; pure.
+/// Soft state of one control leader; a state machine without I/O.
 ///
-/// A proxy that joins takes over parts of quotas from other proxies. One of those may be cut off and go on allocating under its former view.
-/// If the new proxy allocated too, a customer could run more than its quota. A lease is only extended for a view that lists the new
-/// proxy, so the former allocator has stopped once its last lease and the hold-over have passed.
+/// A new proxy takes over shares of quotas from other proxies. One of those may be partitioned and still allocate under its former view. If
+/// the new proxy allocated too, a customer could exceed its quota. Leases are extended only for views that list the new proxy, so the
+/// former allocator has stopped after its last lease and the hold-over have expired.
 class VmSettling
 {
 public:
     static constexpr auto settleAfter = promotion::leaseLength + membership::quotaHoldOver + membership::quotaClockMargin;
 
-    /// \param known the VMs of the replicated state
-    /// \return those that are to be settled now
+    /// \param known VMs in the replicated state
+    /// \return the VMs to mark as settled now
     [[nodiscard]] auto due(std::span<const membership::ProxyView> known, TimePoint now) -> std::vector<membership::ProxyView>;
 
 private:
-    /// When this leader first saw each VM that is not settled.
+    /// When this leader first found each unsettled VM in the replicated state.
     std::map<VmId, TimePoint> unsettledSince;
 };
 
--- a/include/sapphirespool/Controller/vmtable.h
+++ b/include/sapphirespool/Controller/vmtable.h
@@ -1,4 +1,4 @@
-// vmtable.h: the proxies as the control leader knows them from their heartbeats.
+// vmtable.h: state of the proxies according to their heartbeats to the control leader.
 #pragma once
 
 #include "sapphirespool/Control/controlservice.h"
@@ -20,38 +20,39 @@
 
 using promotion::leaseLength;
 
-/// A VM that was silent for this long leaves the view; a restart or a partition of minutes does not change the others' sharing twice.
+/// Time since the last heartbeat after which a VM is ejected from the view. A VM that restarts in less time does not change the shares of the
+/// other VMs.
 constexpr auto forgetAfter = std::chrono::milliseconds(60'000);
 
-/// A VM that was silent for this long is marked in the view: five heartbeats are missing, and a connection that broke is made anew in half
-/// of the time. Others then hold the connections to upstreams that it owned.
+/// Time since the last heartbeat after which a VM is marked as silent in the view: five heartbeats are missing, and a broken connection is
+/// re-established in half of the time. Other VMs then own its connections to upstreams.
 constexpr auto silentAfter = std::chrono::milliseconds(1'000);
 
-/// Soft state of one control leader; pure.
+/// Soft state of one control leader; a state machine without I/O.
 class VmTable
 {
 public:
-    /// \param known VMs of the replicated state. A former leader may have granted each of them a lease just now.
+    /// \param known VMs in the replicated state. Each may hold a lease that the former leader granted a moment ago.
     VmTable(std::span<const membership::ProxyView> known, TimePoint now);
 
-    /// Notes a heartbeat and extends the lease.
-    /// \return false for a process of the VM that was followed by another one; it gets no lease
+    /// Records a heartbeat and extends the lease.
+    /// \return false for a process of the VM that another one has replaced; it gets no lease
     auto note(const control::VmHeartbeat &heartbeat, TimePoint now) -> bool;
 
-    /// \return whether the lease of \p vm may still be used at \p now
+    /// \return whether the lease of \p vm is valid at \p now
     [[nodiscard]] auto leaseLive(const VmId &vm, TimePoint now) const -> bool;
 
     /// \return whether each VM with a live lease has confirmed \p configuration
     [[nodiscard]] auto inForce(Revision configuration, TimePoint now) const -> bool;
 
-    /// \return the state of \p vm for `status`
+    /// \return the state of \p vm for the operators' `status` command
     [[nodiscard]] auto status(const membership::ProxyView &vm, TimePoint now) const -> membership::VmStatus;
 
     /// \param current revision of the replicated state
-    /// \return what promotion has to know of the VMs with live leases
+    /// \return the state of the VMs with live leases, as promotion needs it
     [[nodiscard]] auto standing(Revision current, TimePoint now) const -> promotion::ProxyStanding;
 
-    /// \return the VMs of \p known that were silent for \p span
+    /// \return the VMs of \p known whose last heartbeat is at least \p span ago
     [[nodiscard]] auto silentFor(Duration span, std::span<const membership::ProxyView> known, TimePoint now) const -> std::vector<membership::ProxyView>;
 
 private:
--- a/lib/Controller/changelimiter.h
+++ b/lib/Controller/changelimiter.h
@@ -1,4 +1,4 @@
-// changelimiter.h: bounds the changes of the configuration in time.
+// changelimiter.h: rate limit of configuration changes.
 #pragma once
 
 #include "sapphirespool/Controller/controller.h"
@@ -10,7 +10,7 @@
 namespace sapphirespool::controller
 {
 
-/// Token bucket over changesPerSecond, which holds one second's worth.
+/// Token bucket with a rate of changesPerSecond and a capacity of one second.
 class ChangeLimiter
 {
 public:
--- a/lib/Controller/controller.cpp
+++ b/lib/Controller/controller.cpp
@@ -196,7 +196,7 @@
     auto proposeNumbered(state::ChangeConfiguration command) -> void
     {
         this->propose(std::move(command), [weak = this->weak_from_this(), post = this->parts.post](ConfigurationOutcome outcome) {
-            // Later, not at once: a log that fails each proposal in the call itself would recurse once for each waiting change.
+            // Posted because a log that fails proposals within the call would recurse once for each waiting change.
             post([weak, outcome = std::move(outcome)] {
                 if (const auto self = weak.lock()) {
                     self->finishNumbered(outcome);
@@ -212,7 +212,7 @@
         }
     }
 
-    /// \return the state of the present leadership; created when this VM is elected, destroyed when it loses leadership
+    /// \return the current leadership, created after an election and destroyed after its loss here; null if this VM is not leader
     auto lead() -> std::shared_ptr<Leadership>
     {
         const auto now = this->parts.clock();
--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -11,10 +11,10 @@
 namespace
 {
 
-/// Time after which a registration that has not changed the state is proposed again, with the next heartbeat.
+/// Time after which a registration that has not changed the replicated state is proposed again, with the next heartbeat.
 constexpr auto proposalLife = std::chrono::milliseconds(1'000);
 
-/// Interval of the search for members that are gone. A member that was replaced refuses statements that are meant for another one.
+/// Interval of the search for members to eject. Meanwhile the successor at an address refuses statements that are meant for the replaced member.
 constexpr auto goneInterval = std::chrono::milliseconds(200);
 
 /// Interval of the search for silent VMs.
@@ -217,7 +217,7 @@
 
 auto Leadership::settleVms(TimePoint now) -> void
 {
-    // Without customers too: otherwise nobody would allocate quota at first when they come.
+    // VMs are settled even without customers, so that quota can be allocated as soon as the first customer is configured.
     for (auto &vm : this->settling.due(this->parts.state.vms(), now)) {
         if (this->tryRegister("settle " + vm.id.value())) {
             vm.settled = true;
@@ -239,7 +239,7 @@
 {
     const auto credible = this->observers.note(vm, suspicion.group, this->parts.state.groups().size(), this->parts.clock());
     this->handle(promotion::Suspected{zone, suspicion, credible});
-    // Proxies of other zones detect a failure by their own statements, up to half a second later. A probe from here answers at once.
+    // Proxies of other zones detect a failure by their own statements, up to half a second later. A probe from this VM is faster.
     if (credible && zone != this->parts.zone) {
         this->look(suspicion);
     }
@@ -284,7 +284,7 @@
 auto Leadership::propose(const state::Command &command, const GroupId &group) -> void
 {
     this->parts.log.propose(encode(command), [weak = this->weak_from_this(), post = this->parts.post, group](const consensus::ProposalOutcome &) {
-        // The state shows whether it took effect; a lost proposal is repeated.
+        // The replicated state shows whether the proposal took effect; a lost one is repeated.
         post([weak, group] {
             if (const auto self = weak.lock()) {
                 self->handle(promotion::GroupChanged{group});
--- a/lib/Controller/leadership.h
+++ b/lib/Controller/leadership.h
@@ -1,4 +1,4 @@
-// leadership.h: what a control VM keeps while it leads, and loses with the lead.
+// leadership.h: state and actions of a control VM during one leadership.
 #pragma once
 
 #include "memberregistry.h"
@@ -20,18 +20,18 @@
 namespace sapphirespool::controller
 {
 
-/// Takes in the newest grant of the promotion duty and logs a change of its holder.
+/// Records the newest grant of the promotion duty and logs a change of its holder.
 auto noteGrant(const ControllerParts &parts, PromotionDuty &duty) -> void;
 
-/// One time of leading. It proposes changes of the replicated state and orders members about; it is never told to stop in the
-/// middle, it is dropped. Answers that come later find it gone.
+/// Proposes changes of the replicated state and sends orders to members. Destroyed when the leadership ends; callbacks hold weak pointers,
+/// so later answers are ignored.
 class Leadership : public std::enable_shared_from_this<Leadership>
 {
 public:
-    /// \param duty outlasts this time of leading, and the leadership itself
+    /// \param duty must outlive this object
     Leadership(const ControllerParts &parts, PromotionDuty &duty);
 
-    /// \return whether the log still holds the lead under which this began
+    /// \return whether this VM still holds the leadership for which the object was created
     [[nodiscard]] auto isCurrent(TimePoint now) const -> bool;
 
     auto tick() -> void;
@@ -46,20 +46,20 @@
     auto registerUpstream(const platform::Announcement &announcement) -> void;
     auto forgetUpstream(const GroupId &group, const UpstreamId &upstream) -> void;
     auto forgetGoneUpstreams(TimePoint now) -> void;
-    /// \return whether the announcement may change anything
+    /// \return whether the health report may change the replicated state or a promotion
     auto isNews(const platform::Announcement &announcement) -> bool;
-    /// Has the proxies give the work of VMs that control does not hear to others.
+    /// Marks VMs without recent heartbeats as silent in the view, so that the proxies use other owners for their connections.
     auto markSilentVms(TimePoint now) -> void;
-    /// Lets VMs that joined a while ago allocate quota.
+    /// Allows VMs that joined long enough ago to allocate quota.
     auto settleVms(TimePoint now) -> void;
     auto forgetSilentVms() -> void;
-    /// Takes in that a VM of \p zone got no service from a primary.
+    /// Handles a suspicion that \p vm in \p zone reported.
     auto suspected(const VmId &vm, const ZoneId &zone, const membership::Suspicion &suspicion) -> void;
-    /// Looks from this VM at a primary that another one suspects.
+    /// Probes a suspected primary from this VM.
     auto look(const membership::Suspicion &suspicion) -> void;
     auto handle(const promotion::Event &event) -> void;
     auto propose(const state::Command &command, const GroupId &group) -> void;
-    /// \return whether a registration under \p name may be proposed now; repeated ones wait for proposalLife
+    /// \return whether a registration under \p name may be proposed now, which is at most once every proposalLife
     auto tryRegister(const std::string &name) -> bool;
 
     // leadershiporders.cpp
@@ -70,21 +70,21 @@
     auto carryOut(const promotion::ProposeTerm &action) -> void;
     auto carryOut(const promotion::ProposePrimary &action) -> void;
     auto carryOut(const promotion::AwaitDuty &action) -> void;
-    /// \return whether promotions of \p group are ordered under the promotion duty
+    /// \return whether orders to promote members of \p group require the promotion duty
     [[nodiscard]] auto isUnderDuty(const GroupId &group) const -> bool;
-    /// Tells the promoter whether orders may be given, and orders under way until when.
+    /// Updates the promoter and the authorities of orders in flight from the promotion duty and the leader lease.
     auto noteDuty(TimePoint now) -> void;
-    /// Has the duty granted to this VM, or renewed, once that may be.
+    /// Proposes a grant or renewal of the duty to this VM if that is allowed now.
     auto seekDuty(const GroupId &group) -> void;
     [[nodiscard]] auto addressOf(const GroupId &group, const UpstreamId &member, const Endpoint &endpoint) const -> platform::MemberAddress;
-    /// \return a callback that brings the report to the control thread
+    /// \return a callback that posts the report to the control thread
     auto answerTo(promotion::Order order, const GroupId &group, std::uint64_t term, const UpstreamId &member) -> platform::ReportCallback;
 
     const ControllerParts &parts;
     PromotionDuty &duty;
-    /// Number of the last grant that was waited for; logged once.
+    /// Number of the last grant whose end this VM waited for; each is logged once.
     std::uint64_t awaited = 0;
-    /// When this VM took the lead, and the number under which it leads.
+    /// Start and number of this leadership.
     TimePoint since;
     std::uint64_t number;
     VmTable vms;
@@ -92,12 +92,12 @@
     promotion::Promoter promoter;
     MemberRegistry registry;
     Observers observers;
-    /// Upstreams that are looked at just now.
+    /// Upstreams with a probe in flight.
     std::set<UpstreamId> lookedAt;
     TimePoint lookedForGone{};
     TimePoint lookedForSilent{};
     std::map<std::string, TimePoint> registrations;
-    /// Of the lead, and of the promotion duty under it.
+    /// Authorities that end with the leader lease, and with the promotion duty under it.
     std::shared_ptr<ExpiringAuthority> leadAuthority;
     std::shared_ptr<ExpiringAuthority> dutyAuthority;
     OpenOrders openOrders;
--- a/lib/Controller/leadershiporders.cpp
+++ b/lib/Controller/leadershiporders.cpp
@@ -11,14 +11,14 @@
 namespace
 {
 
-/// Number of terms of one group that fit below the leadership number in a token: more than a century of five promotions a day.
+/// Bits of the term in a token, below the leadership number. They suffice for five promotions of a group a day for more than a century.
 constexpr auto termBits = 20U;
 
-/// \return a number for an order to promote
+/// \return the fencing token of an order to promote
 ///
-/// An order whose answer was lost may be carried out seconds later, after orders of the next control leader. The receiver drops an
-/// order below the highest that it has seen: so each order of a later leader must be higher, also one for the same term, and two
-/// leaders must never use the same number.
+/// An order whose answer was lost may be carried out seconds later, after orders of the next control leader. The receiver drops orders
+/// with a lower token than the highest it has received. Therefore the tokens of a later leader must be higher, even for the same term, and
+/// two leaders must never use the same token.
 auto fencingToken(std::uint64_t leadership, std::uint64_t term) -> std::uint64_t
 {
     return (leadership << termBits) | (term & ((std::uint64_t{1} << termBits) - 1));
@@ -65,7 +65,7 @@
                   {"leadership", this->number},
                   {"lead_ms", this->parts.clock() - this->since},
                   {"token", request.fencingToken}});
-    // A member that receives an order to step down after this may be the new primary.
+    // A member that receives an order to be fenced after this order may be the new primary.
     this->openOrders.withdraw(action.group, promotion::Order::Fence);
     const auto underDuty = this->isUnderDuty(action.group);
     if (underDuty) {
--- a/lib/Controller/memberregistry.h
+++ b/lib/Controller/memberregistry.h
@@ -1,4 +1,4 @@
-// memberregistry.h: decides which members a self-replicating group has.
+// memberregistry.h: admission and ejection of the members of self-replicating groups.
 #pragma once
 
 #include "sapphirespool/Platform/messages.h"
@@ -12,26 +12,26 @@
 namespace sapphirespool::controller
 {
 
-/// Soft state of one control leader; pure.
+/// Soft state of one control leader; a state machine without I/O.
 ///
-/// Members of such a group are replaced while it serves: a new one registers, an old one leaves, or is gone without a word. What they say
-/// passes through several VMs and may be held up on the way, so that the last word of a member that is gone arrives after the first one
-/// of its successor at the same address.
+/// Members of such a group are replaced while it serves: a new one registers, and an old one leaves or ends without a message. Several VMs
+/// relay the health reports and may delay them, so the last report of an ended member may arrive after the first one of its successor at
+/// the same address.
 class MemberRegistry
 {
 public:
-    /// A member that was silent for this long is taken out, unless it is the primary or the last but one. It comes back with its next
-    /// announcement. Some seconds of silence may be a cut between members and control alone, while proxies use the member.
+    /// Time since the last contact after which a member is ejected, unless it is the primary or one of the last two members. Its next health
+    /// report admits it again. A shorter time without contact may be a partition between the member and control, while proxies still use it.
     static constexpr auto forgetAfter = std::chrono::milliseconds(15'000);
 
     /// \param since when this VM became control leader
     explicit MemberRegistry(TimePoint since);
 
-    /// Takes an announcement in.
-    /// \return whether it is the newest word of its member, and the member is not known to be gone
+    /// Records a health report.
+    /// \return whether it is the newest report of its member, and the member is not known to have ended
     auto note(const platform::Announcement &announcement, TimePoint now) -> bool;
 
-    /// \return the members of \p group that another one has replaced at its address, or that have been silent for long
+    /// \return the members of \p group to eject: another one has replaced them at their address, or the last contact is too long ago
     [[nodiscard]] auto gone(const state::GroupRecord &group, TimePoint now) const -> std::vector<UpstreamId>;
 
 private:
@@ -40,11 +40,11 @@
         Incarnation incarnation;
         std::uint64_t sequence = 0;
         TimePoint at{};
-        /// Whether this process said that it ends.
+        /// Whether this process reported its end.
         bool ended = false;
     };
 
-    /// The process that has an address.
+    /// The newest process at an address.
     struct Tenant
     {
         UpstreamId id;
--- a/lib/Controller/numberedchanges.h
+++ b/lib/Controller/numberedchanges.h
@@ -1,4 +1,4 @@
-// numberedchanges.h: gathers changes of the configuration that their operators numbered.
+// numberedchanges.h: combines configuration changes that carry a version number.
 #pragma once
 
 #include "sapphirespool/Membership/controllink.h"
@@ -12,28 +12,28 @@
 namespace sapphirespool::controller
 {
 
-/// Has one numbered change proposed at a time, and the highest of those that came meanwhile next.
+/// Allows one proposal at a time; the next one is the highest version that arrived meanwhile.
 ///
-/// Load pattern: an operator's script sends hundreds of changes in a row, faster than the log commits texts of tens of kilobytes.
-/// Proposed one by one they would queue for the disk, and the last one, the only one that matters, would come into force after all
-/// of them. A change that a higher number has overtaken need not be written at all: it is answered together with that one.
+/// Load pattern: an operator's script sends hundreds of changes in a row, faster than the log commits configurations of tens of kilobytes. If
+/// each were proposed, they would queue for the disk, and the last one, the only one of effect, would be applied after all others. A change
+/// with a lower version than another waiting one is not written; it gets the outcome of the highest one.
 class NumberedChanges
 {
 public:
     using Done = std::function<void(membership::ConfigurationOutcome)>;
 
-    /// Answers that may wait. Only the highest text is kept, so that each of them costs a callback of some hundred bytes.
+    /// Limit on waiting changes. Only the highest configuration is stored, so each other one takes a callback of some hundred bytes.
     static constexpr auto waitingLimit = std::size_t{4'096};
 
-    /// Takes \p command in.
-    /// \return the command to propose now; nothing if one is on its way
+    /// Adds \p command, whose outcome is passed to \p done.
+    /// \return the command to propose now; nothing if a proposal is in flight
     auto add(state::ChangeConfiguration command, Done done) -> std::optional<state::ChangeConfiguration>;
 
     /// \return whether a further change may be added
     [[nodiscard]] auto hasRoom() const -> bool;
 
-    /// Answers those that waited for the proposal on its way.
-    /// \return the command to propose next, if others came meanwhile
+    /// Passes \p outcome to all changes that the finished proposal stands for.
+    /// \return the command to propose next, if others have arrived meanwhile
     auto finish(const membership::ConfigurationOutcome &outcome) -> std::optional<state::ChangeConfiguration>;
 
 private:
--- a/lib/Controller/orderauthority.h
+++ b/lib/Controller/orderauthority.h
@@ -1,4 +1,4 @@
-// orderauthority.h: until when a leading control VM may give orders.
+// orderauthority.h: expiry and revocation of the authority of orders.
 #pragma once
 
 #include "sapphirespool/Platform/groupoperator.h"
@@ -15,7 +15,7 @@
 namespace sapphirespool::controller
 {
 
-/// Ends by itself unless it is extended, so that nothing need be told when the lead is lost.
+/// Expires unless it is extended, so that the loss of leadership requires no action.
 class ExpiringAuthority : public platform::OrderAuthority
 {
 public:
@@ -30,7 +30,7 @@
     std::atomic<TimePoint> end = TimePoint::min();
 };
 
-/// Part of another authority that can be taken back alone, once a later decision replaces the orders that go by it.
+/// Holds as long as its parent unless it is revoked because a later decision replaces the order.
 class RevocableAuthority : public platform::OrderAuthority
 {
 public:
@@ -44,14 +44,14 @@
     std::atomic<bool> revoked = false;
 };
 
-/// Orders of one leadership that may not have left yet.
+/// Authorities of the orders of one leadership that may not have been sent yet.
 class OpenOrders
 {
 public:
-    /// \return the authority of one more order to a member of \p group; it ends with \p parent
+    /// \return the authority of a new order to a member of \p group; it ends with \p parent
     auto add(const GroupId &group, promotion::Order order, const platform::Authority &parent) -> platform::Authority;
 
-    /// Takes back the orders of one kind to members of \p group.
+    /// Revokes the authorities of the orders of one kind to members of \p group.
     auto withdraw(const GroupId &group, promotion::Order order) -> void;
 
 private:
--- a/unittests/Controller/controllertest.cpp
+++ b/unittests/Controller/controllertest.cpp
@@ -16,7 +16,7 @@
 
 using namespace std::chrono_literals;
 
-/// Members that never answer; counts what they are told.
+/// Members that never answer an order; counts the orders and probes.
 class SilentMembers : public platform::GroupOperator
 {
 public:
@@ -44,7 +44,7 @@
     bool reached = true;
 };
 
-/// A leading control VM under virtual time.
+/// The control leader with virtual time.
 struct Leading
 {
     state::ClusterState state;
@@ -126,7 +126,8 @@
 
 } // namespace
 
-TEST_CASE("a text is checked, accepted once, and refused with its reason")
+// Failure: an invalid or conflicting configuration is applied, or a repeated change is applied twice.
+TEST_CASE("a configuration is validated, accepted once, and refused with its reason")
 {
     auto leading = Leading();
     CHECK(std::get<NotRun>(leading.apply("c", 0, "services: {orders: {}}")).reason == RefusalReason::ConfigurationInvalid);
@@ -137,7 +138,8 @@
     CHECK(std::get<NotRun>(leading.apply("", 1, text)).reason == RefusalReason::MalformedRequest);
 }
 
-TEST_CASE("a change whose proposal was lost is unknown, and one that another VM must take was not run")
+// Failure: an operator is told that a change was not run although it may be committed.
+TEST_CASE("a change with a lost proposal has an unknown outcome, and one that reaches a VM without leadership is not run")
 {
     auto leading = Leading();
     leading.log.failure = consensus::ProposalFailure::OutcomeUnknown;
@@ -146,7 +148,8 @@
     CHECK(std::get<NotRun>(leading.apply("a", 0, text)).reason == RefusalReason::ControlUnreachable);
 }
 
-TEST_CASE("changes are let through at the rate on which the memory of change ids rests")
+// Failure: changes arrive so fast that the change log drops an id before its change is resent.
+TEST_CASE("configuration changes are limited to the rate for which the change log is sized")
 {
     auto leading = Leading();
     for (std::uint32_t change = 0; change < changesPerSecond; ++change) {
@@ -157,10 +160,9 @@
     CHECK(std::holds_alternative<membership::ConfigurationAccepted>(leading.apply("same", 0, text)));
 }
 
-TEST_CASE("a configuration is in force once each live VM confirmed it or its lease ran out")
+// Failure: a configuration is reported in force while a partitioned VM still serves under the previous one.
+TEST_CASE("a configuration is in force after each VM has confirmed it or its lease has expired")
 {
-    // Two VMs serve; one confirms the new text, the other is cut off. Until its lease has run out it may still serve under the old
-    // text, so the operator must not read that the new one is in force.
     auto leading = Leading();
     leading.apply("a", 0, text);
     leading.beat(beatOf("hobart-1", 1, 1));
@@ -177,9 +179,9 @@
     CHECK(leading.status().vms.size() == 2);
 }
 
-TEST_CASE("a new leader takes each known VM to hold a lease")
+// Failure: a new leader reports a configuration in force while a VM serves under the previous one with a lease of the former leader.
+TEST_CASE("a new leader assumes that each known VM holds a lease")
 {
-    // The former leader granted a lease a moment ago and is gone. The VM still serves under the old text for the rest of it.
     auto leading = Leading();
     leading.apply("a", 0, text);
     leading.beat(beatOf("hobart-2", 1, 1));
@@ -192,8 +194,8 @@
     CHECK(leading.status().inForce);
 }
 
-// A VM whose lease came from another leader must not be forgotten by one that lost the lead and won it back between two ticks.
-TEST_CASE("a lead that was lost and won again between two ticks is a new one")
+// Failure: a leader that lost and regained leadership between two ticks ignores leases that another leader granted meanwhile.
+TEST_CASE("leadership that was lost and regained between two ticks is a new leadership")
 {
     auto leading = Leading();
     leading.apply("a", 0, text);
@@ -205,7 +207,8 @@
     CHECK_FALSE(leading.status().inForce);
 }
 
-TEST_CASE("no lease without the lead, before the registration, or for an earlier process")
+// Failure: a lease that the next leader does not take into account.
+TEST_CASE("no lease is granted without leadership, before registration, or to an earlier process")
 {
     auto leading = Leading();
     CHECK(std::holds_alternative<control::LeaseGrant>(leading.beat(beatOf("hobart-2", 1, 0))));
@@ -217,7 +220,8 @@
     CHECK(std::holds_alternative<NotRun>(leading.beat(beatOf("hobart-2", 2, 0))));
 }
 
-TEST_CASE("members that announce themselves are registered and fenced for the first term")
+// Failure: the members of a new group are not admitted or get no primary.
+TEST_CASE("members that send health reports are registered and fenced for the first term")
 {
     auto leading = Leading();
     leading.apply("a", 0, text);
@@ -232,10 +236,9 @@
     CHECK(leading.members->fences == 2);
 }
 
-TEST_CASE("control looks at a primary that one zone suspects, and two zones that cannot reach it end its term")
+// Failure: after a power loss of the primary's VM, writes are refused for half a second longer until proxies of a second zone detect it.
+TEST_CASE("control probes a primary that one zone suspects, and the suspicions of two zones end its term")
 {
-    // The caller sees: writes of a group refused for half a second longer than need be. The primary's VM has lost its power; proxies of one zone
-    // notice first, those of others only once work of their own has met the silence. The control VM, in a third zone, looks at once.
     auto leading = Leading();
     leading.apply("a", 0, text);
     auto near = beatOf("launceston-1", 1, 1);
@@ -248,14 +251,14 @@
     leading.state.execute(state::ChoosePrimary{GroupId("orders-1"), Term(1), UpstreamId("a"), Incarnation(1), LogPosition(0)});
     leading.pass(20ms);
     near.suspicions = {{GroupId("orders-1"), Term(1), UpstreamId("a")}};
-    SECTION("it reaches the primary")
+    SECTION("the probe succeeds")
     {
         leading.beat(near);
         leading.pass(20ms);
         CHECK(leading.members->looks == 1);
         CHECK(leading.state.findGroup(GroupId("orders-1"))->view.term == Term(1));
     }
-    SECTION("it does not")
+    SECTION("the probe fails")
     {
         leading.members->reached = false;
         leading.beat(near);
@@ -264,9 +267,9 @@
     }
 }
 
-TEST_CASE("a VM that control does not hear is marked in the view until it is heard again")
+// Failure: the connections that a lost VM owns are unavailable until the VM is ejected.
+TEST_CASE("a VM is marked as silent in the view after the contact timeout and until its next heartbeat")
 {
-    // Others hold the connections that it owned meanwhile.
     auto leading = Leading();
     leading.beat(beatOf("hobart-2", 1, 0));
     leading.pass(silentAfter - 1ms);
@@ -277,7 +280,8 @@
     CHECK_FALSE(leading.state.view()->proxies.front().silent);
 }
 
-TEST_CASE("equal heartbeats propose nothing, and a VM that stays away leaves the view")
+// Failure: each heartbeat writes to the log, or a lost VM keeps its shares forever.
+TEST_CASE("an unchanged heartbeat causes no proposal, and a lost VM is ejected from the view")
 {
     auto leading = Leading();
     leading.beat(beatOf("hobart-2", 1, 0));
@@ -290,8 +294,8 @@
     CHECK(leading.state.view()->proxies.empty());
 }
 
-// A proxy that allocated quota as soon as it joined could do so beside one that is cut off and has not heard of it.
-TEST_CASE("a proxy that joins a configured system may allocate quota after a while, one of the first start at once")
+// Failure: a new proxy allocates the same share of a quota as a partitioned proxy whose view does not list it.
+TEST_CASE("a proxy that joins a configured system may allocate quota after a delay, and one that takes part in the first start at once")
 {
     auto leading = Leading();
     leading.apply("first", 0, text);
--- a/unittests/Controller/fakelog.h
+++ b/unittests/Controller/fakelog.h
@@ -1,4 +1,4 @@
-// fakelog.h: a replicated log without consensus, for tests of what works on it.
+// fakelog.h: a replicated log without consensus.
 #pragma once
 
 #include "sapphirespool/Consensus/replicatedlog.h"
@@ -12,7 +12,7 @@
 namespace sapphirespool::controller
 {
 
-/// Commits at once, here and on the VMs that follow; the test says who leads.
+/// Commits at once to the state of this VM and of its followers; the test sets the leader.
 class FakeLog : public consensus::ReplicatedLog
 {
 public:
@@ -85,7 +85,7 @@
     bool leads = true;
     TimePoint leaseEnd = TimePoint::max();
     std::uint64_t number = 1;
-    /// For how long all other VMs have been silent.
+    /// Time since the last contact with every other VM.
     Duration silent{};
     std::optional<consensus::ProposalFailure> failure;
     std::uint64_t proposals = 0;
--- a/unittests/Controller/memberregistrytest.cpp
+++ b/unittests/Controller/memberregistrytest.cpp
@@ -48,10 +48,9 @@
 
 } // namespace
 
-TEST_CASE("a word that was held up on its way changes nothing")
+// Failure: a delayed health report, relayed by another VM, returns a leaving member to service, and it gets requests after its end.
+TEST_CASE("a delayed health report is ignored")
 {
-    // A member says that it leaves; an earlier word of it arrives after that through another VM. Taken for news it would bring the
-    // member back into service, and work would reach it after it has gone.
     auto registry = MemberRegistry(start);
     CHECK(registry.note(word("a", 1, 5, 10), start));
     CHECK_FALSE(registry.note(word("a", 1, 5, 10), start));
@@ -65,10 +64,9 @@
     CHECK(registry.note(word("a", 1, 6, 1), start));
 }
 
-TEST_CASE("a member whose address another one has is gone, and its late word does not bring it back")
+// Failure: a delayed health report of a crashed member readmits it at an address that a new member has taken over.
+TEST_CASE("a member whose address another one has taken over is ejected, and its delayed health report does not readmit it")
 {
-    // A member crashes without a word, and a new one starts at its address. A heartbeat of the crashed one, held up by a partition,
-    // arrives last.
     auto registry = MemberRegistry(start);
     const auto group = groupOf({{"old", 1}, {"p", 2}, {"r", 3}}, "p");
     registry.note(word("old", 1, 5, 10), start);
@@ -81,7 +79,8 @@
     CHECK(registry.gone(group, start) == std::vector{UpstreamId("old")});
 }
 
-TEST_CASE("silent members are forgotten, but never the primary nor the last two")
+// Failure: a partition between members and control ejects all members of a group that still serves.
+TEST_CASE("silent members are ejected, but never the primary or the last two members")
 {
     auto registry = MemberRegistry(start);
     const auto late = start + MemberRegistry::forgetAfter;
@@ -91,9 +90,9 @@
     CHECK(registry.gone(groupOf({{"p", 1}, {"r", 2}, {"s", 3}}, "p"), late) == std::vector{UpstreamId("s")});
 }
 
-TEST_CASE("of many numbered changes in a row the highest is committed, and each is answered")
+// Failure: hundreds of changes that a script sends during one commit are written one by one and delay the last one.
+TEST_CASE("of numbered changes that arrive during a commit only the highest is proposed, and each gets an outcome")
 {
-    // A script sends hundreds of changes while one commit is under way. Each must be accepted, and the last one in force soon.
     auto changes = NumberedChanges();
     auto answered = 0;
     const auto count = [&answered](const membership::ConfigurationOutcome &) {
--- a/unittests/Controller/observerstest.cpp
+++ b/unittests/Controller/observerstest.cpp
@@ -23,11 +23,9 @@
 
 } // namespace
 
-TEST_CASE("a VM whose link is full suspects one primary after the other, and soon weighs nothing")
+// Failure: one VM with a saturated network link in each of two zones replaces all primaries, and writes are refused for a second each.
+TEST_CASE("suspicions of a VM with a saturated network link soon lose credibility")
 {
-    // The caller sees: writes of all groups refused for a second each, although no upstream has failed.
-    // An operator's text fills the link of one VM in each of two zones; their connections to the primaries of all groups come late, and each
-    // of the two suspects them within a second. Two zones that suspect a primary end its term.
     auto observers = Observers();
     auto believed = 0;
     for (auto number = 0; number < 20; ++number) {
@@ -37,17 +35,19 @@
     CHECK(observers.note(VmId("other"), group(0), manyGroups, start));
 }
 
-TEST_CASE("a VM that suspects the primaries of a lost zone weighs")
+// Failure: the loss of a zone is not detected because each VM suspects several primaries.
+TEST_CASE("suspicions of the primaries of a lost zone are credible")
 {
     auto observers = Observers();
     for (auto number = 0; number < 6; ++number) {
         CHECK(observers.note(VmId("a"), group(number), manyGroups, start));
     }
-    // The same again is nothing new.
+    // A repeated suspicion does not count as a further group.
     CHECK(observers.note(VmId("a"), group(0), manyGroups, start + milliseconds(300)));
 }
 
-TEST_CASE("of three groups all primaries may be lost at once")
+// Failure: in a small system with all primaries in one zone the loss of that zone is not detected.
+TEST_CASE("in a system of three groups suspicions of all primaries are credible")
 {
     auto observers = Observers();
     CHECK(observers.note(VmId("a"), group(0), 3, start));
@@ -55,7 +55,8 @@
     CHECK(observers.note(VmId("a"), group(2), 3, start));
 }
 
-TEST_CASE("a VM whose way has come back weighs again")
+// Failure: the suspicions of a VM are ignored forever after a network fault.
+TEST_CASE("suspicions of a VM are credible again after its network has recovered")
 {
     auto observers = Observers();
     for (auto number = 0; number < 20; ++number) {
--- a/unittests/Controller/promotiondutytest.cpp
+++ b/unittests/Controller/promotiondutytest.cpp
@@ -18,18 +18,18 @@
 
 constexpr auto exclusiveTime = std::chrono::milliseconds(3'000);
 
-/// An order to promote, as the platform sees it.
+/// An order to promote, as the platform receives it.
 struct SeenOrder
 {
     VmId by;
     std::uint64_t token = 0;
     TimePoint given;
-    /// When it could last have left.
+    /// Last time at which it could have been sent.
     TimePoint leftAt;
     platform::Authority authority;
 };
 
-/// An order to fence that waits for its answer.
+/// An unanswered order to fence.
 struct OpenFence
 {
     platform::MemberAddress member;
@@ -44,7 +44,7 @@
     std::vector<OpenFence> fences;
 };
 
-/// Notes the orders and answers none.
+/// Records the orders and answers none.
 class RecordingOperator : public platform::GroupOperator
 {
 public:
@@ -163,14 +163,14 @@
         return this->a.log.leads ? this->a : this->b;
     }
 
-    /// The members announce themselves to the VM that leads.
+    /// Delivers health reports of the members to the leader and runs the work that this posts.
     auto announce(platform::Role roleOfPrimary) -> void
     {
         this->tellLeader(roleOfPrimary, 1);
         this->leader().runPosted();
     }
 
-    /// The same, but what the leader posts for later stays there.
+    /// Delivers health reports of the members to the leader; posted work remains queued.
     auto tellLeader(platform::Role roleOfPrimary, std::uint32_t slots) -> void
     {
         auto heartbeat = control::VmHeartbeat();
@@ -198,7 +198,7 @@
         });
     }
 
-    /// Notes up to when each order could still have left.
+    /// Updates the last time at which each order could have been sent.
     auto noteAuthorities() -> void
     {
         for (auto &order : this->orders.promotions) {
@@ -208,7 +208,7 @@
         }
     }
 
-    /// \return the shortest time from when an order may have left to the first one of another VM
+    /// \return the shortest time between an order and the next one of another VM
     [[nodiscard]] auto shortestTurn() const -> Duration
     {
         auto shortest = Duration::max();
@@ -231,7 +231,7 @@
 
 } // namespace
 
-// A change of the control leader must not order anew what has long been carried out.
+// Failure: each change of the control leader repeats promotions that were carried out long ago.
 TEST_CASE("a new control leader orders no promotion of a primary that serves")
 {
     auto vms = TwoControlVms();
@@ -242,8 +242,8 @@
     CHECK(vms.orders.promotions.empty());
 }
 
-// Two control VMs that are alive must not take turns at ordering promotions.
-TEST_CASE("a control VM orders promotions only when those of another one are long over")
+// Failure: two live control VMs alternate in ordering promotions and move a primary back and forth.
+TEST_CASE("a control VM orders promotions only after the orders of another one can no longer take effect")
 {
     auto vms = TwoControlVms();
     vms.lead(vms.a, 3);
@@ -264,8 +264,8 @@
     CHECK(vms.shortestTurn() >= exclusiveTime);
 }
 
-// The failure of a control VM must not hold up the promotions that it makes urgent.
-TEST_CASE("the duty of a control VM that is lost is taken over at once")
+// Failure: the loss of the duty holder delays the promotions that the same fault requires.
+TEST_CASE("the duty of a lost control VM is taken over at once")
 {
     auto vms = TwoControlVms();
     vms.lead(vms.a, 3);
@@ -278,8 +278,8 @@
     CHECK(vms.ordersOf(vms.b) > 0);
 }
 
-// VMs that hear each other badly must not take the duty from each other in turn.
-TEST_CASE("the duty is taken early from a holder that seems lost only once")
+// Failure: VMs with a bad network path between them take the duty from each other in turn.
+TEST_CASE("the duty is taken early from a holder that appears lost only once within the handover time")
 {
     auto duty = PromotionDuty(VmId("a"));
     const auto start = TimePoint(1h);
@@ -298,8 +298,8 @@
     CHECK_FALSE(third.mayTake(10s, start + 100ms + dutyHandover - 1ms));
 }
 
-// A VM that missed grants must not take the duty early, as if it had not just passed on.
-TEST_CASE("grants that a VM has not seen may have passed the duty on")
+// Failure: a VM that missed grants takes the duty early although it was transferred a moment ago.
+TEST_CASE("a gap in the applied grants counts as a transfer of the duty")
 {
     const auto start = TimePoint(1h);
     auto restarted = PromotionDuty(VmId("a"));
@@ -312,8 +312,8 @@
     CHECK_FALSE(late.mayTake(10s, start + 1s + dutyHandover - 1ms));
 }
 
-// A holder must not outlast its grant on the clocks of those who wait for its end.
-TEST_CASE("a grant begins with its first proposal and is renewed while orders are given")
+// Failure: the holder counts its grant for longer than the VMs that wait for its end.
+TEST_CASE("a grant begins with its first proposal and is renewed while orders are sent")
 {
     auto duty = PromotionDuty(VmId("a"));
     const auto start = TimePoint(1h);
@@ -333,8 +333,8 @@
     CHECK(duty.isHeld(3, start + dutyRenewal + dutyLength - 1ms));
 }
 
-// A process that has just started knows of no proposal of its own, whatever the state says.
-TEST_CASE("a restarted control VM does not go by the grant of its former process")
+// Failure: a restarted process sends orders under a grant whose start it does not know.
+TEST_CASE("a restarted control VM does not use the grant of its former process")
 {
     auto duty = PromotionDuty(VmId("a"));
     duty.note({VmId("a"), 3, 7}, TimePoint(1h));
@@ -342,8 +342,8 @@
     CHECK(duty.mayTake(0s, TimePoint(1h)));
 }
 
-// An order that waits on the control thread must not go out under the number of the next leader.
-TEST_CASE("what was begun under a lead is not carried on after it")
+// Failure: an order queued on the control thread is sent after the loss of leadership, with the token of the next leader.
+TEST_CASE("work that was posted under a leadership is dropped after its end")
 {
     auto vms = TwoControlVms();
     vms.lead(vms.a, 3);
@@ -359,8 +359,8 @@
     CHECK(vms.orders.promotions.size() == before);
 }
 
-// An order that waits for its connection must not leave after the lead is lost.
-TEST_CASE("the authority of an order ends with the lease under which it was given")
+// Failure: an order that waits for its connection is sent after the loss of leadership.
+TEST_CASE("the authority of an order ends with the leader lease")
 {
     auto vms = TwoControlVms();
     vms.lead(vms.a, 3);
@@ -374,8 +374,8 @@
     CHECK_FALSE(authority->holds());
 }
 
-// A member that is told to step down after it was made primary leaves its group without one.
-TEST_CASE("orders that have not left are withdrawn when the control leader decides anew")
+// Failure: a member is ordered to step down after its promotion, and its group has no primary.
+TEST_CASE("orders that have not been sent are revoked by a later decision of the control leader")
 {
     auto vms = TwoControlVms();
     vms.lead(vms.a, 3);
--- a/unittests/Controller/vmsettlingtest.cpp
+++ b/unittests/Controller/vmsettlingtest.cpp
@@ -26,8 +26,8 @@
 
 } // namespace
 
-// A proxy that joins must not allocate quota while a proxy that is cut off may still allocate the same part.
-TEST_CASE("a proxy that joined is settled once every lease under the former view and its hold-over have passed")
+// Failure: a new proxy allocates the same share of a quota as a partitioned proxy.
+TEST_CASE("a new proxy is settled after every lease under the former view and its hold-over have expired")
 {
     auto settling = VmSettling();
     const auto known = std::vector<membership::ProxyView>{proxy("new", false), proxy("old", true)};
@@ -39,7 +39,8 @@
     CHECK(VmSettling::settleAfter > promotion::leaseLength + membership::quotaHoldOver);
 }
 
-TEST_CASE("a VM that left and joined again waits anew, and a VM without callers is never settled")
+// Failure: a VM that rejoins is settled by the time of its former membership, or a control VM is settled.
+TEST_CASE("the delay begins again for a VM that rejoins, and a VM without callers is never settled")
 {
     auto settling = VmSettling();
     const auto joined = std::vector<membership::ProxyView>{proxy("new", false)};
