--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -241,15 +241,15 @@
     this->handle(promotion::Suspected{zone, suspicion, credible});
     // Proxies of other zones detect a failure by their own statements, up to half a second later. A probe from this VM is faster.
     if (credible && zone != this->parts.zone) {
-        this->look(suspicion);
+        this->probePrimary(suspicion);
     }
 }
 
-auto Leadership::look(const membership::Suspicion &suspicion) -> void
+auto Leadership::probePrimary(const membership::Suspicion &suspicion) -> void
 {
     const auto *const group = this->parts.state.findGroup(suspicion.group);
     const auto *const member = group == nullptr || group->view.primary != suspicion.upstream ? nullptr : group->view.primaryMember();
-    if (member == nullptr || !this->lookedAt.insert(member->id).second) {
+    if (member == nullptr || !this->probesInFlight.insert(member->id).second) {
         return;
     }
     const auto done = [weak = this->weak_from_this(), post = this->parts.post, suspicion](bool reached) {
@@ -258,7 +258,7 @@
             if (!self) {
                 return;
             }
-            self->lookedAt.erase(suspicion.upstream);
+            self->probesInFlight.erase(suspicion.upstream);
             if (!reached) {
                 support::log(support::Event::PrimarySuspected,
                              {{"group", suspicion.group.value()}, {"upstream", suspicion.upstream.value()}, {"term", suspicion.term.value()}});
--- a/lib/Controller/leadership.h
+++ b/lib/Controller/leadership.h
@@ -56,7 +56,7 @@
     /// Handles a suspicion that \p vm in \p zone reported.
     auto suspected(const VmId &vm, const ZoneId &zone, const membership::Suspicion &suspicion) -> void;
     /// Probes a suspected primary from this VM.
-    auto look(const membership::Suspicion &suspicion) -> void;
+    auto probePrimary(const membership::Suspicion &suspicion) -> void;
     auto handle(const promotion::Event &event) -> void;
     auto propose(const state::Command &command, const GroupId &group) -> void;
     /// \return whether a registration under \p name may be proposed now, which is at most once every proposalLife
@@ -93,7 +93,7 @@
     MemberRegistry registry;
     Observers observers;
     /// Upstreams with a probe in flight.
-    std::set<UpstreamId> lookedAt;
+    std::set<UpstreamId> probesInFlight;
     TimePoint lookedForGone{};
     TimePoint lookedForSilent{};
     std::map<std::string, TimePoint> registrations;
