--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -15,10 +15,10 @@
 constexpr auto proposalLife = std::chrono::milliseconds(1'000);
 
 /// Interval of the search for members to eject. Meanwhile the successor at an address refuses statements that are meant for the replaced member.
-constexpr auto goneInterval = std::chrono::milliseconds(200);
+constexpr auto ejectionInterval = std::chrono::milliseconds(200);
 
 /// Interval of the search for silent VMs.
-constexpr auto silentInterval = std::chrono::milliseconds(100);
+constexpr auto silenceInterval = std::chrono::milliseconds(100);
 /// VMs that are marked as silent per search. A hundred that are partitioned at once are marked within a second, and the log has room for
 /// other changes.
 constexpr auto marksAtOnce = std::size_t{10};
@@ -182,10 +182,10 @@
 
 auto Leadership::forgetGoneUpstreams(TimePoint now) -> void
 {
-    if (now - this->lookedForGone < goneInterval) {
+    if (now - this->lastEjectionSearch < ejectionInterval) {
         return;
     }
-    this->lookedForGone = now;
+    this->lastEjectionSearch = now;
     for (const auto &group : this->parts.state.groups()) {
         if (!group.selfReplicating) {
             continue;
@@ -198,10 +198,10 @@
 
 auto Leadership::markSilentVms(TimePoint now) -> void
 {
-    if (now - this->lookedForSilent < silentInterval) {
+    if (now - this->lastSilenceSearch < silenceInterval) {
         return;
     }
-    this->lookedForSilent = now;
+    this->lastSilenceSearch = now;
     auto marked = std::size_t{0};
     for (auto &vm : this->vms.silentFor(silentAfter, this->parts.state.vms(), now)) {
         if (vm.silent || !this->tryRegister("mark " + vm.id.value())) {
--- a/lib/Controller/leadership.h
+++ b/lib/Controller/leadership.h
@@ -94,8 +94,8 @@
     Observers observers;
     /// Upstreams with a probe in flight.
     std::set<UpstreamId> probesInFlight;
-    TimePoint lookedForGone{};
-    TimePoint lookedForSilent{};
+    TimePoint lastEjectionSearch{};
+    TimePoint lastSilenceSearch{};
     std::map<std::string, TimePoint> registrations;
     /// Authorities that end with the leader lease, and with the promotion duty under it.
     std::shared_ptr<ExpiringAuthority> leadAuthority;
