--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -63,7 +63,7 @@
     , vms(parts.state.vms(), this->since)
     , promoter(parts.state, this->since, promotion::contactTimeoutFor(parts.announcementInterval))
     , registry(this->since)
-    , leadAuthority(std::make_shared<ExpiringAuthority>(parts.clock))
+    , leadershipAuthority(std::make_shared<ExpiringAuthority>(parts.clock))
     , dutyAuthority(std::make_shared<ExpiringAuthority>(parts.clock))
 {
 }
--- a/lib/Controller/leadership.h
+++ b/lib/Controller/leadership.h
@@ -98,7 +98,7 @@
     TimePoint lastSilenceSearch{};
     std::map<std::string, TimePoint> registrations;
     /// Authorities that end with the leader lease, and with the promotion duty under it.
-    std::shared_ptr<ExpiringAuthority> leadAuthority;
+    std::shared_ptr<ExpiringAuthority> leadershipAuthority;
     std::shared_ptr<ExpiringAuthority> dutyAuthority;
     OpenOrders openOrders;
 };
--- a/lib/Controller/leadershiporders.cpp
+++ b/lib/Controller/leadershiporders.cpp
@@ -49,7 +49,7 @@
 {
     this->parts.groupOperator->fence(this->addressOf(action.group, action.member, action.endpoint),
                                      action.request,
-                                     this->openOrders.add(action.group, promotion::Order::Fence, this->leadAuthority),
+                                     this->openOrders.add(action.group, promotion::Order::Fence, this->leadershipAuthority),
                                      this->answerTo(promotion::Order::Fence, action.group, action.request.term, action.member));
 }
 
@@ -71,17 +71,18 @@
     if (underDuty) {
         this->seekDuty(action.group);
     }
-    this->parts.groupOperator->promote(this->addressOf(action.group, action.member, action.endpoint),
-                                       request,
-                                       this->openOrders.add(action.group, promotion::Order::Promote, underDuty ? this->dutyAuthority : this->leadAuthority),
-                                       this->answerTo(promotion::Order::Promote, action.group, action.request.term, action.member));
+    this->parts.groupOperator->promote(
+        this->addressOf(action.group, action.member, action.endpoint),
+        request,
+        this->openOrders.add(action.group, promotion::Order::Promote, underDuty ? this->dutyAuthority : this->leadershipAuthority),
+        this->answerTo(promotion::Order::Promote, action.group, action.request.term, action.member));
 }
 
 auto Leadership::carryOut(const promotion::SendFollow &action) -> void
 {
     this->parts.groupOperator->follow(this->addressOf(action.group, action.member, action.endpoint),
                                       action.request,
-                                      this->openOrders.add(action.group, promotion::Order::Follow, this->leadAuthority),
+                                      this->openOrders.add(action.group, promotion::Order::Follow, this->leadershipAuthority),
                                       this->answerTo(promotion::Order::Follow, action.group, action.request.term, action.member));
 }
 
@@ -124,7 +125,7 @@
     noteGrant(this->parts, this->duty);
     this->promoter.setDuty(this->duty.isHeld(this->number, now));
     const auto leaseEnd = this->parts.log.leaderLeaseEnd();
-    this->leadAuthority->setEnd(leaseEnd);
+    this->leadershipAuthority->setEnd(leaseEnd);
     this->dutyAuthority->setEnd(std::min(leaseEnd, this->duty.heldUntil(this->number)));
 }
 
