--- a/lib/Controller/controller.cpp
+++ b/lib/Controller/controller.cpp
@@ -100,14 +100,14 @@
     {
         // VMs that are not the leader track the age of grants too, since any of them may be elected next.
         noteGrant(this->parts, this->duty);
-        if (const auto present = this->lead()) {
+        if (const auto present = this->currentLeadership()) {
             present->tick();
         }
     }
 
     auto heartbeat(control::VmHeartbeat heartbeat, std::function<void(control::HeartbeatOutcome)> done) -> void override
     {
-        const auto present = this->lead();
+        const auto present = this->currentLeadership();
         if (!present) {
             done(NotRun{RefusalReason::ControlUnreachable, "this control VM does not lead"});
             return;
@@ -150,7 +150,7 @@
     {
         this->parts.log.confirmRead([weak = this->weak_from_this(), done = std::move(done)](std::optional<consensus::ProposalFailure> failure) {
             const auto self = weak.lock();
-            const auto present = self ? self->lead() : nullptr;
+            const auto present = self ? self->currentLeadership() : nullptr;
             if (failure || !present) {
                 done(NotRun{RefusalReason::ControlUnreachable, "this control VM does not lead"});
                 return;
@@ -213,7 +213,7 @@
     }
 
     /// \return the current leadership, created after an election and destroyed after its loss here; null if this VM is not leader
-    auto lead() -> std::shared_ptr<Leadership>
+    auto currentLeadership() -> std::shared_ptr<Leadership>
     {
         const auto now = this->parts.clock();
         if (this->leadership && !this->leadership->isCurrent(now)) {
