--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -76,8 +76,8 @@
 auto Leadership::tick() -> void
 {
     const auto now = this->parts.clock();
-    this->noteProxies(now);
-    this->noteDuty(now);
+    this->updateProxies(now);
+    this->updateDuty(now);
     this->markSilentVms(now);
     this->settleVms(now);
     this->forgetSilentVms();
@@ -126,7 +126,7 @@
     return status;
 }
 
-auto Leadership::noteProxies(TimePoint now) -> void
+auto Leadership::updateProxies(TimePoint now) -> void
 {
     this->promoter.setProxies(this->vms.standing(this->parts.state.revision(), now));
 }
@@ -276,8 +276,8 @@
     if (!this->isCurrent(now)) {
         return;
     }
-    this->noteProxies(now);
-    this->noteDuty(now);
+    this->updateProxies(now);
+    this->updateDuty(now);
     this->carryOut(this->promoter.handle(event, now));
 }
 
--- a/lib/Controller/leadership.h
+++ b/lib/Controller/leadership.h
@@ -40,7 +40,7 @@
 
 private:
     // leadership.cpp
-    auto noteProxies(TimePoint now) -> void;
+    auto updateProxies(TimePoint now) -> void;
     auto grant() const -> control::LeaseGrant;
     auto registerVm(const control::VmHeartbeat &heartbeat) -> void;
     auto registerUpstream(const platform::Announcement &announcement) -> void;
@@ -73,9 +73,9 @@
     /// \return whether orders to promote members of \p group require the promotion duty
     [[nodiscard]] auto isUnderDuty(const GroupId &group) const -> bool;
     /// Updates the promoter and the authorities of orders in flight from the promotion duty and the leader lease.
-    auto noteDuty(TimePoint now) -> void;
+    auto updateDuty(TimePoint now) -> void;
     /// Proposes a grant or renewal of the duty to this VM if that is allowed now.
-    auto seekDuty(const GroupId &group) -> void;
+    auto requestDuty(const GroupId &group) -> void;
     [[nodiscard]] auto addressOf(const GroupId &group, const UpstreamId &member, const Endpoint &endpoint) const -> platform::MemberAddress;
     /// \return a callback that posts the report to the control thread
     auto answerTo(promotion::Order order, const GroupId &group, std::uint64_t term, const UpstreamId &member) -> platform::ReportCallback;
@@ -83,7 +83,7 @@
     const ControllerParts &parts;
     PromotionDuty &duty;
     /// Number of the last grant whose end this VM waited for; each is logged once.
-    std::uint64_t awaited = 0;
+    std::uint64_t awaitedGrant = 0;
     /// Start and number of this leadership.
     TimePoint since;
     std::uint64_t number;
--- a/lib/Controller/leadershiporders.cpp
+++ b/lib/Controller/leadershiporders.cpp
@@ -69,7 +69,7 @@
     this->openOrders.withdraw(action.group, promotion::Order::Fence);
     const auto underDuty = this->isUnderDuty(action.group);
     if (underDuty) {
-        this->seekDuty(action.group);
+        this->requestDuty(action.group);
     }
     this->parts.groupOperator->promote(
         this->addressOf(action.group, action.member, action.endpoint),
@@ -105,13 +105,13 @@
     this->propose(action.command, action.command.group);
     // The grant is proposed together with the choice, so that it delays no promotion.
     if (this->isUnderDuty(action.command.group)) {
-        this->seekDuty(action.command.group);
+        this->requestDuty(action.command.group);
     }
 }
 
 auto Leadership::carryOut(const promotion::AwaitDuty &action) -> void
 {
-    this->seekDuty(action.group);
+    this->requestDuty(action.group);
 }
 
 auto Leadership::isUnderDuty(const GroupId &group) const -> bool
@@ -120,7 +120,7 @@
     return record != nullptr && record->selfReplicating;
 }
 
-auto Leadership::noteDuty(TimePoint now) -> void
+auto Leadership::updateDuty(TimePoint now) -> void
 {
     noteGrant(this->parts, this->duty);
     this->promoter.setDuty(this->duty.isHeld(this->number, now));
@@ -129,7 +129,7 @@
     this->dutyAuthority->setEnd(std::min(leaseEnd, this->duty.heldUntil(this->number)));
 }
 
-auto Leadership::seekDuty(const GroupId &group) -> void
+auto Leadership::requestDuty(const GroupId &group) -> void
 {
     const auto now = this->parts.clock();
     if (!this->duty.isWanted(this->number, now)) {
@@ -140,7 +140,7 @@
     if (this->duty.mayTake(timeSinceContact, now)) {
         this->duty.proposed(now);
         this->propose(state::GrantDuty{this->parts.vm, this->number, present.number}, group);
-    } else if (std::exchange(this->awaited, present.number) != present.number) {
+    } else if (std::exchange(this->awaitedGrant, present.number) != present.number) {
         support::log(support::Event::DutyAwaited,
                      {{"group", group.value()},
                       {"holder", present.holder.value()},
