--- a/include/sapphirespool/Controller/promotionduty.h
+++ b/include/sapphirespool/Controller/promotionduty.h
@@ -77,7 +77,7 @@
     state::DutyGrant newest;
     TimePoint seen{};
     /// When this VM last applied a change of the holder.
-    std::optional<TimePoint> passedOn;
+    std::optional<TimePoint> lastTransfer;
     /// When the newest grant began; absent if this process did not propose it.
     std::optional<TimePoint> began;
     std::optional<Proposal> proposal;
--- a/lib/Controller/promotionduty.cpp
+++ b/lib/Controller/promotionduty.cpp
@@ -22,7 +22,7 @@
     const auto isOther = former.holder != grant.holder;
     // The duty may also have passed on by grants that this VM has not seen, for example before a restart.
     if ((isOther && former.number != 0) || grant.number > former.number + 1) {
-        this->passedOn = now;
+        this->lastTransfer = now;
     }
     return isOther;
 }
@@ -47,8 +47,8 @@
 {
     const auto isFree = this->newest.number == 0 || this->newest.holder == this->self || this->age(now) >= dutyHandover;
     // VMs with a bad network path consider each other failed. The duty would then alternate with the leadership.
-    const auto justPassedOn = this->passedOn && now - *this->passedOn < dutyHandover;
-    return isFree || (holderSilence >= holderLostAfter && !justPassedOn);
+    const auto justTransferred = this->lastTransfer && now - *this->lastTransfer < dutyHandover;
+    return isFree || (holderSilence >= holderLostAfter && !justTransferred);
 }
 
 auto PromotionDuty::proposed(TimePoint now) -> void
