--- a/include/sapphirespool/Controller/promotionduty.h
+++ b/include/sapphirespool/Controller/promotionduty.h
@@ -24,16 +24,16 @@
 constexpr auto dutyRenewal = std::chrono::milliseconds(1'000);
 
 /// Time after sending for which an order may still take effect, including network delay and clock drift.
-constexpr auto orderLife = std::chrono::milliseconds(3'500);
+constexpr auto orderLifetime = std::chrono::milliseconds(3'500);
 
 /// Time after applying a grant for which other VMs leave the duty to a holder that is alive.
-constexpr auto dutyHandover = dutyLength + orderLife;
+constexpr auto dutyHandover = dutyLength + orderLifetime;
 
 /// Time since the last contact after which a new leader counts the holder as failed: ten heartbeats without an answer.
 constexpr auto holderLostAfter = std::chrono::milliseconds(500);
 
 /// Time after which a proposed grant that has not been applied is proposed again.
-constexpr auto dutyProposalLife = std::chrono::milliseconds(250);
+constexpr auto dutyProposalRetry = std::chrono::milliseconds(250);
 
 /// State of the promotion duty on one control VM; a state machine without I/O.
 class PromotionDuty
--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -12,7 +12,7 @@
 {
 
 /// Time after which a registration that has not changed the replicated state is proposed again, with the next heartbeat.
-constexpr auto proposalLife = std::chrono::milliseconds(1'000);
+constexpr auto registrationRetry = std::chrono::milliseconds(1'000);
 
 /// Interval of the search for members to eject. Meanwhile the successor at an address refuses statements that are meant for the replaced member.
 constexpr auto ejectionInterval = std::chrono::milliseconds(200);
@@ -297,7 +297,7 @@
 {
     const auto now = this->parts.clock();
     const auto found = this->registrations.find(name);
-    if (found != this->registrations.end() && now - found->second < proposalLife) {
+    if (found != this->registrations.end() && now - found->second < registrationRetry) {
         return false;
     }
     this->registrations.insert_or_assign(name, now);
--- a/lib/Controller/leadership.h
+++ b/lib/Controller/leadership.h
@@ -59,7 +59,7 @@
     auto probePrimary(const membership::Suspicion &suspicion) -> void;
     auto handle(const promotion::Event &event) -> void;
     auto propose(const state::Command &command, const GroupId &group) -> void;
-    /// \return whether a registration under \p name may be proposed now, which is at most once every proposalLife
+    /// \return whether a registration under \p name may be proposed now, which is at most once every registrationRetry
     auto tryRegister(const std::string &name) -> bool;
 
     // leadershiporders.cpp
--- a/lib/Controller/promotionduty.cpp
+++ b/lib/Controller/promotionduty.cpp
@@ -39,7 +39,7 @@
 
 auto PromotionDuty::isWanted(std::uint64_t leadership, TimePoint now) const -> bool
 {
-    const auto isUnderWay = this->proposal && this->proposal->number > this->newest.number && now - this->proposal->last < dutyProposalLife;
+    const auto isUnderWay = this->proposal && this->proposal->number > this->newest.number && now - this->proposal->last < dutyProposalRetry;
     return !isUnderWay && (!this->isHeld(leadership, now) || now - *this->began >= dutyRenewal);
 }
 
--- a/unittests/Controller/promotiondutytest.cpp
+++ b/unittests/Controller/promotiondutytest.cpp
@@ -319,9 +319,9 @@
     const auto start = TimePoint(1h);
     CHECK(duty.isWanted(3, start));
     duty.proposed(start);
-    CHECK_FALSE(duty.isWanted(3, start + dutyProposalLife - 1ms));
-    CHECK(duty.isWanted(3, start + dutyProposalLife));
-    duty.proposed(start + dutyProposalLife);
+    CHECK_FALSE(duty.isWanted(3, start + dutyProposalRetry - 1ms));
+    CHECK(duty.isWanted(3, start + dutyProposalRetry));
+    duty.proposed(start + dutyProposalRetry);
     duty.note({VmId("a"), 3, 1}, start + 600ms);
     CHECK(duty.isHeld(3, start + dutyLength - 1ms));
     CHECK_FALSE(duty.isHeld(3, start + dutyLength));
