--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -93,7 +93,7 @@
     }
     this->registerVm(heartbeat);
     for (const auto &announcement : heartbeat.announcements) {
-        if (!this->isNews(announcement)) {
+        if (!this->isRelevant(announcement)) {
             continue;
         }
         this->registerUpstream(announcement);
@@ -165,7 +165,7 @@
     this->propose(state::RegisterUpstream{group->view.id, wanted}, group->view.id);
 }
 
-auto Leadership::isNews(const platform::Announcement &announcement) -> bool
+auto Leadership::isRelevant(const platform::Announcement &announcement) -> bool
 {
     const auto *const group = this->parts.state.findGroup(GroupId(announcement.group));
     return group == nullptr || !group->selfReplicating || this->registry.note(announcement, this->parts.clock());
--- a/lib/Controller/leadership.h
+++ b/lib/Controller/leadership.h
@@ -47,7 +47,7 @@
     auto forgetUpstream(const GroupId &group, const UpstreamId &upstream) -> void;
     auto forgetGoneUpstreams(TimePoint now) -> void;
     /// \return whether the health report may change the replicated state or a promotion
-    auto isNews(const platform::Announcement &announcement) -> bool;
+    auto isRelevant(const platform::Announcement &announcement) -> bool;
     /// Marks VMs without recent heartbeats as silent in the view, so that the proxies use other owners for their connections.
     auto markSilentVms(TimePoint now) -> void;
     /// Allows VMs that joined long enough ago to allocate quota.
