--- a/lib/Controller/memberregistry.cpp
+++ b/lib/Controller/memberregistry.cpp
@@ -22,22 +22,22 @@
 {
     const auto id = UpstreamId(announcement.id);
     const auto incarnation = Incarnation(announcement.incarnation);
-    auto &heard = this->members[id];
-    if (incarnation < heard.incarnation) {
+    auto &last = this->members[id];
+    if (incarnation < last.incarnation) {
         return false;
     }
-    if (incarnation == heard.incarnation) {
-        if (heard.ended || (announcement.sequence != 0 && announcement.sequence <= heard.sequence)) {
-            return announcement.gone && heard.ended;
+    if (incarnation == last.incarnation) {
+        if (last.ended || (announcement.sequence != 0 && announcement.sequence <= last.sequence)) {
+            return announcement.gone && last.ended;
         }
     }
-    heard = {incarnation, announcement.sequence, now, announcement.gone};
+    last = {incarnation, announcement.sequence, now, announcement.gone};
     if (announcement.gone) {
         return true;
     }
     // A process that started earlier than the present one at its address has ended.
     const auto endpoint = Endpoint{announcement.address, announcement.port};
-    const auto [place, added] = this->tenants.try_emplace(endpoint, Tenant{id, incarnation});
+    const auto [place, added] = this->addressOwners.try_emplace(endpoint, AddressOwner{id, incarnation});
     if (!added && place->second.id != id && incarnation < place->second.incarnation) {
         return false;
     }
@@ -49,8 +49,8 @@
 {
     auto gone = std::vector<UpstreamId>();
     for (const auto &member : group.view.members) {
-        const auto tenant = this->tenants.find(member.endpoint);
-        const auto replaced = tenant != this->tenants.end() && tenant->second.id != member.id;
+        const auto owner = this->addressOwners.find(member.endpoint);
+        const auto replaced = owner != this->addressOwners.end() && owner->second.id != member.id;
         const auto mayForget = group.view.primary != member.id && group.view.members.size() > membersKept + gone.size();
         if (replaced || (mayForget && this->isSilent(member.id, now))) {
             gone.push_back(member.id);
@@ -62,7 +62,7 @@
 auto MemberRegistry::isSilent(const UpstreamId &member, TimePoint now) const -> bool
 {
     const auto found = this->members.find(member);
-    const auto last = found == this->members.end() ? this->since : std::max(this->since, found->second.at);
+    const auto last = found == this->members.end() ? this->since : std::max(this->since, found->second.lastContact);
     return now - last >= forgetAfter;
 }
 
--- a/lib/Controller/memberregistry.h
+++ b/lib/Controller/memberregistry.h
@@ -35,17 +35,17 @@
     [[nodiscard]] auto gone(const state::GroupRecord &group, TimePoint now) const -> std::vector<UpstreamId>;
 
 private:
-    struct Heard
+    struct LastReport
     {
         Incarnation incarnation;
         std::uint64_t sequence = 0;
-        TimePoint at{};
+        TimePoint lastContact{};
         /// Whether this process reported its end.
         bool ended = false;
     };
 
     /// The newest process at an address.
-    struct Tenant
+    struct AddressOwner
     {
         UpstreamId id;
         Incarnation incarnation;
@@ -54,8 +54,8 @@
     [[nodiscard]] auto isSilent(const UpstreamId &member, TimePoint now) const -> bool;
 
     TimePoint since;
-    std::map<UpstreamId, Heard> members;
-    std::map<Endpoint, Tenant> tenants;
+    std::map<UpstreamId, LastReport> members;
+    std::map<Endpoint, AddressOwner> addressOwners;
 };
 
 } // namespace sapphirespool::controller
