--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -80,8 +80,8 @@
     this->updateDuty(now);
     this->markSilentVms(now);
     this->settleVms(now);
-    this->forgetSilentVms();
-    this->forgetGoneUpstreams(now);
+    this->ejectSilentVms();
+    this->ejectUpstreams(now);
     this->carryOut(this->promoter.tick(now));
 }
 
@@ -149,7 +149,7 @@
 auto Leadership::registerUpstream(const platform::Announcement &announcement) -> void
 {
     if (announcement.gone) {
-        this->forgetUpstream(GroupId(announcement.group), UpstreamId(announcement.id));
+        this->ejectUpstream(GroupId(announcement.group), UpstreamId(announcement.id));
         return;
     }
     const auto wanted = viewOf(announcement);
@@ -171,7 +171,7 @@
     return group == nullptr || !group->selfReplicating || this->registry.note(announcement, this->parts.clock());
 }
 
-auto Leadership::forgetUpstream(const GroupId &group, const UpstreamId &upstream) -> void
+auto Leadership::ejectUpstream(const GroupId &group, const UpstreamId &upstream) -> void
 {
     const auto *const record = this->parts.state.findGroup(group);
     const auto *const known = record == nullptr ? nullptr : record->view.findMember(upstream);
@@ -180,7 +180,7 @@
     }
 }
 
-auto Leadership::forgetGoneUpstreams(TimePoint now) -> void
+auto Leadership::ejectUpstreams(TimePoint now) -> void
 {
     if (now - this->lastEjectionSearch < ejectionInterval) {
         return;
@@ -190,8 +190,8 @@
         if (!group.selfReplicating) {
             continue;
         }
-        for (const auto &upstream : this->registry.gone(group, now)) {
-            this->forgetUpstream(group.view.id, upstream);
+        for (const auto &upstream : this->registry.membersToEject(group, now)) {
+            this->ejectUpstream(group.view.id, upstream);
         }
     }
 }
@@ -226,7 +226,7 @@
     }
 }
 
-auto Leadership::forgetSilentVms() -> void
+auto Leadership::ejectSilentVms() -> void
 {
     for (const auto &vm : this->vms.silentFor(forgetAfter, this->parts.state.vms(), this->parts.clock())) {
         if (this->tryRegister("silent " + vm.id.value())) {
--- a/lib/Controller/leadership.h
+++ b/lib/Controller/leadership.h
@@ -44,15 +44,15 @@
     auto grant() const -> control::LeaseGrant;
     auto registerVm(const control::VmHeartbeat &heartbeat) -> void;
     auto registerUpstream(const platform::Announcement &announcement) -> void;
-    auto forgetUpstream(const GroupId &group, const UpstreamId &upstream) -> void;
-    auto forgetGoneUpstreams(TimePoint now) -> void;
+    auto ejectUpstream(const GroupId &group, const UpstreamId &upstream) -> void;
+    auto ejectUpstreams(TimePoint now) -> void;
     /// \return whether the health report may change the replicated state or a promotion
     auto isRelevant(const platform::Announcement &announcement) -> bool;
     /// Marks VMs without recent heartbeats as silent in the view, so that the proxies use other owners for their connections.
     auto markSilentVms(TimePoint now) -> void;
     /// Allows VMs that joined long enough ago to allocate quota.
     auto settleVms(TimePoint now) -> void;
-    auto forgetSilentVms() -> void;
+    auto ejectSilentVms() -> void;
     /// Handles a suspicion that \p vm in \p zone reported.
     auto suspected(const VmId &vm, const ZoneId &zone, const membership::Suspicion &suspicion) -> void;
     /// Probes a suspected primary from this VM.
--- a/lib/Controller/memberregistry.cpp
+++ b/lib/Controller/memberregistry.cpp
@@ -45,25 +45,25 @@
     return true;
 }
 
-auto MemberRegistry::gone(const state::GroupRecord &group, TimePoint now) const -> std::vector<UpstreamId>
+auto MemberRegistry::membersToEject(const state::GroupRecord &group, TimePoint now) const -> std::vector<UpstreamId>
 {
-    auto gone = std::vector<UpstreamId>();
+    auto ejected = std::vector<UpstreamId>();
     for (const auto &member : group.view.members) {
         const auto owner = this->addressOwners.find(member.endpoint);
         const auto replaced = owner != this->addressOwners.end() && owner->second.id != member.id;
-        const auto mayForget = group.view.primary != member.id && group.view.members.size() > membersKept + gone.size();
-        if (replaced || (mayForget && this->isSilent(member.id, now))) {
-            gone.push_back(member.id);
+        const auto mayEject = group.view.primary != member.id && group.view.members.size() > membersKept + ejected.size();
+        if (replaced || (mayEject && this->isSilent(member.id, now))) {
+            ejected.push_back(member.id);
         }
     }
-    return gone;
+    return ejected;
 }
 
 auto MemberRegistry::isSilent(const UpstreamId &member, TimePoint now) const -> bool
 {
     const auto found = this->members.find(member);
     const auto last = found == this->members.end() ? this->since : std::max(this->since, found->second.lastContact);
-    return now - last >= forgetAfter;
+    return now - last >= ejectAfter;
 }
 
 } // namespace sapphirespool::controller
--- a/lib/Controller/memberregistry.h
+++ b/lib/Controller/memberregistry.h
@@ -22,7 +22,7 @@
 public:
     /// Time since the last contact after which a member is ejected, unless it is the primary or one of the last two members. Its next health
     /// report admits it again. A shorter time without contact may be a partition between the member and control, while proxies still use it.
-    static constexpr auto forgetAfter = std::chrono::milliseconds(15'000);
+    static constexpr auto ejectAfter = std::chrono::milliseconds(15'000);
 
     /// \param since when this VM became control leader
     explicit MemberRegistry(TimePoint since);
@@ -32,7 +32,7 @@
     auto note(const platform::Announcement &announcement, TimePoint now) -> bool;
 
     /// \return the members of \p group to eject: another one has replaced them at their address, or the last contact is too long ago
-    [[nodiscard]] auto gone(const state::GroupRecord &group, TimePoint now) const -> std::vector<UpstreamId>;
+    [[nodiscard]] auto membersToEject(const state::GroupRecord &group, TimePoint now) const -> std::vector<UpstreamId>;
 
 private:
     struct LastReport
--- a/unittests/Controller/memberregistrytest.cpp
+++ b/unittests/Controller/memberregistrytest.cpp
@@ -72,22 +72,22 @@
     registry.note(word("old", 1, 5, 10), start);
     registry.note(word("p", 2, 5, 1), start);
     registry.note(word("r", 3, 5, 1), start);
-    CHECK(registry.gone(group, start).empty());
+    CHECK(registry.membersToEject(group, start).empty());
     CHECK(registry.note(word("new", 1, 6, 1), start));
-    CHECK(registry.gone(group, start) == std::vector{UpstreamId("old")});
+    CHECK(registry.membersToEject(group, start) == std::vector{UpstreamId("old")});
     CHECK_FALSE(registry.note(word("old", 1, 5, 11), start));
-    CHECK(registry.gone(group, start) == std::vector{UpstreamId("old")});
+    CHECK(registry.membersToEject(group, start) == std::vector{UpstreamId("old")});
 }
 
 // Failure: a partition between members and control ejects all members of a group that still serves.
 TEST_CASE("silent members are ejected, but never the primary or the last two members")
 {
     auto registry = MemberRegistry(start);
-    const auto late = start + MemberRegistry::forgetAfter;
-    CHECK(registry.gone(groupOf({{"p", 1}, {"r", 2}, {"s", 3}}, "p"), late).size() == 1);
-    CHECK(registry.gone(groupOf({{"p", 1}, {"r", 2}}, "p"), late).empty());
+    const auto late = start + MemberRegistry::ejectAfter;
+    CHECK(registry.membersToEject(groupOf({{"p", 1}, {"r", 2}, {"s", 3}}, "p"), late).size() == 1);
+    CHECK(registry.membersToEject(groupOf({{"p", 1}, {"r", 2}}, "p"), late).empty());
     registry.note(word("r", 2, 1, 1), late);
-    CHECK(registry.gone(groupOf({{"p", 1}, {"r", 2}, {"s", 3}}, "p"), late) == std::vector{UpstreamId("s")});
+    CHECK(registry.membersToEject(groupOf({{"p", 1}, {"r", 2}, {"s", 3}}, "p"), late) == std::vector{UpstreamId("s")});
 }
 
 // Failure: hundreds of changes that a script sends during one commit are written one by one and delay the last one.
