--- a/include/sapphirespool/Controller/vmtable.h
+++ b/include/sapphirespool/Controller/vmtable.h
@@ -22,7 +22,7 @@
 
 /// Time since the last heartbeat after which a VM is ejected from the view. A VM that restarts in less time does not change the shares of the
 /// other VMs.
-constexpr auto forgetAfter = std::chrono::milliseconds(60'000);
+constexpr auto ejectAfter = std::chrono::milliseconds(60'000);
 
 /// Time since the last heartbeat after which a VM is marked as silent in the view: five heartbeats are missing, and a broken connection is
 /// re-established in half of the time. Other VMs then own its connections to upstreams.
--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -228,7 +228,7 @@
 
 auto Leadership::ejectSilentVms() -> void
 {
-    for (const auto &vm : this->vms.silentFor(forgetAfter, this->parts.state.vms(), this->parts.clock())) {
+    for (const auto &vm : this->vms.silentFor(ejectAfter, this->parts.state.vms(), this->parts.clock())) {
         if (this->tryRegister("silent " + vm.id.value())) {
             this->propose(state::ForgetVm{vm.id, vm.incarnation}, {});
         }
--- a/unittests/Controller/controllertest.cpp
+++ b/unittests/Controller/controllertest.cpp
@@ -288,7 +288,7 @@
     const auto proposals = leading.log.proposals;
     leading.beat(beatOf("hobart-2", 1, 0));
     CHECK(leading.log.proposals == proposals);
-    leading.pass(forgetAfter - 1ms);
+    leading.pass(ejectAfter - 1ms);
     CHECK(leading.state.view()->proxies.size() == 1);
     leading.pass(1ms);
     CHECK(leading.state.view()->proxies.empty());
