--- a/lib/Controller/numberedchanges.cpp
+++ b/lib/Controller/numberedchanges.cpp
@@ -7,8 +7,8 @@
 
 auto NumberedChanges::add(state::ChangeConfiguration command, Done done) -> std::optional<state::ChangeConfiguration>
 {
-    if (this->underWay.empty()) {
-        this->underWay.push_back(std::move(done));
+    if (this->inFlight.empty()) {
+        this->inFlight.push_back(std::move(done));
         return command;
     }
     this->waiting.push_back(std::move(done));
@@ -25,7 +25,7 @@
 
 auto NumberedChanges::finish(const membership::ConfigurationOutcome &outcome) -> std::optional<state::ChangeConfiguration>
 {
-    const auto answered = std::exchange(this->underWay, std::exchange(this->waiting, {}));
+    const auto answered = std::exchange(this->inFlight, std::exchange(this->waiting, {}));
     auto next = std::exchange(this->highest, std::nullopt);
     for (const auto &done : answered) {
         done(outcome);
--- a/lib/Controller/numberedchanges.h
+++ b/lib/Controller/numberedchanges.h
@@ -37,7 +37,7 @@
     auto finish(const membership::ConfigurationOutcome &outcome) -> std::optional<state::ChangeConfiguration>;
 
 private:
-    std::vector<Done> underWay;
+    std::vector<Done> inFlight;
     std::optional<state::ChangeConfiguration> highest;
     std::vector<Done> waiting;
 };
--- a/lib/Controller/promotionduty.cpp
+++ b/lib/Controller/promotionduty.cpp
@@ -39,8 +39,8 @@
 
 auto PromotionDuty::isWanted(std::uint64_t leadership, TimePoint now) const -> bool
 {
-    const auto isUnderWay = this->proposal && this->proposal->number > this->newest.number && now - this->proposal->last < dutyProposalRetry;
-    return !isUnderWay && (!this->isHeld(leadership, now) || now - *this->began >= dutyRenewal);
+    const auto isInFlight = this->proposal && this->proposal->number > this->newest.number && now - this->proposal->last < dutyProposalRetry;
+    return !isInFlight && (!this->isHeld(leadership, now) || now - *this->began >= dutyRenewal);
 }
 
 auto PromotionDuty::mayTake(Duration holderSilence, TimePoint now) const -> bool
