--- a/include/sapphirespool/Controller/promotionduty.h
+++ b/include/sapphirespool/Controller/promotionduty.h
@@ -52,9 +52,9 @@
     /// \return whether a grant for \p leadership is missing or due for renewal
     [[nodiscard]] auto isWanted(std::uint64_t leadership, TimePoint now) const -> bool;
 
-    /// \param holderSilence time since the last contact with the current holder
+    /// \param timeSinceContact time since the last contact with the current holder
     /// \return whether this VM, which is leader, may propose a grant to itself
-    [[nodiscard]] auto mayTake(Duration holderSilence, TimePoint now) const -> bool;
+    [[nodiscard]] auto mayTake(Duration timeSinceContact, TimePoint now) const -> bool;
 
     /// Records that this VM proposes the next grant.
     auto proposed(TimePoint now) -> void;
--- a/lib/Controller/promotionduty.cpp
+++ b/lib/Controller/promotionduty.cpp
@@ -43,12 +43,12 @@
     return !isInFlight && (!this->isHeld(leadership, now) || now - *this->began >= dutyRenewal);
 }
 
-auto PromotionDuty::mayTake(Duration holderSilence, TimePoint now) const -> bool
+auto PromotionDuty::mayTake(Duration timeSinceContact, TimePoint now) const -> bool
 {
     const auto isFree = this->newest.number == 0 || this->newest.holder == this->self || this->age(now) >= dutyHandover;
     // VMs with a bad network path consider each other failed. The duty would then alternate with the leadership.
     const auto justTransferred = this->lastTransfer && now - *this->lastTransfer < dutyHandover;
-    return isFree || (holderSilence >= holderLostAfter && !justTransferred);
+    return isFree || (timeSinceContact >= holderLostAfter && !justTransferred);
 }
 
 auto PromotionDuty::proposed(TimePoint now) -> void
