--- a/include/sapphirespool/Controller/observers.h
+++ b/include/sapphirespool/Controller/observers.h
@@ -19,9 +19,9 @@
 {
 public:
     /// Number of groups that a VM may always suspect at a time: in a system of three groups all primaries may be in one zone.
-    static constexpr auto alwaysBelieved = std::size_t{3};
+    static constexpr auto alwaysCredible = std::size_t{3};
     /// Divisor of the number of groups that gives the groups that a VM may suspect at a time.
-    static constexpr auto believedPart = std::size_t{3};
+    static constexpr auto credibleDivisor = std::size_t{3};
 
     /// Records that \p vm suspects the primary of \p group.
     /// \param groups number of all groups
--- a/lib/Controller/observers.cpp
+++ b/lib/Controller/observers.cpp
@@ -14,7 +14,7 @@
     std::erase_if(ofVm, [now](const auto &suspicion) {
         return now - suspicion.second >= promotion::suspicionLifetime;
     });
-    return ofVm.size() <= std::max(alwaysBelieved, groups / believedPart);
+    return ofVm.size() <= std::max(alwaysCredible, groups / credibleDivisor);
 }
 
 } // namespace sapphirespool::controller
--- a/unittests/Controller/observerstest.cpp
+++ b/unittests/Controller/observerstest.cpp
@@ -27,11 +27,11 @@
 TEST_CASE("suspicions of a VM with a saturated network link soon lose credibility")
 {
     auto observers = Observers();
-    auto believed = 0;
+    auto credible = 0;
     for (auto number = 0; number < 20; ++number) {
-        believed += observers.note(VmId("full"), group(number), manyGroups, start + number * milliseconds(50)) ? 1 : 0;
+        credible += observers.note(VmId("full"), group(number), manyGroups, start + number * milliseconds(50)) ? 1 : 0;
     }
-    CHECK(believed == 6);
+    CHECK(credible == 6);
     CHECK(observers.note(VmId("other"), group(0), manyGroups, start));
 }
 
