--- a/unittests/Controller/memberregistrytest.cpp
+++ b/unittests/Controller/memberregistrytest.cpp
@@ -13,7 +13,7 @@
 
 const auto start = TimePoint(1h);
 
-auto word(std::string id, std::uint16_t port, std::uint64_t incarnation, std::uint64_t sequence) -> platform::Announcement
+auto healthReport(std::string id, std::uint16_t port, std::uint64_t incarnation, std::uint64_t sequence) -> platform::Announcement
 {
     auto announcement = platform::Announcement();
     announcement.group = "g";
@@ -52,16 +52,16 @@
 TEST_CASE("a delayed health report is ignored")
 {
     auto registry = MemberRegistry(start);
-    CHECK(registry.note(word("a", 1, 5, 10), start));
-    CHECK_FALSE(registry.note(word("a", 1, 5, 10), start));
-    CHECK_FALSE(registry.note(word("a", 1, 5, 9), start));
-    CHECK(registry.note(word("a", 1, 5, 11), start));
-    auto gone = word("a", 1, 5, 0);
+    CHECK(registry.note(healthReport("a", 1, 5, 10), start));
+    CHECK_FALSE(registry.note(healthReport("a", 1, 5, 10), start));
+    CHECK_FALSE(registry.note(healthReport("a", 1, 5, 9), start));
+    CHECK(registry.note(healthReport("a", 1, 5, 11), start));
+    auto gone = healthReport("a", 1, 5, 0);
     gone.gone = true;
     CHECK(registry.note(gone, start));
-    CHECK_FALSE(registry.note(word("a", 1, 5, 12), start));
-    CHECK_FALSE(registry.note(word("a", 1, 4, 99), start));
-    CHECK(registry.note(word("a", 1, 6, 1), start));
+    CHECK_FALSE(registry.note(healthReport("a", 1, 5, 12), start));
+    CHECK_FALSE(registry.note(healthReport("a", 1, 4, 99), start));
+    CHECK(registry.note(healthReport("a", 1, 6, 1), start));
 }
 
 // Failure: a delayed health report of a crashed member readmits it at an address that a new member has taken over.
@@ -69,13 +69,13 @@
 {
     auto registry = MemberRegistry(start);
     const auto group = groupOf({{"old", 1}, {"p", 2}, {"r", 3}}, "p");
-    registry.note(word("old", 1, 5, 10), start);
-    registry.note(word("p", 2, 5, 1), start);
-    registry.note(word("r", 3, 5, 1), start);
+    registry.note(healthReport("old", 1, 5, 10), start);
+    registry.note(healthReport("p", 2, 5, 1), start);
+    registry.note(healthReport("r", 3, 5, 1), start);
     CHECK(registry.membersToEject(group, start).empty());
-    CHECK(registry.note(word("new", 1, 6, 1), start));
+    CHECK(registry.note(healthReport("new", 1, 6, 1), start));
     CHECK(registry.membersToEject(group, start) == std::vector{UpstreamId("old")});
-    CHECK_FALSE(registry.note(word("old", 1, 5, 11), start));
+    CHECK_FALSE(registry.note(healthReport("old", 1, 5, 11), start));
     CHECK(registry.membersToEject(group, start) == std::vector{UpstreamId("old")});
 }
 
@@ -86,7 +86,7 @@
     const auto late = start + MemberRegistry::ejectAfter;
     CHECK(registry.membersToEject(groupOf({{"p", 1}, {"r", 2}, {"s", 3}}, "p"), late).size() == 1);
     CHECK(registry.membersToEject(groupOf({{"p", 1}, {"r", 2}}, "p"), late).empty());
-    registry.note(word("r", 2, 1, 1), late);
+    registry.note(healthReport("r", 2, 1, 1), late);
     CHECK(registry.membersToEject(groupOf({{"p", 1}, {"r", 2}, {"s", 3}}, "p"), late) == std::vector{UpstreamId("s")});
 }
 
--- a/unittests/Controller/promotiondutytest.cpp
+++ b/unittests/Controller/promotiondutytest.cpp
@@ -19,18 +19,18 @@
 constexpr auto exclusiveTime = std::chrono::milliseconds(3'000);
 
 /// An order to promote, as the platform receives it.
-struct SeenOrder
+struct RecordedOrder
 {
     VmId by;
     std::uint64_t token = 0;
     TimePoint given;
     /// Last time at which it could have been sent.
-    TimePoint leftAt;
+    TimePoint lastSendable;
     platform::Authority authority;
 };
 
 /// An unanswered order to fence.
-struct OpenFence
+struct UnansweredFence
 {
     platform::MemberAddress member;
     std::uint64_t term = 0;
@@ -38,17 +38,17 @@
     platform::ReportCallback done;
 };
 
-struct SeenOrders
+struct RecordedOrders
 {
-    std::vector<SeenOrder> promotions;
-    std::vector<OpenFence> fences;
+    std::vector<RecordedOrder> promotions;
+    std::vector<UnansweredFence> fences;
 };
 
 /// Records the orders and answers none.
 class RecordingOperator : public platform::GroupOperator
 {
 public:
-    RecordingOperator(const TimePoint &now, SeenOrders &orders)
+    RecordingOperator(const TimePoint &now, RecordedOrders &orders)
         : now(now)
         , orders(orders)
     {
@@ -75,12 +75,12 @@
 
 private:
     const TimePoint &now;
-    SeenOrders &orders;
+    RecordedOrders &orders;
 };
 
 struct ControlVm
 {
-    ControlVm(std::string_view name, const TimePoint &now, SeenOrders &orders)
+    ControlVm(std::string_view name, const TimePoint &now, RecordedOrders &orders)
         : id(std::string(name))
         , controller(makeController({this->id,
                                      this->log,
@@ -139,7 +139,7 @@
         this->a.log.propose(encode(command), [](const auto &) {});
     }
 
-    auto lead(ControlVm &vm, std::uint64_t number) -> void
+    auto setLeader(ControlVm &vm, std::uint64_t number) -> void
     {
         for (auto *const each : {&this->a, &this->b}) {
             each->log.leads = each == &vm;
@@ -154,7 +154,7 @@
                 vm->controller->tick();
                 vm->runPosted();
             }
-            this->noteAuthorities();
+            this->recordAuthorities();
         }
     }
 
@@ -166,12 +166,12 @@
     /// Delivers health reports of the members to the leader and runs the work that this posts.
     auto announce(platform::Role roleOfPrimary) -> void
     {
-        this->tellLeader(roleOfPrimary, 1);
+        this->deliverHealthReports(roleOfPrimary, 1);
         this->leader().runPosted();
     }
 
     /// Delivers health reports of the members to the leader; posted work remains queued.
-    auto tellLeader(platform::Role roleOfPrimary, std::uint32_t slots) -> void
+    auto deliverHealthReports(platform::Role roleOfPrimary, std::uint32_t slots) -> void
     {
         auto heartbeat = control::VmHeartbeat();
         heartbeat.vm = VmId("hobart-9");
@@ -193,37 +193,37 @@
 
     [[nodiscard]] auto ordersOf(const ControlVm &vm) const -> std::ptrdiff_t
     {
-        return std::count_if(this->orders.promotions.begin(), this->orders.promotions.end(), [&vm](const SeenOrder &order) {
+        return std::count_if(this->orders.promotions.begin(), this->orders.promotions.end(), [&vm](const RecordedOrder &order) {
             return order.by == vm.id;
         });
     }
 
     /// Updates the last time at which each order could have been sent.
-    auto noteAuthorities() -> void
+    auto recordAuthorities() -> void
     {
         for (auto &order : this->orders.promotions) {
             if (order.authority->holds()) {
-                order.leftAt = this->now;
+                order.lastSendable = this->now;
             }
         }
     }
 
     /// \return the shortest time between an order and the next one of another VM
-    [[nodiscard]] auto shortestTurn() const -> Duration
+    [[nodiscard]] auto shortestHandover() const -> Duration
     {
         auto shortest = Duration::max();
         for (auto place = std::size_t{1}; place < this->orders.promotions.size(); ++place) {
             const auto &order = this->orders.promotions[place];
             const auto &former = this->orders.promotions[place - 1];
             if (order.by != former.by) {
-                shortest = std::min(shortest, order.given - former.leftAt);
+                shortest = std::min(shortest, order.given - former.lastSendable);
             }
         }
         return shortest;
     }
 
     TimePoint now = TimePoint(1h);
-    SeenOrders orders;
+    RecordedOrders orders;
     std::uint64_t announcements = 0;
     ControlVm a{"hobart-1", this->now, this->orders};
     ControlVm b{"launceston-1", this->now, this->orders};
@@ -235,7 +235,7 @@
 TEST_CASE("a new control leader orders no promotion of a primary that serves")
 {
     auto vms = TwoControlVms();
-    vms.lead(vms.b, 5);
+    vms.setLeader(vms.b, 5);
     vms.pass(400ms);
     vms.announce(platform::Role::Primary);
     vms.pass(2s);
@@ -246,32 +246,32 @@
 TEST_CASE("a control VM orders promotions only after the orders of another one can no longer take effect")
 {
     auto vms = TwoControlVms();
-    vms.lead(vms.a, 3);
+    vms.setLeader(vms.a, 3);
     vms.announce(platform::Role::Replica);
     vms.pass(500ms);
     REQUIRE(vms.ordersOf(vms.a) > 0);
-    vms.lead(vms.b, 5);
+    vms.setLeader(vms.b, 5);
     vms.announce(platform::Role::Replica);
     vms.pass(2s);
     CHECK(vms.ordersOf(vms.b) == 0);
-    vms.lead(vms.a, 6);
+    vms.setLeader(vms.a, 6);
     vms.announce(platform::Role::Replica);
     vms.pass(10s);
-    vms.lead(vms.b, 7);
+    vms.setLeader(vms.b, 7);
     vms.announce(platform::Role::Replica);
     vms.pass(10s);
     CHECK(vms.ordersOf(vms.b) > 0);
-    CHECK(vms.shortestTurn() >= exclusiveTime);
+    CHECK(vms.shortestHandover() >= exclusiveTime);
 }
 
 // Failure: the loss of the duty holder delays the promotions that the same fault requires.
 TEST_CASE("the duty of a lost control VM is taken over at once")
 {
     auto vms = TwoControlVms();
-    vms.lead(vms.a, 3);
+    vms.setLeader(vms.a, 3);
     vms.announce(platform::Role::Replica);
     vms.pass(500ms);
-    vms.lead(vms.b, 5);
+    vms.setLeader(vms.b, 5);
     vms.b.log.silent = holderLostAfter;
     vms.announce(platform::Role::Replica);
     vms.pass(100ms);
@@ -346,14 +346,14 @@
 TEST_CASE("work that was posted under a leadership is dropped after its end")
 {
     auto vms = TwoControlVms();
-    vms.lead(vms.a, 3);
+    vms.setLeader(vms.a, 3);
     vms.announce(platform::Role::Primary);
     vms.pass(500ms);
     const auto before = vms.orders.promotions.size();
-    vms.tellLeader(platform::Role::Primary, 2);
+    vms.deliverHealthReports(platform::Role::Primary, 2);
     vms.commit(state::BeginTerm{GroupId("orders-1"), Term(1), Term(2)});
     vms.commit(state::ChoosePrimary{GroupId("orders-1"), Term(2), UpstreamId("y"), Incarnation(1), LogPosition(0)});
-    vms.lead(vms.b, 5);
+    vms.setLeader(vms.b, 5);
     REQUIRE_FALSE(vms.a.posted.empty());
     vms.a.runPosted();
     CHECK(vms.orders.promotions.size() == before);
@@ -363,7 +363,7 @@
 TEST_CASE("the authority of an order ends with the leader lease")
 {
     auto vms = TwoControlVms();
-    vms.lead(vms.a, 3);
+    vms.setLeader(vms.a, 3);
     vms.a.log.leaseEnd = vms.now + 270ms;
     vms.announce(platform::Role::Replica);
     vms.pass(100ms);
@@ -378,7 +378,7 @@
 TEST_CASE("orders that have not been sent are revoked by a later decision of the control leader")
 {
     auto vms = TwoControlVms();
-    vms.lead(vms.a, 3);
+    vms.setLeader(vms.a, 3);
     vms.announce(platform::Role::Primary);
     vms.commit(state::BeginTerm{GroupId("orders-1"), Term(1), Term(2)});
     vms.announce(platform::Role::Primary);
