--- a/lib/Peers/peercodec.cpp
+++ b/lib/Peers/peercodec.cpp
@@ -8,7 +8,8 @@
 namespace sapphirespool::peers
 {
 
-// Both enumerations name the same values in the same order; a peer of another build that sends an unknown one is not believed.
+// The enumerations of the schema have the same values as those of the code. A peer of another build may send other values, which read() replaces by
+// the state Full or refuses.
 static_assert(static_cast<int>(schema::KeyState::REUSED) == static_cast<int>(sessions::KeyState::Reused));
 static_assert(static_cast<int>(schema::KeyState::FULL) == static_cast<int>(sessions::KeyState::Full));
 static_assert(static_cast<int>(schema::Step::ROLLBACK) == static_cast<int>(proxy::TransactionStep::Rollback));
--- a/lib/Peers/peercodec.h
+++ b/lib/Peers/peercodec.h
@@ -1,4 +1,4 @@
-// peercodec.h: the messages between proxies in Cap'n Proto's form.
+// peercodec.h: conversion between messages of proxies and their Cap'n Proto encoding.
 #pragma once
 
 #include "peers.capnp.h"
@@ -20,13 +20,13 @@
 
 auto write(schema::TransactionRequest::Builder builder, const proxy::TransactionRequest &request) -> void;
 
-/// \return nothing if the parameters are no JSON array
+/// \return nothing if the parameters are not a JSON array or the step is unknown
 [[nodiscard]] auto read(schema::TransactionRequest::Reader reader) -> std::optional<proxy::TransactionRequest>;
 
-/// \return \p reader as a string
+/// \return a copy of the text of \p reader
 [[nodiscard]] auto text(capnp::Text::Reader reader) -> std::string;
 
-/// \return \p text for a builder
+/// \return a view of \p text as builders take it
 [[nodiscard]] auto view(const std::string &text) -> kj::StringPtr;
 
 } // namespace sapphirespool::peers
--- a/lib/Peers/peerloop.cpp
+++ b/lib/Peers/peerloop.cpp
@@ -97,14 +97,14 @@
     if (found == this->entries.end() || found->second != entry.lock()) {
         return;
     }
-    // The entry ends in a task of its own: what calls this is a part of the entry.
+    // The entry is destroyed in a separate task, because the caller of this function is a task that the entry owns.
     this->tasks.add(kj::evalLater([dropped = std::move(found->second)]() {}));
     this->entries.erase(found);
 }
 
 auto PeerLoop::taskFailed(kj::Exception &&) -> void
 {
-    // Each call tells its caller of a failure itself; what arrives here is the end of a connection.
+    // Calls report their failures to their callers; only the ends of connections arrive here.
 }
 
 } // namespace sapphirespool::peers
--- a/lib/Peers/peerloop.h
+++ b/lib/Peers/peerloop.h
@@ -1,4 +1,4 @@
-// peerloop.h: the part of the peer network that lives on the loop.
+// peerloop.h: the part of the peer network that runs on the event loop.
 #pragma once
 
 #include "peers.capnp.h"
@@ -19,15 +19,15 @@
 namespace sapphirespool::peers
 {
 
-/// Connections to peers and from them. Used on the loop only.
+/// Connections to and from peers. Used on the event loop only.
 class PeerLoop final : private kj::TaskSet::ErrorHandler
 {
 public:
     explicit PeerLoop(rpc::LoopContext &context);
 
-    /// Makes a call by \p send once a connection to \p endpoint stands, and lets it go after \p timeout.
-    /// \param send   starts the call; what it returns resolves with the call
-    /// \param failed called if no answer came; its argument says whether the call may have been sent
+    /// Calls \p send after a connection to \p endpoint is established, and cancels the call after \p timeout.
+    /// \param send   starts the call; the returned promise resolves when the call completes
+    /// \param failed called if the call does not complete; the argument is whether it may have been sent
     auto call(const Endpoint &endpoint,
               std::chrono::milliseconds timeout,
               std::function<kj::Promise<void>(schema::Peer::Client &)> send,
@@ -46,7 +46,7 @@
         schema::Peer::Client peer;
     };
 
-    /// A connection that is being made, or stands.
+    /// A connection that is being or has been established.
     struct Entry
     {
         kj::ForkedPromise<void> ready = nullptr;
@@ -62,7 +62,7 @@
     std::map<Endpoint, std::shared_ptr<Entry>> entries;
     kj::Own<kj::ConnectionReceiver> receiver;
     kj::Own<capnp::TwoPartyServer> server;
-    /// Destroyed first, since tasks use the rest.
+    /// Declared last to be destroyed first, because the tasks use the other members.
     kj::TaskSet tasks;
 };
 
--- a/lib/Peers/peernetwork.cpp
+++ b/lib/Peers/peernetwork.cpp
@@ -21,12 +21,12 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-/// Time for calls without an answer; long enough to connect, after that the record is as well left to expire.
+/// Timeout of calls whose result is ignored: long enough to connect. If such a call fails, the record of the key expires by itself.
 constexpr auto noticeTimeout = milliseconds(1000);
-/// The caller's own wait is longer than the loop's, so that in most cases the loop says how far a call came.
+/// Time by which the caller's timeout exceeds that of the event loop, so that the loop usually reports whether the call was sent.
 constexpr auto graceOverLoop = milliseconds(50);
 
-/// An answer on its way from the loop to the dispatch thread.
+/// Result of a call, passed from the event loop to the dispatch executor.
 template <typename Result>
 class Pending : public std::enable_shared_from_this<Pending<Result>>
 {
--- a/lib/Peers/peerserver.cpp
+++ b/lib/Peers/peerserver.cpp
@@ -47,7 +47,7 @@
 auto PeerServer::onDispatch(Work work) -> kj::Promise<Result>
 {
     auto signal = kj::newPromiseAndCrossThreadFulfiller<Result>();
-    // A service that is gone rejects the promise when the fulfiller is dropped, and the caller learns that nobody answered.
+    // If the service no longer exists, the destruction of the fulfiller rejects the promise, and the call fails at the caller.
     asio::post(this->dispatch, [fulfiller = kj::mv(signal.fulfiller), service = this->service, work = std::move(work)]() mutable {
         if (const auto alive = service.lock()) {
             fulfiller->fulfill(work(*alive));
--- a/lib/Peers/peerserver.h
+++ b/lib/Peers/peerserver.h
@@ -1,4 +1,4 @@
-// peerserver.h: answers the calls of other proxies.
+// peerserver.h: RPC server for calls of other proxies.
 #pragma once
 
 #include "peers.capnp.h"
@@ -13,7 +13,7 @@
 namespace sapphirespool::peers
 {
 
-/// Lives on the loop and hands each call to the service on the dispatch executor.
+/// Runs on the event loop and passes each call to the service on the dispatch executor.
 class PeerServer final : public schema::Peer::Server
 {
 public:
