--- a/include/sapphirespool/Membership/clusterview.h
+++ b/include/sapphirespool/Membership/clusterview.h
@@ -1,7 +1,7 @@
-// clusterview.h: what the traffic path knows of the system, as one immutable value.
+// clusterview.h: immutable view of the system for the traffic path.
 //
-// The control thread builds a new view for each revision; traffic threads hold it by a shared pointer to const and never see
-// half of a change.
+// The control thread builds a new view for each revision. Traffic threads hold a shared pointer to a const view and never observe a
+// partial change.
 #pragma once
 
 #include "sapphirespool/Support/sharedlist.h"
@@ -19,28 +19,28 @@
 namespace sapphirespool::membership
 {
 
-/// One member of a database group, as it last announced itself.
+/// One member of a database group, according to its last health report.
 struct UpstreamView
 {
     UpstreamId id;
     Endpoint endpoint;
     ZoneId zone;
     Incarnation incarnation;
-    /// Statements that it runs at a time.
+    /// Limit on concurrent statements.
     std::uint32_t slots = 1;
-    /// Connections that it accepts from all proxies together.
+    /// Limit on the connections of all proxies together.
     std::uint32_t connectionLimit = 1;
-    /// No new work goes to a leaving upstream.
+    /// Whether the upstream is shutting down; it gets no new requests.
     bool leaving = false;
 
     auto operator==(const UpstreamView &) const -> bool = default;
 };
 
-/// Where a term of a group began.
+/// Start of a term in the log of a group.
 struct TermStart
 {
     Term term;
-    /// Last position of the earlier terms that the new primary kept; what lies above it in an earlier term is void.
+    /// Last position of earlier terms in the log of the new primary; higher positions of earlier terms are discarded.
     LogPosition keptUpTo;
 
     auto operator==(const TermStart &) const -> bool = default;
@@ -51,12 +51,12 @@
 {
     GroupId id;
     Term term;
-    /// Absent while a promotion is under way.
+    /// Absent while a promotion is in progress.
     std::optional<UpstreamId> primary;
-    /// Ended and current terms, ascending; decides whether a session's position still stands.
+    /// Ended and current terms in ascending order; determines whether the position of a session was discarded.
     std::vector<TermStart> history;
     std::vector<UpstreamView> members;
-    /// Connections that each member accepts from all proxies together; 0: as the member announces.
+    /// Limit on the connections of all proxies together to each member; 0: the limit in the health reports of the member.
     std::uint32_t connectionLimit = 0;
 
     auto operator==(const GroupView &) const -> bool = default;
@@ -64,41 +64,41 @@
     [[nodiscard]] auto primaryMember() const -> const UpstreamView *;
 };
 
-/// What the reads of a service may miss.
+/// Writes that the reads of a service may miss.
 enum class Consistency : std::uint8_t {
-    /// Whatever the request itself says.
+    /// As each request specifies.
     PerRequest,
-    /// Nothing: a read sees each write that was acknowledged before it.
+    /// None: a read sees each write that was acknowledged before it.
     Strong,
     /// Writes younger than the read age.
     BoundedStaleness,
-    /// Writes younger than the read age, but none of the caller's own session.
+    /// Writes younger than the read age, except those of the caller's own session.
     ReadYourWrites,
 };
 
-/// \return the consistency that is encoded as \p number; an unknown number gives the strictest one
+/// \return the consistency encoded as \p number; Strong for an unknown number
 [[nodiscard]] auto consistencyOf(std::uint8_t number) -> Consistency;
 
-/// A service of the operators' text, with defaults filled in.
+/// A service in the configuration, with defaults applied.
 struct ServiceView
 {
     ServiceId id;
     GroupId group;
     std::vector<ServiceId> dependsOn;
-    /// Age that its reads accept unless the caller says otherwise; zero: only what is current.
+    /// Default limit on the age of data that reads accept; zero: only current data.
     std::chrono::milliseconds readAge{0};
-    /// Time that a request may take unless the caller says otherwise.
+    /// Default timeout of a request.
     std::chrono::milliseconds timeout{2000};
-    /// Requests of this service that may wait in one proxy.
+    /// Limit on the queued requests of this service in one proxy.
     std::uint32_t queueLimit = 256;
-    /// Retries that one first attempt earns, 0 to 1.
+    /// Retries that each first attempt adds to the retry budget, 0 to 1.
     double retryRatio = 0.1;
     Consistency consistency = Consistency::PerRequest;
-    /// Time within which a caller wants a whole operation served; zero: as long as the timeout.
+    /// Latency objective for a whole operation of a caller; zero: the timeout.
     std::chrono::milliseconds objective{0};
     /// 0 is served first.
     std::uint32_t priority = 0;
-    /// A transaction whose caller says nothing for this long may be rolled back; zero: as the proxy's limits say.
+    /// Time without a request after which a transaction may be rolled back; zero: the limit of the proxy.
     std::chrono::milliseconds transactionIdle{0};
     /// Whether a caller must present the API key of a customer.
     bool requiresKey = false;
@@ -106,27 +106,27 @@
     auto operator==(const ServiceView &) const -> bool = default;
 };
 
-/// Digest of an API key. Views carry digests, so that the keys stay in the operators' text.
+/// Digest of an API key. Views contain digests instead of keys, so that the keys do not leave the configuration.
 using KeyDigest = support::StrongType<struct KeyDigestTag, std::string>;
 
 /// \return the digest of \p key: the first half of its SHA-256
 [[nodiscard]] auto digestOf(std::string_view key) -> KeyDigest;
 
-/// Limit on the operations of a customer over all proxies.
+/// Rate limit on the operations of a customer, summed over all proxies.
 struct Quota
 {
     double ratePerSecond = 0;
-    /// Operations that may run at once after a pause.
+    /// Operations that a customer may start at once after a time without operations.
     double burst = 0;
 
     auto operator==(const Quota &) const -> bool = default;
 };
 
-/// A customer of the operators' text.
+/// A customer in the configuration.
 struct CustomerView
 {
     CustomerId id;
-    /// Each of its API keys identifies it.
+    /// Digests of its API keys, each of which identifies it.
     std::vector<KeyDigest> keys;
     /// Absent: unlimited.
     std::optional<Quota> quota;
@@ -142,24 +142,24 @@
     VmId id;
     ZoneId zone;
     Incarnation incarnation;
-    /// Where it accepts callers.
+    /// Endpoint for callers.
     Endpoint callers;
-    /// Where it accepts other proxies.
+    /// Endpoint for other proxies.
     Endpoint peers;
     bool leaving = false;
-    /// Control has heard nothing of it for a while: it is down, frozen or cut off.
+    /// Whether control has received no heartbeat for a while: the VM is down, frozen or partitioned.
     bool silent = false;
-    /// Whether it may allocate quota: any proxy that held its part of a quota before it joined has stopped.
+    /// Whether it may allocate quota: every proxy that allocated its shares before it joined has stopped.
     bool settled = false;
 
     auto operator==(const ProxyView &) const -> bool = default;
 };
 
-/// The whole view at one revision.
+/// The view at one revision.
 struct ClusterView
 {
     Revision revision;
-    /// Revision of the operators' text that is in this view.
+    /// Revision of the configuration in this view.
     Revision configuration;
     support::SharedList<ServiceView> services;
     std::vector<GroupView> groups;
@@ -172,31 +172,31 @@
     [[nodiscard]] auto findProxy(const VmId &vm) const -> const ProxyView *;
 };
 
-/// Hands the newest view from the control thread to the traffic threads, with the lease under which it may be used.
+/// Passes the newest view and its lease from the control thread to the traffic threads.
 class ViewHolder
 {
 public:
-    /// Replaces the view. A view of a lower revision than the present one is ignored: a view never goes back.
-    /// \return false if it was ignored
+    /// Replaces the view. A view of a lower revision than the current one is ignored, so that the revision never decreases.
+    /// \return false if the view was ignored
     auto publish(std::shared_ptr<const ClusterView> view) -> bool;
 
-    /// Extends the lease to \p expiry; an earlier expiry than the present one is ignored.
+    /// Extends the lease to \p expiry; an earlier expiry than the current one is ignored.
     auto extendLease(TimePoint expiry) -> void;
 
-    /// Notes that control answered at \p now.
+    /// Records an answer of control at \p now.
     auto noteContact(TimePoint now) -> void;
 
-    /// \return when control last answered
+    /// \return the time of the last answer of control
     [[nodiscard]] auto lastContact() const -> TimePoint;
 
-    /// Has \p listener called after each new view, on the thread that brought it. One
-    /// listener; an empty one removes it.
+    /// Sets the listener, which is called after each new view on the thread that published it. There is only one listener; an empty
+    /// one removes it.
     auto onChange(std::function<void()> listener) -> void;
 
     /// \return the newest view; never null
     [[nodiscard]] auto current() const -> std::shared_ptr<const ClusterView>;
 
-    /// \return whether control confirmed this view recently enough for an acknowledgement at \p now
+    /// \return whether the lease, without which nothing may be acknowledged, is valid at \p now
     [[nodiscard]] auto leaseLive(TimePoint now) const -> bool;
 
 private:
--- a/include/sapphirespool/Membership/controllink.h
+++ b/include/sapphirespool/Membership/controllink.h
@@ -1,4 +1,4 @@
-// controllink.h: how a proxy speaks with the control group.
+// controllink.h: interface between a proxy and the control group.
 #pragma once
 
 #include "sapphirespool/Platform/messages.h"
@@ -13,16 +13,16 @@
 namespace sapphirespool::membership
 {
 
-/// A new text of the operators.
+/// A new configuration from an operator.
 struct ConfigurationChange
 {
     ChangeId change;
-    /// Revision that the operator edited; the change is refused if another one was accepted since.
+    /// Revision that the operator edited; the change is refused if another one has been accepted since then.
     Revision base;
     std::string text;
 };
 
-/// The text was accepted as this revision, now or by an earlier send of the same change.
+/// The configuration was accepted as this revision, by this request or an earlier one with the same change id.
 struct ConfigurationAccepted
 {
     Revision revision;
@@ -30,7 +30,7 @@
 
 using ConfigurationOutcome = std::variant<ConfigurationAccepted, NotRun, OutcomeUnknown>;
 
-/// The text in force.
+/// The current configuration.
 struct ConfigurationText
 {
     Revision revision;
@@ -39,31 +39,31 @@
 
 using ConfigurationReadOutcome = std::variant<ConfigurationText, NotRun>;
 
-/// What one VM last confirmed.
+/// State of one VM according to its last heartbeat.
 struct VmStatus
 {
     VmId vm;
     ZoneId zone;
     Revision confirmed;
-    /// Revision of the operators' text that it serves under.
+    /// Revision of the configuration that it uses.
     Revision configuration;
     bool live = false;
 };
 
-/// Answer to `status`.
+/// Answer to the operators' `status` command.
 struct ClusterStatus
 {
     VmId leader;
     Revision revision;
     Revision configuration;
-    /// Whether each live proxy confirmed the configuration, and the lease of each other one has run out.
+    /// Whether each proxy has confirmed the configuration or its lease has expired.
     bool inForce = false;
     std::vector<VmStatus> vms;
 };
 
 using ClusterStatusOutcome = std::variant<ClusterStatus, NotRun>;
 
-/// A proxy's reason to believe that a primary no longer serves.
+/// Report of a proxy that a primary does not serve.
 struct Suspicion
 {
     GroupId group;
@@ -71,8 +71,8 @@
     UpstreamId upstream;
 };
 
-/// Link to the control group, directly or over a relay of the zone. The link keeps the ViewHolder up to date by itself.
-/// Calls may come from any thread; callbacks run on the link's thread.
+/// Connection to the control group, either direct or through a relay in the zone. It updates the ViewHolder by itself. Functions may be
+/// called from any thread; callbacks run on the thread of the connection.
 class ControlLink
 {
 public:
@@ -81,15 +81,15 @@
     auto operator=(const ControlLink &) -> ControlLink & = delete;
     virtual ~ControlLink() = default;
 
-    /// Passes on what an upstream announced to this proxy.
+    /// Relays a health report that an upstream sent to this proxy.
     virtual auto announce(platform::Announcement announcement) -> void = 0;
 
     virtual auto suspect(Suspicion suspicion) -> void = 0;
 
-    /// Says where control VMs can be found, in place of what was said before.
+    /// Replaces the list of endpoints of control VMs.
     virtual auto setControlVms(std::vector<Endpoint> controlVms) -> void = 0;
 
-    /// Says that this proxy takes no new work.
+    /// Reports that this proxy is shutting down and accepts no new requests.
     virtual auto leave() -> void = 0;
 
     virtual auto changeConfiguration(ConfigurationChange change, std::function<void(ConfigurationOutcome)> done) -> void = 0;
--- a/include/sapphirespool/Membership/quotatiming.h
+++ b/include/sapphirespool/Membership/quotatiming.h
@@ -1,4 +1,4 @@
-// quotatiming.h: how long a proxy allocates quota after control last confirmed its view.
+// quotatiming.h: time for which a proxy allocates quota after the last renewal of its lease.
 #pragma once
 
 #include <chrono>
@@ -6,11 +6,11 @@
 namespace sapphirespool::membership
 {
 
-/// A proxy goes on allocating its parts of the customers' quotas for this long after its lease has expired, so that an outage of control
-/// refuses no caller.
+/// Time after the expiry of its lease for which a proxy still allocates its shares of the customers' quotas, so that an outage of control
+/// causes no refusals.
 constexpr auto quotaHoldOver = std::chrono::milliseconds(15'000);
 
-/// Clocks of two VMs may drift apart by this much during a hold-over.
+/// Upper bound of the clock drift between two VMs during a hold-over.
 constexpr auto quotaClockMargin = std::chrono::milliseconds(2'000);
 
 } // namespace sapphirespool::membership
--- a/include/sapphirespool/Membership/viewdelta.h
+++ b/include/sapphirespool/Membership/viewdelta.h
@@ -1,4 +1,4 @@
-// viewdelta.h: the difference between two views, so that a change costs its own size and not that of the system.
+// viewdelta.h: difference between two views, so that the cost of sending a change depends on its size and not on that of the system.
 #pragma once
 
 #include "sapphirespool/Membership/clusterview.h"
@@ -10,14 +10,14 @@
 namespace sapphirespool::membership
 {
 
-/// What turns the view of one revision into that of another.
+/// Changes from the view of one revision to that of another.
 struct ViewDelta
 {
-    /// Revision that it applies to.
+    /// Revision of the view to which the delta applies.
     Revision base;
     Revision revision;
     Revision configuration;
-    /// Elements that are new or replace those of the same id.
+    /// Elements that are added or replace those with the same id.
     support::SharedList<ServiceView> services;
     std::vector<GroupView> groups;
     std::vector<ProxyView> proxies;
@@ -28,13 +28,13 @@
     std::vector<CustomerId> removedCustomers = {};
 };
 
-/// \return \p view as a proxy that serves \p services needs it, ordered by ids; with no services the whole
+/// \return the part of \p view that a proxy for \p services needs, sorted by id; the whole view if \p services is empty
 [[nodiscard]] auto viewFor(const ClusterView &view, std::span<const ServiceId> services) -> ClusterView;
 
-/// \return what turns \p from into \p to; both are from viewFor()
+/// \return the changes from \p from to \p to; both must be results of viewFor()
 [[nodiscard]] auto computeDelta(const ClusterView &from, const ClusterView &to) -> ViewDelta;
 
-/// \return \p view changed by \p delta; nothing if the delta is for another revision, and a snapshot is needed
+/// \return \p view with \p delta applied; nothing if the delta is for another revision, so that a snapshot is required
 [[nodiscard]] auto applyDelta(const ClusterView &view, const ViewDelta &delta) -> std::optional<ClusterView>;
 
 } // namespace sapphirespool::membership
--- a/lib/Membership/viewdelta.cpp
+++ b/lib/Membership/viewdelta.cpp
@@ -28,13 +28,13 @@
 template <typename Element>
 auto sortById(support::SharedList<Element> &elements) -> void
 {
-    // Sorted in place the list would no longer be shared with other views.
+    // edit() copies a list that is shared with other views, so it is called only if needed.
     if (!std::is_sorted(elements.begin(), elements.end(), ById())) {
         sortById(elements.edit());
     }
 }
 
-/// Both lists are ordered by ids, so that one pass over them finds each pair.
+/// Both lists are sorted by id, so each lookup continues from the previous one.
 template <typename Elements>
 auto changed(const Elements &from, const Elements &to) -> Elements
 {
@@ -120,7 +120,7 @@
 
 auto applyDelta(const ClusterView &view, const ViewDelta &delta) -> std::optional<ClusterView>
 {
-    // A delta that was skipped would leave an element of an older revision in a view that calls itself current.
+    // If a skipped delta were not detected, the view would contain elements of an older revision than its own.
     if (view.revision != delta.base) {
         return std::nullopt;
     }
