--- a/lib/Peers/peerloop.cpp
+++ b/lib/Peers/peerloop.cpp
@@ -81,17 +81,17 @@
             }
             alive->connection = kj::heap<Connection>(kj::mv(stream));
             auto gone = alive->connection->client.onDisconnect().then([this, endpoint, weak]() {
-                this->forget(endpoint, weak);
+                this->dropConnection(endpoint, weak);
             });
             this->tasks.add(kj::mv(gone));
         })
         .catch_([this, endpoint, weak](kj::Exception &&exception) {
-            this->forget(endpoint, weak);
+            this->dropConnection(endpoint, weak);
             kj::throwFatalException(kj::mv(exception));
         });
 }
 
-auto PeerLoop::forget(const Endpoint &endpoint, const std::weak_ptr<Entry> &entry) -> void
+auto PeerLoop::dropConnection(const Endpoint &endpoint, const std::weak_ptr<Entry> &entry) -> void
 {
     const auto found = this->entries.find(endpoint);
     if (found == this->entries.end() || found->second != entry.lock()) {
--- a/lib/Peers/peerloop.h
+++ b/lib/Peers/peerloop.h
@@ -55,7 +55,7 @@
 
     auto entryFor(const Endpoint &endpoint) -> std::shared_ptr<Entry>;
     auto connect(const Endpoint &endpoint, const std::shared_ptr<Entry> &entry) -> kj::Promise<void>;
-    auto forget(const Endpoint &endpoint, const std::weak_ptr<Entry> &entry) -> void;
+    auto dropConnection(const Endpoint &endpoint, const std::weak_ptr<Entry> &entry) -> void;
     auto taskFailed(kj::Exception &&exception) -> void override;
 
     rpc::LoopContext context;
