--- a/lib/Peers/peernetwork.cpp
+++ b/lib/Peers/peernetwork.cpp
@@ -22,9 +22,9 @@
 using std::chrono::milliseconds;
 
 /// Timeout of calls whose result is ignored: long enough to connect. If such a call fails, the record of the key expires by itself.
-constexpr auto noticeTimeout = milliseconds(1000);
+constexpr auto oneWayCallTimeout = milliseconds(1000);
 /// Time by which the caller's timeout exceeds that of the event loop, so that the loop usually reports whether the call was sent.
-constexpr auto graceOverLoop = milliseconds(50);
+constexpr auto callerTimeoutMargin = milliseconds(50);
 
 /// Result of a call, passed from the event loop to the dispatch executor.
 template <typename Result>
@@ -49,7 +49,7 @@
     auto wait(milliseconds timeout) -> asio::awaitable<std::optional<Result>>
     {
         const auto self = this->shared_from_this();
-        const auto deadline = std::chrono::steady_clock::now() + timeout + graceOverLoop;
+        const auto deadline = std::chrono::steady_clock::now() + timeout + callerTimeoutMargin;
         while (!this->result) {
             const auto notified = co_await this->wakeup.wait(deadline);
             if (!notified && !this->result) {
@@ -138,7 +138,7 @@
             request.setOutcome(view(finish.outcome));
             return request.send().ignoreResult();
         };
-        this->call(peer.peers, noticeTimeout, std::move(send), [](bool) {});
+        this->call(peer.peers, oneWayCallTimeout, std::move(send), [](bool) {});
     }
 
     auto abandonKey(membership::ProxyView peer, sessions::KeyAbandon abandon) -> void override
@@ -150,7 +150,7 @@
             request.setAttempt(view(abandon.attempt.value()));
             return request.send().ignoreResult();
         };
-        this->call(peer.peers, noticeTimeout, std::move(send), [](bool) {});
+        this->call(peer.peers, oneWayCallTimeout, std::move(send), [](bool) {});
     }
 
     auto updateHome(membership::ProxyView peer, proxy::HomeUpdate update, milliseconds timeout) -> asio::awaitable<bool> override
