--- a/lib/Peers/peerloop.cpp
+++ b/lib/Peers/peerloop.cpp
@@ -97,7 +97,7 @@
     if (found == this->entries.end() || found->second != entry.lock()) {
         return;
     }
-    // The entry is destroyed in a separate task, because the caller of this function is a task that the entry owns.
+    // The entry is destroyed in a separate task, because the caller of this function may be a task that the entry owns.
     this->tasks.add(kj::evalLater([dropped = std::move(found->second)]() {}));
     this->entries.erase(found);
 }
--- a/unittests/Peers/peernetworktest.cpp
+++ b/unittests/Peers/peernetworktest.cpp
@@ -21,7 +21,7 @@
 
 constexpr auto callTimeout = milliseconds(5000);
 
-/// Notes what it is asked.
+/// Records the calls.
 class FakeService : public proxy::PeerService
 {
 public:
@@ -80,7 +80,7 @@
     asio::steady_timer never;
 };
 
-/// A process that calls and one that is called, on one dispatch thread, each with a loop of its own.
+/// A calling and a called process on one dispatch thread, each with its own event loop.
 struct TwoProxies
 {
     asio::io_context io;
@@ -152,7 +152,8 @@
 
 } // namespace
 
-TEST_CASE("keys and homes are asked and told over the network")
+// Failure: a field of a call or its result is lost or changed in transmission.
+TEST_CASE("calls on keys and session homes are transmitted with all fields")
 {
     auto pair = TwoProxies();
     const auto reply = pair.await(pair.caller->startKey(pair.peer, sampleStart(), callTimeout));
@@ -173,7 +174,8 @@
     CHECK_FALSE(pair.await(pair.caller->findHome(pair.peer, {SessionId("s-other"), GroupId("g")}, callTimeout)).has_value());
 }
 
-TEST_CASE("a step of a transaction is forwarded whole, with the time it has left")
+// Failure: a forwarded statement runs with other parameters, access or timeout than the caller sent.
+TEST_CASE("a step of a transaction is forwarded with all fields and the remaining time")
 {
     auto pair = TwoProxies();
     const auto outcome = pair.forward(callTimeout);
@@ -185,10 +187,9 @@
     CHECK(request.timeout == callTimeout);
 }
 
-TEST_CASE("a process that was restarted does not answer for the one before it")
+// Failure: a restarted process without the records of its predecessor reports a request that ran as never received.
+TEST_CASE("a restarted process refuses calls to its predecessor")
 {
-    // The caller's view still names the earlier process at this address. The new one has none of its records; an answer of it would
-    // say "never seen" of a request that ran, or "unknown transaction" of one that was rolled back with the old process.
     auto pair = TwoProxies();
     pair.peer.incarnation = Incarnation(6);
     CHECK_FALSE(pair.await(pair.caller->startKey(pair.peer, sampleStart(), callTimeout)).has_value());
@@ -199,7 +200,8 @@
     CHECK(pair.service->forwarded.empty());
 }
 
-TEST_CASE("a peer that cannot be reached has not got the call")
+// Failure: a call that cannot have run is reported as possibly sent, and its caller gets an unknown outcome.
+TEST_CASE("a call to an unreachable peer is reported as not sent")
 {
     auto pair = TwoProxies();
     auto port = asio::ip::tcp::acceptor(pair.io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)).local_endpoint().port();
@@ -208,7 +210,8 @@
     CHECK_FALSE(pair.await(pair.caller->startKey(pair.peer, sampleStart(), callTimeout)).has_value());
 }
 
-TEST_CASE("a peer that says nothing in time may have got the call")
+// Failure: a call that may have run is reported as not sent and is repeated.
+TEST_CASE("a call without an answer in time is reported as possibly sent")
 {
     auto pair = TwoProxies();
     pair.service->silent = true;
@@ -217,7 +220,8 @@
     CHECK(std::holds_alternative<proxy::Reply>(pair.forward(callTimeout)));
 }
 
-TEST_CASE("a peer that comes back at its address is reached again")
+// Failure: a broken connection is kept, and all later calls to the peer fail.
+TEST_CASE("a peer that returns at its address is reconnected")
 {
     auto pair = TwoProxies();
     CHECK(std::holds_alternative<proxy::Reply>(pair.forward(callTimeout)));
