--- a/unittests/Membership/viewdeltatest.cpp
+++ b/unittests/Membership/viewdeltatest.cpp
@@ -51,12 +51,13 @@
 
 } // namespace
 
-TEST_CASE("a snapshot with the deltas after it is the newest view, whatever services a proxy subscribes to")
+// Failure: a proxy that applies deltas has another view than one that receives a snapshot.
+TEST_CASE("a snapshot with all later deltas equals the newest view, for any subscribed services")
 {
     auto parameters = rc::detail::TestParams();
     parameters.seed = 1;
     parameters.maxSuccess = 1000;
-    // Small views collide more often in their ids.
+    // In small views equal ids are more frequent.
     parameters.maxSize = 8;
     const auto property = [] {
         auto services = std::vector<ServiceId>();
@@ -79,7 +80,8 @@
     CHECK(result.is<rc::detail::SuccessResult>());
 }
 
-TEST_CASE("a change of one customer moves that customer alone")
+// Failure: each change of a customer sends all customers to each proxy.
+TEST_CASE("the delta of a change of one customer contains only that customer")
 {
     auto first = ClusterView{Revision(1)};
     for (const auto *const name : {"a", "b", "c"}) {
@@ -94,19 +96,18 @@
     CHECK(applyDelta(first, delta) == second);
 }
 
+// Failure: two builds compute different digests, and a valid API key is refused.
 TEST_CASE("the digest of a key is the first half of its SHA-256")
 {
-    // The digest of the empty text, as FIPS 180-4 defines it.
+    // SHA-256 of the empty string according to FIPS 180-4.
     const auto expected = std::string("\xe3\xb0\xc4\x42\x98\xfc\x1c\x14\x9a\xfb\xf4\xc8\x99\x6f\xb9\x24");
     CHECK(digestOf("").value() == expected);
     CHECK(digestOf("a") != digestOf("b"));
 }
 
-TEST_CASE("a gap in the deltas is found")
+// Failure: a proxy that missed a delta applies the next one and sends requests to an upstream that has left.
+TEST_CASE("a delta is refused if its base is not the revision of the view")
 {
-    // The caller sees: a proxy that sends work to an upstream that left, although its view calls itself current.
-    // The delta from revision 1 to 2 is lost and the one from 2 to 3 arrives at a proxy that holds 1.
-    // Each delta names its base, so the proxy refuses it and asks for a snapshot.
     auto first = ClusterView{Revision(1)};
     auto second = ClusterView{Revision(2)};
     auto third = ClusterView{Revision(3)};
