--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -11,6 +11,9 @@
 //     term t, primary p           m does not follow in t          order m to follow p
 //     term t, primary p           p silent, suspected, ...        propose term t + 1
 //
+// Members of a self-replicating group (see configuration::GroupConfiguration) replicate by rules of their own. They store no term of the
+// replicated state, and their health reports contain neither a term nor a position.
+//
 // spec/promotion.pml models these steps as transitions of the same names.
 #pragma once
 
--- a/include/sapphirespool/Promotion/timing.h
+++ b/include/sapphirespool/Promotion/timing.h
@@ -33,7 +33,7 @@
 /// apart.
 constexpr auto suspicionLifetime = std::chrono::milliseconds(2'000);
 
-/// Zones that must suspect a primary before its term ends. If only one zone is partitioned from it, it still serves the others.
+/// Zones that must suspect a primary before its term ends. A primary that only one zone cannot reach still serves the other zones.
 constexpr auto suspectingZones = std::size_t{2};
 
 /// Time after which an unanswered order is sent again. The round trip between zones takes 3 ms and a disk sync up to 20 ms, so an order
@@ -70,9 +70,9 @@
 /// write is lost.
 constexpr auto handoverDeadline = std::chrono::milliseconds(5'000);
 
-/// Backoff between promotions: it begins at initialBackoff, doubles with each promotion up to maximumBackoff, and is reset after backoffResetTime without
-/// a promotion. Each promotion stops the writes of the group for a while, so on a flapping network path promotions without backoff would
-/// stop them permanently. Two successive promotions still end within the allowed 7 s.
+/// Backoff between promotions: it begins at initialBackoff, doubles with each promotion up to maximumBackoff, and is reset after
+/// backoffResetTime without a promotion. Each promotion stops the writes of the group for a while, so on a flapping network path promotions
+/// without backoff would stop them permanently. Two successive promotions still end within the allowed 7 s.
 constexpr auto initialBackoff = std::chrono::milliseconds(2'000);
 constexpr auto maximumBackoff = std::chrono::milliseconds(30'000);
 constexpr auto backoffResetTime = std::chrono::milliseconds(60'000);
--- a/unittests/Promotion/world.h
+++ b/unittests/Promotion/world.h
@@ -110,7 +110,8 @@
     /// \return false if that takes longer than \p limit
     auto runUntilServed(Duration limit) -> bool;
 
-    /// Ends the leadership of the current leader and starts another one. If \p staysActive, the former leader continues to act as leader.
+    /// Makes another control VM leader.
+    /// \param staysActive whether the former leader continues to send orders and proposals; its proposals are not committed
     auto changeLeader(bool staysActive) -> void;
 
     auto member(std::size_t place) -> FakeMember &;
