--- a/lib/Controller/leadership.h
+++ b/lib/Controller/leadership.h
@@ -82,7 +82,7 @@
 
     const ControllerParts &parts;
     PromotionDuty &duty;
-    /// Number of the last grant whose end this VM waited for; each is logged once.
+    /// Number of the last grant of another VM that prevented an order; each is logged once.
     std::uint64_t awaitedGrant = 0;
     /// Start and number of this leadership.
     TimePoint since;
--- a/lib/Controller/promotionduty.cpp
+++ b/lib/Controller/promotionduty.cpp
@@ -20,7 +20,7 @@
     const auto isOwn = grant.holder == this->self && this->proposal && this->proposal->number == grant.number;
     this->began = isOwn ? std::optional(this->proposal->first) : std::nullopt;
     const auto isOther = former.holder != grant.holder;
-    // The duty may also have passed on by grants that this VM has not seen, for example before a restart.
+    // Grants that this VM has not applied, for example before a restart, may also have transferred the duty.
     if ((isOther && former.number != 0) || grant.number > former.number + 1) {
         this->lastTransfer = now;
     }
--- a/unittests/Controller/controllertest.cpp
+++ b/unittests/Controller/controllertest.cpp
@@ -138,7 +138,7 @@
     CHECK(std::get<NotRun>(leader.apply("", 1, text)).reason == RefusalReason::MalformedRequest);
 }
 
-// Failure: an operator is told that a change was not run although it may be committed.
+// Failure: a change that may be committed is reported to the operator as not run.
 TEST_CASE("a change with a lost proposal has an unknown outcome, and one that reaches a VM without leadership is not run")
 {
     auto leader = ControlLeader();
@@ -207,7 +207,7 @@
     CHECK_FALSE(leader.status().inForce);
 }
 
-// Failure: a lease that the next leader does not take into account.
+// Failure: a VM serves with a lease that the next leader does not take into account.
 TEST_CASE("no lease is granted without leadership, before registration, or to an earlier process")
 {
     auto leader = ControlLeader();
--- a/unittests/Controller/promotiondutytest.cpp
+++ b/unittests/Controller/promotiondutytest.cpp
@@ -16,6 +16,7 @@
 
 using namespace std::chrono_literals;
 
+/// Orders of two control VMs within this time count at the platform as two holders of the promotion duty.
 constexpr auto exclusiveTime = std::chrono::milliseconds(3'000);
 
 /// An order to promote, as the platform receives it.
