--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -11,14 +11,14 @@
 namespace
 {
 
-/// Time after which a registration that has not changed the state is proposed again, with the next heartbeat.
-constexpr auto proposalLife = std::chrono::milliseconds(1'000);
+/// Time after which a registration that has not changed the replicated state is proposed again, with the next heartbeat.
+constexpr auto registrationRetry = std::chrono::milliseconds(1'000);
 
-/// Interval of the search for members that are gone. A member that was replaced refuses statements that are meant for another one.
-constexpr auto goneInterval = std::chrono::milliseconds(200);
+/// Interval of the search for members to eject. Meanwhile the successor at an address refuses statements that are meant for the replaced member.
+constexpr auto ejectionInterval = std::chrono::milliseconds(200);
 
 /// Interval of the search for silent VMs.
-constexpr auto silentInterval = std::chrono::milliseconds(100);
+constexpr auto silenceInterval = std::chrono::milliseconds(100);
 /// VMs that are marked as silent per search. A hundred that are partitioned at once are marked within a second, and the log has room for
 /// other changes.
 constexpr auto marksAtOnce = std::size_t{10};
@@ -61,9 +61,9 @@
     , since(parts.clock())
     , number(parts.log.leadershipNumber())
     , vms(parts.state.vms(), this->since)
-    , promoter(parts.state, this->since, promotion::silenceAfter(parts.announcementInterval))
+    , promoter(parts.state, this->since, promotion::contactTimeoutFor(parts.announcementInterval))
     , registry(this->since)
-    , leadAuthority(std::make_shared<ExpiringAuthority>(parts.clock))
+    , leadershipAuthority(std::make_shared<ExpiringAuthority>(parts.clock))
     , dutyAuthority(std::make_shared<ExpiringAuthority>(parts.clock))
 {
 }
@@ -76,12 +76,12 @@
 auto Leadership::tick() -> void
 {
     const auto now = this->parts.clock();
-    this->noteProxies(now);
-    this->noteDuty(now);
+    this->updateProxies(now);
+    this->updateDuty(now);
     this->markSilentVms(now);
     this->settleVms(now);
-    this->forgetSilentVms();
-    this->forgetGoneUpstreams(now);
+    this->ejectSilentVms();
+    this->ejectUpstreams(now);
     this->carryOut(this->promoter.tick(now));
 }
 
@@ -93,7 +93,7 @@
     }
     this->registerVm(heartbeat);
     for (const auto &announcement : heartbeat.announcements) {
-        if (!this->isNews(announcement)) {
+        if (!this->isRelevant(announcement)) {
             continue;
         }
         this->registerUpstream(announcement);
@@ -126,7 +126,7 @@
     return status;
 }
 
-auto Leadership::noteProxies(TimePoint now) -> void
+auto Leadership::updateProxies(TimePoint now) -> void
 {
     this->promoter.setProxies(this->vms.standing(this->parts.state.revision(), now));
 }
@@ -149,7 +149,7 @@
 auto Leadership::registerUpstream(const platform::Announcement &announcement) -> void
 {
     if (announcement.gone) {
-        this->forgetUpstream(GroupId(announcement.group), UpstreamId(announcement.id));
+        this->ejectUpstream(GroupId(announcement.group), UpstreamId(announcement.id));
         return;
     }
     const auto wanted = viewOf(announcement);
@@ -165,13 +165,13 @@
     this->propose(state::RegisterUpstream{group->view.id, wanted}, group->view.id);
 }
 
-auto Leadership::isNews(const platform::Announcement &announcement) -> bool
+auto Leadership::isRelevant(const platform::Announcement &announcement) -> bool
 {
     const auto *const group = this->parts.state.findGroup(GroupId(announcement.group));
     return group == nullptr || !group->selfReplicating || this->registry.note(announcement, this->parts.clock());
 }
 
-auto Leadership::forgetUpstream(const GroupId &group, const UpstreamId &upstream) -> void
+auto Leadership::ejectUpstream(const GroupId &group, const UpstreamId &upstream) -> void
 {
     const auto *const record = this->parts.state.findGroup(group);
     const auto *const known = record == nullptr ? nullptr : record->view.findMember(upstream);
@@ -180,28 +180,28 @@
     }
 }
 
-auto Leadership::forgetGoneUpstreams(TimePoint now) -> void
+auto Leadership::ejectUpstreams(TimePoint now) -> void
 {
-    if (now - this->lookedForGone < goneInterval) {
+    if (now - this->lastEjectionSearch < ejectionInterval) {
         return;
     }
-    this->lookedForGone = now;
+    this->lastEjectionSearch = now;
     for (const auto &group : this->parts.state.groups()) {
         if (!group.selfReplicating) {
             continue;
         }
-        for (const auto &upstream : this->registry.gone(group, now)) {
-            this->forgetUpstream(group.view.id, upstream);
+        for (const auto &upstream : this->registry.membersToEject(group, now)) {
+            this->ejectUpstream(group.view.id, upstream);
         }
     }
 }
 
 auto Leadership::markSilentVms(TimePoint now) -> void
 {
-    if (now - this->lookedForSilent < silentInterval) {
+    if (now - this->lastSilenceSearch < silenceInterval) {
         return;
     }
-    this->lookedForSilent = now;
+    this->lastSilenceSearch = now;
     auto marked = std::size_t{0};
     for (auto &vm : this->vms.silentFor(silentAfter, this->parts.state.vms(), now)) {
         if (vm.silent || !this->tryRegister("mark " + vm.id.value())) {
@@ -217,7 +217,7 @@
 
 auto Leadership::settleVms(TimePoint now) -> void
 {
-    // Without customers too: otherwise nobody would allocate quota at first when they come.
+    // VMs are settled even without customers, so that quota can be allocated as soon as the first customer is configured.
     for (auto &vm : this->settling.due(this->parts.state.vms(), now)) {
         if (this->tryRegister("settle " + vm.id.value())) {
             vm.settled = true;
@@ -226,9 +226,9 @@
     }
 }
 
-auto Leadership::forgetSilentVms() -> void
+auto Leadership::ejectSilentVms() -> void
 {
-    for (const auto &vm : this->vms.silentFor(forgetAfter, this->parts.state.vms(), this->parts.clock())) {
+    for (const auto &vm : this->vms.silentFor(ejectAfter, this->parts.state.vms(), this->parts.clock())) {
         if (this->tryRegister("silent " + vm.id.value())) {
             this->propose(state::ForgetVm{vm.id, vm.incarnation}, {});
         }
@@ -237,19 +237,19 @@
 
 auto Leadership::suspected(const VmId &vm, const ZoneId &zone, const membership::Suspicion &suspicion) -> void
 {
-    const auto weighs = this->observers.note(vm, suspicion.group, this->parts.state.groups().size(), this->parts.clock());
-    this->handle(promotion::Suspected{zone, suspicion, weighs});
-    // Proxies of other zones detect a failure by their own statements, up to half a second later. A probe from here answers at once.
-    if (weighs && zone != this->parts.zone) {
-        this->look(suspicion);
+    const auto credible = this->observers.note(vm, suspicion.group, this->parts.state.groups().size(), this->parts.clock());
+    this->handle(promotion::Suspected{zone, suspicion, credible});
+    // Proxies of other zones detect a failure by their own statements, up to half a second later. A probe from this VM is faster.
+    if (credible && zone != this->parts.zone) {
+        this->probePrimary(suspicion);
     }
 }
 
-auto Leadership::look(const membership::Suspicion &suspicion) -> void
+auto Leadership::probePrimary(const membership::Suspicion &suspicion) -> void
 {
     const auto *const group = this->parts.state.findGroup(suspicion.group);
     const auto *const member = group == nullptr || group->view.primary != suspicion.upstream ? nullptr : group->view.primaryMember();
-    if (member == nullptr || !this->lookedAt.insert(member->id).second) {
+    if (member == nullptr || !this->probesInFlight.insert(member->id).second) {
         return;
     }
     const auto done = [weak = this->weak_from_this(), post = this->parts.post, suspicion](bool reached) {
@@ -258,7 +258,7 @@
             if (!self) {
                 return;
             }
-            self->lookedAt.erase(suspicion.upstream);
+            self->probesInFlight.erase(suspicion.upstream);
             if (!reached) {
                 support::log(support::Event::PrimarySuspected,
                              {{"group", suspicion.group.value()}, {"upstream", suspicion.upstream.value()}, {"term", suspicion.term.value()}});
@@ -276,15 +276,15 @@
     if (!this->isCurrent(now)) {
         return;
     }
-    this->noteProxies(now);
-    this->noteDuty(now);
+    this->updateProxies(now);
+    this->updateDuty(now);
     this->carryOut(this->promoter.handle(event, now));
 }
 
 auto Leadership::propose(const state::Command &command, const GroupId &group) -> void
 {
     this->parts.log.propose(encode(command), [weak = this->weak_from_this(), post = this->parts.post, group](const consensus::ProposalOutcome &) {
-        // The state shows whether it took effect; a lost proposal is repeated.
+        // The replicated state shows whether the proposal took effect; a lost one is repeated.
         post([weak, group] {
             if (const auto self = weak.lock()) {
                 self->handle(promotion::GroupChanged{group});
@@ -297,7 +297,7 @@
 {
     const auto now = this->parts.clock();
     const auto found = this->registrations.find(name);
-    if (found != this->registrations.end() && now - found->second < proposalLife) {
+    if (found != this->registrations.end() && now - found->second < registrationRetry) {
         return false;
     }
     this->registrations.insert_or_assign(name, now);
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -16,7 +16,7 @@
 
 using state::GroupRecord;
 
-/// The first term in which a group that is handed to this system can have a primary.
+/// The first term in which a group can have a primary.
 constexpr auto firstTermNumber = std::uint64_t{1};
 
 auto fenceOf(const GroupRecord &group, const membership::UpstreamView &member) -> SendFence
@@ -42,10 +42,10 @@
 
 } // namespace
 
-GroupPromotion::GroupPromotion(TimePoint since, std::chrono::milliseconds silence)
+GroupPromotion::GroupPromotion(TimePoint since, std::chrono::milliseconds contactTimeout)
     : since(since)
-    , silence(silence)
-    , members(silence)
+    , contactTimeout(contactTimeout)
+    , members(contactTimeout)
     , wake(since)
 {
 }
@@ -61,15 +61,15 @@
     if (event.suspicion.term != this->term) {
         return;
     }
-    this->suspected = now;
-    if (event.weighs) {
+    this->lastSuspicion = now;
+    if (event.credible) {
         this->suspicions[event.zone] = now;
     }
 }
 
 auto GroupPromotion::note(const OrderAnswered &event, TimePoint now) -> void
 {
-    // Another process may have taken over the address of a member; its log says nothing of the member's.
+    // Another process may have taken over the address of the member; its report does not describe the log of the member.
     if (!event.report || event.report->id != event.member.value()) {
         if (event.order == Order::Fence && event.term == this->term) {
             this->unreached.insert(event.member);
@@ -77,8 +77,8 @@
         return;
     }
     this->members.note(*event.report, now);
-    // Only a report that a member gives while it is fenced at this very term tells where its log ends: a late report of an earlier
-    // term is older than what the member wrote since, and by it the choice could pass over the log with the acknowledged writes.
+    // Only the report of a member that is fenced at this term gives the end of its log. After a late report of an earlier term the member
+    // may have written more, and the choice could miss the log that holds the acknowledged writes.
     const auto fencedHere = event.report->role == platform::Role::Fenced && Term(event.report->term) == this->term;
     if (event.order == Order::Fence && event.term == this->term && fencedHere) {
         this->fenced.insert_or_assign(event.member, *event.report);
@@ -95,12 +95,12 @@
     if (group.view.term != this->term || group.view.primary.has_value() != this->hasPrimary) {
         this->enterTerm(group, proxies.current, now);
     }
-    auto actions = group.view.primary ? this->lead(group, proxies, now) : this->elect(group, now);
-    this->wake = now + motionInterval;
-    if (!this->inMotion && group.view.primary) {
+    auto actions = group.view.primary ? this->maintainTerm(group, proxies, now) : this->elect(group, now);
+    this->wake = now + transitionInterval;
+    if (!this->inTransition && group.view.primary) {
         const auto *const primary = this->members.find(*group.view.primary);
-        const auto heard = primary != nullptr && primary->heard ? *primary->heard : this->since;
-        this->wake = std::max(this->wake, heard + this->silence);
+        const auto lastContact = primary != nullptr && primary->lastContact ? *primary->lastContact : this->since;
+        this->wake = std::max(this->wake, lastContact + this->contactTimeout);
     }
     return actions;
 }
@@ -125,7 +125,7 @@
     this->orders.clear();
     this->proposed.reset();
     this->suspicions.clear();
-    this->suspected.reset();
+    this->lastSuspicion.reset();
     this->leavingSince.reset();
     this->fenced.clear();
     this->unreached.clear();
@@ -133,7 +133,7 @@
 
 auto GroupPromotion::elect(const GroupRecord &group, TimePoint now) -> Actions
 {
-    this->inMotion = true;
+    this->inTransition = true;
     if (group.view.term == Term(0) && this->liveCount(group, now) < group.quorum()) {
         // Members that have not registered cannot be fenced, so the first term would end without a primary.
         return {};
@@ -147,7 +147,7 @@
     if (this->members.highestTerm() > group.view.term) {
         return this->endTerm(group, TermEnd::Overtaken, now);
     }
-    if (group.view.history.empty() && this->members.selfAppointed(now)) {
+    if (group.view.history.empty() && this->members.reportedPrimary(now)) {
         return this->adopt(group, now);
     }
     auto actions = this->fenceMembers(group, now);
@@ -159,9 +159,9 @@
 
 auto GroupPromotion::adopt(const GroupRecord &group, TimePoint now) -> Actions
 {
-    // A group that is handed to the system while it serves has a primary already, and no proxy knows of it yet. Fencing it would
-    // stop its callers for nothing, and its members know no term that they could be fenced at.
-    const auto primary = *this->members.selfAppointed(now);
+    // A group that served before this system was started already has a primary. Fencing it would interrupt its callers without need, and its
+    // members do not store a term at which they could be fenced.
+    const auto primary = *this->members.reportedPrimary(now);
     if (group.view.findMember(primary) == nullptr || !this->tryPropose(now)) {
         return {};
     }
@@ -171,16 +171,16 @@
 
 auto GroupPromotion::awaitsFirstPrimary(const GroupRecord &group, TimePoint now) -> bool
 {
-    // When the system starts, the members of many groups announce themselves in any order. Two replicas that come before their primary
-    // are a quorum: one of them would be promoted, and the primary stopped while it serves.
+    // After the first start of the system the health reports of the members arrive in any order. Two replicas that report before their
+    // primary are a quorum: one of them would be promoted, and the primary would be fenced while it serves.
     const auto isNew = group.selfReplicating && group.view.history.empty() && group.view.term <= Term(firstTermNumber);
-    if (!isNew || this->members.namesPrimary(now) || this->liveCount(group, now) >= group.size) {
+    if (!isNew || this->members.hasLivePrimary(now) || this->liveCount(group, now) >= group.size) {
         return false;
     }
-    if (!this->firstQuorumAt) {
-        this->firstQuorumAt = now;
+    if (!this->firstPrimaryAwaitedSince) {
+        this->firstPrimaryAwaitedSince = now;
     }
-    return now - *this->firstQuorumAt < this->silence;
+    return now - *this->firstPrimaryAwaitedSince < this->contactTimeout;
 }
 
 auto GroupPromotion::fenceMembers(const GroupRecord &group, TimePoint now) -> Actions
@@ -188,7 +188,7 @@
     const auto retry = group.selfReplicating && !this->fenced.empty() ? catchUpRetry : orderRetry;
     auto actions = Actions();
     for (const auto &member : group.view.members) {
-        if (!this->isFenced(member.id) && this->tryOpen(member.id, Order::Fence, group.view.term, now, retry)) {
+        if (!this->isFenced(member.id) && this->tryOrder(member.id, Order::Fence, group.view.term, now, retry)) {
             actions.emplace_back(fenceOf(group, member));
         }
     }
@@ -208,8 +208,8 @@
     if (!this->quorumSince) {
         this->quorumSince = now;
     }
-    if (this->mayImprove(group, *choice, now)) {
-        this->askLaggingAgain(group);
+    if (this->awaitsReports(group, *choice, now)) {
+        this->discardLaggingReports(group);
         return {};
     }
     if (!this->tryPropose(now)) {
@@ -219,20 +219,20 @@
     return {ProposePrimary{{group.view.id, group.view.term, UpstreamId(report.id), Incarnation(report.incarnation), LogPosition(report.position)}}};
 }
 
-auto GroupPromotion::mayImprove(const GroupRecord &group, const Choice &choice, TimePoint now) const -> bool
+auto GroupPromotion::awaitsReports(const GroupRecord &group, const Choice &choice, TimePoint now) const -> bool
 {
     const auto waited = now - *this->quorumSince;
     if (!group.selfReplicating) {
         return choice.avoided && this->fenced.size() < group.view.members.size() && waited < choiceGrace;
     }
     const auto open = std::any_of(group.view.members.begin(), group.view.members.end(), [this](const membership::UpstreamView &member) {
-        return this->suspect != member.id && !this->fenced.contains(member.id) && !this->unreached.contains(member.id);
+        return this->suspectedPrimary != member.id && !this->fenced.contains(member.id) && !this->unreached.contains(member.id);
     });
-    // A member that leaves or is suspected is avoided while another one may still catch up with it.
+    // While another member may still catch up, a member that is leaving or suspected is not chosen.
     if (this->isBehind(choice.report) || (choice.avoided && open)) {
         return waited < catchUpGrace;
     }
-    // The former primary has stepped down and reported its whole log, so no further report can show more.
+    // The former primary has stepped down and reported its position, so no further report can be higher.
     const auto avoid = this->membersToAvoid(group);
     const auto complete = std::any_of(this->fenced.begin(), this->fenced.end(), [&avoid](const auto &member) {
         return avoid.contains(member.first);
@@ -240,7 +240,7 @@
     return !complete && open && waited < reportGrace;
 }
 
-auto GroupPromotion::askLaggingAgain(const GroupRecord &group) -> void
+auto GroupPromotion::discardLaggingReports(const GroupRecord &group) -> void
 {
     if (!group.selfReplicating) {
         return;
@@ -250,7 +250,7 @@
     });
 }
 
-auto GroupPromotion::lead(const GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions
+auto GroupPromotion::maintainTerm(const GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions
 {
     const auto &primary = *group.view.primary;
     const auto leaving = this->isLeaving(group, primary);
@@ -260,10 +260,10 @@
         this->leavingSince.reset();
     }
     const auto reason = this->reasonToEnd(group, proxies.zones, now);
-    this->inMotion = reason || leaving || !this->suspicions.empty() || !this->isPrimary(primary, this->term, group.primaryIncarnation);
-    // No backoff for a leaving member: it is gone after a few seconds and does not flap.
+    this->inTransition = reason || leaving || !this->suspicions.empty() || !this->isPrimary(primary, this->term, group.primaryIncarnation);
+    // No backoff for a leaving member: it ends after a few seconds and does not flap.
     const auto leavesSoon = group.selfReplicating && reason == TermEnd::Leaving;
-    if (reason && (leavesSoon || this->pause.allows(now))) {
+    if (reason && (leavesSoon || this->backoff.allows(now))) {
         return this->endTerm(group, *reason, now);
     }
     return this->orderMembers(group, proxies, now);
@@ -282,7 +282,7 @@
         if (group.selfReplicating && !this->holdsDuty) {
             return {AwaitDuty{group.view.id}};
         }
-        return this->tryOpen(primary->id, Order::Promote, this->term, now) ? Actions{promoteOf(group, *primary)} : Actions();
+        return this->tryOrder(primary->id, Order::Promote, this->term, now) ? Actions{promoteOf(group, *primary)} : Actions();
     }
     auto actions = Actions();
     if (group.selfReplicating) {
@@ -292,8 +292,8 @@
         if (member.id == primary->id || this->isFollowing(member.id, this->term)) {
             continue;
         }
-        this->inMotion = true;
-        if (this->tryOpen(member.id, Order::Follow, this->term, now)) {
+        this->inTransition = true;
+        if (this->tryOrder(member.id, Order::Follow, this->term, now)) {
             actions.emplace_back(followOf(group, member, *primary));
         }
     }
@@ -306,19 +306,19 @@
         return {};
     }
     if (group.view.primary) {
-        this->pause.begin(now);
+        this->backoff.begin(now);
     }
     if (reason == TermEnd::Silent || reason == TermEnd::Suspected) {
-        this->suspect = group.view.primary;
+        this->suspectedPrimary = group.view.primary;
     }
     const auto next = std::max(group.view.term, this->members.highestTerm()).next();
     return {ProposeTerm{{group.view.id, group.view.term, next}, reason}};
 }
 
-auto GroupPromotion::tryOpen(const UpstreamId &member, Order order, Term inTerm, TimePoint now, Duration retry) -> bool
+auto GroupPromotion::tryOrder(const UpstreamId &member, Order order, Term inTerm, TimePoint now, Duration retry) -> bool
 {
-    // Also an order that was answered waits: a control leader that is behind the state may ask for what the member is past, and would
-    // ask again as fast as the answers come.
+    // The limit also applies to an order that was answered. A control leader whose state lags may send an order for which the member is
+    // already in a later state, and would otherwise repeat it at the rate of the answers.
     const auto found = this->orders.find(member);
     const auto waits = found != this->orders.end() && found->second.order == order && found->second.term == inTerm && now - found->second.sent < retry;
     if (waits) {
--- a/lib/Promotion/membertable.cpp
+++ b/lib/Promotion/membertable.cpp
@@ -10,10 +10,10 @@
 namespace
 {
 
-/// An announcement in flight during the promotion still reports a replica; a second one is newer than the promotion.
+/// A health report in flight during the promotion still reports a replica; a second one was sent after the promotion.
 constexpr auto denialsBelieved = std::uint32_t{2};
 
-/// Records the role that \p member announces after it has reported its term in answer to an order.
+/// Records the role in a health report without a term of a \p member that has reported its term in answer to an order.
 auto noteDenial(MemberState &member, platform::Role says) -> void
 {
     const auto denies = member.role == platform::Role::Primary && says != platform::Role::Primary;
@@ -27,8 +27,8 @@
 
 } // namespace
 
-MemberTable::MemberTable(std::chrono::milliseconds silence)
-    : silence(silence)
+MemberTable::MemberTable(std::chrono::milliseconds contactTimeout)
+    : contactTimeout(contactTimeout)
 {
 }
 
@@ -45,7 +45,7 @@
     news.position = LogPosition(announcement.position);
     auto *const member = this->update(UpstreamId(announcement.id), news, now);
     if (member != nullptr) {
-        member->heard = now;
+        member->lastContact = now;
         member->leaving = announcement.leaving;
     }
 }
@@ -58,7 +58,7 @@
         return false;
     }
     auto &member = found->second;
-    member.heard = now;
+    member.lastContact = now;
     member.leaving = announcement.leaving;
     noteDenial(member, announcement.role);
     return true;
@@ -79,21 +79,21 @@
 {
     const auto [place, added] = this->members.try_emplace(id);
     auto &member = place->second;
-    // A late announcement of an ended process must not make its successor appear restarted.
-    if (member.former.contains(news.incarnation)) {
+    // A delayed health report of an ended process must not make its successor appear restarted.
+    if (member.formerIncarnations.contains(news.incarnation)) {
         return nullptr;
     }
     const auto sameProcess = added || member.incarnation == news.incarnation;
-    // An announcement that a slow proxy relays late would show a promoted member as fenced, or a fenced one as primary, and orders
-    // would be sent again. A process never goes back to a lower term.
+    // A process never returns to a lower term. A health report that a slow proxy relays late would show a promoted member as fenced, or a
+    // fenced one as primary, and orders would be repeated.
     if (sameProcess && news.term < member.term) {
         return nullptr;
     }
     if (!sameProcess || news.position != member.position || news.lastTerm != member.lastTerm) {
-        member.moved = now;
+        member.positionChanged = now;
     }
     if (!sameProcess) {
-        member.former.insert(member.incarnation);
+        member.formerIncarnations.insert(member.incarnation);
     }
     member.incarnation = news.incarnation;
     member.term = news.term;
@@ -113,10 +113,10 @@
 auto MemberTable::isLive(const UpstreamId &member, TimePoint now) const -> bool
 {
     const auto *const state = this->find(member);
-    return state != nullptr && state->heard && now - *state->heard < this->silence;
+    return state != nullptr && state->lastContact && now - *state->lastContact < this->contactTimeout;
 }
 
-auto MemberTable::selfAppointed(TimePoint now) const -> std::optional<UpstreamId>
+auto MemberTable::reportedPrimary(TimePoint now) const -> std::optional<UpstreamId>
 {
     auto primary = std::optional<UpstreamId>();
     for (const auto &[id, member] : this->members) {
@@ -131,7 +131,7 @@
     return primary;
 }
 
-auto MemberTable::namesPrimary(TimePoint now) const -> bool
+auto MemberTable::hasLivePrimary(TimePoint now) const -> bool
 {
     return std::any_of(this->members.begin(), this->members.end(), [this, now](const auto &member) {
         return member.second.role == platform::Role::Primary && this->isLive(member.first, now);
--- a/unittests/Controller/promotiondutytest.cpp
+++ b/unittests/Controller/promotiondutytest.cpp
@@ -16,21 +16,22 @@
 
 using namespace std::chrono_literals;
 
+/// Orders of two control VMs within this time count at the platform as two holders of the promotion duty.
 constexpr auto exclusiveTime = std::chrono::milliseconds(3'000);
 
-/// An order to promote, as the platform sees it.
-struct SeenOrder
+/// An order to promote, as the platform receives it.
+struct RecordedOrder
 {
     VmId by;
     std::uint64_t token = 0;
     TimePoint given;
-    /// When it could last have left.
-    TimePoint leftAt;
+    /// Last time at which it could have been sent.
+    TimePoint lastSendable;
     platform::Authority authority;
 };
 
-/// An order to fence that waits for its answer.
-struct OpenFence
+/// An unanswered order to fence.
+struct UnansweredFence
 {
     platform::MemberAddress member;
     std::uint64_t term = 0;
@@ -38,17 +39,17 @@
     platform::ReportCallback done;
 };
 
-struct SeenOrders
+struct RecordedOrders
 {
-    std::vector<SeenOrder> promotions;
-    std::vector<OpenFence> fences;
+    std::vector<RecordedOrder> promotions;
+    std::vector<UnansweredFence> fences;
 };
 
-/// Notes the orders and answers none.
+/// Records the orders and answers none.
 class RecordingOperator : public platform::GroupOperator
 {
 public:
-    RecordingOperator(const TimePoint &now, SeenOrders &orders)
+    RecordingOperator(const TimePoint &now, RecordedOrders &orders)
         : now(now)
         , orders(orders)
     {
@@ -75,12 +76,12 @@
 
 private:
     const TimePoint &now;
-    SeenOrders &orders;
+    RecordedOrders &orders;
 };
 
 struct ControlVm
 {
-    ControlVm(std::string_view name, const TimePoint &now, SeenOrders &orders)
+    ControlVm(std::string_view name, const TimePoint &now, RecordedOrders &orders)
         : id(std::string(name))
         , controller(makeController({this->id,
                                      this->log,
@@ -139,7 +140,7 @@
         this->a.log.propose(encode(command), [](const auto &) {});
     }
 
-    auto lead(ControlVm &vm, std::uint64_t number) -> void
+    auto setLeader(ControlVm &vm, std::uint64_t number) -> void
     {
         for (auto *const each : {&this->a, &this->b}) {
             each->log.leads = each == &vm;
@@ -154,7 +155,7 @@
                 vm->controller->tick();
                 vm->runPosted();
             }
-            this->noteAuthorities();
+            this->recordAuthorities();
         }
     }
 
@@ -163,15 +164,15 @@
         return this->a.log.leads ? this->a : this->b;
     }
 
-    /// The members announce themselves to the VM that leads.
+    /// Delivers health reports of the members to the leader and runs the work that this posts.
     auto announce(platform::Role roleOfPrimary) -> void
     {
-        this->tellLeader(roleOfPrimary, 1);
+        this->deliverHealthReports(roleOfPrimary, 1);
         this->leader().runPosted();
     }
 
-    /// The same, but what the leader posts for later stays there.
-    auto tellLeader(platform::Role roleOfPrimary, std::uint32_t slots) -> void
+    /// Delivers health reports of the members to the leader; posted work remains queued.
+    auto deliverHealthReports(platform::Role roleOfPrimary, std::uint32_t slots) -> void
     {
         auto heartbeat = control::VmHeartbeat();
         heartbeat.vm = VmId("hobart-9");
@@ -193,37 +194,37 @@
 
     [[nodiscard]] auto ordersOf(const ControlVm &vm) const -> std::ptrdiff_t
     {
-        return std::count_if(this->orders.promotions.begin(), this->orders.promotions.end(), [&vm](const SeenOrder &order) {
+        return std::count_if(this->orders.promotions.begin(), this->orders.promotions.end(), [&vm](const RecordedOrder &order) {
             return order.by == vm.id;
         });
     }
 
-    /// Notes up to when each order could still have left.
-    auto noteAuthorities() -> void
+    /// Updates the last time at which each order could have been sent.
+    auto recordAuthorities() -> void
     {
         for (auto &order : this->orders.promotions) {
             if (order.authority->holds()) {
-                order.leftAt = this->now;
+                order.lastSendable = this->now;
             }
         }
     }
 
-    /// \return the shortest time from when an order may have left to the first one of another VM
-    [[nodiscard]] auto shortestTurn() const -> Duration
+    /// \return the shortest time between an order and the next one of another VM
+    [[nodiscard]] auto shortestHandover() const -> Duration
     {
         auto shortest = Duration::max();
         for (auto place = std::size_t{1}; place < this->orders.promotions.size(); ++place) {
             const auto &order = this->orders.promotions[place];
             const auto &former = this->orders.promotions[place - 1];
             if (order.by != former.by) {
-                shortest = std::min(shortest, order.given - former.leftAt);
+                shortest = std::min(shortest, order.given - former.lastSendable);
             }
         }
         return shortest;
     }
 
     TimePoint now = TimePoint(1h);
-    SeenOrders orders;
+    RecordedOrders orders;
     std::uint64_t announcements = 0;
     ControlVm a{"hobart-1", this->now, this->orders};
     ControlVm b{"launceston-1", this->now, this->orders};
@@ -231,55 +232,55 @@
 
 } // namespace
 
-// A change of the control leader must not order anew what has long been carried out.
+// Failure: each change of the control leader repeats promotions that were carried out long ago.
 TEST_CASE("a new control leader orders no promotion of a primary that serves")
 {
     auto vms = TwoControlVms();
-    vms.lead(vms.b, 5);
+    vms.setLeader(vms.b, 5);
     vms.pass(400ms);
     vms.announce(platform::Role::Primary);
     vms.pass(2s);
     CHECK(vms.orders.promotions.empty());
 }
 
-// Two control VMs that are alive must not take turns at ordering promotions.
-TEST_CASE("a control VM orders promotions only when those of another one are long over")
+// Failure: two live control VMs alternate in ordering promotions and move a primary back and forth.
+TEST_CASE("a control VM orders promotions only after the orders of another one can no longer take effect")
 {
     auto vms = TwoControlVms();
-    vms.lead(vms.a, 3);
+    vms.setLeader(vms.a, 3);
     vms.announce(platform::Role::Replica);
     vms.pass(500ms);
     REQUIRE(vms.ordersOf(vms.a) > 0);
-    vms.lead(vms.b, 5);
+    vms.setLeader(vms.b, 5);
     vms.announce(platform::Role::Replica);
     vms.pass(2s);
     CHECK(vms.ordersOf(vms.b) == 0);
-    vms.lead(vms.a, 6);
+    vms.setLeader(vms.a, 6);
     vms.announce(platform::Role::Replica);
     vms.pass(10s);
-    vms.lead(vms.b, 7);
+    vms.setLeader(vms.b, 7);
     vms.announce(platform::Role::Replica);
     vms.pass(10s);
     CHECK(vms.ordersOf(vms.b) > 0);
-    CHECK(vms.shortestTurn() >= exclusiveTime);
+    CHECK(vms.shortestHandover() >= exclusiveTime);
 }
 
-// The failure of a control VM must not hold up the promotions that it makes urgent.
-TEST_CASE("the duty of a control VM that is lost is taken over at once")
+// Failure: the loss of the duty holder delays the promotions that the same fault requires.
+TEST_CASE("the duty of a lost control VM is taken over at once")
 {
     auto vms = TwoControlVms();
-    vms.lead(vms.a, 3);
+    vms.setLeader(vms.a, 3);
     vms.announce(platform::Role::Replica);
     vms.pass(500ms);
-    vms.lead(vms.b, 5);
+    vms.setLeader(vms.b, 5);
     vms.b.log.silent = holderLostAfter;
     vms.announce(platform::Role::Replica);
     vms.pass(100ms);
     CHECK(vms.ordersOf(vms.b) > 0);
 }
 
-// VMs that hear each other badly must not take the duty from each other in turn.
-TEST_CASE("the duty is taken early from a holder that seems lost only once")
+// Failure: VMs with a bad network path between them take the duty from each other in turn.
+TEST_CASE("the duty is taken early from a holder that appears lost only once within the handover time")
 {
     auto duty = PromotionDuty(VmId("a"));
     const auto start = TimePoint(1h);
@@ -298,8 +299,8 @@
     CHECK_FALSE(third.mayTake(10s, start + 100ms + dutyHandover - 1ms));
 }
 
-// A VM that missed grants must not take the duty early, as if it had not just passed on.
-TEST_CASE("grants that a VM has not seen may have passed the duty on")
+// Failure: a VM that missed grants takes the duty early although it was transferred a moment ago.
+TEST_CASE("a gap in the applied grants counts as a transfer of the duty")
 {
     const auto start = TimePoint(1h);
     auto restarted = PromotionDuty(VmId("a"));
@@ -312,16 +313,16 @@
     CHECK_FALSE(late.mayTake(10s, start + 1s + dutyHandover - 1ms));
 }
 
-// A holder must not outlast its grant on the clocks of those who wait for its end.
-TEST_CASE("a grant begins with its first proposal and is renewed while orders are given")
+// Failure: the holder counts its grant for longer than the VMs that wait for its end.
+TEST_CASE("a grant begins with its first proposal and is renewed while orders are sent")
 {
     auto duty = PromotionDuty(VmId("a"));
     const auto start = TimePoint(1h);
     CHECK(duty.isWanted(3, start));
     duty.proposed(start);
-    CHECK_FALSE(duty.isWanted(3, start + dutyProposalLife - 1ms));
-    CHECK(duty.isWanted(3, start + dutyProposalLife));
-    duty.proposed(start + dutyProposalLife);
+    CHECK_FALSE(duty.isWanted(3, start + dutyProposalRetry - 1ms));
+    CHECK(duty.isWanted(3, start + dutyProposalRetry));
+    duty.proposed(start + dutyProposalRetry);
     duty.note({VmId("a"), 3, 1}, start + 600ms);
     CHECK(duty.isHeld(3, start + dutyLength - 1ms));
     CHECK_FALSE(duty.isHeld(3, start + dutyLength));
@@ -333,8 +334,8 @@
     CHECK(duty.isHeld(3, start + dutyRenewal + dutyLength - 1ms));
 }
 
-// A process that has just started knows of no proposal of its own, whatever the state says.
-TEST_CASE("a restarted control VM does not go by the grant of its former process")
+// Failure: a restarted process sends orders under a grant whose start it does not know.
+TEST_CASE("a restarted control VM does not use the grant of its former process")
 {
     auto duty = PromotionDuty(VmId("a"));
     duty.note({VmId("a"), 3, 7}, TimePoint(1h));
@@ -342,28 +343,28 @@
     CHECK(duty.mayTake(0s, TimePoint(1h)));
 }
 
-// An order that waits on the control thread must not go out under the number of the next leader.
-TEST_CASE("what was begun under a lead is not carried on after it")
+// Failure: an order queued on the control thread is sent after the loss of leadership, with the token of the next leader.
+TEST_CASE("work that was posted under a leadership is dropped after its end")
 {
     auto vms = TwoControlVms();
-    vms.lead(vms.a, 3);
+    vms.setLeader(vms.a, 3);
     vms.announce(platform::Role::Primary);
     vms.pass(500ms);
     const auto before = vms.orders.promotions.size();
-    vms.tellLeader(platform::Role::Primary, 2);
+    vms.deliverHealthReports(platform::Role::Primary, 2);
     vms.commit(state::BeginTerm{GroupId("orders-1"), Term(1), Term(2)});
     vms.commit(state::ChoosePrimary{GroupId("orders-1"), Term(2), UpstreamId("y"), Incarnation(1), LogPosition(0)});
-    vms.lead(vms.b, 5);
+    vms.setLeader(vms.b, 5);
     REQUIRE_FALSE(vms.a.posted.empty());
     vms.a.runPosted();
     CHECK(vms.orders.promotions.size() == before);
 }
 
-// An order that waits for its connection must not leave after the lead is lost.
-TEST_CASE("the authority of an order ends with the lease under which it was given")
+// Failure: an order that waits for its connection is sent after the loss of leadership.
+TEST_CASE("the authority of an order ends with the leader lease")
 {
     auto vms = TwoControlVms();
-    vms.lead(vms.a, 3);
+    vms.setLeader(vms.a, 3);
     vms.a.log.leaseEnd = vms.now + 270ms;
     vms.announce(platform::Role::Replica);
     vms.pass(100ms);
@@ -374,11 +375,11 @@
     CHECK_FALSE(authority->holds());
 }
 
-// A member that is told to step down after it was made primary leaves its group without one.
-TEST_CASE("orders that have not left are withdrawn when the control leader decides anew")
+// Failure: a member is ordered to step down after its promotion, and its group has no primary.
+TEST_CASE("orders that have not been sent are revoked by a later decision of the control leader")
 {
     auto vms = TwoControlVms();
-    vms.lead(vms.a, 3);
+    vms.setLeader(vms.a, 3);
     vms.announce(platform::Role::Primary);
     vms.commit(state::BeginTerm{GroupId("orders-1"), Term(1), Term(2)});
     vms.announce(platform::Role::Primary);
--- a/unittests/Promotion/randomscheduletest.cpp
+++ b/unittests/Promotion/randomscheduletest.cpp
@@ -13,8 +13,8 @@
 
 constexpr auto faultCount = std::size_t{12};
 
-/// One fault, as drawn.
-auto cause(World &world, std::uint32_t draw) -> void
+/// Injects the fault that \p draw selects.
+auto injectFault(World &world, std::uint32_t draw) -> void
 {
     auto &member = world.member((draw >> 8U) % 3);
     switch (draw % 10) {
@@ -56,21 +56,21 @@
 
 } // namespace
 
-TEST_CASE("no schedule of faults loses an acknowledged write or gives a term two primaries")
+// Failure: a combination of faults that no single test covers loses an acknowledged write, gives a term two primaries or stops a group forever.
+TEST_CASE("random faults lose no acknowledged write and give no term two primaries")
 {
-    // Faults come at any moment and together: members stop, restart and are cut off from control, proxies or each other, control
-    // leaders are lost or go on believing, orders and answers are late, lost or doubled. The promises are checked by the world at each
-    // promotion and acknowledgement; after the faults the group serves again.
+    // Members stop, restart and are partitioned, control leaders are lost or continue to act as leaders, and orders and answers are delayed,
+    // lost or duplicated. World checks the invariants at each promotion and acknowledgement.
     const auto sound = rc::check([](std::uint32_t seed) {
         const auto faults = *rc::gen::container<std::vector<std::uint32_t>>(faultCount, rc::gen::resize(100, rc::gen::arbitrary<std::uint32_t>()));
         auto delays = Delays();
         delays.network = std::chrono::milliseconds(seed % 3 == 0 ? 400 : 5);
         delays.lost = seed % 4 * 10;
-        delays.doubled = seed % 5 * 10;
+        delays.duplicated = seed % 5 * 10;
         auto world = World(seed, delays);
         world.run(1s);
         for (const auto fault : faults) {
-            cause(world, fault);
+            injectFault(world, fault);
             world.run(std::chrono::milliseconds(fault >> 12U & 0x3ffU));
         }
         world.heal();
