A group found by seeds has 2f + 1 voters in several zones and says when it tolerates less

The group accepted commands with one voter for each seed: three, although two promised losses need five. With seeds it accepts them with 2f + 1 voters, or once no other VM has asked to join for 2 s. Voters are spread over zones, and SP2007 tells when fewer losses are tolerated than promised for 5 s. A replica that was removed while it was away waited for a leader for ever, as it does not receive the entry that removes it; it asks to join after 4 s of silence. With a fixed list nothing changes.

Processes with the control role alone serve no metrics, so Replica::survivedLosses() and the event carry the figure.

--- a/include/sapphirespool/Consensus/coretypes.h
+++ b/include/sapphirespool/Consensus/coretypes.h
@@ -45,7 +45,7 @@
     std::size_t chunkBytes = 64 * 1024;
     /// Entries retained before a snapshot, so that a follower that lags slightly needs no snapshot.
     std::uint64_t entriesKept = 1000;
-    /// Number of voters that the group must reach before it accepts commands.
+    /// Number of voters with which the group accepts commands.
     std::size_t foundingVoters = 1;
 
     /// \return the duration of the leader lease, counted from the time at which a heartbeat is sent: voters that received it withhold
@@ -113,6 +113,8 @@
 {
     RequestNumber number;
     std::vector<ControlMember> members;
+    /// Whether the group accepts commands although it has fewer voters than CoreSettings::foundingVoters, as no other VM asks to join.
+    bool complete = false;
 };
 
 struct ReadRequested
--- a/include/sapphirespool/Consensus/messages.h
+++ b/include/sapphirespool/Consensus/messages.h
@@ -30,7 +30,8 @@
 struct Members
 {
     std::vector<ControlMember> members;
-    /// Whether the group ever had all its initial voters. Until then it accepts no commands, since the loss of one disk could lose them.
+    /// Whether the group ever had all its voters, or all that asked to join. Until then it accepts no commands, since the loss of one disk
+    /// could lose them.
     bool formed = false;
 
     auto operator==(const Members &) const -> bool = default;
--- a/include/sapphirespool/Consensus/replica.h
+++ b/include/sapphirespool/Consensus/replica.h
@@ -11,13 +11,14 @@
 #include <cstdint>
 #include <filesystem>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace sapphirespool::consensus
 {
 
 /// Seven voters tolerate the loss of three VMs; more voters only slow down commits.
-constexpr auto defaultVoterCount = std::size_t{7};
+constexpr auto maximumVoterCount = std::size_t{7};
 
 /// Settings of the replica on one control VM.
 struct ReplicaSettings
@@ -35,8 +36,11 @@
     bool mayFound = true;
     /// Whether VMs may join that are named neither in the settings nor in the group; for settings that name only some control VMs.
     bool openToOthers = false;
-    /// Maximum number of voters; further members are learners, ready to replace a voter that is lost.
-    std::size_t voters = defaultVoterCount;
+    /// Maximum number of voters; further members are learners, ready to replace a voter that is lost. With openToOthers also the number
+    /// that the group should have, twice the promised losses and one, and with which it accepts commands.
+    std::size_t voters = maximumVoterCount;
+    /// Availability zone of this VM. With openToOthers, the voters are spread over the zones.
+    ZoneId zone{};
 };
 
 /// A ReplicatedLog that participates in the group. Runs on the control thread; stops when destroyed.
@@ -46,6 +50,12 @@
     /// \return the capability through which the other control VMs call this replica
     [[nodiscard]] virtual auto peerCapability() -> capnp::Capability::Client = 0;
 
+    /// \return whether this replica is listed in a group
+    [[nodiscard]] virtual auto isInGroup() const -> bool = 0;
+
+    /// \return how many further voters may be lost before the group stops; empty if this VM is not the leader
+    [[nodiscard]] virtual auto survivedLosses() const -> std::optional<std::size_t> = 0;
+
     /// Starts to participate in the group: arms the timers and begins to form or join a group. Entries read from disk are applied once
     /// they are known to be committed.
     virtual auto start() -> void = 0;
--- a/include/sapphirespool/Support/events.h
+++ b/include/sapphirespool/Support/events.h
@@ -43,6 +43,7 @@
     ControlLeadLost = 2004,
     ElectionStarted = 2005,
     ControlLoad = 2006,
+    ToleranceReduced = 2007,
     StorageFailed = 2101,
     ConfigurationAccepted = 2201,
     TermEnded = 2401,
--- a/lib/Consensus/formation.cpp
+++ b/lib/Consensus/formation.cpp
@@ -13,6 +13,17 @@
 /// Several times the interval at which join requests are repeated.
 constexpr auto joinRequestLifetime = std::chrono::seconds(3);
 
+/// The control VMs of a first start all ask within 0.3 s of each other and repeat it; the operator's first configuration waits this long
+/// if there are fewer control VMs than voters are wanted.
+constexpr auto quietPeriod = std::chrono::seconds(2);
+
+auto isListed(const Members &group, ReplicaId replica) -> bool
+{
+    return std::any_of(group.members.begin(), group.members.end(), [replica](const ControlMember &member) {
+        return member.replica == replica;
+    });
+}
+
 auto contains(const std::vector<ControlMember> &members, const VmId &vm) -> bool
 {
     return std::any_of(members.begin(), members.end(), [&vm](const ControlMember &member) {
@@ -53,9 +64,18 @@
 {
     if (this->openToOthers || contains(this->initialMembers, request.vm) || contains(group.members, request.vm)) {
         this->joinRequests[request.vm] = ReceivedRequest{request, now};
+        this->lastRequestTime = isListed(group, request.replica) ? this->lastRequestTime : now;
     }
 }
 
+auto GroupFormation::isComplete(const Members &group, const std::function<bool(ReplicaId)> &responds, TimePoint leadsSince, TimePoint now) const -> bool
+{
+    const auto hasCandidate = std::any_of(group.members.begin(), group.members.end(), [&responds](const ControlMember &member) {
+        return !member.voter && responds(member.replica);
+    });
+    return !hasCandidate && now - std::max(leadsSince, this->lastRequestTime) >= quietPeriod;
+}
+
 auto GroupFormation::requests(TimePoint now) const -> std::vector<JoinRequest>
 {
     auto recent = std::vector<JoinRequest>();
--- a/lib/Consensus/formation.h
+++ b/lib/Consensus/formation.h
@@ -4,6 +4,7 @@
 #include "sapphirespool/Consensus/repair.h"
 #include "sapphirespool/Support/types.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <vector>
@@ -30,6 +31,11 @@
     /// Records a request to join. Drops it if the VM is neither in the settings nor in \p group, unless other VMs may join.
     auto recordRequest(const JoinRequest &request, const Members &group, TimePoint now) -> void;
 
+    /// \return whether \p group, which has fewer voters than it should, has taken in all VMs that there are: no VM that is not a member asked
+    ///         for a while, and no learner responds that could still become a voter
+    /// \param leadsSince since when this VM has been the leader; an earlier one may have received requests that this one did not
+    [[nodiscard]] auto isComplete(const Members &group, const std::function<bool(ReplicaId)> &responds, TimePoint leadsSince, TimePoint now) const -> bool;
+
     /// \return the requests that were repeated recently
     [[nodiscard]] auto requests(TimePoint now) const -> std::vector<JoinRequest>;
 
@@ -46,6 +52,9 @@
     bool openToOthers;
     std::set<VmId> vmsWithoutGroup;
     std::map<VmId, ReceivedRequest> joinRequests;
+    /// When a VM that was not a member last asked to join. A learner that asks although it is a member does not receive the log; it counts
+    /// only while it responds, as it would otherwise keep the group from accepting commands for as long as its link is broken.
+    TimePoint lastRequestTime = TimePoint::min();
 };
 
 } // namespace sapphirespool::consensus
--- a/lib/Consensus/membership.cpp
+++ b/lib/Consensus/membership.cpp
@@ -94,7 +94,7 @@
     const auto voters = std::count_if(next.members.begin(), next.members.end(), [](const ControlMember &member) {
         return member.voter;
     });
-    next.formed = next.formed || static_cast<std::size_t>(voters) >= this->settings.foundingVoters;
+    next.formed = next.formed || proposed.complete || static_cast<std::size_t>(voters) >= this->settings.foundingVoters;
     this->appendOwn(std::move(next), proposed.number);
 }
 
--- a/lib/Consensus/replica.cpp
+++ b/lib/Consensus/replica.cpp
@@ -7,6 +7,7 @@
 #include "leadershiplogger.h"
 #include "peerlink.h"
 #include "sapphirespool/Consensus/core.h"
+#include "sapphirespool/Consensus/faulttolerance.h"
 #include "sapphirespool/Consensus/replicastore.h"
 #include "sapphirespool/Storage/folder.h"
 #include "sapphirespool/Support/clock.h"
@@ -36,6 +37,10 @@
 /// this time; one that returns later joins again as a learner.
 constexpr auto voterReplacementTimeout = std::chrono::milliseconds(4'000);
 
+/// A member that has not responded for this long is not counted on: more than the maximum election timeout, so that a late reply changes
+/// nothing.
+constexpr auto responseTimeout = std::chrono::milliseconds(1'000);
+
 using ProposalDone = std::function<void(ProposalOutcome)>;
 using ReadDone = std::function<void(std::optional<ProposalFailure>)>;
 
@@ -71,6 +76,8 @@
     auto promoteLearner(VmId vm, ProposalDone done) -> void override;
     auto removeMember(VmId vm, ProposalDone done) -> void override;
     [[nodiscard]] auto members() const -> std::vector<ControlMember> override;
+    [[nodiscard]] auto isInGroup() const -> bool override;
+    [[nodiscard]] auto survivedLosses() const -> std::optional<std::size_t> override;
     auto peerCapability() -> capnp::Capability::Client override;
     auto start() -> void override;
 
@@ -96,9 +103,19 @@
     auto armTimer() -> void;
     auto snapshotIfDue() -> void;
     auto updateMembership() -> void;
+    /// Proposes the next membership change that the group needs, if there is one.
+    auto changeMembers() -> void;
+    /// \return whether the group should accept commands although it has fewer voters than it should have
+    [[nodiscard]] auto isComplete() const -> bool;
+    /// \return whether this replica belongs to no group, or may have been removed from its group without learning about it
+    [[nodiscard]] auto shouldRequestToJoin() const -> bool;
     auto requestToJoin() -> void;
+    [[nodiscard]] auto responds(ReplicaId replica) const -> bool;
+    [[nodiscard]] auto currentTolerance() const -> FaultTolerance;
+    /// Logs if the group tolerates fewer losses than promised for some time.
+    auto reportShortfall() -> void;
     [[nodiscard]] auto repairRules() const -> RepairRules;
-    auto proposeMembers(std::vector<ControlMember> members, ProposalDone done) -> void;
+    auto proposeMembers(std::vector<ControlMember> members, ProposalDone done, bool complete = false) -> void;
     auto linkTo(const VmId &vm) -> PeerLink *;
     /// Notifies the core that the connection to \p vm is established.
     auto onConnected(const VmId &vm) -> void;
@@ -131,6 +148,8 @@
     std::size_t bytesSinceSnapshot = 0;
     std::optional<ReplicaId> loggedLeader;
     LeadershipLogger leadershipLogger;
+    std::optional<TimePoint> leadsSince;
+    ShortfallMonitor shortfall;
     kj::Maybe<kj::Promise<void>> timerTask;
     std::optional<TimePoint> timerDeadline;
     kj::TaskSet tasks;
@@ -179,10 +198,12 @@
     , folder(std::move(folder))
     , self(store->replica())
     , formation(this->settings.vm, this->settings.initialMembers, this->settings.mayFound, this->settings.openToOthers)
+    , shortfall((this->settings.voters - 1) / 2)
     , tasks(*this)
 {
     auto coreSettings = CoreSettings();
-    coreSettings.foundingVoters = std::max<std::size_t>(1, this->settings.initialMembers.size());
+    // The seeds are only some of the control VMs, and may be fewer than the voters that the promised losses need.
+    coreSettings.foundingVoters = this->settings.openToOthers ? this->settings.voters : std::max<std::size_t>(1, this->settings.initialMembers.size());
     auto recovered = store->takeRecovered();
     if (recovered.snapshot != nullptr) {
         this->machine.restore(recovered.snapshot->state);
@@ -356,32 +377,68 @@
 
 auto ReplicaNode::updateMembership() -> void
 {
+    this->leadsSince = this->core->role() == CoreRole::Leader ? std::optional(this->leadsSince.value_or(clockNow())) : std::nullopt;
     this->keepLinksOpen();
-    if (!this->core->isMember()) {
+    if (this->shouldRequestToJoin()) {
         this->requestToJoin();
         if (this->core->members().members.empty() && this->formation.shouldFound()) {
             support::log(support::Event::GroupFounded, {{"vm", this->settings.vm.value()}});
             this->handle(Founded{this->selfMember()});
         }
     } else if (this->core->acceptsMemberChange()) {
-        const auto requests = this->formation.requests(clockNow());
-        const auto caughtUp = [this](ReplicaId replica) {
-            return this->core->caughtUp(replica);
-        };
-        const auto change = nextMemberChange(this->core->members(), requests, caughtUp, this->repairRules());
-        if (change) {
-            this->proposeMembers(*change, [](const ProposalOutcome &) {});
-        }
+        this->changeMembers();
     }
+    this->reportShortfall();
     this->tasks.add(this->context.timer.afterDelay(toKj(membershipInterval)).then([this] {
         this->updateMembership();
     }));
 }
 
+auto ReplicaNode::changeMembers() -> void
+{
+    const auto requests = this->formation.requests(clockNow());
+    const auto caughtUp = [this](ReplicaId replica) {
+        return this->core->caughtUp(replica);
+    };
+    const auto change = nextMemberChange(this->core->members(), requests, caughtUp, this->repairRules());
+    if (change) {
+        this->proposeMembers(*change, [](const ProposalOutcome &) {});
+    } else if (this->isComplete()) {
+        this->proposeMembers(
+            this->members(), [](const ProposalOutcome &) {}, true);
+    }
+}
+
+auto ReplicaNode::isComplete() const -> bool
+{
+    if (!this->settings.openToOthers || this->core->members().formed || !this->leadsSince) {
+        return false;
+    }
+    const auto responding = [this](ReplicaId replica) {
+        return this->responds(replica);
+    };
+    return this->formation.isComplete(this->core->members(), responding, *this->leadsSince, clockNow());
+}
+
+auto ReplicaNode::shouldRequestToJoin() const -> bool
+{
+    if (!this->core->isMember()) {
+        return true;
+    }
+    // A removed replica does not receive the entry that removes it: it would wait for a leader forever, and the group would lack a VM
+    // that could replace the next lost voter.
+    const auto silence = clockNow() - this->core->lastLeaderContactTime();
+    return this->settings.openToOthers && this->core->role() != CoreRole::Leader && silence > voterReplacementTimeout;
+}
+
 auto ReplicaNode::requestToJoin() -> void
 {
     auto contacts = this->settings.initialMembers;
     contacts.insert(contacts.end(), this->reportedMembers.begin(), this->reportedMembers.end());
+    if (this->core->isMember()) {
+        const auto &listed = this->core->members().members;
+        contacts.insert(contacts.end(), listed.begin(), listed.end());
+    }
     for (const auto &member : contacts) {
         if (member.vm == this->settings.vm) {
             continue;
@@ -400,8 +457,10 @@
 {
     auto rules = RepairRules();
     rules.voters = this->settings.voters;
+    rules.leader = this->self;
     if (this->settings.openToOthers) {
         rules.members = 2 * this->settings.voters;
+        rules.spreadOverZones = true;
         rules.lost = [this](ReplicaId replica) {
             return replica != this->self && this->core->timeSinceContact(replica) > voterReplacementTimeout;
         };
@@ -409,9 +468,37 @@
     return rules;
 }
 
+auto ReplicaNode::responds(ReplicaId replica) const -> bool
+{
+    return replica == this->self || this->core->timeSinceContact(replica) < responseTimeout;
+}
+
+auto ReplicaNode::currentTolerance() const -> FaultTolerance
+{
+    return faultTolerance(this->core->members().members, [this](ReplicaId replica) {
+        return this->responds(replica);
+    });
+}
+
+auto ReplicaNode::reportShortfall() -> void
+{
+    if (!this->settings.openToOthers || this->core->role() != CoreRole::Leader) {
+        this->shortfall.reset();
+        return;
+    }
+    const auto tolerance = this->currentTolerance();
+    if (this->shortfall.update(tolerance.survived, clockNow())) {
+        support::log(support::Event::ToleranceReduced,
+                     {{"promised", std::uint64_t{(this->settings.voters - 1) / 2}},
+                      {"survived", std::uint64_t{tolerance.survived}},
+                      {"voters", std::uint64_t{tolerance.voters}},
+                      {"zones", std::uint64_t{tolerance.zones}}});
+    }
+}
+
 auto ReplicaNode::onJoinRequest(const ControlMember &member) -> bool
 {
-    this->formation.recordRequest(JoinRequest{member.vm, member.endpoint, member.replica}, this->core->members(), clockNow());
+    this->formation.recordRequest(JoinRequest{member.vm, member.endpoint, member.replica, member.zone}, this->core->members(), clockNow());
     this->vmsByReplica.insert_or_assign(member.replica, member.vm);
     // A VM runs one control process at a time, so a request with a new replica identity proves that the process of the former identity
     // has ended.
@@ -490,7 +577,7 @@
 
 auto ReplicaNode::selfMember() const -> ControlMember
 {
-    return {this->settings.vm, this->settings.endpoint, true, this->self};
+    return {this->settings.vm, this->settings.endpoint, true, this->self, this->settings.zone};
 }
 
 auto ReplicaNode::logLeaderChange() -> void
@@ -544,11 +631,11 @@
     return replica ? this->vmOf(*replica) : std::nullopt;
 }
 
-auto ReplicaNode::proposeMembers(std::vector<ControlMember> members, ProposalDone done) -> void
+auto ReplicaNode::proposeMembers(std::vector<ControlMember> members, ProposalDone done, bool complete) -> void
 {
     const auto number = RequestNumber(++this->lastRequestNumber);
     this->proposals.emplace(number, std::move(done));
-    this->handle(MembersProposed{number, std::move(members)});
+    this->handle(MembersProposed{number, std::move(members), complete});
 }
 
 auto ReplicaNode::addLearner(ControlMember member, ProposalDone done) -> void
@@ -591,6 +678,16 @@
     return this->core->members().members;
 }
 
+auto ReplicaNode::isInGroup() const -> bool
+{
+    return this->core->isMember();
+}
+
+auto ReplicaNode::survivedLosses() const -> std::optional<std::size_t>
+{
+    return this->core->role() == CoreRole::Leader ? std::optional(this->currentTolerance().survived) : std::nullopt;
+}
+
 auto ReplicaNode::peerCapability() -> capnp::Capability::Client
 {
     return capnp::Capability::Client(kj::heap<PeerServer>(*this));
--- a/lib/Node/controlpart.cpp
+++ b/lib/Node/controlpart.cpp
@@ -10,7 +10,9 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <kj/async.h>
 
+#include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <future>
 #include <optional>
 #include <string>
@@ -34,7 +36,8 @@
     }
     replica.mayFound = settings.firstStart;
     replica.openToOthers = settings.controlFoundBySeeds;
-    replica.voters = 2 * settings.controlLosses + 1;
+    replica.voters = std::min<std::size_t>(2 * settings.controlLosses + 1, consensus::maximumVoterCount);
+    replica.zone = settings.zone;
     replica.dataFolder = settings.dataFolder;
     replica.seed = seed;
     return replica;
--- a/lib/Support/events.cpp
+++ b/lib/Support/events.cpp
@@ -37,6 +37,7 @@
     {Event::ControlLeadLost, Severity::Warning, "control lead lost"},
     {Event::ElectionStarted, Severity::Warning, "election started"},
     {Event::ControlLoad, Severity::Info, "control load"},
+    {Event::ToleranceReduced, Severity::Warning, "losses tolerated by control"},
     {Event::StorageFailed, Severity::Error, "storage failed"},
     {Event::ConfigurationAccepted, Severity::Info, "configuration accepted"},
     {Event::TermEnded, Severity::Warning, "term ended"},
--- a/unittests/Consensus/joiningtest.cpp
+++ b/unittests/Consensus/joiningtest.cpp
@@ -1,9 +1,16 @@
 #include "sapphirespool/Consensus/repair.h"
 
+#include "../../lib/Consensus/codec.h"
 #include "../../lib/Consensus/formation.h"
 
+#include <capnp/message.h>
+#include <capnp/serialize.h>
 #include <catch2/catch.hpp>
 
+#include <chrono>
+#include <string>
+#include <vector>
+
 namespace sapphirespool::consensus
 {
 
@@ -83,4 +90,66 @@
     CHECK(closed.requests(TimePoint()).empty());
 }
 
+TEST_CASE("a group with too few voters is complete once no other VM has asked to join for two seconds")
+{
+    // Failure: two losses are promised, four control VMs exist, and the operator's first configuration is never acknowledged.
+    // Failure: commands are accepted before the other VMs have joined, and one lost disk loses the first configuration.
+    const auto at = [](int milliseconds) {
+        return TimePoint(std::chrono::hours(1)) + std::chrono::milliseconds(milliseconds);
+    };
+    const auto responds = [](ReplicaId replica) {
+        return replica != ReplicaId(3);
+    };
+    auto formation = GroupFormation(VmId("vm-1"), {}, true, true);
+    auto group = Members{{makeMember(1, true)}, false};
+    CHECK_FALSE(formation.isComplete(group, responds, at(0), at(1'999)));
+    CHECK(formation.isComplete(group, responds, at(0), at(2'000)));
+    formation.recordRequest({VmId("vm-2"), {}, ReplicaId(2)}, group, at(1'000));
+    CHECK_FALSE(formation.isComplete(group, responds, at(0), at(2'999)));
+    CHECK(formation.isComplete(group, responds, at(0), at(3'000)));
+    // A learner that could still become a voter, and one that no longer responds.
+    group.members.push_back(makeMember(2, false));
+    CHECK_FALSE(formation.isComplete(group, responds, at(0), at(9'000)));
+    group.members.back() = makeMember(3, false);
+    CHECK(formation.isComplete(group, responds, at(0), at(9'000)));
+    // A voter that has had no contact with its leader asks as well.
+    group.members.back() = makeMember(2, true);
+    formation.recordRequest({VmId("vm-2"), {}, ReplicaId(2)}, group, at(8'500));
+    CHECK(formation.isComplete(group, responds, at(0), at(9'000)));
+    // So does a learner that the leader does not reach; it would block the first configuration for as long as its link is broken.
+    group.members.back() = makeMember(3, false);
+    formation.recordRequest({VmId("vm-3"), {}, ReplicaId(3)}, group, at(8'500));
+    CHECK(formation.isComplete(group, responds, at(0), at(9'000)));
+    // The leader before this one may have received requests.
+    CHECK_FALSE(formation.isComplete(group, responds, at(8'500), at(9'000)));
+}
+
+TEST_CASE("a log entry that was written before members had zones is read")
+{
+    // Failure: after an update no control VM can read its log, and the accepted configuration is lost.
+    const auto written
+        = std::string("00000000110000000000000003000100030000000000000002000000000000000200000000000000000000000100010001000000000000000100000027000000"
+                      "040000000200020001000000000000000900000000000000050000002a0000000400000001000100766d2d3100000000a10f0000000000000100000052000000"
+                      "3132372e302e302e3100000000000000");
+    auto bytes = Bytes();
+    for (auto position = std::size_t(0); position < written.size(); position += 2) {
+        bytes.push_back(static_cast<std::byte>(std::stoi(written.substr(position, 2), nullptr, 16)));
+    }
+    const auto words = AlignedWords(bytes);
+    auto reader = capnp::FlatArrayMessageReader(words.words());
+    const auto entry = read(reader.getRoot<schema::Entry>());
+    const auto member = ControlMember{VmId("vm-1"), Endpoint{"127.0.0.1", 4001}, true, ReplicaId(9), ZoneId()};
+    CHECK(entry == Entry{LogIndex(3), ElectionTerm(2), Members{{member}, true}});
+}
+
+TEST_CASE("the zone of a member is kept in the log")
+{
+    // Failure: after a restart all voters seem to be in one zone, and replacements gather in another one.
+    const auto member = ControlMember{VmId("vm-1"), Endpoint{"127.0.0.1", 4001}, true, ReplicaId(9), ZoneId("zone-2")};
+    auto message = capnp::MallocMessageBuilder();
+    write(Entry{LogIndex(3), ElectionTerm(2), Members{{member}, true}}, message.initRoot<schema::Entry>());
+    const auto entry = read(message.getRoot<schema::Entry>().asReader());
+    CHECK(std::get<Members>(entry.content).members == std::vector{member});
+}
+
 } // namespace sapphirespool::consensus
