--- a/include/sapphirespool/Storage/folder.h
+++ b/include/sapphirespool/Storage/folder.h
@@ -27,7 +27,10 @@
     auto operator=(const File &) -> File & = delete;
     virtual ~File() = default;
 
+    /// Appends \p data. After a failure a part of it may have been appended.
     virtual auto append(std::span<const std::byte> data) -> boost::leaf::result<void> = 0;
+    /// Drops all bytes from \p size on.
+    virtual auto truncate(std::size_t size) -> boost::leaf::result<void> = 0;
     virtual auto sync() -> boost::leaf::result<void> = 0;
 };
 
@@ -42,8 +45,8 @@
 
     /// Creates an empty file and opens it for appending. An existing file of that name is truncated.
     virtual auto create(std::string_view name) -> boost::leaf::result<std::unique_ptr<File>> = 0;
-    /// Truncates an existing file to \p size bytes and opens it for appending.
-    virtual auto openTruncated(std::string_view name, std::size_t size) -> boost::leaf::result<std::unique_ptr<File>> = 0;
+    /// Opens an existing file for appending.
+    virtual auto open(std::string_view name) -> boost::leaf::result<std::unique_ptr<File>> = 0;
     virtual auto read(std::string_view name) -> boost::leaf::result<Bytes> = 0;
     virtual auto list() -> boost::leaf::result<std::vector<std::string>> = 0;
     /// Atomically renames the file \p from to \p to, replacing an existing file of that name.
@@ -53,6 +56,7 @@
 };
 
 /// Opens the folder at \p path, creating it if needed. The returned object holds an exclusive lock on the folder until it is destroyed.
+/// From then on the process ignores SIGXFSZ, so that a write beyond the file size limit fails with StorageErrorKind::Full.
 [[nodiscard]] auto openPosixFolder(const std::filesystem::path &path) -> boost::leaf::result<std::unique_ptr<Folder>>;
 
 } // namespace sapphirespool::storage
--- a/include/sapphirespool/Storage/journal.h
+++ b/include/sapphirespool/Storage/journal.h
@@ -25,7 +25,8 @@
 /// synced size in no later record covers an invalid record, open() takes it for a torn write that was never acknowledged, and
 /// truncates the file there. If a later record proves that the invalid one was synced, data is lost and open() fails.
 ///
-/// After a failed write or sync all further appends, syncs and replacements fail.
+/// A write that is rejected with StorageErrorKind::Full leaves the records as they were, and the journal remains usable. After any other
+/// failed write or sync all further appends, syncs and replacements fail.
 class Journal
 {
 public:
@@ -38,6 +39,9 @@
     auto append(std::span<const std::byte> record) -> boost::leaf::result<void>;
     auto sync() -> boost::leaf::result<void>;
 
+    /// Drops all records that were appended after the last sync() or replace().
+    auto discardUnsynced() -> boost::leaf::result<void>;
+
     /// Atomically replaces all records by \p records and syncs them.
     auto replace(std::span<const Bytes> records) -> boost::leaf::result<void>;
 
@@ -45,6 +49,10 @@
     Journal(Folder &folder, std::string name);
 
     auto recover() -> boost::leaf::result<void>;
+    auto requireUsable() const -> boost::leaf::result<void>;
+    auto cutTail() -> boost::leaf::result<void>;
+    /// Notes the failure \p error. Only a rejected write leaves the journal usable.
+    auto fail(const StorageError &error) -> boost::leaf::result<void>;
 
     Folder &folder;
     std::string name;
@@ -53,10 +61,14 @@
     std::uint64_t size = 0;
     std::uint64_t syncedSize = 0;
     bool failed = false;
+    /// Whether the file may hold bytes beyond size, which the next append must not leave in place.
+    bool hasTail = false;
+    /// Whether a former process wrote that tail.
+    bool tailIsRecovered = false;
 };
 
 /// Atomically replaces the file \p name by one that holds \p content and its checksum: writes and syncs a temporary file, renames it and syncs
-/// the folder.
+/// the folder. After a failure the file \p name is as it was, and the temporary file is removed if possible.
 [[nodiscard]] auto replaceFile(Folder &folder, std::string_view name, std::span<const std::byte> content) -> boost::leaf::result<void>;
 
 /// \return the content that replaceFile() wrote; nothing if there is no such file
--- a/lib/Storage/posixfolder.cpp
+++ b/lib/Storage/posixfolder.cpp
@@ -8,7 +8,7 @@
 #include <unistd.h>
 
 #include <cerrno>
-#include <optional>
+#include <csignal>
 #include <system_error>
 #include <utility>
 
@@ -21,11 +21,25 @@
 constexpr auto lockName = "lock";
 constexpr auto fileMode = mode_t(0600);
 
+auto describe(std::string_view operation, std::string_view name, int reason) -> std::string
+{
+    return std::string(operation) + " of " + std::string(name) + " failed: " + std::error_code(reason, std::generic_category()).message();
+}
+
+/// \return the error of a failed operation that is not repeated
 auto operationFailed(std::string_view operation, std::string_view name) -> StorageError
 {
-    const auto reason = std::error_code(errno, std::generic_category()).message();
-    return {StorageErrorKind::OperationFailed,
-            std::string(operation) + " of " + std::string(name) + " failed: " + reason + "; free or repair the disk of the data folder and restart"};
+    return {StorageErrorKind::OperationFailed, describe(operation, name, errno) + "; free or repair the disk of the data folder and restart"};
+}
+
+/// \return the error of a failed operation that needs space on the disk
+auto writeFailed(std::string_view operation, std::string_view name) -> StorageError
+{
+    const auto reason = errno;
+    if (reason == ENOSPC || reason == EDQUOT || reason == EFBIG) {
+        return {StorageErrorKind::Full, describe(operation, name, reason) + "; free space on the disk of the data folder"};
+    }
+    return operationFailed(operation, name);
 }
 
 /// Owns a file descriptor and closes it on destruction.
@@ -79,15 +93,24 @@
                 continue;
             }
             if (written < 0) {
-                return boost::leaf::new_error(operationFailed("write", this->name));
+                return boost::leaf::new_error(writeFailed("write", this->name));
             }
             data = data.subspan(static_cast<std::size_t>(written));
         }
         return {};
     }
 
+    auto truncate(std::size_t size) -> boost::leaf::result<void> override
+    {
+        if (::ftruncate(this->descriptor.get(), static_cast<off_t>(size)) != 0) {
+            return boost::leaf::new_error(writeFailed("truncation", this->name));
+        }
+        return {};
+    }
+
     auto sync() -> boost::leaf::result<void> override
     {
+        // Never StorageErrorKind::Full, also for ENOSPC: the pages that could not be written may be gone, so the sync cannot be repeated.
         if (::fdatasync(this->descriptor.get()) != 0) {
             return boost::leaf::new_error(operationFailed("sync", this->name));
         }
@@ -111,12 +134,12 @@
 
     auto create(std::string_view name) -> boost::leaf::result<std::unique_ptr<File>> override
     {
-        return this->open(name, O_CREAT | O_TRUNC, std::nullopt);
+        return this->open(name, O_CREAT | O_TRUNC);
     }
 
-    auto openTruncated(std::string_view name, std::size_t size) -> boost::leaf::result<std::unique_ptr<File>> override
+    auto open(std::string_view name) -> boost::leaf::result<std::unique_ptr<File>> override
     {
-        return this->open(name, 0, size);
+        return this->open(name, 0);
     }
 
     auto read(std::string_view name) -> boost::leaf::result<Bytes> override
@@ -124,7 +147,7 @@
         const auto file = FileDescriptor(::openat(this->descriptor.get(), std::string(name).c_str(), O_RDONLY | O_CLOEXEC));
         struct stat status = {};
         if (file.get() < 0 || ::fstat(file.get(), &status) != 0) {
-            return boost::leaf::new_error(operationFailed("opening", name));
+            return boost::leaf::new_error(operationFailed("opening", this->pathOf(name)));
         }
         auto content = Bytes(static_cast<std::size_t>(status.st_size));
         auto filled = std::size_t(0);
@@ -134,7 +157,7 @@
                 continue;
             }
             if (bytesRead <= 0) {
-                return boost::leaf::new_error(operationFailed("reading", name));
+                return boost::leaf::new_error(operationFailed("reading", this->pathOf(name)));
             }
             filled += static_cast<std::size_t>(bytesRead);
         }
@@ -159,7 +182,7 @@
     {
         const auto folder = this->descriptor.get();
         if (::renameat(folder, std::string(from).c_str(), folder, std::string(to).c_str()) != 0) {
-            return boost::leaf::new_error(operationFailed("renaming", from));
+            return boost::leaf::new_error(writeFailed("renaming", this->pathOf(from)));
         }
         return {};
     }
@@ -167,7 +190,7 @@
     auto remove(std::string_view name) -> boost::leaf::result<void> override
     {
         if (::unlinkat(this->descriptor.get(), std::string(name).c_str(), 0) != 0) {
-            return boost::leaf::new_error(operationFailed("removal", name));
+            return boost::leaf::new_error(operationFailed("removal", this->pathOf(name)));
         }
         return {};
     }
@@ -181,17 +204,19 @@
     }
 
 private:
-    auto open(std::string_view name, int flags, std::optional<std::size_t> size) -> boost::leaf::result<std::unique_ptr<File>>
+    auto open(std::string_view name, int flags) -> boost::leaf::result<std::unique_ptr<File>>
     {
-        const auto text = std::string(name);
-        auto file = FileDescriptor(::openat(this->descriptor.get(), text.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC | flags, fileMode));
+        auto file = FileDescriptor(::openat(this->descriptor.get(), std::string(name).c_str(), O_WRONLY | O_APPEND | O_CLOEXEC | flags, fileMode));
         if (file.get() < 0) {
-            return boost::leaf::new_error(operationFailed("opening", name));
-        }
-        if (size && ::ftruncate(file.get(), static_cast<off_t>(*size)) != 0) {
-            return boost::leaf::new_error(operationFailed("truncation", name));
+            return boost::leaf::new_error(writeFailed("opening", this->pathOf(name)));
         }
-        return std::unique_ptr<File>(std::make_unique<PosixFile>(std::move(file), text));
+        return std::unique_ptr<File>(std::make_unique<PosixFile>(std::move(file), this->pathOf(name)));
+    }
+
+    /// \return the path of the file \p name for messages, so that an operator sees which disk is meant
+    [[nodiscard]] auto pathOf(std::string_view name) const -> std::string
+    {
+        return (this->path / name).string();
     }
 
     std::filesystem::path path;
@@ -205,13 +230,19 @@
 {
     auto error = std::error_code();
     std::filesystem::create_directories(path, error);
+    if (error) {
+        errno = error.value();
+        return boost::leaf::new_error(writeFailed("creation", path.string()));
+    }
+    // Its default action ends the process at the first write beyond the file size limit.
+    std::signal(SIGXFSZ, SIG_IGN);
     auto folder = FileDescriptor(::open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
     if (folder.get() < 0) {
         return boost::leaf::new_error(operationFailed("opening", path.string()));
     }
     auto lock = FileDescriptor(::openat(folder.get(), lockName, O_RDWR | O_CREAT | O_CLOEXEC, fileMode));
     if (lock.get() < 0) {
-        return boost::leaf::new_error(operationFailed("opening", lockName));
+        return boost::leaf::new_error(writeFailed("opening", (path / lockName).string()));
     }
     // Two processes that write to one log would interleave their records, and each would acknowledge records that the other overwrites.
     if (::flock(lock.get(), LOCK_EX | LOCK_NB) != 0) {
--- a/unittests/Storage/fakefolder.cpp
+++ b/unittests/Storage/fakefolder.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/leaf/error.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace sapphirespool::storage
@@ -19,12 +20,25 @@
     auto append(std::span<const std::byte> data) -> boost::leaf::result<void> override
     {
         auto done = this->folder.beginOperation();
-        // A write that fails because the disk is full leaves a part of the data in the file.
-        const auto kept = done ? data.size() : data.size() / 2;
+        // A write that fails leaves a part of the data in the file.
+        const auto kept = std::min(done ? data.size() : data.size() / 2, this->folder.freeSize());
         this->content->present.insert(this->content->present.end(), data.begin(), data.begin() + static_cast<std::ptrdiff_t>(kept));
+        if (done && kept < data.size()) {
+            return this->folder.rejectWrite();
+        }
         return done;
     }
 
+    auto truncate(std::size_t size) -> boost::leaf::result<void> override
+    {
+        BOOST_LEAF_CHECK(this->folder.beginOperation());
+        if (this->folder.writesRejected || this->folder.truncationsRejected) {
+            return this->folder.rejectWrite();
+        }
+        this->content->present.resize(size);
+        return {};
+    }
+
     auto sync() -> boost::leaf::result<void> override
     {
         BOOST_LEAF_CHECK(this->folder.beginOperation());
@@ -46,20 +60,39 @@
     return {};
 }
 
+auto FakeFolder::freeSize() const -> std::size_t
+{
+    if (this->writesRejected) {
+        return 0;
+    }
+    auto used = std::size_t(0);
+    for (const auto &[name, content] : this->names) {
+        used += content->present.size();
+    }
+    return this->sizeLimit - std::min<std::size_t>(used, this->sizeLimit);
+}
+
+auto FakeFolder::rejectWrite() -> boost::leaf::error_id
+{
+    ++this->rejections;
+    return boost::leaf::new_error(StorageError{StorageErrorKind::Full, "disk full; free space on the disk of the data folder"});
+}
+
 auto FakeFolder::create(std::string_view name) -> boost::leaf::result<std::unique_ptr<File>>
 {
     BOOST_LEAF_CHECK(this->beginOperation());
+    if (this->writesRejected) {
+        return this->rejectWrite();
+    }
     auto content = std::make_shared<Content>();
     this->names[std::string(name)] = content;
     return std::unique_ptr<File>(std::make_unique<FakeFile>(*this, std::move(content)));
 }
 
-auto FakeFolder::openTruncated(std::string_view name, std::size_t size) -> boost::leaf::result<std::unique_ptr<File>>
+auto FakeFolder::open(std::string_view name) -> boost::leaf::result<std::unique_ptr<File>>
 {
     BOOST_LEAF_CHECK(this->beginOperation());
-    const auto content = this->names.at(std::string(name));
-    content->present.resize(size);
-    return std::unique_ptr<File>(std::make_unique<FakeFile>(*this, content));
+    return std::unique_ptr<File>(std::make_unique<FakeFile>(*this, this->names.at(std::string(name))));
 }
 
 auto FakeFolder::read(std::string_view name) -> boost::leaf::result<Bytes>
@@ -129,6 +162,26 @@
     this->durable = this->names;
 }
 
+auto FakeFolder::limitSize(std::size_t bytes) -> void
+{
+    this->sizeLimit = bytes;
+}
+
+auto FakeFolder::rejectWrites(bool rejected) -> void
+{
+    this->writesRejected = rejected;
+}
+
+auto FakeFolder::rejectTruncations(bool rejected) -> void
+{
+    this->truncationsRejected = rejected;
+}
+
+auto FakeFolder::rejectedWrites() const -> std::uint64_t
+{
+    return this->rejections;
+}
+
 auto FakeFolder::damage(std::string_view name, std::size_t offset) -> void
 {
     this->names.at(std::string(name))->present.at(offset) ^= std::byte(1);
--- a/unittests/Storage/fakefolder.h
+++ b/unittests/Storage/fakefolder.h
@@ -3,7 +3,9 @@
 
 #include "sapphirespool/Storage/folder.h"
 
+#include <atomic>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -22,12 +24,13 @@
     All,
 };
 
-/// An in-memory folder that counts its modifying operations. From a chosen operation on, all of them fail until crash().
+/// An in-memory folder that counts its modifying operations. From a chosen operation on, all of them fail until crash(). Its disk may be
+/// full, from any thread.
 class FakeFolder : public Folder
 {
 public:
     auto create(std::string_view name) -> boost::leaf::result<std::unique_ptr<File>> override;
-    auto openTruncated(std::string_view name, std::size_t size) -> boost::leaf::result<std::unique_ptr<File>> override;
+    auto open(std::string_view name) -> boost::leaf::result<std::unique_ptr<File>> override;
     auto read(std::string_view name) -> boost::leaf::result<Bytes> override;
     auto list() -> boost::leaf::result<std::vector<std::string>> override;
     auto rename(std::string_view from, std::string_view to) -> boost::leaf::result<void> override;
@@ -38,6 +41,13 @@
     auto failAt(std::uint64_t number) -> void;
     /// Simulates a crash: drops the unsynced operations that \p survivors does not keep, and ends the failures.
     auto crash(SurvivingWrites survivors) -> void;
+    /// Makes the disk reject what exceeds \p bytes in all files together: an append keeps the part that fits.
+    auto limitSize(std::size_t bytes) -> void;
+    /// Makes the disk reject every write, also one for which there is space, and truncations.
+    auto rejectWrites(bool rejected) -> void;
+    /// Makes the disk reject truncations, as a file system that copies on write may do while it is full.
+    auto rejectTruncations(bool rejected) -> void;
+    [[nodiscard]] auto rejectedWrites() const -> std::uint64_t;
     /// Flips one bit of the byte at \p offset, as a bad disk would.
     auto damage(std::string_view name, std::size_t offset) -> void;
     [[nodiscard]] auto operations() const -> std::uint64_t;
@@ -54,11 +64,18 @@
 
     /// Counts an operation and fails it if failAt() says so.
     auto beginOperation() -> boost::leaf::result<void>;
+    /// \return the bytes that may still be written
+    [[nodiscard]] auto freeSize() const -> std::size_t;
+    auto rejectWrite() -> boost::leaf::error_id;
 
     Names durable;
     Names names;
-    std::uint64_t operationCount = 0;
+    std::atomic<std::uint64_t> operationCount = 0;
     std::optional<std::uint64_t> failFrom;
+    std::atomic<std::size_t> sizeLimit = std::numeric_limits<std::size_t>::max();
+    std::atomic<bool> writesRejected = false;
+    std::atomic<bool> truncationsRejected = false;
+    std::atomic<std::uint64_t> rejections = 0;
 };
 
 } // namespace sapphirespool::storage
