The disk thread repeats a batch that a full disk rejected

A control VM whose disk was full for seconds acknowledged nothing until its restart.

SP2102 and SP2103 tell the start and the end; SP2101 is left for failed syncs and other failures. The tool ignores SIGXFSZ too, as its output may go to a file. Three replicas whose file size limit rejects every write for 0.7 s go on after it.

--- a/include/sapphirespool/Consensus/replicastore.h
+++ b/include/sapphirespool/Consensus/replicastore.h
@@ -4,6 +4,7 @@
 #include "sapphirespool/Consensus/coretypes.h"
 #include "sapphirespool/Storage/folder.h"
 #include "sapphirespool/Storage/journal.h"
+#include "sapphirespool/Storage/reserve.h"
 
 #include <boost/leaf/result.hpp>
 
@@ -17,7 +18,8 @@
 class ReplicaStore
 {
 public:
-    /// Opens \p folder, which must outlive the store; an empty folder is initialized for \p vm and \p newReplica.
+    /// Opens \p folder, which must outlive the store; an empty folder is initialized for \p vm and \p newReplica. A folder that is
+    /// initialized can be opened while its disk is full.
     [[nodiscard]] static auto open(storage::Folder &folder, const VmId &vm, ReplicaId newReplica) -> boost::leaf::result<std::unique_ptr<ReplicaStore>>;
 
     [[nodiscard]] auto replica() const -> ReplicaId;
@@ -31,6 +33,15 @@
     auto write(const SaveSnapshot &save) -> boost::leaf::result<void>;
     auto sync() -> boost::leaf::result<void>;
 
+    /// Drops what was written after the last sync, so that a batch that was rejected in part can be written again.
+    auto discardUnsynced() -> boost::leaf::result<void>;
+
+    /// Writes the reserve file unless it is there.
+    auto fillReserve() -> boost::leaf::result<void>;
+    /// Removes the reserve file.
+    /// \return whether that freed space
+    auto releaseReserve() -> bool;
+
 private:
     explicit ReplicaStore(storage::Folder &folder);
 
@@ -39,6 +50,7 @@
 
     storage::Folder &folder;
     std::unique_ptr<storage::Journal> journal;
+    storage::Reserve reserve;
     ReplicaId self;
     Recovered recovered;
 };
--- a/include/sapphirespool/Support/events.h
+++ b/include/sapphirespool/Support/events.h
@@ -44,6 +44,8 @@
     ElectionStarted = 2005,
     ControlLoad = 2006,
     StorageFailed = 2101,
+    DiskFull = 2102,
+    DiskWritesAgain = 2103,
     ConfigurationAccepted = 2201,
     TermEnded = 2401,
     PrimaryChosen = 2402,
--- a/lib/Consensus/replica.cpp
+++ b/lib/Consensus/replica.cpp
@@ -188,7 +188,7 @@
         this->machine.restore(recovered.snapshot->state);
     }
     this->core = std::make_unique<Core>(this->self, coreSettings, std::move(recovered), this->settings.seed, clockNow());
-    this->disk = std::make_unique<DiskThread>(std::move(store), this->context.lowLevel);
+    this->disk = std::make_unique<DiskThread>(std::move(store), this->context.lowLevel, std::make_unique<DiskLogger>());
 }
 
 auto ReplicaNode::taskFailed(kj::Exception &&exception) -> void
--- a/lib/Consensus/replicastore.cpp
+++ b/lib/Consensus/replicastore.cpp
@@ -85,6 +85,7 @@
 
 ReplicaStore::ReplicaStore(storage::Folder &folder)
     : folder(folder)
+    , reserve(folder)
 {
 }
 
@@ -176,4 +177,19 @@
     return this->journal->sync();
 }
 
+auto ReplicaStore::discardUnsynced() -> boost::leaf::result<void>
+{
+    return this->journal->discardUnsynced();
+}
+
+auto ReplicaStore::fillReserve() -> boost::leaf::result<void>
+{
+    return this->reserve.fill();
+}
+
+auto ReplicaStore::releaseReserve() -> bool
+{
+    return this->reserve.release();
+}
+
 } // namespace sapphirespool::consensus
--- a/lib/Support/events.cpp
+++ b/lib/Support/events.cpp
@@ -38,6 +38,8 @@
     {Event::ElectionStarted, Severity::Warning, "election started"},
     {Event::ControlLoad, Severity::Info, "control load"},
     {Event::StorageFailed, Severity::Error, "storage failed"},
+    {Event::DiskFull, Severity::Warning, "disk full"},
+    {Event::DiskWritesAgain, Severity::Info, "disk writes again"},
     {Event::ConfigurationAccepted, Severity::Info, "configuration accepted"},
     {Event::TermEnded, Severity::Warning, "term ended"},
     {Event::PrimaryChosen, Severity::Info, "primary chosen"},
--- a/tools/sapphirespool/main.cpp
+++ b/tools/sapphirespool/main.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <csignal>
 #include <cstddef>
 #include <exception>
 #include <iostream>
@@ -76,6 +77,8 @@
 
 auto main(int argc, char **argv) -> int
 {
+    // Its default action ends the process when the file that takes its output reaches the file size limit.
+    std::signal(SIGXFSZ, SIG_IGN);
     try {
         const auto arguments = sapphirespool::tool::Arguments(argv, static_cast<std::size_t>(argc));
         return static_cast<int>(sapphirespool::tool::run(arguments));
--- a/unittests/Consensus/replicatest.cpp
+++ b/unittests/Consensus/replicatest.cpp
@@ -5,6 +5,7 @@
 #include <capnp/rpc-twoparty.h>
 #include <catch2/catch.hpp>
 #include <kj/async-io.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -171,6 +172,29 @@
     std::uint64_t seed = 0;
 };
 
+/// Limits the size of the files that this process writes while it lives, as a full disk would.
+class FileSizeLimit
+{
+public:
+    explicit FileSizeLimit(rlim_t bytes)
+    {
+        REQUIRE(::getrlimit(RLIMIT_FSIZE, &this->former) == 0);
+        const auto limited = rlimit{bytes, this->former.rlim_max};
+        REQUIRE(::setrlimit(RLIMIT_FSIZE, &limited) == 0);
+    }
+
+    ~FileSizeLimit()
+    {
+        ::setrlimit(RLIMIT_FSIZE, &this->former);
+    }
+
+    FileSizeLimit(const FileSizeLimit &) = delete;
+    auto operator=(const FileSizeLimit &) -> FileSizeLimit & = delete;
+
+private:
+    rlimit former{};
+};
+
 } // namespace
 
 TEST_CASE("control VMs found a group, survive a restart of all VMs and readmit a VM that lost its disk")
@@ -212,6 +236,37 @@
     CHECK(group.leader()->machine.commands == Bytes{std::byte(1), std::byte(2), std::byte(3)});
 }
 
+// Guards against control VMs that are ended by SIGXFSZ, or acknowledge nothing until their restart, because their disks were full for a moment.
+TEST_CASE("control VMs whose disks were all full go on once there is space")
+{
+    auto group = ThreeVmFixture();
+    for (auto &vm : group.vms) {
+        group.start(vm);
+    }
+    group.runUntil([&group] {
+        return group.voters() == 3;
+    });
+    group.commit(1);
+    auto outcome = std::optional<ProposalOutcome>();
+    {
+        const auto limit = FileSizeLimit(1);
+        group.leader()->replica->propose(Bytes{std::byte(2)}, [&outcome](ProposalOutcome result) {
+            outcome = std::move(result);
+        });
+        const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(700);
+        group.runUntil([end] {
+            return std::chrono::steady_clock::now() > end;
+        });
+        CHECK_FALSE(outcome.has_value());
+    }
+    group.commit(3);
+    group.runUntil([&outcome] {
+        return outcome.has_value();
+    });
+    CHECK(std::holds_alternative<Bytes>(*outcome));
+    CHECK(group.leader()->machine.commands == Bytes{std::byte(1), std::byte(2), std::byte(3)});
+}
+
 TEST_CASE("a control VM that applies a long log still attends to heartbeats")
 {
     // Failure: after a restart of all control VMs each new leader is silent for longer than an election timeout, and loses the lead.
