A leader whose disk is stalled or full resigns while the others go on

The core now measures how long its oldest write waits for the disk. A leader for which that is over 400 ms steps down when a quorum of the others answered within 300 ms and holds the oldest entry that it cannot write, and sends Resigned to the voters. A voter of that term frees its vote and campaigns within a heartbeat interval: the lease that it may have extended ended with the message. What the controller derived from the lease, the authority of its orders, is taken back before the message leaves (ReplicatedLog::onLeadershipLost).

A VM with a stalled disk requests no votes and grants none. It answers a leader that its disk does not name yet with a reply that renews no lease, so that it is not replaced as lost. Entries that wait for the disk are bounded by 8 MiB, those of a leader and those proposed; of repeated answers that wait for one write, one is kept.

The schedules with such disks found two faults, mended here: entries whose message was lost were not sent again once an acknowledgement had been counted twice, and a learner whose entry was lost with the leader that sent it never joined again.

A test of learners left a write unsynced for 650 ms, which now counts as a stalled disk; it syncs that write.

--- a/include/sapphirespool/Consensus/core.h
+++ b/include/sapphirespool/Consensus/core.h
@@ -54,10 +54,15 @@
     /// \return whether this replica is listed in the group; otherwise it must request to join. It may be listed and later dropped, when a
     ///         leader is replaced before it committed the entry that adds the replica.
     [[nodiscard]] auto isMember() const -> bool;
+    /// \return whether this replica must request to join: it is not listed, or only as a learner without contact to a leader, so that the
+    ///         entry that lists it may have been lost
+    [[nodiscard]] auto needsToJoin() const -> bool;
     /// \return whether \p learner holds all committed entries; only meaningful on the leader
     [[nodiscard]] auto caughtUp(ReplicaId learner) const -> bool;
     /// \return whether a membership change can be proposed now
     [[nodiscard]] auto acceptsMemberChange() const -> bool;
+    /// \return whether the oldest write waits for the disk for too long, which is full or does not respond
+    [[nodiscard]] auto isDiskStalled() const -> bool;
 
 private:
     /// A message that depends on a write that is not yet synced.
@@ -79,12 +84,20 @@
     auto sendWhenSynced(ReplicaId to, Message message) -> void;
     auto sendAfter(PersistToken token, ReplicaId to, Message message) -> void;
     auto persistHardState() -> void;
-    auto nextToken() -> PersistToken;
+    auto nextToken(std::size_t entryBytes = 0) -> PersistToken;
     auto isCurrent(const HeldSend &held) const -> bool;
     auto isVoter(ReplicaId replica) const -> bool;
     auto voterCount() const -> std::size_t;
     auto quorum() const -> std::size_t;
 
+    // backlog.cpp
+    auto noteSynced(PersistToken token) -> void;
+    [[nodiscard]] auto isBacklogFull() const -> bool;
+    [[nodiscard]] auto quorumContinuesWithoutSelf() const -> bool;
+    [[nodiscard]] auto oldestUnsyncedIndex() const -> LogIndex;
+    auto resign() -> void;
+    auto onResigned(ReplicaId from, const Resigned &resigned) -> void;
+
     // election.cpp
     auto electionTimeout() -> Duration;
     auto failPending() -> void;
@@ -96,6 +109,7 @@
     auto requestVote(ReplicaId voter) -> void;
     auto onReached(ReplicaId replica) -> void;
     auto onEnded(ReplicaId replica) -> void;
+    auto releaseVote() -> void;
     [[nodiscard]] auto keepsVoteFrom(ReplicaId candidate, ElectionTerm asked) const -> bool;
     auto noteLeader(ReplicaId leader) -> void;
     auto becomeLeader() -> void;
@@ -144,6 +158,12 @@
     auto installSnapshot(ReplicaId from) -> void;
     auto saveSnapshot() -> void;
 
+    struct PendingWrite
+    {
+        PersistToken token;
+        TimePoint since;
+        std::size_t entryBytes;
+    };
     struct WrittenTo
     {
         PersistToken token;
@@ -183,6 +203,9 @@
     /// Token of the write of the latest hard state.
     PersistToken hardToken;
     bool diskFailed = false;
+    /// Writes that are not yet synced, in the order of their tokens, and the bytes of their entries.
+    std::deque<PendingWrite> pendingWrites;
+    std::size_t pendingBytes = 0;
     std::deque<HeldSend> heldSends;
     std::deque<WrittenTo> written;
     LogIndex syncedIndex;
--- a/include/sapphirespool/Consensus/coretypes.h
+++ b/include/sapphirespool/Consensus/coretypes.h
@@ -43,6 +43,11 @@
     std::size_t appendsInFlight = 8;
     /// Bytes of a snapshot in one message, limited for the same reason as appendBytes.
     std::size_t chunkBytes = 64 * 1024;
+    /// A write that waits for the disk for longer counts as stalled. Below the maximum election timeout, so that a leader with a stalled
+    /// disk is replaced no later than one that is lost; above the syncs of a busy disk.
+    Duration stalledWriteTimeout = std::chrono::milliseconds(400);
+    /// Bytes of entries that may wait for the disk. Beyond them entries are neither kept nor acknowledged.
+    std::size_t backlogBytes = 8 * 1024 * 1024;
     /// Entries retained before a snapshot, so that a follower that lags slightly needs no snapshot.
     std::uint64_t entriesKept = 1000;
     /// Number of voters that the group must reach before it accepts commands.
--- a/include/sapphirespool/Consensus/messages.h
+++ b/include/sapphirespool/Consensus/messages.h
@@ -86,7 +86,8 @@
     bool granted = false;
 };
 
-/// Sent by the leader to assert its leadership. The reply renews its lease and confirms reads, so it does not wait for the disk.
+/// Sent by the leader to assert its leadership. The reply renews its lease and confirms reads, so it does not wait for the entries to be
+/// synced.
 struct Heartbeat
 {
     ElectionTerm term;
@@ -98,6 +99,7 @@
 struct HeartbeatReply
 {
     ElectionTerm term;
+    /// Round 0 renews no lease: it only tells that the sender is reachable while its disk is stalled.
     Round round;
 };
 
@@ -142,6 +144,12 @@
     bool installed = false;
 };
 
-using Message = std::variant<VoteRequest, VoteReply, Heartbeat, HeartbeatReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply>;
+/// Sent by a leader that gives up its leadership, and with it the lease of its term, although a quorum can go on without it.
+struct Resigned
+{
+    ElectionTerm term;
+};
+
+using Message = std::variant<VoteRequest, VoteReply, Heartbeat, HeartbeatReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply, Resigned>;
 
 } // namespace sapphirespool::consensus
--- a/include/sapphirespool/Consensus/progress.h
+++ b/include/sapphirespool/Consensus/progress.h
@@ -24,8 +24,10 @@
     /// Start of the resend timeout: the time of the replica's last progress, of the first message after an idle phase, or of the last
     /// resend or snapshot chunk.
     TimePoint resendTimerStart{};
-    /// Time of its last reply in this term.
+    /// Time of its last reply in this term, except for replies that only tell that it is reachable.
     TimePoint lastContactTime{};
+    /// Time of its last reply of any kind in this term.
+    TimePoint lastReplyTime{};
     /// Last heartbeat round that it acknowledged.
     Round round;
     /// Snapshot being sent to it; retained until the transfer ends, even if a newer one is taken.
--- a/include/sapphirespool/Consensus/replicatedlog.h
+++ b/include/sapphirespool/Consensus/replicatedlog.h
@@ -63,6 +63,10 @@
     /// \return the end of the lease that a quorum confirmed, until which no other VM can be leader; the earliest time on a non-leader
     [[nodiscard]] virtual auto leaderLeaseEnd() const -> TimePoint = 0;
 
+    /// Sets the function that is called when this VM ceases to be the leader, before any other VM can learn of it. A leader that resigns ends
+    /// its lease early: what was derived from leaderLeaseEnd() before ends with this call.
+    virtual auto onLeadershipLost(std::function<void()> callback) -> void = 0;
+
     /// \return whether this VM is the leader and no other VM can be leader at \p now
     [[nodiscard]] auto holdsLeaderLease(TimePoint now) const -> bool
     {
--- a/lib/Consensus/codec.cpp
+++ b/lib/Consensus/codec.cpp
@@ -114,6 +114,11 @@
         body.setInstalled(message.installed);
     }
 
+    auto operator()(const Resigned &) -> void
+    {
+        this->out.setResigned();
+    }
+
 private:
     schema::Message::Builder out;
 };
@@ -240,6 +245,8 @@
         const auto body = in.getSnapshotReply();
         return SnapshotReply{term, LogIndex(body.getIndex()), body.getOffset(), body.getInstalled()};
     }
+    case schema::Message::RESIGNED:
+        return Resigned{term};
     }
     KJ_FAIL_REQUIRE("message of an unknown kind; run one version on all control VMs");
 }
--- a/lib/Consensus/core.cpp
+++ b/lib/Consensus/core.cpp
@@ -19,6 +19,17 @@
 template <typename... Functions>
 Overloaded(Functions...) -> Overloaded<Functions...>;
 
+/// Replaces \p held by the later message \p next of the same kind that waits for the same write.
+auto mergeInto(Message &held, Message next) -> void
+{
+    // A repeated request may cover fewer entries than the one before it, which are in the log nevertheless.
+    const auto *const former = std::get_if<AppendReply>(&held);
+    if (former != nullptr && former->index > std::get<AppendReply>(next).index) {
+        return;
+    }
+    held = std::move(next);
+}
+
 } // namespace
 
 auto CoreSettings::leaseLength() const -> Duration
@@ -179,6 +190,9 @@
                    [this, from](const SnapshotReply &message) {
                        this->onSnapshotReply(from, message);
                    },
+                   [this, from](const Resigned &message) {
+                       this->onResigned(from, message);
+                   },
                },
                received.message);
 }
@@ -199,6 +213,11 @@
         this->becomeFollower(this->hard.term, std::nullopt);
         return;
     }
+    // The other voters commit without this disk, but the loss of one more of them would stop all commits under this leader.
+    if (this->isDiskStalled() && this->quorumContinuesWithoutSelf()) {
+        this->resign();
+        return;
+    }
     if (this->now >= this->nextHeartbeat) {
         this->sendHeartbeats();
         this->resendStalled();
@@ -211,6 +230,7 @@
         return;
     }
     this->syncedToken = std::max(this->syncedToken, synced.token);
+    this->noteSynced(synced.token);
     while (!this->written.empty() && this->written.front().token <= this->syncedToken) {
         this->syncedIndex = std::max(this->syncedIndex, this->written.front().index);
         this->written.pop_front();
@@ -237,7 +257,9 @@
     this->diskFailed = true;
     this->heldSends.clear();
     this->written.clear();
-    if (this->currentRole != CoreRole::Follower) {
+    if (this->currentRole == CoreRole::Leader) {
+        this->resign();
+    } else if (this->currentRole != CoreRole::Follower) {
         this->becomeFollower(this->hard.term, std::nullopt);
     }
 }
@@ -268,6 +290,13 @@
     if (this->diskFailed) {
         return;
     }
+    // A stalled disk holds back an answer to each repetition of a request. One of each kind is kept, or they would exhaust the memory.
+    for (auto held = this->heldSends.rbegin(); held != this->heldSends.rend() && held->token == token; ++held) {
+        if (held->to == to && held->message.index() == message.index()) {
+            mergeInto(held->message, std::move(message));
+            return;
+        }
+    }
     this->heldSends.push_back(HeldSend{token, this->hard.term, to, std::move(message)});
 }
 
@@ -284,9 +313,11 @@
     this->actions.emplace_back(Persist{this->hardToken, this->hard, std::nullopt, {}});
 }
 
-auto Core::nextToken() -> PersistToken
+auto Core::nextToken(std::size_t entryBytes) -> PersistToken
 {
     this->lastToken = this->lastToken.next();
+    this->pendingWrites.push_back(PendingWrite{this->lastToken, this->now, entryBytes});
+    this->pendingBytes += entryBytes;
     return this->lastToken;
 }
 
--- a/lib/Consensus/election.cpp
+++ b/lib/Consensus/election.cpp
@@ -64,7 +64,8 @@
         return;
     }
     const auto keepsVote = this->keepsVoteFrom(from, request.term);
-    const auto canGrant = !this->diskFailed && !keepsVote && this->logCovers(request);
+    // A vote that a stalled disk holds back elects nobody; a pre-vote for it would only raise the terms.
+    const auto canGrant = !this->diskFailed && !this->isDiskStalled() && !keepsVote && this->logCovers(request);
     if (request.preVote) {
         // Without the pre-vote, a replica that returns from a partition would have a higher term and depose a leader that all others
         // still reach.
@@ -127,7 +128,7 @@
 auto Core::campaign(bool preVote) -> void
 {
     this->resetElectionDeadline();
-    if (!this->isVoter(this->self) || this->diskFailed) {
+    if (!this->isVoter(this->self) || this->diskFailed || this->isDiskStalled()) {
         return;
     }
     this->knownLeader.reset();
@@ -149,6 +150,9 @@
 auto Core::requestVotes() -> void
 {
     this->nextVoteRequestTime = this->now + this->settings.heartbeatInterval;
+    if (this->isDiskStalled()) {
+        return;
+    }
     for (const auto &member : this->group.members) {
         if (member.voter && !this->votes.contains(member.replica) && member.replica != this->self) {
             this->requestVote(member.replica);
@@ -170,7 +174,7 @@
     // When all VMs start together, no peer is connected yet when the first vote requests are sent. Without a request on connection, the
     // peer would get one only in the next round: a heartbeat interval later from a pre-candidate, an election timeout later from a candidate.
     const auto campaigning = this->currentRole == CoreRole::PreCandidate || this->currentRole == CoreRole::Candidate;
-    if (campaigning && this->isVoter(replica) && !this->votes.contains(replica)) {
+    if (campaigning && !this->isDiskStalled() && this->isVoter(replica) && !this->votes.contains(replica)) {
         this->requestVote(replica);
     }
 }
@@ -241,8 +245,13 @@
     if (this->hard.leader != replica || this->knownLeader || this->currentRole != CoreRole::Follower) {
         return;
     }
-    // The lease ended with the leader's process. Other voters are notified at the same time; the random delay keeps them from
-    // campaigning at once.
+    // The lease ended with the leader's process.
+    this->releaseVote();
+}
+
+auto Core::releaseVote() -> void
+{
+    // Other voters are notified at the same time; the random delay keeps them from campaigning at once.
     this->leaderContactTime = this->now - this->settings.minimumElectionTimeout;
     auto spread = std::uniform_int_distribution<Duration::rep>(0, this->settings.heartbeatInterval.count());
     this->electionDeadline = std::min(this->electionDeadline, this->now + Duration(spread(this->random)));
--- a/lib/Consensus/heartbeat.cpp
+++ b/lib/Consensus/heartbeat.cpp
@@ -28,6 +28,11 @@
         return;
     }
     this->advanceCommit(std::min(heartbeat.commit, this->window.lastIndex()));
+    if (this->isDiskStalled() && this->syncedToken < this->hardToken && !this->diskFailed) {
+        // Without any reply a voter whose disk is full for a few seconds would be replaced as if its VM were lost.
+        this->send(from, HeartbeatReply{this->hard.term, Round()});
+        return;
+    }
     // The reply extends the leader's lease. If it were sent before the leader's identity is synced, a crash could lose that identity,
     // and this replica would vote for the previous leader as if no other replica could hold a lease.
     this->sendAfter(this->hardToken, from, HeartbeatReply{this->hard.term, heartbeat.round});
@@ -43,6 +48,10 @@
     if (this->currentRole != CoreRole::Leader || reply.term != this->hard.term || found == this->progress.end()) {
         return;
     }
+    found->second.lastReplyTime = this->now;
+    if (reply.round == Round()) {
+        return;
+    }
     found->second.lastContactTime = this->now;
     found->second.round = std::max(found->second.round, reply.round);
     this->releaseReads();
--- a/lib/Consensus/leadershiplogger.cpp
+++ b/lib/Consensus/leadershiplogger.cpp
@@ -21,12 +21,18 @@
     this->term = core.term();
 }
 
+auto LeadershipLogger::lossReason(const Core &core) const -> std::string_view
+{
+    if (core.term() > this->term) {
+        return "later_term";
+    }
+    return core.isDiskStalled() ? "disk_stalled" : "stepped_down";
+}
+
 auto LeadershipLogger::logLeadershipLost(const Core &core, TimePoint now) const -> void
 {
     support::log(support::Event::ControlLeadLost,
-                 {{"term", this->term.value()},
-                  {"reason", core.term() > this->term ? "later_term" : "stepped_down"},
-                  {"quorum_heard_ms", now - this->lastQuorumContactTime}});
+                 {{"term", this->term.value()}, {"reason", this->lossReason(core)}, {"quorum_heard_ms", now - this->lastQuorumContactTime}});
 }
 
 } // namespace sapphirespool::consensus
--- a/lib/Consensus/leadershiplogger.h
+++ b/lib/Consensus/leadershiplogger.h
@@ -3,6 +3,8 @@
 
 #include "sapphirespool/Consensus/core.h"
 
+#include <string_view>
+
 namespace sapphirespool::consensus
 {
 
@@ -16,6 +18,7 @@
     auto update(const Core &core, TimePoint now) -> void;
 
 private:
+    [[nodiscard]] auto lossReason(const Core &core) const -> std::string_view;
     auto logLeadershipLost(const Core &core, TimePoint now) const -> void;
 
     CoreRole role = CoreRole::Follower;
--- a/lib/Consensus/membership.cpp
+++ b/lib/Consensus/membership.cpp
@@ -31,6 +31,14 @@
     return find(this->group, this->self) != nullptr;
 }
 
+auto Core::needsToJoin() const -> bool
+{
+    // A leader may send the entry that adds a learner, and be replaced before anyone else has that entry, for example because its disk is
+    // full. The next leader then does not know the learner.
+    const auto isForgotten = !this->isVoter(this->self) && this->now - this->leaderContactTime > this->settings.maximumElectionTimeout;
+    return !this->isMember() || isForgotten;
+}
+
 auto Core::acceptsMemberChange() const -> bool
 {
     // Two concurrent changes could have quorums that do not intersect. An uncommitted change of an earlier term could still be
@@ -52,7 +60,7 @@
 auto Core::timeSinceContact(ReplicaId replica) const -> Duration
 {
     const auto found = this->progress.find(replica);
-    return found == this->progress.end() ? Duration(0) : this->now - found->second.lastContactTime;
+    return found == this->progress.end() ? Duration(0) : this->now - found->second.lastReplyTime;
 }
 
 auto Core::isPermittedChange(const Members &next) const -> bool
@@ -144,6 +152,7 @@
         // The last entry is sent to a new replica immediately: its rejection reports its last index, even if nothing more is appended.
         peer.next = std::max(this->window.lastIndex(), this->window.baseIndex().next());
         peer.lastContactTime = this->now;
+        peer.lastReplyTime = this->now;
         this->progress.emplace(member.replica, std::move(peer));
     }
 }
--- a/lib/Consensus/replica.cpp
+++ b/lib/Consensus/replica.cpp
@@ -64,6 +64,7 @@
     auto propose(Bytes command, ProposalDone done) -> void override;
     auto confirmRead(ReadDone done) -> void override;
     [[nodiscard]] auto leaderLeaseEnd() const -> TimePoint override;
+    auto onLeadershipLost(std::function<void()> callback) -> void override;
     [[nodiscard]] auto leadershipNumber() const -> std::uint64_t override;
     [[nodiscard]] auto timeSinceContact(const VmId &vm) const -> Duration override;
     [[nodiscard]] auto leader() const -> std::optional<VmId> override;
@@ -124,6 +125,7 @@
     bool writeInProgress = false;
     std::map<VmId, std::unique_ptr<PeerLink>> links;
     std::map<ReplicaId, VmId> vmsByReplica;
+    std::function<void()> leadershipLost = [] {};
     std::uint64_t lastRequestNumber = 0;
     std::map<RequestNumber, ProposalDone> proposals;
     std::map<RequestNumber, ReadDone> reads;
@@ -204,7 +206,12 @@
 
 auto ReplicaNode::handle(const CoreEvent &event) -> void
 {
-    for (auto &action : this->core->handle(event, clockNow())) {
+    const auto wasLeader = this->core->role() == CoreRole::Leader;
+    auto actions = this->core->handle(event, clockNow());
+    if (wasLeader && this->core->role() != CoreRole::Leader) {
+        this->leadershipLost();
+    }
+    for (auto &action : actions) {
         this->perform(std::move(action));
     }
     this->startWriting();
@@ -357,7 +364,7 @@
 auto ReplicaNode::updateMembership() -> void
 {
     this->keepLinksOpen();
-    if (!this->core->isMember()) {
+    if (this->core->needsToJoin()) {
         this->requestToJoin();
         if (this->core->members().members.empty() && this->formation.shouldFound()) {
             support::log(support::Event::GroupFounded, {{"vm", this->settings.vm.value()}});
@@ -523,6 +530,11 @@
     return this->applyQueue.lacksEntriesBefore(this->core->term()) ? TimePoint::min() : this->core->leaderLeaseEnd();
 }
 
+auto ReplicaNode::onLeadershipLost(std::function<void()> callback) -> void
+{
+    this->leadershipLost = std::move(callback);
+}
+
 auto ReplicaNode::leadershipNumber() const -> std::uint64_t
 {
     return this->core->term().value();
--- a/lib/Consensus/replication.cpp
+++ b/lib/Consensus/replication.cpp
@@ -22,6 +22,10 @@
         this->actions.emplace_back(Failed{proposed.number, ProposalFailure::ChangeInProgress});
         return;
     }
+    if (this->isBacklogFull()) {
+        this->actions.emplace_back(Failed{proposed.number, ProposalFailure::StorageFailed});
+        return;
+    }
     this->appendOwn(Command{proposed.command}, proposed.number);
 }
 
@@ -32,7 +36,7 @@
     if (number) {
         this->proposals[index] = *number;
     }
-    const auto token = this->nextToken();
+    const auto token = this->nextToken(entryBytes(this->window.at(index)));
     this->actions.emplace_back(Persist{token, std::nullopt, std::nullopt, {this->window.at(index)}});
     this->noteWritten(token);
     if (std::holds_alternative<Members>(this->window.at(index).content)) {
@@ -81,7 +85,8 @@
 auto Core::resendStalled() -> void
 {
     for (auto &[replica, peer] : this->progress) {
-        const auto awaitsReply = peer.inFlight > 0 || peer.snapshot != nullptr;
+        // Not by the messages in flight alone: a repeated acknowledgement may have been counted for a message that was lost.
+        const auto awaitsReply = peer.inFlight > 0 || peer.match.next() < peer.next || peer.snapshot != nullptr;
         if (!awaitsReply || this->now - peer.resendTimerStart < this->settings.resendAfter) {
             continue;
         }
@@ -110,6 +115,10 @@
         this->refuseAppend(from, request);
         return;
     }
+    if (this->isBacklogFull()) {
+        // The leader sends the entries again. Kept, those of a disk that stays full would exhaust the memory.
+        return;
+    }
     this->appendReceivedEntries(request);
     const auto matched = std::max(after(request.previousIndex, request.entries.size()), this->window.baseIndex());
     // If it were acknowledged before the sync, an entry could count towards a commit and then be lost in a power failure.
@@ -128,6 +137,7 @@
 auto Core::appendReceivedEntries(const AppendRequest &request) -> void
 {
     auto persist = Persist();
+    auto bytes = std::size_t(0);
     for (const auto &entry : request.entries) {
         const auto alreadyStored = entry.index <= this->window.baseIndex() || this->window.termAt(entry.index) == entry.term;
         if (alreadyStored) {
@@ -141,6 +151,7 @@
         }
         this->window.append(entry);
         persist.entries.push_back(entry);
+        bytes += entryBytes(entry);
     }
     if (persist.entries.empty()) {
         return;
@@ -148,7 +159,7 @@
     const auto changesGroup = persist.cutFrom || std::any_of(persist.entries.begin(), persist.entries.end(), [](const Entry &entry) {
                                   return std::holds_alternative<Members>(entry.content);
                               });
-    persist.token = this->nextToken();
+    persist.token = this->nextToken(bytes);
     this->noteWritten(persist.token);
     this->actions.emplace_back(std::move(persist));
     if (changesGroup) {
@@ -176,6 +187,7 @@
     }
     auto &peer = found->second;
     peer.lastContactTime = this->now;
+    peer.lastReplyTime = this->now;
     if (!reply.accepted) {
         peer.next = std::max(peer.match.next(), this->nextAfterRefusal(reply));
         peer.probing = true;
--- a/lib/Consensus/snapshots.cpp
+++ b/lib/Consensus/snapshots.cpp
@@ -100,6 +100,7 @@
     }
     auto &peer = found->second;
     peer.lastContactTime = this->now;
+    peer.lastReplyTime = this->now;
     if (peer.snapshot == nullptr || peer.snapshot->index != reply.snapshotIndex) {
         return;
     }
--- a/lib/Controller/controller.cpp
+++ b/lib/Controller/controller.cpp
@@ -105,6 +105,14 @@
         }
     }
 
+    /// Called when this VM ceases to be the leader. The leadership is dropped with the next call, as one of its functions may run now.
+    auto leadershipLost() -> void
+    {
+        if (this->leadership) {
+            this->leadership->revoke();
+        }
+    }
+
     auto heartbeat(control::VmHeartbeat heartbeat, std::function<void(control::HeartbeatOutcome)> done) -> void override
     {
         const auto present = this->lead();
@@ -236,7 +244,14 @@
 
 auto makeController(ControllerParts parts) -> std::shared_ptr<Controller>
 {
-    return std::make_shared<ReplicatedController>(std::move(parts));
+    auto &log = parts.log;
+    auto controller = std::make_shared<ReplicatedController>(std::move(parts));
+    log.onLeadershipLost([weak = std::weak_ptr(controller)] {
+        if (const auto present = weak.lock()) {
+            present->leadershipLost();
+        }
+    });
+    return controller;
 }
 
 } // namespace sapphirespool::controller
--- a/lib/Controller/leadership.h
+++ b/lib/Controller/leadership.h
@@ -34,6 +34,9 @@
     /// \return whether the log still holds the lead under which this began
     [[nodiscard]] auto isCurrent(TimePoint now) const -> bool;
 
+    /// Takes back the orders that have not left yet, for when the lead ends before its lease would have.
+    auto revoke() -> void;
+
     auto tick() -> void;
     auto heartbeat(const control::VmHeartbeat &heartbeat, std::function<void(control::HeartbeatOutcome)> done) -> void;
     [[nodiscard]] auto status() const -> membership::ClusterStatus;
--- a/lib/Controller/leadershiporders.cpp
+++ b/lib/Controller/leadershiporders.cpp
@@ -128,6 +128,12 @@
     this->dutyAuthority->setEnd(std::min(leaseEnd, this->duty.heldUntil(this->number)));
 }
 
+auto Leadership::revoke() -> void
+{
+    this->leadAuthority->setEnd(TimePoint::min());
+    this->dutyAuthority->setEnd(TimePoint::min());
+}
+
 auto Leadership::seekDuty(const GroupId &group) -> void
 {
     const auto now = this->parts.clock();
--- a/schema/consensus.capnp
+++ b/schema/consensus.capnp
@@ -104,6 +104,8 @@
       offset @25 :UInt64;
       installed @26 :Bool;
     }
+    # The leader of the term gives up its leadership and its lease.
+    resigned @28 :Void;
   }
   # Where answers go while the receiver does not know the group yet.
   fromVm @27 :Text;
--- a/unittests/Consensus/coretest.cpp
+++ b/unittests/Consensus/coretest.cpp
@@ -62,6 +62,28 @@
         REQUIRE(this->core.role() == CoreRole::Leader);
     }
 
+    /// Makes both other voters acknowledge the entries up to \p index in term 2.
+    auto acknowledgeAll(milliseconds time, LogIndex index) -> void
+    {
+        for (const auto voter : {second, third}) {
+            this->handle(time, Received{voter, AppendReply{ElectionTerm(2), true, index, ElectionTerm()}});
+        }
+    }
+
+    /// Makes the core send heartbeats and both other voters answer them in term 2.
+    auto answerHeartbeats(milliseconds time) -> void
+    {
+        auto round = Round();
+        for (const auto &action : this->handle(time, Timer())) {
+            const auto *const send = std::get_if<Send>(&action);
+            const auto *const heartbeat = send == nullptr ? nullptr : std::get_if<Heartbeat>(&send->message);
+            round = heartbeat == nullptr ? round : heartbeat->round;
+        }
+        for (const auto voter : {second, third}) {
+            this->handle(time, Received{voter, HeartbeatReply{ElectionTerm(2), round}});
+        }
+    }
+
     Core core;
     PersistToken lastToken;
 
@@ -315,6 +337,187 @@
     CHECK(std::get<Failed>(failed.front()).failure == ProposalFailure::StorageFailed);
 }
 
+// Guards against a VM that never votes again because the entry that added it was lost with the leader that sent it.
+TEST_CASE("a learner that hears no leader requests to join again")
+{
+    auto fixture = CoreFixture();
+    auto members = fixture.core.members();
+    CHECK_FALSE(fixture.core.needsToJoin());
+    members.members.front().voter = false;
+    const auto change = Entry{LogIndex(2), ElectionTerm(2), members};
+    fixture.handle(milliseconds(100), Received{second, AppendRequest{ElectionTerm(2), LogIndex(1), ElectionTerm(1), {change}, LogIndex()}});
+    fixture.handle(milliseconds(700), Timer());
+    CHECK_FALSE(fixture.core.needsToJoin());
+    fixture.handle(milliseconds(701), Timer());
+    CHECK(fixture.core.needsToJoin());
+    fixture.handle(milliseconds(710), Received{second, Heartbeat{ElectionTerm(2), Round(1), LogIndex()}});
+    CHECK_FALSE(fixture.core.needsToJoin());
+}
+
+// Guards against a change that waits until the next one is proposed, because its message was lost after an acknowledgement came twice.
+TEST_CASE("entries whose message was lost are sent again although an acknowledgement was repeated")
+{
+    auto fixture = CoreFixture();
+    fixture.winElection(milliseconds(700));
+    fixture.sync(milliseconds(700));
+    fixture.acknowledgeAll(milliseconds(710), LogIndex(2));
+    CHECK(sentMessages<AppendRequest>(fixture.handle(milliseconds(720), Proposed{RequestNumber(1), Bytes{std::byte(1)}})).size() == 2);
+    fixture.acknowledgeAll(milliseconds(730), LogIndex(2));
+    fixture.answerHeartbeats(milliseconds(800));
+    CHECK(sentMessages<AppendRequest>(fixture.handle(milliseconds(930), Timer())).size() == 2);
+}
+
+// Guards against changes that wait for a disk that is full, and are lost with one more VM, while the other VMs could go on.
+TEST_CASE("a leader whose disk is stalled resigns when the other voters go on")
+{
+    auto fixture = CoreFixture();
+    fixture.winElection(milliseconds(700));
+    fixture.sync(milliseconds(700));
+    fixture.acknowledgeAll(milliseconds(710), LogIndex(2));
+    fixture.handle(milliseconds(720), Proposed{RequestNumber(1), Bytes{std::byte(1)}});
+    fixture.acknowledgeAll(milliseconds(730), LogIndex(3));
+    fixture.handle(milliseconds(1000), Proposed{RequestNumber(2), Bytes{std::byte(1)}});
+    fixture.answerHeartbeats(milliseconds(1110));
+    REQUIRE(fixture.core.holdsLeaderLease(fixture.at(milliseconds(1120))));
+    CHECK(sentMessages<Resigned>(fixture.handle(milliseconds(1120), Timer())).empty());
+    CHECK(fixture.core.role() == CoreRole::Leader);
+    const auto actions = fixture.handle(milliseconds(1121), Timer());
+    CHECK(sentMessages<Resigned>(actions).size() == 2);
+    CHECK(countActions<Failed>(actions) == 1);
+    CHECK(fixture.core.role() == CoreRole::Follower);
+    CHECK_FALSE(fixture.core.holdsLeaderLease(fixture.at(milliseconds(1121))));
+}
+
+// Guards against a group that loses its leader although no other VM could do better.
+TEST_CASE("a leader whose disk is stalled keeps its leadership when no quorum of the others goes on")
+{
+    auto fixture = CoreFixture();
+    fixture.winElection(milliseconds(700));
+    fixture.sync(milliseconds(700));
+    fixture.acknowledgeAll(milliseconds(710), LogIndex(2));
+    fixture.handle(milliseconds(720), Proposed{RequestNumber(1), Bytes{std::byte(1)}});
+    // One of the two others goes on, which is no quorum.
+    fixture.handle(milliseconds(730), Received{second, AppendReply{ElectionTerm(2), true, LogIndex(3), ElectionTerm()}});
+    fixture.answerHeartbeats(milliseconds(1190));
+    CHECK(sentMessages<Resigned>(fixture.handle(milliseconds(1200), Timer())).empty());
+    CHECK(fixture.core.role() == CoreRole::Leader);
+    CHECK(fixture.core.isDiskStalled());
+}
+
+// Guards against an election that waits for a lease that its holder gave up.
+TEST_CASE("a voter whose leader resigned grants its vote at once and campaigns within a heartbeat interval")
+{
+    auto fixture = CoreFixture();
+    fixture.handle(milliseconds(1000), Received{second, Heartbeat{ElectionTerm(4), Round(1), LogIndex()}});
+    fixture.sync(milliseconds(1000));
+    CHECK_FALSE(grantsVote(fixture.handle(milliseconds(1001), Received{third, preVoteRequest})));
+    fixture.handle(milliseconds(1002), Received{second, Resigned{ElectionTerm(4)}});
+    CHECK(fixture.core.deadline() <= fixture.at(milliseconds(1052)));
+    CHECK_FALSE(fixture.core.leader().has_value());
+    CHECK(grantsVote(fixture.handle(milliseconds(1003), Received{third, preVoteRequest})));
+    fixture.handle(milliseconds(1004), Received{third, voteRequest});
+    CHECK(grantsVote(fixture.sync(milliseconds(1004))));
+}
+
+// Guards against two control VMs that serve requests at the same time, because a delayed message frees the vote for which a lease stands.
+TEST_CASE("a resignation from an earlier term or from another VM than the leader releases no vote")
+{
+    auto fixture = CoreFixture();
+    fixture.handle(milliseconds(1000), Received{second, Heartbeat{ElectionTerm(4), Round(1), LogIndex()}});
+    fixture.sync(milliseconds(1000));
+    fixture.handle(milliseconds(1001), Received{second, Resigned{ElectionTerm(3)}});
+    fixture.handle(milliseconds(1001), Received{third, Resigned{ElectionTerm(4)}});
+    fixture.handle(milliseconds(1001), Received{third, Resigned{ElectionTerm(9)}});
+    CHECK_FALSE(grantsVote(fixture.handle(milliseconds(1002), Received{third, preVoteRequest})));
+    CHECK(fixture.core.leader() == second);
+}
+
+// Guards against a leader that cannot write, and against elections that raise the term but elect nobody.
+TEST_CASE("a replica whose disk is stalled requests no votes and grants none until its disk writes again")
+{
+    auto fixture = CoreFixture();
+    fixture.handle(milliseconds(100), Received{second, AppendRequest{ElectionTerm(2), LogIndex(1), ElectionTerm(1), {entry(2, 2)}, LogIndex()}});
+    CHECK(fixture.handle(milliseconds(800), Timer()).empty());
+    CHECK(fixture.handle(milliseconds(1500), Timer()).empty());
+    CHECK_FALSE(grantsVote(fixture.handle(milliseconds(1500), Received{third, preVoteRequest})));
+    fixture.handle(milliseconds(1500), Received{third, voteRequest});
+    CHECK_FALSE(grantsVote(fixture.sync(milliseconds(1600))));
+    CHECK(grantsVote(fixture.handle(milliseconds(1700), Received{third, VoteRequest{ElectionTerm(6), true, LogIndex(9), ElectionTerm(4)}})));
+    CHECK(sentMessages<VoteRequest>(fixture.handle(milliseconds(3000), Timer())).size() == 2);
+}
+
+// Guards against a voter that is replaced as lost because its disk was full for some seconds, and against a lease that relies on it meanwhile.
+TEST_CASE("a voter whose disk is stalled answers a new leader without extending its lease")
+{
+    auto voter = CoreFixture();
+    voter.handle(milliseconds(1000), Received{second, Heartbeat{ElectionTerm(2), Round(1), LogIndex()}});
+    const auto stalled = sentMessages<HeartbeatReply>(voter.handle(milliseconds(1500), Received{second, Heartbeat{ElectionTerm(2), Round(9), LogIndex()}}));
+    REQUIRE(stalled.size() == 1);
+    CHECK(stalled.front().round == Round());
+    voter.sync(milliseconds(1600));
+    const auto recovered = sentMessages<HeartbeatReply>(voter.handle(milliseconds(1650), Received{second, Heartbeat{ElectionTerm(2), Round(12), LogIndex()}}));
+    REQUIRE(recovered.size() == 1);
+    CHECK(recovered.front().round == Round(12));
+
+    auto leader = CoreFixture();
+    leader.winElection(milliseconds(700));
+    leader.sync(milliseconds(700));
+    leader.acknowledgeAll(milliseconds(710), LogIndex(2));
+    for (auto time = milliseconds(800); time <= milliseconds(1300); time += milliseconds(100)) {
+        leader.handle(time, Timer());
+        leader.handle(time, Received{second, HeartbeatReply{ElectionTerm(2), Round()}});
+        CHECK_FALSE(leader.core.holdsLeaderLease(leader.at(time)));
+    }
+    CHECK(leader.core.timeSinceContact(second) == milliseconds(0));
+    CHECK(leader.core.timeSinceContact(third) == milliseconds(590));
+    leader.handle(milliseconds(1311), Timer());
+    CHECK(leader.core.role() == CoreRole::Follower);
+}
+
+// Guards against a process that runs out of memory while its disk is full.
+TEST_CASE("a replica keeps a bounded amount of entries and answers for a disk that is stalled")
+{
+    auto fixture = CoreFixture();
+    const auto large = CoreSettings().backlogBytes;
+    const auto append = [&fixture](milliseconds time, std::uint64_t index, std::size_t size) {
+        const auto added = Entry{LogIndex(index), ElectionTerm(2), Command{Bytes(size)}};
+        const auto previousTerm = ElectionTerm(index == 2 ? 1 : 2);
+        return fixture.handle(time, Received{second, AppendRequest{ElectionTerm(2), LogIndex(index - 1), previousTerm, {added}, LogIndex()}});
+    };
+    CHECK(countActions<Persist>(append(milliseconds(100), 2, large / 2)) > 0);
+    CHECK(countActions<Persist>(append(milliseconds(110), 3, large / 2)) == 1);
+    CHECK(append(milliseconds(120), 4, 1).empty());
+    CHECK(fixture.core.log().lastIndex() == LogIndex(3));
+    for (auto time = milliseconds(200); time < milliseconds(1000); time += milliseconds(200)) {
+        CHECK(append(time, 3, large / 2).empty());
+    }
+    CHECK(sentMessages<AppendReply>(fixture.sync(milliseconds(1000))).size() == 2);
+    CHECK(countActions<Persist>(append(milliseconds(1010), 4, 1)) == 1);
+
+    auto leader = CoreFixture();
+    leader.winElection(milliseconds(700));
+    leader.sync(milliseconds(700));
+    CHECK(countActions<Failed>(leader.handle(milliseconds(710), Proposed{RequestNumber(1), Bytes(large)})) == 0);
+    const auto failed = leader.handle(milliseconds(720), Proposed{RequestNumber(2), Bytes(1)});
+    REQUIRE(countActions<Failed>(failed) == 1);
+    CHECK(std::get<Failed>(failed.front()).failure == ProposalFailure::StorageFailed);
+    leader.sync(milliseconds(730));
+    CHECK(countActions<Failed>(leader.handle(milliseconds(740), Proposed{RequestNumber(3), Bytes(1)})) == 0);
+}
+
+// Guards against a request that hangs until its own timeout because the answer that a voter held back was dropped with an earlier one.
+TEST_CASE("a repeated request of a leader is answered once when the disk writes again")
+{
+    auto fixture = CoreFixture();
+    const auto append = AppendRequest{ElectionTerm(2), LogIndex(1), ElectionTerm(1), {entry(2, 2)}, LogIndex()};
+    for (auto time = milliseconds(100); time < milliseconds(1000); time += milliseconds(200)) {
+        fixture.handle(time, Received{second, append});
+    }
+    const auto replies = sentMessages<AppendReply>(fixture.sync(milliseconds(1000)));
+    REQUIRE(replies.size() == 1);
+    CHECK(replies.front().index == LogIndex(2));
+}
+
 TEST_CASE("chunks of snapshots from two leaders are not combined")
 {
     // Visible failure: a configuration that nobody wrote.
@@ -339,6 +542,7 @@
     auto fixture = CoreFixture();
     // The initial configuration entry is known to be committed, so the first change is only rejected for want of a committed entry of the own term.
     fixture.handle(milliseconds(50), Received{second, Heartbeat{ElectionTerm(2), Round(1), LogIndex(1)}});
+    fixture.sync(milliseconds(50));
     fixture.winElection(milliseconds(700));
     auto members = fixture.core.members().members;
     members.push_back(ControlMember{VmId("4"), Endpoint(), false, ReplicaId(4)});
--- a/unittests/Consensus/fakegroup.cpp
+++ b/unittests/Consensus/fakegroup.cpp
@@ -116,6 +116,11 @@
     return this->committed.size();
 }
 
+auto FakeGroup::resignationCount() const -> std::size_t
+{
+    return this->resignations;
+}
+
 auto FakeGroup::localTime(const FakeVm &vm) const -> TimePoint
 {
     const auto local = static_cast<double>(this->time.count()) * vm.clockRate;
@@ -162,6 +167,7 @@
 auto FakeGroup::perform(FakeVm &vm, Action action) -> void
 {
     if (const auto *const send = std::get_if<Send>(&action)) {
+        this->resignations += std::holds_alternative<Resigned>(send->message) ? 1 : 0;
         this->network.push_back(InFlightMessage{vm.replica, send->to, send->message});
     } else if (const auto *const applied = std::get_if<Apply>(&action)) {
         this->apply(vm, *applied);
@@ -234,7 +240,7 @@
 auto FakeGroup::syncDisk(std::size_t index) -> void
 {
     auto &vm = this->vm(index);
-    if (vm.core == nullptr || vm.unsynced.empty()) {
+    if (vm.core == nullptr || vm.unsynced.empty() || vm.diskCondition != DiskCondition::Works) {
         return;
     }
     auto token = PersistToken();
@@ -247,6 +253,22 @@
     this->handle(vm, DiskSynced{token});
 }
 
+auto FakeGroup::setDisk(std::size_t index, DiskCondition condition) -> void
+{
+    this->vm(index).diskCondition = condition;
+}
+
+auto FakeGroup::stallLeader(std::size_t pick) -> void
+{
+    const auto leader = this->leaderIndex();
+    if (!leader) {
+        return;
+    }
+    this->setDisk(*leader, pick % 2 == 0 ? DiskCondition::Full : DiskCondition::Stalled);
+    this->propose(*leader, static_cast<std::uint8_t>(pick));
+    this->runWithoutFaults(std::chrono::milliseconds(400 + pick % 150));
+}
+
 auto FakeGroup::fireTimers() -> void
 {
     for (auto &vm : this->vms) {
@@ -321,7 +343,7 @@
     if (vm.core == nullptr) {
         return;
     }
-    const auto reached = std::min(writesKept, vm.unsynced.size());
+    const auto reached = vm.diskCondition == DiskCondition::Full ? 0 : std::min(writesKept, vm.unsynced.size());
     for (auto at = std::size_t(0); at < reached; ++at) {
         this->write(vm, vm.unsynced[at]);
     }
@@ -403,6 +425,7 @@
     this->lostReplicas.insert(vm.replica);
     vm.replica = ReplicaId(this->nextReplicaId++);
     vm.synced = FakeDisk();
+    vm.diskCondition = DiskCondition::Works;
     this->start(vm);
 }
 
@@ -410,7 +433,7 @@
 {
     auto requests = std::vector<JoinRequest>();
     for (const auto &vm : this->vms) {
-        if (vm.core != nullptr && !vm.core->isMember()) {
+        if (vm.core != nullptr && vm.core->needsToJoin()) {
             requests.push_back(JoinRequest{vm.vm, Endpoint(), vm.replica});
         }
     }
@@ -460,6 +483,7 @@
 {
     for (auto index = std::size_t(0); index < this->vms.size(); ++index) {
         this->heal(index);
+        this->setDisk(index, DiskCondition::Works);
         this->restart(index);
     }
     constexpr auto rounds = 30;
--- a/unittests/Consensus/fakegroup.h
+++ b/unittests/Consensus/fakegroup.h
@@ -23,6 +23,15 @@
     std::vector<Entry> entries;
 };
 
+/// Whether the disk of a VM writes.
+enum class DiskCondition {
+    Works,
+    /// Writes do not end; a crash may find some of them on the disk.
+    Stalled,
+    /// Writes are rejected; a crash finds none of them on the disk.
+    Full,
+};
+
 /// One VM with its core while the process runs.
 struct FakeVm
 {
@@ -34,6 +43,7 @@
     FakeDisk synced;
     /// Unsynced writes in order. A crash may lose them.
     std::deque<Action> unsynced;
+    DiskCondition diskCondition = DiskCondition::Works;
     /// Applied commands with their indexes; restored from snapshots.
     std::vector<std::pair<LogIndex, Bytes>> applied;
     LogIndex appliedIndex;
@@ -52,6 +62,9 @@
     auto drop(std::size_t pick) -> void;
     auto duplicate(std::size_t pick) -> void;
     auto syncDisk(std::size_t vm) -> void;
+    auto setDisk(std::size_t vm, DiskCondition condition) -> void;
+    /// Stalls or fills the leader's disk, proposes a command and runs up to about the time of the resignation, as derived from \p pick.
+    auto stallLeader(std::size_t pick) -> void;
     auto propose(std::size_t vm, std::uint8_t value) -> void;
     auto read(std::size_t vm) -> void;
     /// Ends the process. The first \p writesKept unsynced writes reach the disk; the others are lost.
@@ -67,13 +80,15 @@
     auto repair() -> void;
     auto takeSnapshot(std::size_t vm) -> void;
 
-    /// Reconnects and restarts all VMs, advances the time, and requires that one leader commits on all VMs and that all are voters again.
+    /// Reconnects and restarts all VMs, frees their disks, advances the time, and requires that one leader commits on all VMs and that all are voters again.
     auto healAndCheck() -> void;
 
     [[nodiscard]] auto size() const -> std::size_t;
     [[nodiscard]] auto vm(std::size_t index) -> FakeVm &;
     [[nodiscard]] auto leaderIndex() const -> std::optional<std::size_t>;
     [[nodiscard]] auto committedCount() const -> std::size_t;
+    /// \return the number of messages by which leaders resigned
+    [[nodiscard]] auto resignationCount() const -> std::size_t;
     [[nodiscard]] auto localTime(const FakeVm &vm) const -> TimePoint;
     /// Passes an event to a VM's core and performs the resulting actions.
     auto handle(FakeVm &vm, const CoreEvent &event) -> void;
@@ -115,6 +130,7 @@
     std::set<ReplicaId> lostReplicas;
     std::uint64_t nextReplicaId = 1;
     std::uint64_t nextRequestNumber = 1;
+    std::size_t resignations = 0;
     std::map<RequestNumber, PendingRead> reads;
     std::map<ElectionTerm, ReplicaId> leaders;
     /// Each committed entry as the first VM applied it.
--- a/unittests/Consensus/randomscheduletest.cpp
+++ b/unittests/Consensus/randomscheduletest.cpp
@@ -31,6 +31,10 @@
     std::uint32_t advance = 12;
     std::uint32_t sync = 16;
     std::uint32_t failPower = 0;
+    std::uint32_t fillDisk = 0;
+    std::uint32_t stallDisk = 0;
+    std::uint32_t freeDisk = 0;
+    std::uint32_t stallLeader = 0;
     std::uint32_t propose = 8;
     std::uint32_t read = 5;
 };
@@ -92,6 +96,15 @@
     if (selector.select(weights.loseDisk)) {
         group.loseDisk(pick);
     }
+    if (selector.select(weights.fillDisk)) {
+        group.setDisk(pick, DiskCondition::Full);
+    }
+    if (selector.select(weights.stallDisk)) {
+        group.setDisk(pick, DiskCondition::Stalled);
+    }
+    if (selector.select(weights.stallLeader)) {
+        group.stallLeader(pick);
+    }
 }
 
 auto runStep(FakeGroup &group, std::uint32_t number, const StepWeights &weights) -> void
@@ -108,6 +121,9 @@
     if (selector.select(weights.heal)) {
         group.heal(pick);
     }
+    if (selector.select(weights.freeDisk)) {
+        group.setDisk(pick, DiskCondition::Works);
+    }
     if (selector.select(weights.repair)) {
         group.repair();
     }
@@ -132,13 +148,14 @@
 }
 
 /// Runs random schedules on groups that already have a leader, then heals each group and checks that it recovers.
-auto checkSchedules(std::size_t size, const StepWeights &weights, int schedules, std::uint64_t seed) -> bool
+/// \param resignations receives the number of messages by which leaders resigned
+auto checkSchedules(std::size_t size, const StepWeights &weights, int schedules, std::uint64_t seed, std::size_t &resignations) -> bool
 {
     auto parameters = rc::detail::TestParams();
     parameters.seed = seed;
     parameters.maxSuccess = schedules;
     parameters.disableShrinking = true;
-    const auto property = [size, &weights] {
+    const auto property = [size, &weights, &resignations] {
         const auto groupSeed = *rc::gen::arbitrary<std::uint32_t>();
         const auto steps = *rc::gen::scale(8.0, rc::gen::container<std::vector<std::uint32_t>>(rc::gen::inRange<std::uint32_t>(0, 1'000'000)));
         auto group = FakeGroup(size, groupSeed);
@@ -146,6 +163,7 @@
         for (const auto step : steps) {
             runStep(group, step, weights);
         }
+        resignations += group.resignationCount();
         group.healAndCheck();
     };
     const auto result = rc::detail::checkTestable(property, rc::detail::TestMetadata(), parameters);
@@ -154,6 +172,12 @@
     return result.is<rc::detail::SuccessResult>();
 }
 
+auto checkSchedules(std::size_t size, const StepWeights &weights, int schedules, std::uint64_t seed) -> bool
+{
+    auto resignations = std::size_t(0);
+    return checkSchedules(size, weights, schedules, seed, resignations);
+}
+
 } // namespace
 
 TEST_CASE("three control VMs keep the invariants under dropped, duplicated and reordered messages, partitions, crashes and lost disks")
@@ -198,6 +222,26 @@
     CHECK(checkSchedules(5, weights, 700, 7));
 }
 
+// Guards against two control VMs that serve requests at the same time because a voter freed its vote for which a lease stands.
+TEST_CASE("disks that fill up, stall and recover, and the resignations of their leaders, leave one leader at a time and lose no committed entry")
+{
+    auto weights = StepWeights();
+    weights.fillDisk = 1;
+    weights.stallDisk = 1;
+    weights.freeDisk = 2;
+    weights.stallLeader = 2;
+    weights.isolate = 2;
+    weights.heal = 4;
+    weights.advance = 16;
+    auto resignations = std::size_t(0);
+    CHECK(checkSchedules(3, weights, 1500, 8, resignations));
+    CHECK(checkSchedules(5, weights, 700, 9, resignations));
+    // Also with losses of power, so that resignations reach voters and former leaders that restarted since.
+    weights.failPower = 3;
+    CHECK(checkSchedules(3, weights, 1500, 10, resignations));
+    CHECK(resignations > 1000);
+}
+
 TEST_CASE("repeated disk losses with repairs lose no committed entry")
 {
     // A VM restarts with an empty disk under a new replica ID and rejoins, and a second VM loses its disk right after.
--- a/unittests/Controller/fakelog.h
+++ b/unittests/Controller/fakelog.h
@@ -45,6 +45,11 @@
         return this->leads ? this->leaseEnd : TimePoint::min();
     }
 
+    auto onLeadershipLost(std::function<void()> callback) -> void override
+    {
+        this->leadershipLost = std::move(callback);
+    }
+
     [[nodiscard]] auto leadershipNumber() const -> std::uint64_t override
     {
         return this->number;
@@ -82,6 +87,7 @@
 
     state::ClusterState &state;
     std::vector<state::ClusterState *> followers;
+    std::function<void()> leadershipLost;
     bool leads = true;
     TimePoint leaseEnd = TimePoint::max();
     std::uint64_t number = 1;
--- a/unittests/Controller/promotiondutytest.cpp
+++ b/unittests/Controller/promotiondutytest.cpp
@@ -374,6 +374,22 @@
     CHECK_FALSE(authority->holds());
 }
 
+// A leader that resigns ends its lease early; an order that leaves later may contradict one of its successor.
+TEST_CASE("the authority of an order ends when the control leader resigns")
+{
+    auto vms = TwoControlVms();
+    vms.lead(vms.a, 3);
+    vms.a.log.leaseEnd = vms.now + 270ms;
+    vms.announce(platform::Role::Replica);
+    vms.pass(100ms);
+    REQUIRE_FALSE(vms.orders.promotions.empty());
+    const auto authority = vms.orders.promotions.front().authority;
+    REQUIRE(authority->holds());
+    vms.a.log.leads = false;
+    vms.a.log.leadershipLost();
+    CHECK_FALSE(authority->holds());
+}
+
 // A member that is told to step down after it was made primary leaves its group without one.
 TEST_CASE("orders that have not left are withdrawn when the control leader decides anew")
 {
