--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -4,7 +4,8 @@
  * A voter that answers a heartbeat upholds the leader's lease for a while, and keeps its vote for a little longer: whatever part of a lease
  * rests on its answer has run out when the vote is free. A restarted voter no longer knows when it last answered and keeps its vote
  * for as long, unless it was the leader itself. The leader of the voter's own term gets the vote at once: it asks, so it no longer leads.
- * The leader of a term is written to the disk before the first of its heartbeats is answered.
+ * The leader of a term is written to the disk before the first of its heartbeats is answered. A leader that resigns says so; a voter of
+ * that term frees its vote, whenever it hears of it and however often.
  *
  * Time is left to chance: an answer stops to count at any moment, and a vote is free at any moment after that.
  *
@@ -13,7 +14,7 @@
  *
  * Property: while a leader holds a lease, no leader of a later term is elected and none holds another lease.
  *
- * safeguards: PAUSE FORMER_LEADER_ONLY SYNC_BEFORE_REPLY
+ * safeguards: PAUSE FORMER_LEADER_ONLY SYNC_BEFORE_REPLY RESIGNED_OF_OWN_TERM
  */
 
 #define VMS 3
@@ -40,6 +41,8 @@
 /* Whose lease the VM may uphold: it keeps its vote. */
 byte keeps[VMS];
 byte restarts[VMS];
+/* The last term of which the VM resigned; 0 for none. */
+byte resignedTerm[VMS];
 
 #define holdsLease(vm) (leads[vm] && isQuorum(upheldBy[vm] | BIT(vm)))
 /* A candidate that counts old votes late may win its term beside a leader of a later one; nobody will uphold a lease of it. */
@@ -170,6 +173,22 @@
     }
 }
 
+inline resign(vm)
+{
+    d_step {
+        resignedTerm[vm] = electionTerm[vm];
+        stepDown(vm)
+    }
+}
+
+#ifdef WITHOUT_RESIGNED_OF_OWN_TERM
+#define hasResigned(vm, other) (resignedTerm[other] != 0)
+#else
+#define hasResigned(vm, other) (resignedTerm[other] == electionTerm[vm])
+#endif
+
+#define mayHearResignation(vm, other) (keeps[vm] != NOBODY && leaderOf[vm] == other && hasResigned(vm, other))
+
 #define VM_STEPS(vm, second, third) \
     :: mayStand(vm) -> stand(vm) \
     :: mayVote(vm, second) -> vote(vm, second) \
@@ -184,6 +203,9 @@
     :: (upheldBy[vm] & BIT(third)) != 0 -> upheldBy[vm] = upheldBy[vm] & ~BIT(third) \
     :: keeps[vm] != NOBODY && !countsAnywhere(vm) -> keeps[vm] = NOBODY \
     :: leads[vm] -> d_step { stepDown(vm) } \
+    :: leads[vm] -> resign(vm) \
+    :: mayHearResignation(vm, second) -> keeps[vm] = NOBODY \
+    :: mayHearResignation(vm, third) -> keeps[vm] = NOBODY \
     :: restarts[vm] < RESTARTS -> restart(vm)
 
 active proctype Group()
