--- a/include/sapphirespool/Support/events.h
+++ b/include/sapphirespool/Support/events.h
@@ -45,6 +45,8 @@
     ControlLoad = 2006,
     ToleranceReduced = 2007,
     StorageFailed = 2101,
+    DiskFull = 2102,
+    DiskWritesAgain = 2103,
     ConfigurationAccepted = 2201,
     TermEnded = 2401,
     PrimaryChosen = 2402,
--- a/lib/Consensus/replica.cpp
+++ b/lib/Consensus/replica.cpp
@@ -69,6 +69,7 @@
     auto propose(Bytes command, ProposalDone done) -> void override;
     auto confirmRead(ReadDone done) -> void override;
     [[nodiscard]] auto leaderLeaseEnd() const -> TimePoint override;
+    auto onLeadershipLost(std::function<void()> callback) -> void override;
     [[nodiscard]] auto leadershipNumber() const -> std::uint64_t override;
     [[nodiscard]] auto timeSinceContact(const VmId &vm) const -> Duration override;
     [[nodiscard]] auto leader() const -> std::optional<VmId> override;
@@ -141,6 +142,7 @@
     bool writeInProgress = false;
     std::map<VmId, std::unique_ptr<PeerLink>> links;
     std::map<ReplicaId, VmId> vmsByReplica;
+    std::function<void()> leadershipLost = [] {};
     std::uint64_t lastRequestNumber = 0;
     std::map<RequestNumber, ProposalDone> proposals;
     std::map<RequestNumber, ReadDone> reads;
@@ -209,7 +211,7 @@
         this->machine.restore(recovered.snapshot->state);
     }
     this->core = std::make_unique<Core>(this->self, coreSettings, std::move(recovered), this->settings.seed, clockNow());
-    this->disk = std::make_unique<DiskThread>(std::move(store), this->context.lowLevel);
+    this->disk = std::make_unique<DiskThread>(std::move(store), this->context.lowLevel, std::make_unique<DiskLogger>());
 }
 
 auto ReplicaNode::taskFailed(kj::Exception &&exception) -> void
@@ -225,7 +227,12 @@
 
 auto ReplicaNode::handle(const CoreEvent &event) -> void
 {
-    for (auto &action : this->core->handle(event, clockNow())) {
+    const auto wasLeader = this->core->role() == CoreRole::Leader;
+    auto actions = this->core->handle(event, clockNow());
+    if (wasLeader && this->core->role() != CoreRole::Leader) {
+        this->leadershipLost();
+    }
+    for (auto &action : actions) {
         this->perform(std::move(action));
     }
     this->startWriting();
@@ -422,7 +429,7 @@
 
 auto ReplicaNode::shouldRequestToJoin() const -> bool
 {
-    if (!this->core->isMember()) {
+    if (this->core->needsToJoin()) {
         return true;
     }
     // A removed replica does not receive the entry that removes it: it would wait for a leader forever, and the group would lack a VM
@@ -610,6 +617,11 @@
     return this->applyQueue.lacksEntriesBefore(this->core->term()) ? TimePoint::min() : this->core->leaderLeaseEnd();
 }
 
+auto ReplicaNode::onLeadershipLost(std::function<void()> callback) -> void
+{
+    this->leadershipLost = std::move(callback);
+}
+
 auto ReplicaNode::leadershipNumber() const -> std::uint64_t
 {
     return this->core->term().value();
--- a/lib/Controller/leadershiporders.cpp
+++ b/lib/Controller/leadershiporders.cpp
@@ -129,6 +129,12 @@
     this->dutyAuthority->setEnd(std::min(leaseEnd, this->duty.heldUntil(this->number)));
 }
 
+auto Leadership::revoke() -> void
+{
+    this->leadershipAuthority->setEnd(TimePoint::min());
+    this->dutyAuthority->setEnd(TimePoint::min());
+}
+
 auto Leadership::requestDuty(const GroupId &group) -> void
 {
     const auto now = this->parts.clock();
--- a/lib/Support/events.cpp
+++ b/lib/Support/events.cpp
@@ -39,6 +39,8 @@
     {Event::ControlLoad, Severity::Info, "control load"},
     {Event::ToleranceReduced, Severity::Warning, "losses tolerated by control"},
     {Event::StorageFailed, Severity::Error, "storage failed"},
+    {Event::DiskFull, Severity::Warning, "disk full"},
+    {Event::DiskWritesAgain, Severity::Info, "disk writes again"},
     {Event::ConfigurationAccepted, Severity::Info, "configuration accepted"},
     {Event::TermEnded, Severity::Warning, "term ended"},
     {Event::PrimaryChosen, Severity::Info, "primary chosen"},
--- a/unittests/Consensus/fakegroup.cpp
+++ b/unittests/Consensus/fakegroup.cpp
@@ -131,6 +131,11 @@
     return this->committed.size();
 }
 
+auto FakeGroup::resignationCount() const -> std::size_t
+{
+    return this->resignations;
+}
+
 auto FakeGroup::localTime(const FakeVm &vm) const -> TimePoint
 {
     const auto local = static_cast<double>(this->time.count()) * vm.clockRate;
@@ -177,6 +182,7 @@
 auto FakeGroup::perform(FakeVm &vm, Action action) -> void
 {
     if (const auto *const send = std::get_if<Send>(&action)) {
+        this->resignations += std::holds_alternative<Resigned>(send->message) ? 1 : 0;
         this->network.push_back(InFlightMessage{vm.replica, send->to, send->message});
     } else if (const auto *const applied = std::get_if<Apply>(&action)) {
         this->apply(vm, *applied);
@@ -252,7 +258,7 @@
 auto FakeGroup::syncDisk(std::size_t index) -> void
 {
     auto &vm = this->vm(index);
-    if (vm.core == nullptr || vm.unsynced.empty()) {
+    if (vm.core == nullptr || vm.unsynced.empty() || vm.diskCondition != DiskCondition::Works) {
         return;
     }
     auto token = PersistToken();
@@ -265,6 +271,22 @@
     this->handle(vm, DiskSynced{token});
 }
 
+auto FakeGroup::setDisk(std::size_t index, DiskCondition condition) -> void
+{
+    this->vm(index).diskCondition = condition;
+}
+
+auto FakeGroup::stallLeader(std::size_t pick) -> void
+{
+    const auto leader = this->leaderIndex();
+    if (!leader) {
+        return;
+    }
+    this->setDisk(*leader, pick % 2 == 0 ? DiskCondition::Full : DiskCondition::Stalled);
+    this->propose(*leader, static_cast<std::uint8_t>(pick));
+    this->runWithoutFaults(std::chrono::milliseconds(400 + pick % 150));
+}
+
 auto FakeGroup::fireTimers() -> void
 {
     for (auto &vm : this->vms) {
@@ -339,7 +361,7 @@
     if (vm.core == nullptr) {
         return;
     }
-    const auto reached = std::min(writesKept, vm.unsynced.size());
+    const auto reached = vm.diskCondition == DiskCondition::Full ? 0 : std::min(writesKept, vm.unsynced.size());
     for (auto at = std::size_t(0); at < reached; ++at) {
         this->write(vm, vm.unsynced[at]);
     }
@@ -421,6 +443,7 @@
     this->lostReplicas.insert(vm.replica);
     vm.replica = ReplicaId(this->nextReplicaId++);
     vm.synced = FakeDisk();
+    vm.diskCondition = DiskCondition::Works;
     this->start(vm);
 }
 
@@ -431,7 +454,7 @@
     }
     // A removed replica does not receive the entry that removes it.
     const auto isSilent = vm.core->role() != CoreRole::Leader && this->localTime(vm) - vm.core->lastLeaderContactTime() > replacementTimeout;
-    return !vm.core->isMember() || (this->replacesVoters && isSilent);
+    return vm.core->needsToJoin() || (this->replacesVoters && isSilent);
 }
 
 auto FakeGroup::joinRequests() const -> std::vector<JoinRequest>
@@ -505,6 +528,7 @@
 {
     for (auto index = std::size_t(0); index < this->vms.size(); ++index) {
         this->heal(index);
+        this->setDisk(index, DiskCondition::Works);
         this->restart(index);
     }
     // Without replacement each VM needs three changes at most; with it, removed voters join again and voters move between zones.
--- a/unittests/Controller/promotiondutytest.cpp
+++ b/unittests/Controller/promotiondutytest.cpp
@@ -375,6 +375,22 @@
     CHECK_FALSE(authority->holds());
 }
 
+// A leader that resigns ends its lease early; an order that leaves later may contradict one of its successor.
+TEST_CASE("the authority of an order ends when the control leader resigns")
+{
+    auto vms = TwoControlVms();
+    vms.setLeader(vms.a, 3);
+    vms.a.log.leaseEnd = vms.now + 270ms;
+    vms.announce(platform::Role::Replica);
+    vms.pass(100ms);
+    REQUIRE_FALSE(vms.orders.promotions.empty());
+    const auto authority = vms.orders.promotions.front().authority;
+    REQUIRE(authority->holds());
+    vms.a.log.leads = false;
+    vms.a.log.leadershipLost();
+    CHECK_FALSE(authority->holds());
+}
+
 // Failure: a member is ordered to step down after its promotion, and its group has no primary.
 TEST_CASE("orders that have not been sent are revoked by a later decision of the control leader")
 {
