Directories of control VMs, and redirects that name them

Cause: proxies whose seeds all name VMs without a disk never found the control VMs, and control VMs with such seeds could not found a group.

LinkLoop follows the leader of a redirect, then its other control VMs, then the seeds, and backs off after a second redirect. A VM without a group founds one if it is the first seed with a replica, or if all seeds are directories and it is the smallest candidate that all of them have listed for 1 s. A group of one that sees the leader of a larger group accepts no commands (SP2008).

With a fixed list of control members targets, pauses and founding are as before.

--- a/include/sapphirespool/Consensus/replica.h
+++ b/include/sapphirespool/Consensus/replica.h
@@ -43,6 +43,15 @@
 class Replica : public ReplicatedLog
 {
 public:
+    /// \return this VM with the identity of its data folder
+    [[nodiscard]] virtual auto selfMember() const -> ControlMember = 0;
+
+    /// \return whether this VM knows a group that it joined or that it founded
+    [[nodiscard]] virtual auto isInGroup() const -> bool = 0;
+
+    /// Has this VM accept no commands and prove no leadership until \p until, as another group was found.
+    virtual auto suspendCommands(TimePoint until) -> void = 0;
+
     /// \return the capability through which the other control VMs call this replica
     [[nodiscard]] virtual auto peerCapability() -> capnp::Capability::Client = 0;
 
--- a/include/sapphirespool/Control/controlserver.h
+++ b/include/sapphirespool/Control/controlserver.h
@@ -25,7 +25,8 @@
 };
 
 /// Starts to listen at \p endpoint. \p replica and \p service must outlive the server.
-[[nodiscard]] auto serveControl(rpc::LoopContext &context, Endpoint endpoint, consensus::Replica &replica, ControlService &service)
+/// \param zone of this VM, for the directories that ask
+[[nodiscard]] auto serveControl(rpc::LoopContext &context, Endpoint endpoint, consensus::Replica &replica, ControlService &service, ZoneId zone = {})
     -> std::unique_ptr<ControlServer>;
 
 } // namespace sapphirespool::control
--- a/include/sapphirespool/Control/proxylink.h
+++ b/include/sapphirespool/Control/proxylink.h
@@ -6,6 +6,7 @@
 #include "sapphirespool/Rpc/loopthread.h"
 #include "sapphirespool/Support/types.h"
 
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -20,7 +21,12 @@
     Incarnation incarnation;
     Endpoint callers;
     Endpoint peers;
+    /// Control VMs or directories.
     std::vector<Endpoint> controlVms;
+    /// Whether these are only some of the control VMs or directories, so that redirects name others to be tried.
+    bool foundBySeeds = false;
+    /// Called on the loop with the control VMs that each lease names; may be empty.
+    std::function<void(std::vector<Endpoint>)> onLease;
     /// The services that the proxy serves; empty for all.
     std::vector<ServiceId> services;
     /// Whether this may be the very first start of the system.
--- a/include/sapphirespool/Support/events.h
+++ b/include/sapphirespool/Support/events.h
@@ -43,6 +43,8 @@
     ControlLeadLost = 2004,
     ElectionStarted = 2005,
     ControlLoad = 2006,
+    OtherGroupSeen = 2008,
+    ControlVmListed = 2009,
     StorageFailed = 2101,
     ConfigurationAccepted = 2201,
     TermEnded = 2401,
--- a/lib/Consensus/formation.cpp
+++ b/lib/Consensus/formation.cpp
@@ -30,23 +30,73 @@
 {
 }
 
-auto GroupFormation::recordAnswer(const VmId &vm, bool empty) -> void
+auto GroupFormation::recordAnswer(const VmId &vm, const JoinAnswer &answer, TimePoint now) -> void
 {
-    if (empty) {
-        this->vmsWithoutGroup.insert(vm);
-    } else {
-        this->vmsWithoutGroup.erase(vm);
+    auto received = ReceivedAnswer{answer.empty, answer.directory, {}, now};
+    const auto *const former = this->answerOf(vm, now);
+    for (const auto &candidate : answer.candidates) {
+        const auto isListed = former != nullptr && former->listedSince.contains(candidate);
+        received.listedSince.emplace(candidate, isListed ? former->listedSince.at(candidate) : now);
     }
+    this->answers.insert_or_assign(vm, std::move(received));
 }
 
-auto GroupFormation::shouldFound() const -> bool
+auto GroupFormation::answerOf(const VmId &vm, TimePoint now) const -> const ReceivedAnswer *
 {
-    if (!this->mayFound || this->initialMembers.empty() || this->initialMembers.front().vm != this->self) {
+    const auto found = this->answers.find(vm);
+    if (found == this->answers.end() || (found->second.directory && now - found->second.at >= directoryAnswerLifetime)) {
+        return nullptr;
+    }
+    return &found->second;
+}
+
+auto GroupFormation::isEmpty(const ControlMember &seed, TimePoint now) const -> bool
+{
+    const auto *const answer = this->answerOf(seed.vm, now);
+    return seed.vm == this->self || (answer != nullptr && answer->empty);
+}
+
+auto GroupFormation::isDirectory(const ControlMember &seed, TimePoint now) const -> bool
+{
+    const auto *const answer = this->answerOf(seed.vm, now);
+    return answer != nullptr && answer->directory;
+}
+
+auto GroupFormation::shouldFound(TimePoint now) const -> bool
+{
+    const auto &seeds = this->initialMembers;
+    const auto empty = [this, now](const ControlMember &seed) {
+        return this->isEmpty(seed, now);
+    };
+    if (!this->mayFound || seeds.empty() || !std::all_of(seeds.begin(), seeds.end(), empty)) {
         return false;
     }
-    return std::all_of(this->initialMembers.begin(), this->initialMembers.end(), [this](const ControlMember &member) {
-        return member.vm == this->self || this->vmsWithoutGroup.contains(member.vm);
+    const auto firstControlVm = std::find_if(seeds.begin(), seeds.end(), [this, now](const ControlMember &seed) {
+        return !this->isDirectory(seed, now);
     });
+    if (firstControlVm != seeds.end()) {
+        return firstControlVm->vm == this->self;
+    }
+    const auto since = this->smallestSince(now);
+    return since && now - *since >= listingTime;
+}
+
+auto GroupFormation::smallestSince(TimePoint now) const -> std::optional<TimePoint>
+{
+    auto listedSince = this->answerOf(this->initialMembers.front().vm, now)->listedSince;
+    for (const auto &seed : this->initialMembers) {
+        const auto &listed = this->answerOf(seed.vm, now)->listedSince;
+        std::erase_if(listedSince, [&listed](const auto &candidate) {
+            return !listed.contains(candidate.first);
+        });
+        for (auto &[candidate, since] : listedSince) {
+            since = std::max(since, listed.at(candidate));
+        }
+    }
+    if (listedSince.empty() || listedSince.begin()->first != this->self) {
+        return std::nullopt;
+    }
+    return listedSince.begin()->second;
 }
 
 auto GroupFormation::recordRequest(const JoinRequest &request, const Members &group, TimePoint now) -> void
--- a/lib/Consensus/formation.h
+++ b/lib/Consensus/formation.h
@@ -4,16 +4,33 @@
 #include "sapphirespool/Consensus/repair.h"
 #include "sapphirespool/Support/types.h"
 
+#include <chrono>
 #include <map>
-#include <set>
+#include <optional>
 #include <vector>
 
 namespace sapphirespool::consensus
 {
 
-/// The first VM of the settings bootstraps the group as its only voter, once each other VM of the settings has answered that it belongs
-/// to no group either. The others then join like any VM that restarts with an empty disk. So two VMs can never bootstrap two groups,
-/// and a first VM that lost its disk cannot bootstrap a second one, as some other VM still belongs to the first group.
+/// Answer of a control VM or a directory to a request to join.
+struct JoinAnswer
+{
+    /// Whether the answering VM belongs to no group; a directory: whether it knows of none.
+    bool empty = false;
+    /// Members of the group that the answering VM belongs to; a directory: the VMs that it knows to be in a group.
+    std::vector<ControlMember> members;
+    /// Whether the answer comes from a directory.
+    bool directory = false;
+    /// The VMs that asked the directory to join.
+    std::vector<VmId> candidates;
+};
+
+/// The first control VM of the settings bootstraps the group as its only voter, once each other VM of the settings has answered that it
+/// belongs to no group, or as a directory that it knows of none. The others then join like any VM that restarts with an empty disk. So two
+/// VMs can never bootstrap two groups, and a first VM that lost its disk cannot bootstrap a second one, as some other VM still belongs to
+/// the first group.
+///
+/// If the settings name directories only, the control VM with the smallest name that all of them list as a candidate bootstraps the group.
 class GroupFormation
 {
 public:
@@ -21,11 +38,17 @@
     /// \param openToOthers whether VMs may join that are listed neither in the settings nor in the group
     GroupFormation(VmId self, std::vector<ControlMember> initialMembers, bool mayFound = true, bool openToOthers = false);
 
-    /// Records the answer of \p vm to a join request. \p empty says whether it belongs to no group.
-    auto recordAnswer(const VmId &vm, bool empty) -> void;
+    /// Time for which all directories must have listed a candidate, so that each has heard of a smaller one.
+    static constexpr auto listingTime = std::chrono::seconds(1);
+    /// Answers of a directory count for this long, several times the interval at which join requests are repeated. What it knows changes,
+    /// unlike the empty disk of a control VM that is asked.
+    static constexpr auto directoryAnswerLifetime = std::chrono::seconds(1);
+
+    /// Records the answer of \p vm to a join request.
+    auto recordAnswer(const VmId &vm, const JoinAnswer &answer, TimePoint now) -> void;
 
     /// \return whether this VM must bootstrap the group; meaningful only while it belongs to none
-    [[nodiscard]] auto shouldFound() const -> bool;
+    [[nodiscard]] auto shouldFound(TimePoint now) const -> bool;
 
     /// Records a request to join. Drops it if the VM is neither in the settings nor in \p group, unless other VMs may join.
     auto recordRequest(const JoinRequest &request, const Members &group, TimePoint now) -> void;
@@ -34,17 +57,33 @@
     [[nodiscard]] auto requests(TimePoint now) const -> std::vector<JoinRequest>;
 
 private:
+    struct ReceivedAnswer
+    {
+        bool empty = false;
+        bool directory = false;
+        /// Since when the directory has listed each candidate in each answer.
+        std::map<VmId, TimePoint> listedSince;
+        TimePoint at;
+    };
+
     struct ReceivedRequest
     {
         JoinRequest request;
         TimePoint at;
     };
 
+    /// \return the last answer of \p vm if it counts at \p now, otherwise null
+    [[nodiscard]] auto answerOf(const VmId &vm, TimePoint now) const -> const ReceivedAnswer *;
+    [[nodiscard]] auto isEmpty(const ControlMember &seed, TimePoint now) const -> bool;
+    [[nodiscard]] auto isDirectory(const ControlMember &seed, TimePoint now) const -> bool;
+    /// \return since when all directories of the settings have listed the candidate with the smallest name, if it is this VM
+    [[nodiscard]] auto smallestSince(TimePoint now) const -> std::optional<TimePoint>;
+
     VmId self;
     std::vector<ControlMember> initialMembers;
     bool mayFound;
     bool openToOthers;
-    std::set<VmId> vmsWithoutGroup;
+    std::map<VmId, ReceivedAnswer> answers;
     std::map<VmId, ReceivedRequest> joinRequests;
 };
 
--- a/lib/Consensus/peerlink.h
+++ b/lib/Consensus/peerlink.h
@@ -1,6 +1,7 @@
 // peerlink.h: the connection to one other control VM.
 #pragma once
 
+#include "formation.h"
 #include "sapphirespool/Consensus/messages.h"
 #include "sapphirespool/Rpc/connection.h"
 #include "sapphirespool/Rpc/loopthread.h"
@@ -14,15 +15,6 @@
 namespace sapphirespool::consensus
 {
 
-/// Answer of a control VM to a join request.
-struct JoinAnswer
-{
-    /// Whether the answering VM belongs to no group itself.
-    bool empty = false;
-    /// Members of the group that the answering VM belongs to.
-    std::vector<ControlMember> members;
-};
-
 /// Connects when there is a message to send or when the link is kept open, and reconnects after a failure. Drops messages that cannot
 /// be sent, as the core retransmits those that it needs.
 class PeerLink : private kj::TaskSet::ErrorHandler
--- a/lib/Consensus/replica.cpp
+++ b/lib/Consensus/replica.cpp
@@ -71,6 +71,9 @@
     auto promoteLearner(VmId vm, ProposalDone done) -> void override;
     auto removeMember(VmId vm, ProposalDone done) -> void override;
     [[nodiscard]] auto members() const -> std::vector<ControlMember> override;
+    [[nodiscard]] auto selfMember() const -> ControlMember override;
+    [[nodiscard]] auto isInGroup() const -> bool override;
+    auto suspendCommands(TimePoint until) -> void override;
     auto peerCapability() -> capnp::Capability::Client override;
     auto start() -> void override;
 
@@ -104,7 +107,7 @@
     auto onConnected(const VmId &vm) -> void;
     auto keepLinksOpen() -> void;
     auto vmOf(ReplicaId replica) const -> std::optional<VmId>;
-    auto selfMember() const -> ControlMember;
+    [[nodiscard]] auto isSuspended() const -> bool;
     auto logLeaderChange() -> void;
 
     rpc::LoopContext &context;
@@ -114,6 +117,8 @@
     bool applyScheduled = false;
     std::unique_ptr<storage::Folder> folder;
     ReplicaId self;
+    /// Until when another group that was found keeps this VM from accepting commands.
+    TimePoint suspendedUntil = TimePoint::min();
     std::unique_ptr<Core> core;
     GroupFormation formation;
     /// Members of the group as reported in answers to join requests, while this VM belongs to no group.
@@ -359,11 +364,11 @@
     this->keepLinksOpen();
     if (!this->core->isMember()) {
         this->requestToJoin();
-        if (this->core->members().members.empty() && this->formation.shouldFound()) {
+        if (this->core->members().members.empty() && this->formation.shouldFound(clockNow())) {
             support::log(support::Event::GroupFounded, {{"vm", this->settings.vm.value()}});
             this->handle(Founded{this->selfMember()});
         }
-    } else if (this->core->acceptsMemberChange()) {
+    } else if (this->core->acceptsMemberChange() && !this->isSuspended()) {
         const auto requests = this->formation.requests(clockNow());
         const auto caughtUp = [this](ReplicaId replica) {
             return this->core->caughtUp(replica);
@@ -382,12 +387,17 @@
 {
     auto contacts = this->settings.initialMembers;
     contacts.insert(contacts.end(), this->reportedMembers.begin(), this->reportedMembers.end());
+    if (this->settings.openToOthers) {
+        // A VM that was removed while it was down may know more of the group than its seeds.
+        const auto former = this->members();
+        contacts.insert(contacts.end(), former.begin(), former.end());
+    }
     for (const auto &member : contacts) {
         if (member.vm == this->settings.vm) {
             continue;
         }
         this->linkTo(member.vm)->join(this->selfMember(), [this, vm = member.vm](JoinAnswer answer) {
-            this->formation.recordAnswer(vm, answer.empty);
+            this->formation.recordAnswer(vm, answer, clockNow());
             // Only the leader admits VMs, and the settings may not list it.
             if (!answer.members.empty()) {
                 this->reportedMembers = std::move(answer.members);
@@ -420,7 +430,7 @@
             this->handle(Ended{known.replica});
         }
     }
-    return this->core->members().members.empty();
+    return !this->isInGroup();
 }
 
 auto ReplicaNode::onMessage(schema::Message::Reader message) -> void
@@ -493,6 +503,21 @@
     return {this->settings.vm, this->settings.endpoint, true, this->self};
 }
 
+auto ReplicaNode::isInGroup() const -> bool
+{
+    return !this->core->members().members.empty();
+}
+
+auto ReplicaNode::suspendCommands(TimePoint until) -> void
+{
+    this->suspendedUntil = until;
+}
+
+auto ReplicaNode::isSuspended() const -> bool
+{
+    return clockNow() < this->suspendedUntil;
+}
+
 auto ReplicaNode::logLeaderChange() -> void
 {
     if (this->core->leader() == this->loggedLeader) {
@@ -505,6 +530,10 @@
 
 auto ReplicaNode::propose(Bytes command, ProposalDone done) -> void
 {
+    if (this->isSuspended()) {
+        done(ProposalFailure::NotLeader);
+        return;
+    }
     const auto number = RequestNumber(++this->lastRequestNumber);
     this->proposals.emplace(number, std::move(done));
     this->handle(Proposed{number, std::move(command)});
@@ -512,6 +541,10 @@
 
 auto ReplicaNode::confirmRead(ReadDone done) -> void
 {
+    if (this->isSuspended()) {
+        done(ProposalFailure::NotLeader);
+        return;
+    }
     const auto number = RequestNumber(++this->lastRequestNumber);
     this->reads.emplace(number, std::move(done));
     this->handle(ReadRequested{number});
@@ -519,6 +552,9 @@
 
 auto ReplicaNode::leaderLeaseEnd() const -> TimePoint
 {
+    if (this->isSuspended()) {
+        return TimePoint::min();
+    }
     // A leader that has not applied what earlier leaders committed would decide by an old state.
     return this->applyQueue.lacksEntriesBefore(this->core->term()) ? TimePoint::min() : this->core->leaderLeaseEnd();
 }
--- a/lib/Control/codec.cpp
+++ b/lib/Control/codec.cpp
@@ -302,6 +302,54 @@
     return {text(in.getAddress()), in.getPort()};
 }
 
+auto writeEndpoints(std::span<const Endpoint> endpoints, capnp::List<schema::Endpoint>::Builder out) -> void
+{
+    writeEach(endpoints, out);
+}
+
+auto readEndpoints(capnp::List<schema::Endpoint>::Reader in) -> std::vector<Endpoint>
+{
+    auto endpoints = std::vector<Endpoint>();
+    for (const auto endpoint : ofSaneLength(in)) {
+        endpoints.push_back(read(endpoint));
+    }
+    return endpoints;
+}
+
+auto write(const KnownControlVm &known, schema::KnownControlVm::Builder out) -> void
+{
+    out.setVm(known.entry.vm.value());
+    out.setZone(known.entry.zone.value());
+    write(known.entry.endpoint, out.initEndpoint());
+    out.setReplica(known.entry.replica.value());
+    out.setGroupSize(known.entry.groupSize);
+    out.setLeads(known.entry.leads);
+    out.setAgeMs(static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::milliseconds>(known.age).count()));
+}
+
+auto read(schema::KnownControlVm::Reader in) -> KnownControlVm
+{
+    // Bounded, since a larger number would overflow as a duration.
+    const auto age = std::min<std::uint64_t>(in.getAgeMs(), std::chrono::milliseconds(DirectoryTable::entryLifetime).count());
+    return {
+        {VmId(text(in.getVm())), ZoneId(text(in.getZone())), read(in.getEndpoint()), consensus::ReplicaId(in.getReplica()), in.getGroupSize(), in.getLeads()},
+        std::chrono::milliseconds(age)};
+}
+
+auto writeKnown(std::span<const KnownControlVm> known, capnp::List<schema::KnownControlVm>::Builder out) -> void
+{
+    writeEach(known, out);
+}
+
+auto readKnown(capnp::List<schema::KnownControlVm>::Reader in) -> std::vector<KnownControlVm>
+{
+    auto known = std::vector<KnownControlVm>();
+    for (const auto one : ofSaneLength(in)) {
+        known.push_back(read(one));
+    }
+    return known;
+}
+
 auto write(const membership::ClusterView &view, schema::ClusterView::Builder out) -> void
 {
     out.setRevision(view.revision.value());
--- a/lib/Control/codec.h
+++ b/lib/Control/codec.h
@@ -1,6 +1,7 @@
 // codec.h: the messages between proxies and control in Cap'n Proto.
 #pragma once
 
+#include "directorytable.h"
 #include "sapphirespool/Control/controlservice.h"
 #include "sapphirespool/Membership/viewdelta.h"
 #include "sapphirespool/Rpc/bytes.h"
@@ -8,6 +9,7 @@
 #include <control.capnp.h>
 
 #include <cstddef>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -67,5 +69,12 @@
 
 auto write(const Endpoint &endpoint, schema::Endpoint::Builder out) -> void;
 [[nodiscard]] auto read(schema::Endpoint::Reader in) -> Endpoint;
+auto writeEndpoints(std::span<const Endpoint> endpoints, capnp::List<schema::Endpoint>::Builder out) -> void;
+[[nodiscard]] auto readEndpoints(capnp::List<schema::Endpoint>::Reader in) -> std::vector<Endpoint>;
+
+auto write(const KnownControlVm &known, schema::KnownControlVm::Builder out) -> void;
+[[nodiscard]] auto read(schema::KnownControlVm::Reader in) -> KnownControlVm;
+auto writeKnown(std::span<const KnownControlVm> known, capnp::List<schema::KnownControlVm>::Builder out) -> void;
+[[nodiscard]] auto readKnown(capnp::List<schema::KnownControlVm>::Reader in) -> std::vector<KnownControlVm>;
 
 } // namespace sapphirespool::control
--- a/lib/Control/controlserver.cpp
+++ b/lib/Control/controlserver.cpp
@@ -2,6 +2,7 @@
 
 #include "codec.h"
 #include "controlload.h"
+#include "ownentry.h"
 #include "viewbatch.h"
 #include "viewhistory.h"
 #include "viewpace.h"
@@ -52,10 +53,11 @@
 class Shared : public std::enable_shared_from_this<Shared>, private kj::TaskSet::ErrorHandler
 {
 public:
-    Shared(rpc::LoopContext &context, consensus::Replica &replica, ControlService &service)
+    Shared(rpc::LoopContext &context, consensus::Replica &replica, ControlService &service, ZoneId zone)
         : context(context)
         , replica(replica)
         , service(service)
+        , zone(std::move(zone))
         , tasks(*this)
     {
         this->service.onViewChange([this] {
@@ -85,15 +87,30 @@
 
     auto writeRedirect(schema::Redirect::Builder out) const -> void
     {
-        const auto leader = this->detached ? std::nullopt : this->replica.leader();
-        if (!leader) {
+        if (this->detached) {
             return;
         }
+        const auto leader = this->replica.leader();
+        const auto self = this->replica.selfMember().vm;
+        auto others = std::vector<Endpoint>();
         for (const auto &member : this->replica.members()) {
-            if (member.vm == *leader) {
+            if (member.vm == leader) {
                 write(member.endpoint, out.initLeader());
             }
+            if (member.vm != self) {
+                others.push_back(member.endpoint);
+            }
+        }
+        writeEndpoints(others, out.initControlVms(static_cast<unsigned>(others.size())));
+    }
+
+    /// \return what this VM announces of itself; nothing while it stops
+    [[nodiscard]] auto known() const -> std::vector<KnownControlVm>
+    {
+        if (this->detached) {
+            return {};
         }
+        return {KnownControlVm{ownEntry(this->replica, this->zone, support::now()), Duration::zero()}};
     }
 
     template <typename Lease>
@@ -161,6 +178,7 @@
     rpc::LoopContext &context;
     consensus::Replica &replica;
     ControlService &service;
+    ZoneId zone;
     ControlLoad load;
     ViewTransfers transfers;
 
@@ -318,6 +336,14 @@
         return call.tailCall(kj::mv(request));
     }
 
+    /// A control VM keeps no directory: it only says what it is itself.
+    auto exchange(ExchangeContext call) -> kj::Promise<void> override
+    {
+        const auto known = this->shared->known();
+        writeKnown(known, call.getResults().initKnown(static_cast<unsigned>(known.size())));
+        return kj::READY_NOW;
+    }
+
     auto heartbeat(HeartbeatContext call) -> kj::Promise<void> override
     {
         if (!this->shared->leads()) {
@@ -527,8 +553,8 @@
 class ListeningServer : public ControlServer, private kj::TaskSet::ErrorHandler
 {
 public:
-    ListeningServer(rpc::LoopContext &context, const Endpoint &endpoint, consensus::Replica &replica, ControlService &service)
-        : shared(std::make_shared<Shared>(context, replica, service))
+    ListeningServer(rpc::LoopContext &context, const Endpoint &endpoint, consensus::Replica &replica, ControlService &service, ZoneId zone)
+        : shared(std::make_shared<Shared>(context, replica, service, std::move(zone)))
         , server(kj::heap<ControlVmServer>(this->shared))
         , tasks(*this)
     {
@@ -568,9 +594,10 @@
 
 } // namespace
 
-auto serveControl(rpc::LoopContext &context, Endpoint endpoint, consensus::Replica &replica, ControlService &service) -> std::unique_ptr<ControlServer>
+auto serveControl(rpc::LoopContext &context, Endpoint endpoint, consensus::Replica &replica, ControlService &service, ZoneId zone)
+    -> std::unique_ptr<ControlServer>
 {
-    return std::make_unique<ListeningServer>(context, endpoint, replica, service);
+    return std::make_unique<ListeningServer>(context, endpoint, replica, service, std::move(zone));
 }
 
 } // namespace sapphirespool::control
--- a/lib/Control/linkloop.cpp
+++ b/lib/Control/linkloop.cpp
@@ -5,6 +5,7 @@
 #include "sapphirespool/Support/clock.h"
 
 #include <chrono>
+#include <optional>
 #include <utility>
 
 namespace sapphirespool::control
@@ -21,8 +22,6 @@
 constexpr auto heartbeatLimit = 500 * kj::MILLISECONDS;
 /// Timeout of a watch. A large view waits for its turn at the server; heartbeats detect a server that has failed.
 constexpr auto watchLimit = 10 * kj::SECONDS;
-/// Backoff before the next VM is tried; an election takes a few of them.
-constexpr auto reconnectPause = 50 * kj::MILLISECONDS;
 /// Timeout of one attempt of an operator's request; a commit takes a few milliseconds.
 constexpr auto attemptLimit = 2000 * kj::MILLISECONDS;
 /// Deadline of an operator's request, which leaves time for an election and a few retries.
@@ -55,6 +54,7 @@
     , settings(std::move(settings))
     , holder(std::move(holder))
     , leases(*this->holder)
+    , targets(this->settings.controlVms, this->settings.foundBySeeds, this->settings.incarnation.value())
     , tasks(*this)
 {
     this->tasks.add(this->runSessions());
@@ -64,20 +64,9 @@
 {
 }
 
-auto LinkLoop::nextTarget() -> Endpoint
-{
-    if (this->redirected) {
-        return *std::exchange(this->redirected, std::nullopt);
-    }
-    // The settings may name only control VMs that have been replaced since, so that those of the last lease are tried too.
-    const auto &given = this->settings.controlVms;
-    const auto place = this->nextVm++ % (given.size() + this->heardOf.size());
-    return place < given.size() ? given[place] : this->heardOf[place - given.size()];
-}
-
 auto LinkLoop::runSessions() -> kj::Promise<void>
 {
-    auto session = rpc::connect(this->context, this->nextTarget(), rpc::connectLimit).then([this](kj::Own<rpc::Connection> connected) {
+    auto session = rpc::connect(this->context, this->targets.next(), rpc::connectLimit).then([this](kj::Own<rpc::Connection> connected) {
         return this->runSession(kj::mv(connected));
     });
     return session
@@ -94,13 +83,11 @@
 
 auto LinkLoop::pauseBeforeNext() -> kj::Promise<void>
 {
-    // A redirect is followed at once. After a second one in a row the control VMs do not agree on their leader yet.
-    const auto straight = this->redirected && !std::exchange(this->wentStraight, true);
-    if (straight) {
+    const auto pause = this->targets.pause();
+    if (pause.count() == 0) {
         return kj::READY_NOW;
     }
-    this->wentStraight = false;
-    return this->context.timer.afterDelay(reconnectPause);
+    return this->context.timer.afterDelay(pause.count() * kj::MILLISECONDS);
 }
 
 auto LinkLoop::runSession(kj::Own<rpc::Connection> connected) -> kj::Promise<void>
@@ -167,16 +154,18 @@
         this->followRedirect(answer.getRedirect());
         kj::throwFatalException(endSession());
     }
+    this->targets.answered();
     this->announcementsSent.clear();
     this->holder->noteContact(support::now());
     // A suspicion without an answer is resent with the next heartbeat, as the proxy may observe no further failure.
     this->suspicions.erase(this->suspicions.begin(), this->suspicions.begin() + static_cast<std::ptrdiff_t>(this->suspicionsSent));
     if (answer.isLease()) {
         const auto lease = answer.getLease();
-        this->heardOf.clear();
-        for (const auto endpoint : lease.getControlVms()) {
-            this->heardOf.push_back(read(endpoint));
+        auto controlVms = readEndpoints(lease.getControlVms());
+        if (this->settings.onLease) {
+            this->settings.onLease(controlVms);
         }
+        this->targets.noteLease(std::move(controlVms));
         this->leases.granted(sentAt + std::chrono::milliseconds(lease.getLengthMs()), Revision(lease.getFloor()));
     }
 }
@@ -255,9 +244,8 @@
 
 auto LinkLoop::followRedirect(schema::Redirect::Reader redirect) -> void
 {
-    if (redirect.hasLeader() && redirect.getLeader().getPort() != 0) {
-        this->redirected = read(redirect.getLeader());
-    }
+    const auto leader = read(redirect.getLeader());
+    this->targets.redirected(leader.port == 0 ? std::nullopt : std::optional(leader), readEndpoints(redirect.getControlVms()));
 }
 
 auto LinkLoop::wakeHeartbeat() -> void
@@ -284,7 +272,7 @@
 
 auto LinkLoop::setControlVms(std::vector<Endpoint> controlVms) -> void
 {
-    this->settings.controlVms = std::move(controlVms);
+    this->targets.setSeeds(std::move(controlVms));
 }
 
 auto LinkLoop::leave() -> void
--- a/lib/Control/linkloop.h
+++ b/lib/Control/linkloop.h
@@ -1,6 +1,7 @@
 // linkloop.h: the part of a proxy's control link that lives on the loop.
 #pragma once
 
+#include "controltargets.h"
 #include "leasekeeper.h"
 #include "sapphirespool/Control/controlservice.h"
 #include "sapphirespool/Control/proxylink.h"
@@ -12,7 +13,6 @@
 
 #include <functional>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,8 +21,7 @@
 
 /// Keeps a connection to the leading control VM: heartbeats and a watch over it, and requests of operators.
 ///
-/// A connection ends when an answer is missing too long, when it breaks, or when the VM points to another leader; the next one goes
-/// there, or to the next VM of the settings.
+/// A connection ends when an answer is missing too long, when it breaks, or when the VM redirects; ControlTargets chooses the next one.
 class LinkLoop : private kj::TaskSet::ErrorHandler
 {
 public:
@@ -64,7 +63,6 @@
     auto takeSnapshot(capnp::Data::Reader packed) -> void;
     auto takeDelta(capnp::Data::Reader packed) -> void;
     auto followRedirect(schema::Redirect::Reader redirect) -> void;
-    auto nextTarget() -> Endpoint;
     auto wakeHeartbeat() -> void;
     auto run(std::shared_ptr<Attempt> attempt) -> void;
     auto tryOnce(std::shared_ptr<Attempt> attempt) -> kj::Promise<bool>;
@@ -74,12 +72,7 @@
     /// Shared: the loop goes on for a moment after the link was given up.
     std::shared_ptr<membership::ViewHolder> holder;
     LeaseKeeper leases;
-    /// Control VMs that the group named last.
-    std::vector<Endpoint> heardOf;
-    std::size_t nextVm = 0;
-    std::optional<Endpoint> redirected;
-    /// Whether the present session was begun without a pause.
-    bool wentStraight = false;
+    ControlTargets targets;
     kj::Maybe<schema::Control::Client> client;
     bool snapshotNeeded = false;
     /// The view that is fetched in parts.
--- a/lib/Support/events.cpp
+++ b/lib/Support/events.cpp
@@ -37,6 +37,8 @@
     {Event::ControlLeadLost, Severity::Warning, "control lead lost"},
     {Event::ElectionStarted, Severity::Warning, "election started"},
     {Event::ControlLoad, Severity::Info, "control load"},
+    {Event::OtherGroupSeen, Severity::Error, "other control group seen"},
+    {Event::ControlVmListed, Severity::Info, "control VM listed or no longer listed"},
     {Event::StorageFailed, Severity::Error, "storage failed"},
     {Event::ConfigurationAccepted, Severity::Info, "configuration accepted"},
     {Event::TermEnded, Severity::Warning, "term ended"},
--- a/schema/control.capnp
+++ b/schema/control.capnp
@@ -134,9 +134,24 @@
   retryAfterMs @2 :UInt64;
 }
 
-# The VM does not lead, or not provably. Empty if it knows no leader.
+# The VM does not lead, or not provably. The leader is empty if it knows none.
 struct Redirect {
   leader @0 :Consensus.Endpoint;
+  # Further control VMs that it knows.
+  controlVms @1 :List(Consensus.Endpoint);
+}
+
+# A control VM as it announces itself, and as directories pass it on.
+struct KnownControlVm {
+  vm @0 :Text;
+  zone @1 :Text;
+  endpoint @2 :Consensus.Endpoint;
+  replica @3 :UInt64;
+  # Members of its group; 0 if it is in none.
+  groupSize @4 :UInt32;
+  leads @5 :Bool;
+  # Time since the control VM itself announced this.
+  ageMs @6 :UInt64;
 }
 
 struct VmStatus {
@@ -229,6 +244,12 @@
   }
 }
 
-# What a control VM serves at its one endpoint.
-interface ControlVm extends (Consensus.ConsensusPeer, Control) {
+interface Directory {
+  # A control VM announces itself by it, and a directory passes on what it knows. Both get what the called VM knows: a control VM knows
+  # itself only.
+  exchange @0 (directory :Consensus.Endpoint, known :List(KnownControlVm)) -> (known :List(KnownControlVm));
+}
+
+# What a control VM or a directory serves at its one endpoint.
+interface ControlVm extends (Consensus.ConsensusPeer, Control, Directory) {
 }
--- a/unittests/Consensus/joiningtest.cpp
+++ b/unittests/Consensus/joiningtest.cpp
@@ -4,12 +4,17 @@
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
+#include <string_view>
+
 namespace sapphirespool::consensus
 {
 
 namespace
 {
 
+using namespace std::chrono_literals;
+
 auto makeMember(std::uint64_t replica, bool voter) -> ControlMember
 {
     return {VmId("vm-" + std::to_string(replica)), {}, voter, ReplicaId(replica)};
@@ -20,6 +25,29 @@
     return true;
 }
 
+const auto emptyControlVm = JoinAnswer{true, {}, false, {}};
+
+/// \return the answer of a directory that knows of no group
+auto fromDirectory(std::vector<VmId> candidates) -> JoinAnswer
+{
+    return {true, {}, true, std::move(candidates)};
+}
+
+auto seeds() -> std::vector<ControlMember>
+{
+    return {{VmId("s1"), {}, true, {}}, {VmId("s2"), {}, true, {}}, {VmId("s3"), {}, true, {}}};
+}
+
+/// Has all seeds answer at each tenth of a second from \p begin to \p end, as a VM without a group asks them.
+auto answerAll(GroupFormation &formation, const JoinAnswer &answer, std::chrono::milliseconds begin, std::chrono::milliseconds end) -> void
+{
+    for (auto at = begin; at <= end; at += std::chrono::milliseconds(100)) {
+        for (const auto &seed : seeds()) {
+            formation.recordAnswer(seed.vm, answer, TimePoint(at));
+        }
+    }
+}
+
 } // namespace
 
 TEST_CASE("a learner replaces a lost voter only")
@@ -70,11 +98,11 @@
     // acknowledged changes.
     const auto members = std::vector{ControlMember{VmId("a"), {}, true, {}}, ControlMember{VmId("b"), {}, true, {}}};
     auto withoutFounding = GroupFormation(VmId("a"), members, false, true);
-    withoutFounding.recordAnswer(VmId("b"), true);
-    CHECK_FALSE(withoutFounding.shouldFound());
+    withoutFounding.recordAnswer(VmId("b"), emptyControlVm, TimePoint());
+    CHECK_FALSE(withoutFounding.shouldFound(TimePoint()));
     auto first = GroupFormation(VmId("a"), members, true, true);
-    first.recordAnswer(VmId("b"), true);
-    CHECK(first.shouldFound());
+    first.recordAnswer(VmId("b"), emptyControlVm, TimePoint());
+    CHECK(first.shouldFound(TimePoint()));
     const auto request = JoinRequest{VmId("new"), {}, ReplicaId(9)};
     first.recordRequest(request, Members(), TimePoint());
     CHECK(first.requests(TimePoint()).size() == 1);
@@ -83,4 +111,64 @@
     CHECK(closed.requests(TimePoint()).empty());
 }
 
+// Failure: no seed is a control VM, so that nobody founds the group, or two control VMs found one each.
+TEST_CASE("if all seeds are directories, the smallest candidate that all of them have listed for a second founds")
+{
+    const auto candidates = fromDirectory({VmId("a"), VmId("b")});
+    auto smallest = GroupFormation(VmId("a"), seeds(), true, true);
+    auto other = GroupFormation(VmId("b"), seeds(), true, true);
+    answerAll(smallest, candidates, 0ms, 900ms);
+    CHECK_FALSE(smallest.shouldFound(TimePoint(900ms)));
+    answerAll(smallest, candidates, 1000ms, 1000ms);
+    CHECK(smallest.shouldFound(TimePoint(1000ms)));
+    answerAll(other, candidates, 0ms, 2000ms);
+    CHECK_FALSE(other.shouldFound(TimePoint(2000ms)));
+}
+
+// Failure: a directory has not heard of a smaller candidate, and a second group is founded beside its.
+TEST_CASE("a candidate that not all directories list does not found")
+{
+    auto formation = GroupFormation(VmId("a"), seeds(), true, true);
+    answerAll(formation, fromDirectory({VmId("a")}), 0ms, 2000ms);
+    formation.recordAnswer(VmId("s3"), fromDirectory({}), TimePoint(2000ms));
+    CHECK_FALSE(formation.shouldFound(TimePoint(2000ms)));
+    // The second begins anew.
+    answerAll(formation, fromDirectory({VmId("a")}), 2100ms, 3000ms);
+    CHECK_FALSE(formation.shouldFound(TimePoint(3000ms)));
+    answerAll(formation, fromDirectory({VmId("a")}), 3100ms, 3100ms);
+    CHECK(formation.shouldFound(TimePoint(3100ms)));
+}
+
+// Failure: a group exists that only one directory knows of, and a candidate founds another one.
+TEST_CASE("a directory that knows of a group blocks founding")
+{
+    auto formation = GroupFormation(VmId("a"), seeds(), true, true);
+    answerAll(formation, fromDirectory({VmId("a")}), 0ms, 2000ms);
+    REQUIRE(formation.shouldFound(TimePoint(2000ms)));
+    formation.recordAnswer(VmId("s2"), {false, {makeMember(1, true)}, true, {VmId("a")}}, TimePoint(2000ms));
+    CHECK_FALSE(formation.shouldFound(TimePoint(2000ms)));
+}
+
+// Failure: a directory was cut off after it answered that it knew of no group, and has learned of one since.
+TEST_CASE("an old answer of a directory does not count")
+{
+    auto formation = GroupFormation(VmId("a"), seeds(), true, true);
+    answerAll(formation, fromDirectory({VmId("a")}), 0ms, 2000ms);
+    CHECK(formation.shouldFound(TimePoint(2900ms)));
+    CHECK_FALSE(formation.shouldFound(TimePoint(3000ms)));
+}
+
+// Failure: the first seed is a directory, which never founds, so that nobody does; or two seeds with a disk both do.
+TEST_CASE("the first seed that is a control VM founds, and only once the directories know of no group")
+{
+    for (const auto *const self : {"s2", "s3", "a"}) {
+        auto formation = GroupFormation(VmId(self), seeds(), true, true);
+        formation.recordAnswer(VmId("s2"), emptyControlVm, TimePoint());
+        formation.recordAnswer(VmId("s3"), emptyControlVm, TimePoint());
+        CHECK_FALSE(formation.shouldFound(TimePoint()));
+        formation.recordAnswer(VmId("s1"), fromDirectory({VmId("a"), VmId("s2"), VmId("s3")}), TimePoint());
+        CHECK(formation.shouldFound(TimePoint()) == (std::string_view(self) == "s2"));
+    }
+}
+
 } // namespace sapphirespool::consensus
--- a/unittests/Consensus/replicatest.cpp
+++ b/unittests/Consensus/replicatest.cpp
@@ -252,4 +252,31 @@
     CHECK(longestGap < CoreSettings().minimumElectionTimeout);
 }
 
+// Failure: a VM that founded a second group goes on to accept changes and to grant leases.
+TEST_CASE("a leader that is suspended accepts no commands, and leads again afterwards")
+{
+    auto group = ThreeVmFixture();
+    for (auto &vm : group.vms) {
+        group.start(vm);
+    }
+    group.runUntil([&group] {
+        return group.voters() == 3;
+    });
+    group.commit(1);
+    auto *const leader = group.leader();
+    REQUIRE(leader != nullptr);
+    const auto now = std::chrono::steady_clock::now();
+    leader->replica->suspendCommands(now + std::chrono::hours(1));
+    CHECK_FALSE(leader->replica->holdsLeaderLease(now));
+    auto outcome = std::optional<ProposalOutcome>();
+    leader->replica->propose(Bytes{std::byte(2)}, [&outcome](ProposalOutcome result) {
+        outcome = std::move(result);
+    });
+    REQUIRE(outcome.has_value());
+    CHECK(std::get<ProposalFailure>(*outcome) == ProposalFailure::NotLeader);
+    leader->replica->suspendCommands(now);
+    group.commit(3);
+    CHECK(group.leader()->machine.commands == Bytes{std::byte(1), std::byte(3)});
+}
+
 } // namespace sapphirespool::consensus
