Directories are registered, and counted nowhere as proxies

Cause: a directory heartbeats like a proxy. Counted as one it would get a part of the connections, quota and keys, and a configuration or a promotion would wait for its view.

A VM without callers but with an address for its peers is a directory. The replicated state keeps it, so that control VMs announce themselves to it, and leaves it out of the view; VmTable leaves it out of what is in force and of what a promotion waits for.

--- a/include/sapphirespool/Controller/vmtable.h
+++ b/include/sapphirespool/Controller/vmtable.h
@@ -63,6 +63,8 @@
         Revision confirmed;
         Revision configuration;
         TimePoint leaseEnd;
+        /// It serves no statements, so that none depends on its view.
+        bool isDirectory = false;
     };
 
     std::map<VmId, Vm> vms;
--- a/include/sapphirespool/Membership/clusterview.h
+++ b/include/sapphirespool/Membership/clusterview.h
@@ -153,6 +153,12 @@
     bool settled = false;
 
     auto operator==(const ProxyView &) const -> bool = default;
+
+    /// \return whether this is no proxy but a directory: it takes no callers, and its peers are control VMs and other directories
+    [[nodiscard]] auto isDirectory() const -> bool
+    {
+        return this->callers.port == 0 && this->peers.port != 0;
+    }
 };
 
 /// The whole view at one revision.
--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -120,8 +120,8 @@
     status.revision = view->revision;
     status.configuration = view->configuration;
     status.inForce = this->vms.inForce(view->configuration, now);
-    for (const auto &proxy : view->proxies) {
-        status.vms.push_back(this->vms.status(proxy, now));
+    for (const auto &vm : this->parts.state.vms()) {
+        status.vms.push_back(this->vms.status(vm, now));
     }
     return status;
 }
--- a/lib/Controller/vmtable.cpp
+++ b/lib/Controller/vmtable.cpp
@@ -12,6 +12,7 @@
         vm.zone = proxy.zone;
         vm.incarnation = proxy.incarnation;
         vm.leaseEnd = now + leaseLength;
+        vm.isDirectory = proxy.isDirectory();
         this->vms.emplace(proxy.id, std::move(vm));
     }
 }
@@ -27,6 +28,7 @@
         vm.incarnation = heartbeat.incarnation;
     }
     vm.zone = heartbeat.zone;
+    vm.isDirectory = heartbeat.callers.port == 0 && heartbeat.peers.port != 0;
     vm.confirmed = heartbeat.confirmed;
     vm.configuration = heartbeat.configuration;
     vm.leaseEnd = std::max(vm.leaseEnd, now + leaseLength);
@@ -42,7 +44,7 @@
 auto VmTable::inForce(Revision configuration, TimePoint now) const -> bool
 {
     return std::all_of(this->vms.begin(), this->vms.end(), [configuration, now](const auto &vm) {
-        return vm.second.configuration >= configuration || now >= vm.second.leaseEnd;
+        return vm.second.isDirectory || vm.second.configuration >= configuration || now >= vm.second.leaseEnd;
     });
 }
 
@@ -63,7 +65,7 @@
     auto zones = std::set<ZoneId>();
     auto oldest = current;
     for (const auto &[id, vm] : this->vms) {
-        if (now < vm.leaseEnd) {
+        if (!vm.isDirectory && now < vm.leaseEnd) {
             zones.insert(vm.zone);
             oldest = std::min(oldest, vm.confirmed);
         }
--- a/lib/State/clusterstate.cpp
+++ b/lib/State/clusterstate.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -378,7 +379,10 @@
     view.revision = this->content.revision;
     view.configuration = this->content.configuration;
     view.services = this->content.services;
-    view.proxies = this->content.vms;
+    // Directories serve no statements. Whoever counted them as proxies would keep connections, quota or keys for them.
+    std::copy_if(this->content.vms.begin(), this->content.vms.end(), std::back_inserter(view.proxies), [](const ProxyView &vm) {
+        return !vm.isDirectory();
+    });
     view.customers = this->content.customers;
     auto named = std::set<GroupId>();
     for (const auto &service : view.services) {
--- a/unittests/State/clusterstatetest.cpp
+++ b/unittests/State/clusterstatetest.cpp
@@ -235,4 +235,18 @@
     CHECK_FALSE(state.view()->findProxy(VmId("late"))->settled);
 }
 
+// Failure: proxies count directories as proxies, and keep a part of the connections, quota and keys for them.
+TEST_CASE("directories are registered but not in the view")
+{
+    auto state = ClusterState();
+    auto proxy = membership::ProxyView{VmId("proxy"), ZoneId("z"), Incarnation(1), {"127.0.0.1", 1}, {"127.0.0.1", 2}};
+    auto directory = membership::ProxyView{VmId("directory"), ZoneId("z"), Incarnation(1), {}, {"127.0.0.1", 3}};
+    state.execute(RegisterVm{proxy});
+    state.execute(RegisterVm{directory});
+    REQUIRE(state.vms().size() == 2);
+    CHECK(state.findVm(VmId("directory"))->isDirectory());
+    REQUIRE(state.view()->proxies.size() == 1);
+    CHECK(state.view()->proxies.front().id == VmId("proxy"));
+}
+
 } // namespace sapphirespool::state
