Nodes with the role operators serve a directory

Cause: their address may be the only seed of others, and nothing listened there.

Control VMs that are found by seeds announce themselves. A fixed list of control members starts neither.

--- a/include/sapphirespool/Settings/settings.h
+++ b/include/sapphirespool/Settings/settings.h
@@ -65,7 +65,7 @@
     std::vector<ControlAddress> controlMembers;
     /// Whether \a controlMembers are only some of the control VMs, by which the others are found.
     bool controlFoundBySeeds = false;
-    /// Where this VM's control role listens if no entry of \a controlMembers says it.
+    /// Where this VM's control role listens if no entry of \a controlMembers says it, or its directory.
     Endpoint controlAddress;
     /// Whether this may be the very first start of the system: the control group is founded, and proxies may allocate quota at once.
     bool firstStart = true;
@@ -85,6 +85,9 @@
 
     /// \return where this VM's control role listens, if it has one
     [[nodiscard]] auto controlEndpoint() const -> std::optional<Endpoint>;
+
+    /// \return where this VM serves the addresses of control VMs, if it has no control role itself and the settings say it
+    [[nodiscard]] auto directoryEndpoint() const -> std::optional<Endpoint>;
 };
 
 /// \return the settings in \p text, or an error with support::TextProblems
--- a/lib/Node/controlaccess.cpp
+++ b/lib/Node/controlaccess.cpp
@@ -1,17 +1,11 @@
 #include "controlaccess.h"
 
-#include "sapphirespool/Control/proxylink.h"
-
 #include <utility>
 
 namespace sapphirespool::node
 {
 
-auto linkToControl(rpc::LoopThread &loop,
-                   const settings::Settings &settings,
-                   const VmId &vm,
-                   Incarnation incarnation,
-                   std::shared_ptr<membership::ViewHolder> views) -> std::shared_ptr<membership::ControlLink>
+auto proxyLinkSettings(const settings::Settings &settings, const VmId &vm, Incarnation incarnation) -> control::ProxyLinkSettings
 {
     auto about = control::ProxyLinkSettings();
     about.vm = vm;
@@ -20,10 +14,20 @@
     about.callers = settings.callers;
     about.peers = settings.peers;
     about.firstStart = settings.firstStart;
+    about.foundBySeeds = settings.controlFoundBySeeds;
     for (const auto &member : settings.controlMembers) {
         about.controlVms.push_back(member.endpoint);
     }
-    return control::makeProxyLink(loop, std::move(about), std::move(views));
+    return about;
+}
+
+auto linkToControl(rpc::LoopThread &loop,
+                   const settings::Settings &settings,
+                   const VmId &vm,
+                   Incarnation incarnation,
+                   std::shared_ptr<membership::ViewHolder> views) -> std::shared_ptr<membership::ControlLink>
+{
+    return control::makeProxyLink(loop, proxyLinkSettings(settings, vm, incarnation), std::move(views));
 }
 
 } // namespace sapphirespool::node
--- a/lib/Node/controlaccess.h
+++ b/lib/Node/controlaccess.h
@@ -1,6 +1,7 @@
 // controlaccess.h: a process's link to the control group and the view that it brings.
 #pragma once
 
+#include "sapphirespool/Control/proxylink.h"
 #include "sapphirespool/Membership/clusterview.h"
 #include "sapphirespool/Membership/controllink.h"
 #include "sapphirespool/Rpc/loopthread.h"
@@ -12,6 +13,9 @@
 namespace sapphirespool::node
 {
 
+/// Says of a process what control has to know of it, and where it finds control.
+[[nodiscard]] auto proxyLinkSettings(const settings::Settings &settings, const VmId &vm, Incarnation incarnation) -> control::ProxyLinkSettings;
+
 /// \param vm name under which control knows the process
 /// \return a link that keeps \p views up to date for as long as anyone holds it
 ///
--- a/lib/Node/controlpart.cpp
+++ b/lib/Node/controlpart.cpp
@@ -1,6 +1,7 @@
 #include "controlpart.h"
 
 #include "sapphirespool/Consensus/replica.h"
+#include "sapphirespool/Control/announcer.h"
 #include "sapphirespool/Control/controlserver.h"
 #include "sapphirespool/Controller/controller.h"
 #include "sapphirespool/Node/node.h"
@@ -40,6 +41,17 @@
     return replica;
 }
 
+auto directoriesOf(const state::ClusterState &state) -> std::vector<Endpoint>
+{
+    auto directories = std::vector<Endpoint>();
+    for (const auto &vm : state.vms()) {
+        if (vm.isDirectory()) {
+            directories.push_back(vm.peers);
+        }
+    }
+    return directories;
+}
+
 } // namespace
 
 /// Members are destroyed in the reverse order: the server first, the state last.
@@ -50,12 +62,22 @@
         : timer(context.timer)
         , replica(openOrThrow(context, replicaSettings(settings, seed), this->state))
         , controller(controller::makeController(this->controllerParts(loop, settings, std::move(edge))))
-        , server(control::serveControl(context, *settings.controlEndpoint(), *this->replica, *this->controller))
+        , server(control::serveControl(context, *settings.controlEndpoint(), *this->replica, *this->controller, settings.zone))
     {
         this->replica->start();
+        if (settings.controlFoundBySeeds) {
+            this->announcer = control::makeAnnouncer(context, this->announcerSettings(settings, seed), *this->replica);
+        }
         this->ticking = this->tickForever().eagerlyEvaluate(nullptr);
     }
 
+    auto setSeeds(std::vector<Endpoint> seeds) -> void
+    {
+        if (this->announcer != nullptr) {
+            this->announcer->setSeeds(std::move(seeds));
+        }
+    }
+
 private:
     static auto openOrThrow(rpc::LoopContext &context, consensus::ReplicaSettings settings, state::ClusterState &state) -> std::unique_ptr<consensus::Replica>
     {
@@ -88,6 +110,20 @@
                 settings.zone};
     }
 
+    auto announcerSettings(const settings::Settings &settings, std::uint64_t seed) -> control::AnnouncerSettings
+    {
+        auto announcements = control::AnnouncerSettings();
+        announcements.zone = settings.zone;
+        announcements.seed = seed;
+        for (const auto &member : settings.controlMembers) {
+            announcements.seeds.push_back(member.endpoint);
+        }
+        announcements.directories = [this] {
+            return directoriesOf(this->state);
+        };
+        return announcements;
+    }
+
     auto tickForever() -> kj::Promise<void>
     {
         return this->timer.afterDelay(tickLength).then([this] {
@@ -101,6 +137,7 @@
     std::unique_ptr<consensus::Replica> replica;
     std::shared_ptr<controller::Controller> controller;
     std::unique_ptr<control::ControlServer> server;
+    std::unique_ptr<control::Announcer> announcer;
     kj::Promise<void> ticking = nullptr;
 };
 
@@ -119,6 +156,15 @@
     this->onLoop = ready.get();
 }
 
+auto ControlPart::setSeeds(std::vector<Endpoint> seeds) -> void
+{
+    this->loop.post([weak = std::weak_ptr(this->onLoop), seeds = std::move(seeds)](rpc::LoopContext &) {
+        if (const auto held = weak.lock()) {
+            held->setSeeds(seeds);
+        }
+    });
+}
+
 ControlPart::~ControlPart()
 {
     auto ended = std::promise<void>();
--- a/lib/Node/controlpart.h
+++ b/lib/Node/controlpart.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <vector>
 
 namespace sapphirespool::node
 {
@@ -29,6 +30,9 @@
     ControlPart(const ControlPart &) = delete;
     auto operator=(const ControlPart &) -> ControlPart & = delete;
 
+    /// Sets where the VM announces itself; without effect if the control VMs are a fixed list.
+    auto setSeeds(std::vector<Endpoint> seeds) -> void;
+
 private:
     class OnLoop;
 
--- a/lib/Node/node.cpp
+++ b/lib/Node/node.cpp
@@ -2,6 +2,7 @@
 
 #include "controlapi.h"
 #include "controlpart.h"
+#include "directorypart.h"
 #include "interactivepart.h"
 #include "proxypart.h"
 #include "trafficthreads.h"
@@ -12,8 +13,10 @@
 #include "sapphirespool/Support/log.h"
 
 #include <exception>
+#include <functional>
 #include <random>
 #include <utility>
+#include <vector>
 
 namespace sapphirespool::node
 {
@@ -64,6 +67,12 @@
         for (const auto &member : changed.controlMembers) {
             controlVms.push_back(member.endpoint);
         }
+        if (this->controlPart) {
+            this->controlPart->setSeeds(controlVms);
+        }
+        if (this->directoryPart) {
+            this->directoryPart->setSeeds(controlVms);
+        }
         if (this->interactivePart) {
             this->interactivePart->setControlVms(controlVms);
         }
@@ -92,8 +101,13 @@
         if (this->settings.control) {
             this->controlPart = std::make_unique<ControlPart>(this->controlLoop, this->settings, this->controlEdge(), drawNumber());
         }
+        if (this->settings.directoryEndpoint()) {
+            this->directoryPart = std::make_unique<DirectoryPart>(this->controlLoop, this->settings, drawNumber());
+        }
         if (this->edge && this->settings.operators.port != 0) {
-            this->controlApi = std::make_unique<ControlApi>(this->controlLoop, this->traffic, this->settings, Incarnation(drawNumber()), *this->edge);
+            auto onLease = this->directoryPart ? this->directoryPart->leaseListener() : std::function<void(std::vector<Endpoint>)>();
+            this->controlApi
+                = std::make_unique<ControlApi>(this->controlLoop, this->traffic, this->settings, Incarnation(drawNumber()), *this->edge, std::move(onLease));
         }
         if (this->settings.proxy && this->edge) {
             this->interactivePart = std::make_unique<InteractivePart>(this->controlLoop, this->traffic, this->settings, Incarnation(drawNumber()), *this->edge);
@@ -129,6 +143,7 @@
         this->proxyPart.reset();
         this->interactivePart.reset();
         this->controlApi.reset();
+        this->directoryPart.reset();
         this->controlPart.reset();
     }
 
@@ -139,6 +154,7 @@
     TrafficThreads orders{1};
     TrafficThreads traffic;
     std::unique_ptr<ControlPart> controlPart;
+    std::unique_ptr<DirectoryPart> directoryPart;
     std::unique_ptr<ProxyPart> proxyPart;
     std::unique_ptr<InteractivePart> interactivePart;
     std::unique_ptr<ControlApi> controlApi;
--- a/lib/Settings/settings.cpp
+++ b/lib/Settings/settings.cpp
@@ -200,11 +200,14 @@
     if (settings.control || settings.operatorsOnly) {
         settings.operators = readOptionalEndpoint(map, "operators");
     }
+    // With a fixed list of control members nobody asks a directory.
+    if (settings.control || (settings.operatorsOnly && settings.controlFoundBySeeds)) {
+        settings.controlAddress = readOptionalEndpoint(map, "control");
+    }
     if (settings.control) {
         settings.dataFolder = map.text("data");
         settings.promotionService = readOptionalEndpoint(map, "promotion_service");
         settings.announcementInterval = map.duration("announcement_interval", announcementRange, settings.announcementInterval);
-        settings.controlAddress = readOptionalEndpoint(map, "control");
         settings.controlLosses = static_cast<std::uint32_t>(map.number("control_losses", lossesRange, settings.controlLosses));
         if (!settings.controlEndpoint()) {
             map.report("vm", "the VM has the control role and is no control member", "add it to control_members or remove the role");
@@ -257,6 +260,12 @@
     return found == this->controlMembers.end() ? std::nullopt : std::optional(found->endpoint);
 }
 
+auto Settings::directoryEndpoint() const -> std::optional<Endpoint>
+{
+    const auto isDirectory = !this->control && this->operatorsOnly && this->controlFoundBySeeds && this->controlAddress.port != 0;
+    return isDirectory ? std::optional(this->controlAddress) : std::nullopt;
+}
+
 auto parseSettings(std::string_view file, std::string_view text) -> boost::leaf::result<Settings>
 {
     BOOST_LEAF_AUTO(map, support::readYaml(file, text));
--- a/unittests/Settings/settingstest.cpp
+++ b/unittests/Settings/settingstest.cpp
@@ -88,4 +88,19 @@
     CHECK(parse(with("8481", "84810")).problems.find("use an IP address and a port") != std::string::npos);
 }
 
+// Failure: a process without a disk whose address is among the seeds listens nowhere, and all who ask it find no control VM.
+TEST_CASE("a VM with the role operators serves the addresses of control VMs where its settings say, if they are found by seeds")
+{
+    const auto text = [](std::string_view control) {
+        return "vm: 127.1.1.1\nzone: hobart\nroles: [operators]\ncontrol: 127.1.1.1:8482\n" + std::string(control);
+    };
+    const auto seeded = parse(text("control_port: 8482\ncontrol_seeds: [\"127.1.2.1:9000\"]\n"));
+    REQUIRE(seeded.problems.empty());
+    CHECK(seeded.settings.directoryEndpoint() == Endpoint{"127.1.1.1", 8482});
+    CHECK_FALSE(seeded.settings.controlEndpoint());
+    const auto fixed = parse(text("control_members: [{vm: a, address: \"127.1.2.1:8482\"}]\n"));
+    CHECK(fixed.problems.find("unknown field 'control'") != std::string::npos);
+    CHECK_FALSE(parse(entryVm).settings.directoryEndpoint());
+}
+
 } // namespace sapphirespool::settings
