--- a/include/sapphirespool/Consensus/replica.h
+++ b/include/sapphirespool/Consensus/replica.h
@@ -47,12 +47,18 @@
 class Replica : public ReplicatedLog
 {
 public:
-    /// \return the capability through which the other control VMs call this replica
-    [[nodiscard]] virtual auto peerCapability() -> capnp::Capability::Client = 0;
+    /// \return this VM with the identity of its data folder
+    [[nodiscard]] virtual auto selfMember() const -> ControlMember = 0;
 
-    /// \return whether this replica is listed in a group
+    /// \return whether this VM knows a group that it joined or that it founded
     [[nodiscard]] virtual auto isInGroup() const -> bool = 0;
 
+    /// Has this VM accept no commands and prove no leadership until \p until, as another group was found.
+    virtual auto suspendCommands(TimePoint until) -> void = 0;
+
+    /// \return the capability through which the other control VMs call this replica
+    [[nodiscard]] virtual auto peerCapability() -> capnp::Capability::Client = 0;
+
     /// \return how many further voters may be lost before the group stops; empty if this VM is not the leader
     [[nodiscard]] virtual auto survivedLosses() const -> std::optional<std::size_t> = 0;
 
--- a/include/sapphirespool/Support/events.h
+++ b/include/sapphirespool/Support/events.h
@@ -44,6 +44,8 @@
     ElectionStarted = 2005,
     ControlLoad = 2006,
     ToleranceReduced = 2007,
+    OtherGroupSeen = 2008,
+    ControlVmListed = 2009,
     StorageFailed = 2101,
     DiskFull = 2102,
     DiskWritesAgain = 2103,
--- a/lib/Support/events.cpp
+++ b/lib/Support/events.cpp
@@ -38,6 +38,8 @@
     {Event::ElectionStarted, Severity::Warning, "election started"},
     {Event::ControlLoad, Severity::Info, "control load"},
     {Event::ToleranceReduced, Severity::Warning, "losses tolerated by control"},
+    {Event::OtherGroupSeen, Severity::Error, "other control group seen"},
+    {Event::ControlVmListed, Severity::Info, "control VM listed or no longer listed"},
     {Event::StorageFailed, Severity::Error, "storage failed"},
     {Event::DiskFull, Severity::Warning, "disk full"},
     {Event::DiskWritesAgain, Severity::Info, "disk writes again"},
