Test that a lost voter goes first when there is one voter too many

Without that rule a voter that responds became a learner instead, and the group tolerated one loss less until the lost one was replaced; no test failed.

--- a/unittests/Consensus/placementtest.cpp
+++ b/unittests/Consensus/placementtest.cpp
@@ -475,6 +475,27 @@
     }
 }
 
+TEST_CASE("of one voter too many, a lost one is removed rather than one that responds")
+{
+    // Failure: a voter is lost between promotion and removal, and the group tolerates one loss less for as long as it takes to replace it.
+    auto deployment = SimulatedDeployment(2);
+    for (const auto zone : {0, 0, 0, 1, 1}) {
+        deployment.addVm(zoneName(static_cast<std::size_t>(zone)));
+    }
+    deployment.settle();
+    deployment.addVm(zoneName(2));
+    while (deployment.tolerance().voters != 6) {
+        REQUIRE(deployment.step());
+    }
+    const auto lost = std::find_if(deployment.vms.begin(), deployment.vms.end(), [](const SimulatedVm &vm) {
+        return vm.zone == zoneName(1);
+    });
+    lost->up = false;
+    REQUIRE(deployment.step());
+    CHECK_FALSE(deployment.isMember(lost->replica));
+    CHECK(deployment.tolerance().survived == 2);
+}
+
 TEST_CASE("a leader whose zone has too many voters remains a voter")
 {
     // Failure: the leader removes itself, and the group elects another one for each change of the spread.
