--- a/spec/founding.pml
+++ b/spec/founding.pml
@@ -11,7 +11,7 @@
  * as restarted to each candidate that started before (in the code: all start within 0.3 s, a grant of a directory that is more than 0.5 s younger than the
  * candidate does not count, and none is asked for in the candidate's first second). Everything else may take any time.
  *
- * Bounds: 3 seeds, 2 control VMs (-DVMS=3 for 3), 2 restarts of directories, 1 restart of a control VM, 1 lost disk, 1 withdrawal.
+ * Bounds: 3 seeds, 3 control VMs (2 without GRANT) of which at most 2 are seeds, 2 restarts of directories, 1 restart of a control VM, 1 lost disk, 1 withdrawal.
  * Left out: elections and the log (spec/voters.pml): a group is the set of VMs whose disk names its founder. A group may accept commands
  * at any time after it was founded, as the wait for join requests is a matter of time only. All three seeds as control VMs: as with two.
  *
@@ -21,8 +21,10 @@
  * safeguards: GRANT GRANT_QUORUM CONTINUITY KEPT_GRANT FIRST_PROCESS SETTLED ROUND IDENTITY FIRST_START SEED_ORDER OWN_DISK
  */
 
-#ifndef VMS
+#ifdef WITHOUT_GRANT
 #define VMS 2
+#else
+#define VMS 3
 #endif
 #define SEEDS 3
 #define NOBODY 3
