--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -4,8 +4,7 @@
  * A voter that answers a heartbeat upholds the leader's lease for a while, and keeps its vote for a little longer: whatever part of a lease
  * rests on its answer has run out when the vote is free. A restarted voter no longer knows when it last answered and keeps its vote
  * for as long, unless it was the leader itself. The leader of the voter's own term gets the vote at once: it asks, so it no longer leads.
- * The leader of a term is written to the disk before the first of its heartbeats is answered. A leader that resigns says so; a voter of
- * that term frees its vote, whenever it hears of it and however often.
+ * The leader of a term is written to the disk before the first of its heartbeats is answered.
  *
  * A leader whose disk is full resigns: its lease ends, and only then it tells the voters, which release the vote that they keep for it. Its message may be
  * late; it counts only for a voter in the term of the message.
@@ -17,11 +16,7 @@
  *
  * Property: while a leader holds a lease, no leader of a later term is elected and none holds another lease.
  *
-<<<<<<< HEAD
- * safeguards: PAUSE FORMER_LEADER_ONLY SYNC_BEFORE_REPLY RESIGNED_OF_OWN_TERM
-=======
  * safeguards: PAUSE FORMER_LEADER_ONLY SYNC_BEFORE_REPLY RESIGN_FIRST RESIGN_TERM
->>>>>>> spec
  */
 
 #define VMS 3
@@ -48,14 +43,9 @@
 /* Whose lease the VM may uphold: it keeps its vote. */
 byte keeps[VMS];
 byte restarts[VMS];
-<<<<<<< HEAD
-/* The last term of which the VM resigned; 0 for none. */
-byte resignedTerm[VMS];
-=======
 /* The leader that resigned and its term. */
 byte resigned = NOBODY;
 byte resignedTerm = 0;
->>>>>>> spec
 
 #define holdsLease(vm) (leads[vm] && isQuorum(upheldBy[vm] | BIT(vm)))
 /* A candidate that counts old votes late may win its term beside a leader of a later one; nobody will uphold a lease of it. */
@@ -207,22 +197,6 @@
     }
 }
 
-inline resign(vm)
-{
-    d_step {
-        resignedTerm[vm] = electionTerm[vm];
-        stepDown(vm)
-    }
-}
-
-#ifdef WITHOUT_RESIGNED_OF_OWN_TERM
-#define hasResigned(vm, other) (resignedTerm[other] != 0)
-#else
-#define hasResigned(vm, other) (resignedTerm[other] == electionTerm[vm])
-#endif
-
-#define mayHearResignation(vm, other) (keeps[vm] != NOBODY && leaderOf[vm] == other && hasResigned(vm, other))
-
 #define VM_STEPS(vm, second, third) \
     :: mayStand(vm) -> stand(vm) \
     :: mayVote(vm, second) -> vote(vm, second) \
@@ -237,16 +211,9 @@
     :: (upheldBy[vm] & BIT(third)) != 0 -> upheldBy[vm] = upheldBy[vm] & ~BIT(third) \
     :: keeps[vm] != NOBODY && !countsAnywhere(vm) -> keeps[vm] = NOBODY \
     :: leads[vm] -> d_step { stepDown(vm) } \
-<<<<<<< HEAD
-    :: leads[vm] -> resign(vm) \
-    :: mayHearResignation(vm, second) -> keeps[vm] = NOBODY \
-    :: mayHearResignation(vm, third) -> keeps[vm] = NOBODY \
-    :: restarts[vm] < RESTARTS -> restart(vm)
-=======
     :: mayResign(vm) -> resign(vm) \
     :: mayRelease(vm) -> keeps[vm] = NOBODY \
     :: restarts[vm] < (resigned == NOBODY -> RESTARTS : 1) -> restart(vm)
->>>>>>> spec
 
 active proctype Group()
 {
