A group is founded only if a control VM is among the seeds

Where all seeds were directories, the control VM with the smallest name that all of them listed for a second was to found the group. The model found two founders without any other failure: directories list c1, answer it, then list c0 and answer that too, before any of them knows that c1 founds (spec/founding.pml, mutant GRANT). Grants of directories would decide it and are not built; until then nobody founds and SP2010 names the remedy.

--- a/include/sapphirespool/Support/events.h
+++ b/include/sapphirespool/Support/events.h
@@ -46,6 +46,7 @@
     ToleranceReduced = 2007,
     OtherGroupSeen = 2008,
     ControlVmListed = 2009,
+    ControlSeedMissing = 2010,
     StorageFailed = 2101,
     DiskFull = 2102,
     DiskWritesAgain = 2103,
--- a/lib/Consensus/formation.cpp
+++ b/lib/Consensus/formation.cpp
@@ -43,13 +43,7 @@
 
 auto GroupFormation::recordAnswer(const VmId &vm, const JoinAnswer &answer, TimePoint now) -> void
 {
-    auto received = ReceivedAnswer{answer.empty, answer.directory, {}, now};
-    const auto *const former = this->answerOf(vm, now);
-    for (const auto &candidate : answer.candidates) {
-        const auto isListed = former != nullptr && former->listedSince.contains(candidate);
-        received.listedSince.emplace(candidate, isListed ? former->listedSince.at(candidate) : now);
-    }
-    this->answers.insert_or_assign(vm, std::move(received));
+    this->answers.insert_or_assign(vm, ReceivedAnswer{answer.empty, answer.directory, now});
 }
 
 auto GroupFormation::answerOf(const VmId &vm, TimePoint now) const -> const ReceivedAnswer *
@@ -85,29 +79,15 @@
     const auto firstControlVm = std::find_if(seeds.begin(), seeds.end(), [this, now](const ControlMember &seed) {
         return !this->isDirectory(seed, now);
     });
-    if (firstControlVm != seeds.end()) {
-        return firstControlVm->vm == this->self;
-    }
-    const auto since = this->smallestSince(now);
-    return since && now - *since >= listingTime;
+    return firstControlVm != seeds.end() && firstControlVm->vm == this->self;
 }
 
-auto GroupFormation::smallestSince(TimePoint now) const -> std::optional<TimePoint>
+auto GroupFormation::lacksControlSeed(TimePoint now) const -> bool
 {
-    auto listedSince = this->answerOf(this->initialMembers.front().vm, now)->listedSince;
-    for (const auto &seed : this->initialMembers) {
-        const auto &listed = this->answerOf(seed.vm, now)->listedSince;
-        std::erase_if(listedSince, [&listed](const auto &candidate) {
-            return !listed.contains(candidate.first);
-        });
-        for (auto &[candidate, since] : listedSince) {
-            since = std::max(since, listed.at(candidate));
-        }
-    }
-    if (listedSince.empty() || listedSince.begin()->first != this->self) {
-        return std::nullopt;
-    }
-    return listedSince.begin()->second;
+    return this->mayFound && !this->initialMembers.empty()
+        && std::all_of(this->initialMembers.begin(), this->initialMembers.end(), [this, now](const ControlMember &seed) {
+               return this->isDirectory(seed, now);
+           });
 }
 
 auto GroupFormation::recordRequest(const JoinRequest &request, const Members &group, TimePoint now) -> void
--- a/lib/Consensus/formation.h
+++ b/lib/Consensus/formation.h
@@ -7,7 +7,6 @@
 #include <chrono>
 #include <functional>
 #include <map>
-#include <optional>
 #include <vector>
 
 namespace sapphirespool::consensus
@@ -22,8 +21,6 @@
     std::vector<ControlMember> members;
     /// Whether the answer comes from a directory.
     bool directory = false;
-    /// The VMs that asked the directory to join.
-    std::vector<VmId> candidates;
 };
 
 /// The first control VM of the settings bootstraps the group as its only voter, once each other VM of the settings has answered that it
@@ -31,7 +28,8 @@
 /// VMs can never bootstrap two groups, and a first VM that lost its disk cannot bootstrap a second one, as some other VM still belongs to
 /// the first group.
 ///
-/// If the settings name directories only, the control VM with the smallest name that all of them list as a candidate bootstraps the group.
+/// If the settings name directories only, nobody bootstraps the group: two control VMs that the directories list one after the other could each
+/// find that it is the first (spec/founding.pml).
 class GroupFormation
 {
 public:
@@ -39,8 +37,6 @@
     /// \param openToOthers whether VMs may join that are listed neither in the settings nor in the group
     GroupFormation(VmId self, std::vector<ControlMember> initialMembers, bool mayFound = true, bool openToOthers = false);
 
-    /// Time for which all directories must have listed a candidate, so that each has heard of a smaller one.
-    static constexpr auto listingTime = std::chrono::seconds(1);
     /// Answers of a directory count for this long, several times the interval at which join requests are repeated. What it knows changes,
     /// unlike the empty disk of a control VM that is asked.
     static constexpr auto directoryAnswerLifetime = std::chrono::seconds(1);
@@ -51,6 +47,9 @@
     /// \return whether this VM must bootstrap the group; meaningful only while it belongs to none
     [[nodiscard]] auto shouldFound(TimePoint now) const -> bool;
 
+    /// \return whether this VM may bootstrap a group, but all VMs of the settings have answered as directories
+    [[nodiscard]] auto lacksControlSeed(TimePoint now) const -> bool;
+
     /// Records a request to join. Drops it if the VM is neither in the settings nor in \p group, unless other VMs may join.
     auto recordRequest(const JoinRequest &request, const Members &group, TimePoint now) -> void;
 
@@ -67,8 +66,6 @@
     {
         bool empty = false;
         bool directory = false;
-        /// Since when the directory has listed each candidate in each answer.
-        std::map<VmId, TimePoint> listedSince;
         TimePoint at;
     };
 
@@ -82,8 +79,6 @@
     [[nodiscard]] auto answerOf(const VmId &vm, TimePoint now) const -> const ReceivedAnswer *;
     [[nodiscard]] auto isEmpty(const ControlMember &seed, TimePoint now) const -> bool;
     [[nodiscard]] auto isDirectory(const ControlMember &seed, TimePoint now) const -> bool;
-    /// \return since when all directories of the settings have listed the candidate with the smallest name, if it is this VM
-    [[nodiscard]] auto smallestSince(TimePoint now) const -> std::optional<TimePoint>;
 
     VmId self;
     std::vector<ControlMember> initialMembers;
--- a/lib/Consensus/peerlink.cpp
+++ b/lib/Consensus/peerlink.cpp
@@ -137,13 +137,10 @@
     ++this->unansweredMessages;
     this->tasks.add(request.send().then([this, onAnswer = std::move(onAnswer)](auto &&answer) {
         this->recordAnswer();
-        auto reply = JoinAnswer{answer.getEmpty(), {}, answer.getDirectory(), {}};
+        auto reply = JoinAnswer{answer.getEmpty(), {}, answer.getDirectory()};
         for (const auto member : answer.getMembers()) {
             reply.members.push_back(read(member));
         }
-        for (const auto candidate : answer.getCandidates()) {
-            reply.candidates.emplace_back(candidate.getVm().cStr());
-        }
         onAnswer(std::move(reply));
     }));
 }
--- a/lib/Consensus/replica.cpp
+++ b/lib/Consensus/replica.cpp
@@ -117,6 +117,8 @@
     [[nodiscard]] auto currentTolerance() const -> FaultTolerance;
     /// Logs if the group tolerates fewer losses than promised for some time.
     auto reportShortfall() -> void;
+    /// Logs once if this VM would found a group but all seeds are directories.
+    auto reportLackOfControlSeed() -> void;
     [[nodiscard]] auto repairRules() const -> RepairRules;
     auto proposeMembers(std::vector<ControlMember> members, ProposalDone done, bool complete = false) -> void;
     auto linkTo(const VmId &vm) -> PeerLink *;
@@ -153,6 +155,7 @@
     std::uint64_t entriesSinceSnapshot = 0;
     std::size_t bytesSinceSnapshot = 0;
     std::optional<ReplicaId> loggedLeader;
+    bool controlSeedLackReported = false;
     LeadershipLogger leadershipLogger;
     std::optional<TimePoint> leadsSince;
     ShortfallMonitor shortfall;
@@ -396,6 +399,7 @@
             support::log(support::Event::GroupFounded, {{"vm", this->settings.vm.value()}});
             this->handle(Founded{this->selfMember()});
         }
+        this->reportLackOfControlSeed();
     } else if (this->core->acceptsMemberChange() && !this->isSuspended()) {
         this->changeMembers();
     }
@@ -405,6 +409,14 @@
     }));
 }
 
+auto ReplicaNode::reportLackOfControlSeed() -> void
+{
+    const auto lacks = this->core->members().members.empty() && this->formation.lacksControlSeed(clockNow());
+    if (lacks && !std::exchange(this->controlSeedLackReported, true)) {
+        support::log(support::Event::ControlSeedMissing, {{"vm", this->settings.vm.value()}});
+    }
+}
+
 auto ReplicaNode::changeMembers() -> void
 {
     const auto requests = this->formation.requests(clockNow());
--- a/lib/Control/directory.cpp
+++ b/lib/Control/directory.cpp
@@ -25,15 +25,7 @@
     out.setVm(member.vm.value());
     write(member.endpoint, out.initEndpoint());
     out.setReplica(member.replica.value());
-}
-
-auto readMember(schema::ControlMember::Reader in) -> consensus::ControlMember
-{
-    auto member = consensus::ControlMember();
-    member.vm = VmId(in.getVm().cStr());
-    member.endpoint = read(in.getEndpoint());
-    member.replica = consensus::ReplicaId(in.getReplica());
-    return member;
+    out.setZone(member.zone.value());
 }
 
 auto writeMembers(std::span<const consensus::ControlMember> members, capnp::List<schema::ControlMember>::Builder out) -> void
@@ -86,13 +78,11 @@
     auto join(JoinContext call) -> kj::Promise<void> override
     {
         const auto now = support::now();
-        this->table->noteJoinRequest(readMember(call.getParams().getMember()), now);
         const auto answer = this->table->joinAnswer(now);
         auto out = call.getResults();
         out.setDirectory(true);
         out.setEmpty(answer.empty);
         writeMembers(answer.members, out.initMembers(static_cast<unsigned>(answer.members.size())));
-        writeMembers(answer.candidates, out.initCandidates(static_cast<unsigned>(answer.candidates.size())));
         return kj::READY_NOW;
     }
 
--- a/lib/Control/directorytable.cpp
+++ b/lib/Control/directorytable.cpp
@@ -20,6 +20,7 @@
     member.vm = entry.vm;
     member.endpoint = entry.endpoint;
     member.replica = entry.replica;
+    member.zone = entry.zone;
     return member;
 }
 
@@ -75,13 +76,6 @@
     }
 }
 
-auto DirectoryTable::noteJoinRequest(const consensus::ControlMember &member, TimePoint now) -> void
-{
-    if (this->asked.size() < maxEntries || this->asked.contains(member.vm)) {
-        this->asked.insert_or_assign(member.vm, Candidate{member, now});
-    }
-}
-
 auto DirectoryTable::known(TimePoint now) const -> std::vector<KnownControlVm>
 {
     auto entries = std::vector<KnownControlVm>();
@@ -143,11 +137,6 @@
             answer.members.push_back(toMember(known.entry));
         }
     }
-    for (const auto &[vm, candidate] : this->asked) {
-        if (now - candidate.askedAt < candidateLifetime) {
-            answer.candidates.push_back(candidate.member);
-        }
-    }
     const auto leaseIsRecent = !this->leaseNamed.empty() && now - this->leaseAt < entryLifetime;
     answer.empty = answer.members.empty() && !leaseIsRecent && now - this->startedAt >= learningTime;
     return answer;
@@ -158,9 +147,6 @@
     std::erase_if(this->records, [now](const auto &record) {
         return now - record.second.confirmedAt >= entryLifetime;
     });
-    std::erase_if(this->asked, [now](const auto &candidate) {
-        return now - candidate.second.askedAt >= candidateLifetime;
-    });
     std::erase_if(this->calledAt, [now](const auto &caller) {
         return now - caller.second >= callerLifetime;
     });
--- a/lib/Control/directorytable.h
+++ b/lib/Control/directorytable.h
@@ -45,7 +45,6 @@
     /// Whether the directory knows of no group.
     bool empty = false;
     std::vector<consensus::ControlMember> members;
-    std::vector<consensus::ControlMember> candidates;
 };
 
 /// A control VM that the table lists since now, or no longer.
@@ -65,8 +64,6 @@
     static constexpr auto maxEntries = std::size_t{16};
     /// A directory that called is called back for this long.
     static constexpr auto callerLifetime = std::chrono::seconds(5);
-    /// Requests to join are repeated every 100 ms.
-    static constexpr auto candidateLifetime = std::chrono::seconds(3);
     /// A directory that started more recently does not say that there is no group: the control VMs of one may not have announced
     /// themselves yet, which they do once a second.
     static constexpr auto learningTime = std::chrono::milliseconds(1500);
@@ -85,9 +82,6 @@
     /// Notes that the directory at \p endpoint called.
     auto noteCaller(const Endpoint &endpoint, TimePoint now) -> void;
 
-    /// Notes that \p member asked to join.
-    auto noteJoinRequest(const consensus::ControlMember &member, TimePoint now) -> void;
-
     /// \return the entries with their ages, those in a group first
     [[nodiscard]] auto known(TimePoint now) const -> std::vector<KnownControlVm>;
     /// \return where the leader was when it last announced itself
@@ -109,19 +103,12 @@
         TimePoint confirmedAt;
     };
 
-    struct Candidate
-    {
-        consensus::ControlMember member;
-        TimePoint askedAt;
-    };
-
     auto learnOne(const KnownControlVm &known, TimePoint now) -> void;
     auto boundEntries() -> void;
 
     TimePoint startedAt;
     std::map<VmId, Record> records;
     std::map<VmId, Endpoint> listed;
-    std::map<VmId, Candidate> asked;
     std::map<Endpoint, TimePoint> calledAt;
     std::vector<Endpoint> leaseNamed;
     TimePoint leaseAt;
--- a/lib/Support/events.cpp
+++ b/lib/Support/events.cpp
@@ -40,6 +40,7 @@
     {Event::ToleranceReduced, Severity::Warning, "losses tolerated by control"},
     {Event::OtherGroupSeen, Severity::Error, "other control group seen"},
     {Event::ControlVmListed, Severity::Info, "control VM listed or no longer listed"},
+    {Event::ControlSeedMissing, Severity::Error, "no control VM among the seeds"},
     {Event::StorageFailed, Severity::Error, "storage failed"},
     {Event::DiskFull, Severity::Warning, "disk full"},
     {Event::DiskWritesAgain, Severity::Info, "disk writes again"},
--- a/schema/consensus.capnp
+++ b/schema/consensus.capnp
@@ -118,6 +118,6 @@
   deliver @0 (message :Message) -> ();
   # Asked by a VM that finds itself in no group: it wants to be taken in. The answer says whether this VM is of no group
   # either, so that the first of the initial members may found one. A directory answers with the control VMs that it knows to be in a
-  # group, and is empty if it knows none; its candidates are the VMs that asked it, ordered by name.
-  join @1 (member :ControlMember) -> (empty :Bool, members :List(ControlMember), directory :Bool, candidates :List(ControlMember));
+  # group, and is empty if it knows none.
+  join @1 (member :ControlMember) -> (empty :Bool, members :List(ControlMember), directory :Bool);
 }
