A directory that registered is found by control VMs without its seeds

The tests of directories end after ten seconds where a mechanism is missing, instead of waiting for ever.

--- a/unittests/Control/directorytest.cpp
+++ b/unittests/Control/directorytest.cpp
@@ -21,6 +21,19 @@
 
 using namespace std::chrono_literals;
 
+/// \return whether \p condition holds within ten seconds
+auto eventually(const std::function<bool()> &condition) -> bool
+{
+    const auto end = support::now() + 10s;
+    while (!condition()) {
+        if (support::now() > end) {
+            return false;
+        }
+        std::this_thread::sleep_for(1ms);
+    }
+    return true;
+}
+
 /// A port that is bound and on which nobody answers: connections are accepted by the kernel only.
 class MuteVm
 {
@@ -304,9 +317,9 @@
     const auto leader = AnnouncedVm(loops.control, {});
     directory.noteLease({leader.replica.endpoint});
     CHECK(redirectOf(loops.proxy, directory.endpoint).second == std::vector{leader.replica.endpoint});
-    waitUntil([&] {
+    CHECK(eventually([&] {
         return redirectOf(loops.proxy, directory.endpoint).first == leader.replica.endpoint;
-    });
+    }));
 }
 
 // Failure: a new leader is known to the directories only at the next regular announcement, and the proxies wait for it.
@@ -318,22 +331,22 @@
     const auto leads = [&] {
         return redirectOf(loops.proxy, directory.endpoint).first.port != 0;
     };
-    waitUntil(leads);
+    REQUIRE(eventually(leads));
     vm.replica.leads = false;
-    waitUntil([&leads] {
+    REQUIRE(eventually([&leads] {
         return !leads();
-    });
+    }));
     // Several times in a row, as a regular announcement may come at the same moment.
     auto slowest = Duration();
     for (auto round = 0; round < 3; ++round) {
         const auto began = support::now();
         vm.replica.leads = true;
-        waitUntil(leads);
+        REQUIRE(eventually(leads));
         slowest = std::max(slowest, support::now() - began);
         vm.replica.leads = false;
-        waitUntil([&leads] {
+        REQUIRE(eventually([&leads] {
             return !leads();
-        });
+        }));
     }
     CHECK(slowest < 600ms);
 }
@@ -386,9 +399,9 @@
         larger.replica.otherMembers = {consensus::ControlMember{VmId("c"), {}, true}};
     });
     auto alone = AnnouncedVm(loops.control, {directory.endpoint}, "alone");
-    waitUntil([&] {
+    CHECK(eventually([&] {
         return alone.replica.suspended.load();
-    });
+    }));
     CHECK_FALSE(larger.replica.suspended);
 }
 
--- a/unittests/Node/directoriestest.cpp
+++ b/unittests/Node/directoriestest.cpp
@@ -1,5 +1,9 @@
+#include "sapphirespool/Configuration/reader.h"
 #include "sapphirespool/Control/proxylink.h"
+#include "sapphirespool/Node/edge.h"
 #include "sapphirespool/Node/node.h"
+#include "sapphirespool/Operators/handler.h"
+#include "sapphirespool/Platform/httpgroupoperator.h"
 #include "sapphirespool/Rpc/connection.h"
 #include "sapphirespool/Support/clock.h"
 
@@ -10,6 +14,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <filesystem>
 #include <functional>
@@ -32,6 +37,8 @@
 
 constexpr auto directoryCount = std::size_t{3};
 constexpr auto controlCount = std::size_t{3};
+/// Its directory comes after those of the control VMs and their replacement, then its address for operators.
+constexpr auto outsiderPlace = directoryCount + controlCount + 1;
 
 auto freeEndpoints(std::size_t count) -> std::vector<Endpoint>
 {
@@ -57,6 +64,37 @@
     return true;
 }
 
+/// The operators' interface of a directory; nothing else of the world around.
+class OperatorsEdge : public Edge
+{
+public:
+    [[nodiscard]] auto configurationReader() -> std::shared_ptr<const configuration::Reader> override
+    {
+        return configuration::makeYamlReader();
+    }
+
+    [[nodiscard]] auto groupOperator(const asio::any_io_executor &executor, const settings::Settings &) -> std::shared_ptr<platform::GroupOperator> override
+    {
+        return platform::makeHttpGroupOperator(executor);
+    }
+
+    [[nodiscard]] auto controlHandler(std::shared_ptr<membership::ControlLink> control, std::shared_ptr<membership::ViewHolder>)
+        -> std::shared_ptr<http::Handler> override
+    {
+        return operators::makeHandler(std::move(control));
+    }
+
+    [[nodiscard]] auto upstreamConnector(const asio::any_io_executor &) -> std::shared_ptr<interactive::UpstreamConnector> override
+    {
+        return nullptr;
+    }
+
+    [[nodiscard]] auto callerServer(const asio::any_io_executor &, std::shared_ptr<interactive::SessionService>) -> std::shared_ptr<CallerServer> override
+    {
+        return nullptr;
+    }
+};
+
 /// Three directories, which are the seeds of all, and three control VMs, of which a further one may take the place of another.
 class SeededSystem
 {
@@ -81,8 +119,27 @@
         }
     }
 
+    auto stopSeeds() -> void
+    {
+        for (auto &node : this->directories) {
+            node.reset();
+        }
+    }
+
+    /// Starts a directory, or starts it anew, that is nobody's seed and has an interface for operators.
+    auto startOutsider() -> void
+    {
+        this->outsider.reset();
+        auto vm = this->seeded("outsider", outsiderPlace);
+        vm.operatorsOnly = true;
+        vm.operators = this->ports[outsiderPlace + 1];
+        this->outsider = makeNode(vm, std::make_shared<OperatorsEdge>());
+        this->outsider->start();
+    }
+
     auto stopAll() -> void
     {
+        this->outsider.reset();
         for (auto &node : this->controlVms) {
             node.reset();
         }
@@ -108,6 +165,30 @@
 
     /// \return whether a proxy that has just started gets a lease
     auto proxyGetsLease() const -> bool
+    {
+        return this->withProxy([](membership::ControlLink &) {});
+    }
+
+    /// \return whether the outsider has registered
+    auto outsiderIsRegistered() const -> bool
+    {
+        auto registered = false;
+        const auto asked = this->withProxy([&registered](membership::ControlLink &link) {
+            auto answer = std::promise<membership::ClusterStatusOutcome>();
+            link.readStatus([&answer](membership::ClusterStatusOutcome outcome) {
+                answer.set_value(std::move(outcome));
+            });
+            const auto status = std::get<membership::ClusterStatus>(answer.get_future().get());
+            registered = std::any_of(status.vms.begin(), status.vms.end(), [](const membership::VmStatus &vm) {
+                return vm.vm == VmId("outsider-operators");
+            });
+        });
+        return asked && registered;
+    }
+
+    /// Runs \p work with the link of a proxy that has just started, once it has a lease.
+    /// \return whether it gets one
+    auto withProxy(const std::function<void(membership::ControlLink &)> &work) const -> bool
     {
         auto loop = rpc::LoopThread();
         auto settings = control::ProxyLinkSettings{VmId("proxy"), ZoneId("zone"), Incarnation(1), {"127.0.0.1", 1}, {"127.0.0.1", 2}};
@@ -115,19 +196,23 @@
         settings.foundBySeeds = true;
         const auto holder = std::make_shared<membership::ViewHolder>();
         const auto link = control::makeProxyLink(loop, settings, holder);
-        return until([&holder] {
+        const auto served = until([&holder] {
             return holder->leaseLive(support::now());
         });
+        if (served) {
+            work(*link);
+        }
+        return served;
     }
 
-    /// \return the VMs that the first directory knows to be in the group
-    auto groupAtDirectory() const -> std::set<std::string>
+    /// \return the VMs that a directory knows to be in the group; none if it does not answer
+    auto groupAtDirectory(std::size_t place = 0) const -> std::set<std::string>
     {
         auto loop = rpc::LoopThread();
         auto names = std::promise<std::set<std::string>>();
         auto call = kj::Promise<void>(nullptr);
         loop.post([&](rpc::LoopContext &context) {
-            call = rpc::connect(context, this->ports.front(), rpc::connectLimit)
+            call = rpc::connect(context, this->ports[place], rpc::connectLimit)
                        .then([&names](kj::Own<rpc::Connection> connected) {
                            auto sent = connected->bootstrap().castAs<schema::Directory>().exchangeRequest().send();
                            return sent
@@ -142,6 +227,9 @@
                                })
                                .attach(kj::mv(connected));
                        })
+                       .catch_([&names](kj::Exception &&) {
+                           names.set_value({});
+                       })
                        .eagerlyEvaluate(nullptr);
         });
         auto got = names.get_future().get();
@@ -182,10 +270,11 @@
         return node;
     }
 
-    std::vector<Endpoint> ports = freeEndpoints(directoryCount + controlCount + 1);
+    std::vector<Endpoint> ports = freeEndpoints(outsiderPlace + 2);
     std::filesystem::path folder = std::filesystem::temp_directory_path() / ("sapphirespool-directories-" + std::to_string(getpid()));
     std::array<std::unique_ptr<Node>, directoryCount> directories;
     std::array<std::unique_ptr<Node>, controlCount + 1> controlVms;
+    std::unique_ptr<Node> outsider;
 };
 
 } // namespace
@@ -212,4 +301,20 @@
     CHECK(system.proxyGetsLease());
 }
 
+// Failure: a directory restarts while all its seeds are down, and neither it nor those who ask it find the control VMs again.
+TEST_CASE("control VMs announce themselves to a directory that registered, whatever became of its seeds")
+{
+    auto system = SeededSystem();
+    system.startAll(true);
+    system.startOutsider();
+    REQUIRE(until([&system] {
+        return system.outsiderIsRegistered();
+    }));
+    system.stopSeeds();
+    system.startOutsider();
+    CHECK(until([&system] {
+        return system.groupAtDirectory(outsiderPlace).size() == controlCount;
+    }));
+}
+
 } // namespace sapphirespool::node
