--- a/include/sapphirespool/Consensus/faulttolerance.h
+++ b/include/sapphirespool/Consensus/faulttolerance.h
@@ -25,7 +25,7 @@
 };
 
 /// \param responds whether a voter currently responds to the leader
-[[nodiscard]] auto faultTolerance(std::span<const ControlMember> members, const std::function<bool(ReplicaId)> &responds) -> FaultTolerance;
+[[nodiscard]] auto toleranceOf(std::span<const ControlMember> members, const std::function<bool(ReplicaId)> &responds) -> FaultTolerance;
 
 /// Decides on the leader when a shortfall is reported: once fewer losses than promised have been tolerated for shortfallReportDelay, then
 /// for each change, the last time when the promise is kept again.
--- a/lib/Consensus/faulttolerance.cpp
+++ b/lib/Consensus/faulttolerance.cpp
@@ -5,7 +5,7 @@
 namespace sapphirespool::consensus
 {
 
-auto faultTolerance(std::span<const ControlMember> members, const std::function<bool(ReplicaId)> &responds) -> FaultTolerance
+auto toleranceOf(std::span<const ControlMember> members, const std::function<bool(ReplicaId)> &responds) -> FaultTolerance
 {
     auto tolerance = FaultTolerance();
     auto zones = std::set<ZoneId>();
--- a/lib/Consensus/replica.cpp
+++ b/lib/Consensus/replica.cpp
@@ -499,7 +499,7 @@
 
 auto ReplicaNode::currentTolerance() const -> FaultTolerance
 {
-    return faultTolerance(this->core->members().members, [this](ReplicaId replica) {
+    return toleranceOf(this->core->members().members, [this](ReplicaId replica) {
         return this->responds(replica);
     });
 }
--- a/unittests/Consensus/placementtest.cpp
+++ b/unittests/Consensus/placementtest.cpp
@@ -144,7 +144,7 @@
 
     [[nodiscard]] auto tolerance() const -> FaultTolerance
     {
-        return faultTolerance(this->group.members, [this](ReplicaId replica) {
+        return toleranceOf(this->group.members, [this](ReplicaId replica) {
             return this->responds(replica);
         });
     }
