--- a/include/sapphirespool/Consensus/replicatedlog.h
+++ b/include/sapphirespool/Consensus/replicatedlog.h
@@ -41,6 +41,8 @@
     bool voter = false;
     /// Identity of the data folder with which the VM last requested to join; 0 in settings.
     ReplicaId replica{};
+    /// Availability zone of the VM; empty in settings, and in a log that was written before members had zones.
+    ZoneId zone{};
 
     auto operator<=>(const ControlMember &) const = default;
 };
@@ -63,6 +65,10 @@
     /// \return the end of the lease that a quorum confirmed, until which no other VM can be leader; the earliest time on a non-leader
     [[nodiscard]] virtual auto leaderLeaseEnd() const -> TimePoint = 0;
 
+    /// Sets the function that is called when this VM ceases to be the leader, before any other VM can learn of it. A leader that resigns ends
+    /// its lease early: what was derived from leaderLeaseEnd() before ends with this call.
+    virtual auto onLeadershipLost(std::function<void()> callback) -> void = 0;
+
     /// \return whether this VM is the leader and no other VM can be leader at \p now
     [[nodiscard]] auto holdsLeaderLease(TimePoint now) const -> bool
     {
--- a/lib/Consensus/codec.cpp
+++ b/lib/Consensus/codec.cpp
@@ -114,6 +114,11 @@
         body.setInstalled(message.installed);
     }
 
+    auto operator()(const Resigned &) -> void
+    {
+        this->out.setResigned();
+    }
+
 private:
     schema::Message::Builder out;
 };
@@ -172,12 +177,17 @@
     endpoint.setPort(member.endpoint.port);
     out.setVoter(member.voter);
     out.setReplica(member.replica.value());
+    out.setZone(member.zone.value());
 }
 
 auto read(schema::ControlMember::Reader in) -> ControlMember
 {
     const auto endpoint = in.getEndpoint();
-    return {VmId(in.getVm().cStr()), Endpoint{endpoint.getAddress().cStr(), endpoint.getPort()}, in.getVoter(), ReplicaId(in.getReplica())};
+    return {VmId(in.getVm().cStr()),
+            Endpoint{endpoint.getAddress().cStr(), endpoint.getPort()},
+            in.getVoter(),
+            ReplicaId(in.getReplica()),
+            ZoneId(in.getZone().cStr())};
 }
 
 auto write(const Entry &entry, schema::Entry::Builder out) -> void
@@ -240,6 +250,8 @@
         const auto body = in.getSnapshotReply();
         return SnapshotReply{term, LogIndex(body.getIndex()), body.getOffset(), body.getInstalled()};
     }
+    case schema::Message::RESIGNED:
+        return Resigned{term};
     }
     KJ_FAIL_REQUIRE("message of an unknown kind; run one version on all control VMs");
 }
--- a/lib/Consensus/replica.cpp
+++ b/lib/Consensus/replica.cpp
@@ -7,6 +7,7 @@
 #include "leadershiplogger.h"
 #include "peerlink.h"
 #include "sapphirespool/Consensus/core.h"
+#include "sapphirespool/Consensus/faulttolerance.h"
 #include "sapphirespool/Consensus/replicastore.h"
 #include "sapphirespool/Storage/folder.h"
 #include "sapphirespool/Support/clock.h"
@@ -36,6 +37,10 @@
 /// this time; one that returns later joins again as a learner.
 constexpr auto voterReplacementTimeout = std::chrono::milliseconds(4'000);
 
+/// A member that has not responded for this long is not counted on: more than the maximum election timeout, so that a late reply changes
+/// nothing.
+constexpr auto responseTimeout = std::chrono::milliseconds(1'000);
+
 using ProposalDone = std::function<void(ProposalOutcome)>;
 using ReadDone = std::function<void(std::optional<ProposalFailure>)>;
 
@@ -64,6 +69,7 @@
     auto propose(Bytes command, ProposalDone done) -> void override;
     auto confirmRead(ReadDone done) -> void override;
     [[nodiscard]] auto leaderLeaseEnd() const -> TimePoint override;
+    auto onLeadershipLost(std::function<void()> callback) -> void override;
     [[nodiscard]] auto leadershipNumber() const -> std::uint64_t override;
     [[nodiscard]] auto timeSinceContact(const VmId &vm) const -> Duration override;
     [[nodiscard]] auto leader() const -> std::optional<VmId> override;
@@ -71,6 +77,10 @@
     auto promoteLearner(VmId vm, ProposalDone done) -> void override;
     auto removeMember(VmId vm, ProposalDone done) -> void override;
     [[nodiscard]] auto members() const -> std::vector<ControlMember> override;
+    [[nodiscard]] auto survivedLosses() const -> std::optional<std::size_t> override;
+    [[nodiscard]] auto selfMember() const -> ControlMember override;
+    [[nodiscard]] auto isInGroup() const -> bool override;
+    auto suspendCommands(TimePoint until) -> void override;
     auto peerCapability() -> capnp::Capability::Client override;
     auto start() -> void override;
 
@@ -96,15 +106,27 @@
     auto armTimer() -> void;
     auto snapshotIfDue() -> void;
     auto updateMembership() -> void;
+    /// Proposes the next membership change that the group needs, if there is one.
+    auto changeMembers() -> void;
+    /// \return whether the group should accept commands although it has fewer voters than it should have
+    [[nodiscard]] auto isComplete() const -> bool;
+    /// \return whether this replica belongs to no group, or may have been removed from its group without learning about it
+    [[nodiscard]] auto shouldRequestToJoin() const -> bool;
     auto requestToJoin() -> void;
+    [[nodiscard]] auto responds(ReplicaId replica) const -> bool;
+    [[nodiscard]] auto currentTolerance() const -> FaultTolerance;
+    /// Logs if the group tolerates fewer losses than promised for some time.
+    auto reportShortfall() -> void;
+    /// Logs once if this VM would found a group but all seeds are directories.
+    auto reportLackOfControlSeed() -> void;
     [[nodiscard]] auto repairRules() const -> RepairRules;
-    auto proposeMembers(std::vector<ControlMember> members, ProposalDone done) -> void;
+    auto proposeMembers(std::vector<ControlMember> members, ProposalDone done, bool complete = false) -> void;
     auto linkTo(const VmId &vm) -> PeerLink *;
     /// Notifies the core that the connection to \p vm is established.
     auto onConnected(const VmId &vm) -> void;
     auto keepLinksOpen() -> void;
     auto vmOf(ReplicaId replica) const -> std::optional<VmId>;
-    auto selfMember() const -> ControlMember;
+    [[nodiscard]] auto isSuspended() const -> bool;
     auto logLeaderChange() -> void;
 
     rpc::LoopContext &context;
@@ -114,6 +136,8 @@
     bool applyScheduled = false;
     std::unique_ptr<storage::Folder> folder;
     ReplicaId self;
+    /// Until when another group that was found keeps this VM from accepting commands.
+    TimePoint suspendedUntil = TimePoint::min();
     std::unique_ptr<Core> core;
     GroupFormation formation;
     /// Members of the group as reported in answers to join requests, while this VM belongs to no group.
@@ -124,13 +148,17 @@
     bool writeInProgress = false;
     std::map<VmId, std::unique_ptr<PeerLink>> links;
     std::map<ReplicaId, VmId> vmsByReplica;
+    std::function<void()> leadershipLost = [] {};
     std::uint64_t lastRequestNumber = 0;
     std::map<RequestNumber, ProposalDone> proposals;
     std::map<RequestNumber, ReadDone> reads;
     std::uint64_t entriesSinceSnapshot = 0;
     std::size_t bytesSinceSnapshot = 0;
     std::optional<ReplicaId> loggedLeader;
+    bool controlSeedLackReported = false;
     LeadershipLogger leadershipLogger;
+    std::optional<TimePoint> leadsSince;
+    ShortfallMonitor shortfall;
     kj::Maybe<kj::Promise<void>> timerTask;
     std::optional<TimePoint> timerDeadline;
     kj::TaskSet tasks;
@@ -179,16 +207,18 @@
     , folder(std::move(folder))
     , self(store->replica())
     , formation(this->settings.vm, this->settings.initialMembers, this->settings.mayFound, this->settings.openToOthers)
+    , shortfall((this->settings.voters - 1) / 2)
     , tasks(*this)
 {
     auto coreSettings = CoreSettings();
-    coreSettings.foundingVoters = std::max<std::size_t>(1, this->settings.initialMembers.size());
+    // The seeds are only some of the control VMs, and may be fewer than the voters that the promised losses need.
+    coreSettings.foundingVoters = this->settings.openToOthers ? this->settings.voters : std::max<std::size_t>(1, this->settings.initialMembers.size());
     auto recovered = store->takeRecovered();
     if (recovered.snapshot != nullptr) {
         this->machine.restore(recovered.snapshot->state);
     }
     this->core = std::make_unique<Core>(this->self, coreSettings, std::move(recovered), this->settings.seed, clockNow());
-    this->disk = std::make_unique<DiskThread>(std::move(store), this->context.lowLevel);
+    this->disk = std::make_unique<DiskThread>(std::move(store), this->context.lowLevel, std::make_unique<DiskLogger>());
 }
 
 auto ReplicaNode::taskFailed(kj::Exception &&exception) -> void
@@ -204,7 +234,12 @@
 
 auto ReplicaNode::handle(const CoreEvent &event) -> void
 {
-    for (auto &action : this->core->handle(event, clockNow())) {
+    const auto wasLeader = this->core->role() == CoreRole::Leader;
+    auto actions = this->core->handle(event, clockNow());
+    if (wasLeader && this->core->role() != CoreRole::Leader) {
+        this->leadershipLost();
+    }
+    for (auto &action : actions) {
         this->perform(std::move(action));
     }
     this->startWriting();
@@ -356,38 +391,84 @@
 
 auto ReplicaNode::updateMembership() -> void
 {
+    this->leadsSince = this->core->role() == CoreRole::Leader ? std::optional(this->leadsSince.value_or(clockNow())) : std::nullopt;
     this->keepLinksOpen();
-    if (!this->core->isMember()) {
+    if (this->shouldRequestToJoin()) {
         this->requestToJoin();
-        if (this->core->members().members.empty() && this->formation.shouldFound()) {
+        if (this->core->members().members.empty() && this->formation.shouldFound(clockNow())) {
             support::log(support::Event::GroupFounded, {{"vm", this->settings.vm.value()}});
             this->handle(Founded{this->selfMember()});
         }
-    } else if (this->core->acceptsMemberChange()) {
-        const auto requests = this->formation.requests(clockNow());
-        const auto caughtUp = [this](ReplicaId replica) {
-            return this->core->caughtUp(replica);
-        };
-        const auto change = nextMemberChange(this->core->members(), requests, caughtUp, this->repairRules());
-        if (change) {
-            this->proposeMembers(*change, [](const ProposalOutcome &) {});
-        }
+        this->reportLackOfControlSeed();
+    } else if (this->core->acceptsMemberChange() && !this->isSuspended()) {
+        this->changeMembers();
     }
+    this->reportShortfall();
     this->tasks.add(this->context.timer.afterDelay(toKj(membershipInterval)).then([this] {
         this->updateMembership();
     }));
 }
 
+auto ReplicaNode::reportLackOfControlSeed() -> void
+{
+    const auto lacks = this->core->members().members.empty() && this->formation.lacksControlSeed(clockNow());
+    if (lacks && !std::exchange(this->controlSeedLackReported, true)) {
+        support::log(support::Event::ControlSeedMissing, {{"vm", this->settings.vm.value()}});
+    }
+}
+
+auto ReplicaNode::changeMembers() -> void
+{
+    const auto requests = this->formation.requests(clockNow());
+    const auto caughtUp = [this](ReplicaId replica) {
+        return this->core->caughtUp(replica);
+    };
+    const auto change = nextMemberChange(this->core->members(), requests, caughtUp, this->repairRules());
+    if (change) {
+        this->proposeMembers(*change, [](const ProposalOutcome &) {});
+    } else if (this->isComplete()) {
+        this->proposeMembers(
+            this->members(), [](const ProposalOutcome &) {}, true);
+    }
+}
+
+auto ReplicaNode::isComplete() const -> bool
+{
+    if (!this->settings.openToOthers || this->core->members().formed || !this->leadsSince) {
+        return false;
+    }
+    const auto responding = [this](ReplicaId replica) {
+        return this->responds(replica);
+    };
+    return this->formation.isComplete(this->core->members(), responding, *this->leadsSince, clockNow());
+}
+
+auto ReplicaNode::shouldRequestToJoin() const -> bool
+{
+    if (this->core->needsToJoin()) {
+        return true;
+    }
+    // A removed replica does not receive the entry that removes it: it would wait for a leader forever, and the group would lack a VM
+    // that could replace the next lost voter.
+    const auto silence = clockNow() - this->core->lastLeaderContactTime();
+    return this->settings.openToOthers && this->core->role() != CoreRole::Leader && silence > voterReplacementTimeout;
+}
+
 auto ReplicaNode::requestToJoin() -> void
 {
     auto contacts = this->settings.initialMembers;
     contacts.insert(contacts.end(), this->reportedMembers.begin(), this->reportedMembers.end());
+    if (this->settings.openToOthers) {
+        // A VM that was removed while it was down may know more of the group than its seeds.
+        const auto former = this->members();
+        contacts.insert(contacts.end(), former.begin(), former.end());
+    }
     for (const auto &member : contacts) {
         if (member.vm == this->settings.vm) {
             continue;
         }
         this->linkTo(member.vm)->join(this->selfMember(), [this, vm = member.vm](JoinAnswer answer) {
-            this->formation.recordAnswer(vm, answer.empty);
+            this->formation.recordAnswer(vm, answer, clockNow());
             // Only the leader admits VMs, and the settings may not list it.
             if (!answer.members.empty()) {
                 this->reportedMembers = std::move(answer.members);
@@ -400,8 +481,10 @@
 {
     auto rules = RepairRules();
     rules.voters = this->settings.voters;
+    rules.leader = this->self;
     if (this->settings.openToOthers) {
         rules.members = 2 * this->settings.voters;
+        rules.spreadOverZones = true;
         rules.lost = [this](ReplicaId replica) {
             return replica != this->self && this->core->timeSinceContact(replica) > voterReplacementTimeout;
         };
@@ -409,9 +492,37 @@
     return rules;
 }
 
+auto ReplicaNode::responds(ReplicaId replica) const -> bool
+{
+    return replica == this->self || this->core->timeSinceContact(replica) < responseTimeout;
+}
+
+auto ReplicaNode::currentTolerance() const -> FaultTolerance
+{
+    return toleranceOf(this->core->members().members, [this](ReplicaId replica) {
+        return this->responds(replica);
+    });
+}
+
+auto ReplicaNode::reportShortfall() -> void
+{
+    if (!this->settings.openToOthers || this->core->role() != CoreRole::Leader) {
+        this->shortfall.reset();
+        return;
+    }
+    const auto tolerance = this->currentTolerance();
+    if (this->shortfall.update(tolerance.survived, clockNow())) {
+        support::log(support::Event::ToleranceReduced,
+                     {{"promised", std::uint64_t{(this->settings.voters - 1) / 2}},
+                      {"survived", std::uint64_t{tolerance.survived}},
+                      {"voters", std::uint64_t{tolerance.voters}},
+                      {"zones", std::uint64_t{tolerance.zones}}});
+    }
+}
+
 auto ReplicaNode::onJoinRequest(const ControlMember &member) -> bool
 {
-    this->formation.recordRequest(JoinRequest{member.vm, member.endpoint, member.replica}, this->core->members(), clockNow());
+    this->formation.recordRequest(JoinRequest{member.vm, member.endpoint, member.replica, member.zone}, this->core->members(), clockNow());
     this->vmsByReplica.insert_or_assign(member.replica, member.vm);
     // A VM runs one control process at a time, so a request with a new replica identity proves that the process of the former identity
     // has ended.
@@ -420,7 +531,7 @@
             this->handle(Ended{known.replica});
         }
     }
-    return this->core->members().members.empty();
+    return !this->isInGroup();
 }
 
 auto ReplicaNode::onMessage(schema::Message::Reader message) -> void
@@ -490,7 +601,22 @@
 
 auto ReplicaNode::selfMember() const -> ControlMember
 {
-    return {this->settings.vm, this->settings.endpoint, true, this->self};
+    return {this->settings.vm, this->settings.endpoint, true, this->self, this->settings.zone};
+}
+
+auto ReplicaNode::isInGroup() const -> bool
+{
+    return !this->core->members().members.empty();
+}
+
+auto ReplicaNode::suspendCommands(TimePoint until) -> void
+{
+    this->suspendedUntil = until;
+}
+
+auto ReplicaNode::isSuspended() const -> bool
+{
+    return clockNow() < this->suspendedUntil;
 }
 
 auto ReplicaNode::logLeaderChange() -> void
@@ -505,6 +631,10 @@
 
 auto ReplicaNode::propose(Bytes command, ProposalDone done) -> void
 {
+    if (this->isSuspended()) {
+        done(ProposalFailure::NotLeader);
+        return;
+    }
     const auto number = RequestNumber(++this->lastRequestNumber);
     this->proposals.emplace(number, std::move(done));
     this->handle(Proposed{number, std::move(command)});
@@ -512,6 +642,10 @@
 
 auto ReplicaNode::confirmRead(ReadDone done) -> void
 {
+    if (this->isSuspended()) {
+        done(ProposalFailure::NotLeader);
+        return;
+    }
     const auto number = RequestNumber(++this->lastRequestNumber);
     this->reads.emplace(number, std::move(done));
     this->handle(ReadRequested{number});
@@ -519,10 +653,18 @@
 
 auto ReplicaNode::leaderLeaseEnd() const -> TimePoint
 {
+    if (this->isSuspended()) {
+        return TimePoint::min();
+    }
     // A leader that has not applied what earlier leaders committed would decide by an old state.
     return this->applyQueue.lacksEntriesBefore(this->core->term()) ? TimePoint::min() : this->core->leaderLeaseEnd();
 }
 
+auto ReplicaNode::onLeadershipLost(std::function<void()> callback) -> void
+{
+    this->leadershipLost = std::move(callback);
+}
+
 auto ReplicaNode::leadershipNumber() const -> std::uint64_t
 {
     return this->core->term().value();
@@ -544,11 +686,11 @@
     return replica ? this->vmOf(*replica) : std::nullopt;
 }
 
-auto ReplicaNode::proposeMembers(std::vector<ControlMember> members, ProposalDone done) -> void
+auto ReplicaNode::proposeMembers(std::vector<ControlMember> members, ProposalDone done, bool complete) -> void
 {
     const auto number = RequestNumber(++this->lastRequestNumber);
     this->proposals.emplace(number, std::move(done));
-    this->handle(MembersProposed{number, std::move(members)});
+    this->handle(MembersProposed{number, std::move(members), complete});
 }
 
 auto ReplicaNode::addLearner(ControlMember member, ProposalDone done) -> void
@@ -591,6 +733,11 @@
     return this->core->members().members;
 }
 
+auto ReplicaNode::survivedLosses() const -> std::optional<std::size_t>
+{
+    return this->core->role() == CoreRole::Leader ? std::optional(this->currentTolerance().survived) : std::nullopt;
+}
+
 auto ReplicaNode::peerCapability() -> capnp::Capability::Client
 {
     return capnp::Capability::Client(kj::heap<PeerServer>(*this));
--- a/lib/Controller/leadershiporders.cpp
+++ b/lib/Controller/leadershiporders.cpp
@@ -11,14 +11,14 @@
 namespace
 {
 
-/// Number of terms of one group that fit below the leadership number in a token: more than a century of five promotions a day.
+/// Bits of the term in a token, below the leadership number. They suffice for five promotions of a group a day for more than a century.
 constexpr auto termBits = 20U;
 
-/// \return a number for an order to promote
+/// \return the fencing token of an order to promote
 ///
-/// An order whose answer was lost may be carried out seconds later, after orders of the next control leader. The receiver drops an
-/// order below the highest that it has seen: so each order of a later leader must be higher, also one for the same term, and two
-/// leaders must never use the same number.
+/// An order whose answer was lost may be carried out seconds later, after orders of the next control leader. The receiver drops orders
+/// with a lower token than the highest it has received. Therefore the tokens of a later leader must be higher, even for the same term, and
+/// two leaders must never use the same token.
 auto fencingToken(std::uint64_t leadership, std::uint64_t term) -> std::uint64_t
 {
     return (leadership << termBits) | (term & ((std::uint64_t{1} << termBits) - 1));
@@ -49,7 +49,7 @@
 {
     this->parts.groupOperator->fence(this->addressOf(action.group, action.member, action.endpoint),
                                      action.request,
-                                     this->openOrders.add(action.group, promotion::Order::Fence, this->leadAuthority),
+                                     this->openOrders.add(action.group, promotion::Order::Fence, this->leadershipAuthority),
                                      this->answerTo(promotion::Order::Fence, action.group, action.request.term, action.member));
 }
 
@@ -65,23 +65,24 @@
                   {"leadership", this->number},
                   {"lead_ms", this->parts.clock() - this->since},
                   {"token", request.fencingToken}});
-    // A member that receives an order to step down after this may be the new primary.
+    // A member that receives an order to be fenced after this order may be the new primary.
     this->openOrders.withdraw(action.group, promotion::Order::Fence);
     const auto underDuty = this->isUnderDuty(action.group);
     if (underDuty) {
-        this->seekDuty(action.group);
+        this->requestDuty(action.group);
     }
-    this->parts.groupOperator->promote(this->addressOf(action.group, action.member, action.endpoint),
-                                       request,
-                                       this->openOrders.add(action.group, promotion::Order::Promote, underDuty ? this->dutyAuthority : this->leadAuthority),
-                                       this->answerTo(promotion::Order::Promote, action.group, action.request.term, action.member));
+    this->parts.groupOperator->promote(
+        this->addressOf(action.group, action.member, action.endpoint),
+        request,
+        this->openOrders.add(action.group, promotion::Order::Promote, underDuty ? this->dutyAuthority : this->leadershipAuthority),
+        this->answerTo(promotion::Order::Promote, action.group, action.request.term, action.member));
 }
 
 auto Leadership::carryOut(const promotion::SendFollow &action) -> void
 {
     this->parts.groupOperator->follow(this->addressOf(action.group, action.member, action.endpoint),
                                       action.request,
-                                      this->openOrders.add(action.group, promotion::Order::Follow, this->leadAuthority),
+                                      this->openOrders.add(action.group, promotion::Order::Follow, this->leadershipAuthority),
                                       this->answerTo(promotion::Order::Follow, action.group, action.request.term, action.member));
 }
 
@@ -104,13 +105,13 @@
     this->propose(action.command, action.command.group);
     // The grant is proposed together with the choice, so that it delays no promotion.
     if (this->isUnderDuty(action.command.group)) {
-        this->seekDuty(action.command.group);
+        this->requestDuty(action.command.group);
     }
 }
 
 auto Leadership::carryOut(const promotion::AwaitDuty &action) -> void
 {
-    this->seekDuty(action.group);
+    this->requestDuty(action.group);
 }
 
 auto Leadership::isUnderDuty(const GroupId &group) const -> bool
@@ -119,16 +120,22 @@
     return record != nullptr && record->selfReplicating;
 }
 
-auto Leadership::noteDuty(TimePoint now) -> void
+auto Leadership::updateDuty(TimePoint now) -> void
 {
     noteGrant(this->parts, this->duty);
     this->promoter.setDuty(this->duty.isHeld(this->number, now));
     const auto leaseEnd = this->parts.log.leaderLeaseEnd();
-    this->leadAuthority->setEnd(leaseEnd);
+    this->leadershipAuthority->setEnd(leaseEnd);
     this->dutyAuthority->setEnd(std::min(leaseEnd, this->duty.heldUntil(this->number)));
 }
 
-auto Leadership::seekDuty(const GroupId &group) -> void
+auto Leadership::revoke() -> void
+{
+    this->leadershipAuthority->setEnd(TimePoint::min());
+    this->dutyAuthority->setEnd(TimePoint::min());
+}
+
+auto Leadership::requestDuty(const GroupId &group) -> void
 {
     const auto now = this->parts.clock();
     if (!this->duty.isWanted(this->number, now)) {
@@ -139,7 +146,7 @@
     if (this->duty.mayTake(timeSinceContact, now)) {
         this->duty.proposed(now);
         this->propose(state::GrantDuty{this->parts.vm, this->number, present.number}, group);
-    } else if (std::exchange(this->awaited, present.number) != present.number) {
+    } else if (std::exchange(this->awaitedGrant, present.number) != present.number) {
         support::log(support::Event::DutyAwaited,
                      {{"group", group.value()},
                       {"holder", present.holder.value()},
--- a/lib/Controller/promotionduty.cpp
+++ b/lib/Controller/promotionduty.cpp
@@ -20,9 +20,9 @@
     const auto isOwn = grant.holder == this->self && this->proposal && this->proposal->number == grant.number;
     this->began = isOwn ? std::optional(this->proposal->first) : std::nullopt;
     const auto isOther = former.holder != grant.holder;
-    // The duty may also have passed on by grants that this VM has not seen, for example before a restart.
+    // Grants that this VM has not applied, for example before a restart, may also have transferred the duty.
     if ((isOther && former.number != 0) || grant.number > former.number + 1) {
-        this->passedOn = now;
+        this->lastTransfer = now;
     }
     return isOther;
 }
@@ -39,16 +39,16 @@
 
 auto PromotionDuty::isWanted(std::uint64_t leadership, TimePoint now) const -> bool
 {
-    const auto isUnderWay = this->proposal && this->proposal->number > this->newest.number && now - this->proposal->last < dutyProposalLife;
-    return !isUnderWay && (!this->isHeld(leadership, now) || now - *this->began >= dutyRenewal);
+    const auto isInFlight = this->proposal && this->proposal->number > this->newest.number && now - this->proposal->last < dutyProposalRetry;
+    return !isInFlight && (!this->isHeld(leadership, now) || now - *this->began >= dutyRenewal);
 }
 
-auto PromotionDuty::mayTake(Duration holderSilence, TimePoint now) const -> bool
+auto PromotionDuty::mayTake(Duration timeSinceContact, TimePoint now) const -> bool
 {
     const auto isFree = this->newest.number == 0 || this->newest.holder == this->self || this->age(now) >= dutyHandover;
     // VMs with a bad network path consider each other failed. The duty would then alternate with the leadership.
-    const auto justPassedOn = this->passedOn && now - *this->passedOn < dutyHandover;
-    return isFree || (holderSilence >= holderLostAfter && !justPassedOn);
+    const auto justTransferred = this->lastTransfer && now - *this->lastTransfer < dutyHandover;
+    return isFree || (timeSinceContact >= holderLostAfter && !justTransferred);
 }
 
 auto PromotionDuty::proposed(TimePoint now) -> void
--- a/lib/Peers/peerloop.cpp
+++ b/lib/Peers/peerloop.cpp
@@ -81,30 +81,30 @@
             }
             alive->connection = kj::heap<Connection>(kj::mv(stream));
             auto gone = alive->connection->client.onDisconnect().then([this, endpoint, weak]() {
-                this->forget(endpoint, weak);
+                this->dropConnection(endpoint, weak);
             });
             this->tasks.add(kj::mv(gone));
         })
         .catch_([this, endpoint, weak](kj::Exception &&exception) {
-            this->forget(endpoint, weak);
+            this->dropConnection(endpoint, weak);
             kj::throwFatalException(kj::mv(exception));
         });
 }
 
-auto PeerLoop::forget(const Endpoint &endpoint, const std::weak_ptr<Entry> &entry) -> void
+auto PeerLoop::dropConnection(const Endpoint &endpoint, const std::weak_ptr<Entry> &entry) -> void
 {
     const auto found = this->entries.find(endpoint);
     if (found == this->entries.end() || found->second != entry.lock()) {
         return;
     }
-    // The entry ends in a task of its own: what calls this is a part of the entry.
+    // The entry is destroyed in a separate task, because the caller of this function may be a task that the entry owns.
     this->tasks.add(kj::evalLater([dropped = std::move(found->second)]() {}));
     this->entries.erase(found);
 }
 
 auto PeerLoop::taskFailed(kj::Exception &&) -> void
 {
-    // Each call tells its caller of a failure itself; what arrives here is the end of a connection.
+    // Calls report their failures to their callers; only the ends of connections arrive here.
 }
 
 } // namespace sapphirespool::peers
--- a/schema/consensus.capnp
+++ b/schema/consensus.capnp
@@ -14,6 +14,8 @@
   endpoint @1 :Endpoint;
   voter @2 :Bool;
   replica @3 :UInt64;
+  # Availability zone; empty in a log that was written before this field existed.
+  zone @4 :Text;
 }
 
 struct Members {
@@ -104,6 +106,8 @@
       offset @25 :UInt64;
       installed @26 :Bool;
     }
+    # The leader of the term gives up its leadership and its lease.
+    resigned @28 :Void;
   }
   # Where answers go while the receiver does not know the group yet.
   fromVm @27 :Text;
@@ -113,6 +117,7 @@
   # Answers at once; what the message causes comes as a message of its own.
   deliver @0 (message :Message) -> ();
   # Asked by a VM that finds itself in no group: it wants to be taken in. The answer says whether this VM is of no group
-  # either, so that the first of the initial members may found one.
-  join @1 (member :ControlMember) -> (empty :Bool, members :List(ControlMember));
+  # either, so that the first of the initial members may found one. A directory answers with the control VMs that it knows to be in a
+  # group, and is empty if it knows none.
+  join @1 (member :ControlMember) -> (empty :Bool, members :List(ControlMember), directory :Bool);
 }
--- a/unittests/Consensus/fakegroup.h
+++ b/unittests/Consensus/fakegroup.h
@@ -23,10 +23,20 @@
     std::vector<Entry> entries;
 };
 
+/// Whether the disk of a VM writes.
+enum class DiskCondition {
+    Works,
+    /// Writes do not end; a crash may find some of them on the disk.
+    Stalled,
+    /// Writes are rejected; a crash finds none of them on the disk.
+    Full,
+};
+
 /// One VM with its core while the process runs.
 struct FakeVm
 {
     VmId vm;
+    ZoneId zone;
     ReplicaId replica;
     /// Rate of its clock relative to simulated time; within the drift bound of the settings.
     double clockRate = 1.0;
@@ -34,17 +44,32 @@
     FakeDisk synced;
     /// Unsynced writes in order. A crash may lose them.
     std::deque<Action> unsynced;
+    DiskCondition diskCondition = DiskCondition::Works;
     /// Applied commands with their indexes; restored from snapshots.
     std::vector<std::pair<LogIndex, Bytes>> applied;
     LogIndex appliedIndex;
     bool isolated = false;
 };
 
+/// Control VMs of a simulated group. If they are in zones, the group was found by seeds: its voters are spread over the zones, and learners
+/// replace voters that are lost.
+struct FakeLayout
+{
+    std::size_t size;
+    /// Availability zones, to which the VMs belong in turn.
+    std::size_t zones;
+    /// Voters that the group should have. The first VMs are the initial voters; the others join as learners.
+    std::size_t voters;
+};
+
+/// \return the layout of a group with a fixed list of \p size VMs: all are voters, and none is replaced
+[[nodiscard]] auto fixedList(std::size_t size) -> FakeLayout;
+
 /// A simulated group. Each function throws std::runtime_error if an invariant is violated.
 class FakeGroup
 {
 public:
-    FakeGroup(std::size_t size, std::uint64_t seed);
+    FakeGroup(const FakeLayout &layout, std::uint64_t seed);
 
     auto advance(std::chrono::milliseconds time) -> void;
     auto deliver(std::size_t pick) -> void;
@@ -52,6 +77,11 @@
     auto drop(std::size_t pick) -> void;
     auto duplicate(std::size_t pick) -> void;
     auto syncDisk(std::size_t vm) -> void;
+    auto setDisk(std::size_t vm, DiskCondition condition) -> void;
+    /// Stalls or fills the leader's disk, proposes a command and runs up to about the time of the resignation, as derived from \p pick.
+    auto stallLeader(std::size_t pick) -> void;
+    /// Delivers all resignations again that were ever sent, as if they had been delayed in the receive buffers of paused VMs.
+    auto repeatResignations() -> void;
     auto propose(std::size_t vm, std::uint8_t value) -> void;
     auto read(std::size_t vm) -> void;
     /// Ends the process. The first \p writesKept unsynced writes reach the disk; the others are lost.
@@ -67,13 +97,16 @@
     auto repair() -> void;
     auto takeSnapshot(std::size_t vm) -> void;
 
-    /// Reconnects and restarts all VMs, advances the time, and requires that one leader commits on all VMs and that all are voters again.
+    /// Reconnects and restarts all VMs, frees their disks, advances the time, and requires that one leader commits on all VMs and that all
+    /// are members again, with as many voters as the group should have.
     auto healAndCheck() -> void;
 
     [[nodiscard]] auto size() const -> std::size_t;
     [[nodiscard]] auto vm(std::size_t index) -> FakeVm &;
     [[nodiscard]] auto leaderIndex() const -> std::optional<std::size_t>;
     [[nodiscard]] auto committedCount() const -> std::size_t;
+    /// \return the number of messages by which leaders resigned
+    [[nodiscard]] auto resignationCount() const -> std::size_t;
     [[nodiscard]] auto localTime(const FakeVm &vm) const -> TimePoint;
     /// Passes an event to a VM's core and performs the resulting actions.
     auto handle(FakeVm &vm, const CoreEvent &event) -> void;
@@ -105,9 +138,15 @@
     auto survivesLossOf(const FakeVm &vm) const -> bool;
     auto checkLeaders() -> void;
     auto checkLogs() const -> void;
+    auto checkMembers(const Members &group) const -> void;
+    auto checkHealedMembers(const Members &group) const -> void;
+    auto asksToJoin(const FakeVm &vm) const -> bool;
     auto joinRequests() const -> std::vector<JoinRequest>;
+    auto repairRules(const FakeVm &leader) const -> RepairRules;
 
     CoreSettings settings;
+    std::size_t targetVoters;
+    bool replacesVoters;
     std::mt19937_64 random;
     std::chrono::nanoseconds time{0};
     std::vector<FakeVm> vms;
@@ -115,6 +154,7 @@
     std::set<ReplicaId> lostReplicas;
     std::uint64_t nextReplicaId = 1;
     std::uint64_t nextRequestNumber = 1;
+    std::vector<InFlightMessage> resignations;
     std::map<RequestNumber, PendingRead> reads;
     std::map<ElectionTerm, ReplicaId> leaders;
     /// Each committed entry as the first VM applied it.
--- a/unittests/Controller/fakelog.h
+++ b/unittests/Controller/fakelog.h
@@ -1,4 +1,4 @@
-// fakelog.h: a replicated log without consensus, for tests of what works on it.
+// fakelog.h: a replicated log without consensus.
 #pragma once
 
 #include "sapphirespool/Consensus/replicatedlog.h"
@@ -12,7 +12,7 @@
 namespace sapphirespool::controller
 {
 
-/// Commits at once, here and on the VMs that follow; the test says who leads.
+/// Commits at once to the state of this VM and of its followers; the test sets the leader.
 class FakeLog : public consensus::ReplicatedLog
 {
 public:
@@ -45,6 +45,11 @@
         return this->leads ? this->leaseEnd : TimePoint::min();
     }
 
+    auto onLeadershipLost(std::function<void()> callback) -> void override
+    {
+        this->leadershipLost = std::move(callback);
+    }
+
     [[nodiscard]] auto leadershipNumber() const -> std::uint64_t override
     {
         return this->number;
@@ -82,10 +87,11 @@
 
     state::ClusterState &state;
     std::vector<state::ClusterState *> followers;
+    std::function<void()> leadershipLost;
     bool leads = true;
     TimePoint leaseEnd = TimePoint::max();
     std::uint64_t number = 1;
-    /// For how long all other VMs have been silent.
+    /// Time since the last contact with every other VM.
     Duration silent{};
     std::optional<consensus::ProposalFailure> failure;
     std::uint64_t proposals = 0;
--- a/unittests/Promotion/world.cpp
+++ b/unittests/Promotion/world.cpp
@@ -17,10 +17,10 @@
 const auto zones = std::vector<ZoneId>{ZoneId("hobart"), ZoneId("launceston"), ZoneId("devonport")};
 
 constexpr auto writeInterval = 20ms;
-/// A write that was not confirmed in this time is given up by its proxy.
-constexpr auto callerPatience = 5s;
+/// Time after which a proxy abandons a write that is not confirmed.
+constexpr auto writeTimeout = 5s;
 
-auto textWithGroup() -> state::Command
+auto configurationWithGroup() -> state::Command
 {
     auto change = state::ChangeConfiguration{ChangeId("first"), Revision(0), "text", {}};
     auto service = membership::ServiceView();
@@ -67,10 +67,10 @@
         member.id = UpstreamId(id);
         this->members.push_back(std::move(member));
     }
-    this->committed.push_back(textWithGroup());
+    this->committed.push_back(configurationWithGroup());
     this->startLeader();
     this->every(200ms, [this] {
-        this->announceAll();
+        this->sendHealthReports();
     });
     this->every(5ms, [this] {
         this->replicateAll();
@@ -117,12 +117,12 @@
     return false;
 }
 
-auto World::changeLeader(bool believes) -> void
+auto World::changeLeader(bool staysActive) -> void
 {
     auto &former = *this->leaders.back();
     former.current = false;
-    former.connected = believes;
-    if (!believes) {
+    former.connected = staysActive;
+    if (!staysActive) {
         former.promoter = std::make_unique<Promoter>(former.state, this->now);
         this->leaders.pop_back();
     }
@@ -213,8 +213,8 @@
     });
 }
 
-/// Members announce to proxies, which pass it on with their next heartbeat.
-auto World::announceAll() -> void
+/// Members send health reports to proxies, which relay them with the next heartbeat.
+auto World::sendHealthReports() -> void
 {
     for (const auto &member : this->members) {
         if (!member.running || !member.controlReaches) {
@@ -222,7 +222,7 @@
         }
         this->after(this->draw(this->delays.heartbeat), [this, announcement = announcementOf(member), view = viewOf(member)] {
             this->propose(this->leaders.back(), state::RegisterUpstream{group, view});
-            this->tellLeaders(Announced{announcement});
+            this->deliverToLeaders(Announced{announcement});
         });
     }
 }
@@ -236,7 +236,7 @@
     }
 }
 
-/// Copies one entry, or drops one that the primary does not have.
+/// Discards the entries that the primary does not have and copies one further entry.
 auto World::replicate(FakeMember &replica) -> void
 {
     if (replica.primary.value().empty()) {
@@ -247,7 +247,7 @@
     if (!admits || this->chance(20)) {
         return;
     }
-    // Entries are unique, so that logs with an equal entry at a place are equal up to there.
+    // Entries are unique, so logs with equal entries at a position are equal up to that position.
     while (!replica.log.empty() && (replica.log.size() > source.log.size() || replica.log.back() != source.log[replica.log.size() - 1])) {
         replica.log.pop_back();
     }
@@ -256,7 +256,7 @@
     }
 }
 
-/// Each zone's proxy sends a write to each member that might take it: also to one that was replaced and does not know it.
+/// Proxies send a write to each member in the role of primary, including a replaced one that has received no order yet.
 auto World::writeAll() -> void
 {
     for (auto &member : this->members) {
@@ -272,7 +272,7 @@
     }
 }
 
-/// A proxy acknowledges once a member other than the primary reports the position in the term of the write.
+/// Proxies acknowledge a write after a replica of the term has reached its position.
 auto World::confirmAll() -> void
 {
     const auto confirmed = [this](const PendingWrite &write) {
@@ -282,7 +282,7 @@
         });
     };
     std::erase_if(this->pending, [this](const PendingWrite &write) {
-        return this->now - write.sent > callerPatience;
+        return this->now - write.sent > writeTimeout;
     });
     std::erase_if(this->pending, [&](const PendingWrite &write) {
         if (!confirmed(write)) {
@@ -306,12 +306,12 @@
         }
         const auto suspicion = membership::Suspicion{group, this->record().view.term, primary->id};
         this->after(this->draw(this->delays.heartbeat), [this, zone, suspicion] {
-            this->tellLeaders(Suspected{zone, suspicion});
+            this->deliverToLeaders(Suspected{zone, suspicion});
         });
     }
 }
 
-auto World::tellLeaders(const Event &event) -> void
+auto World::deliverToLeaders(const Event &event) -> void
 {
     for (const auto &leader : std::vector(this->leaders)) {
         if (leader->connected) {
@@ -357,21 +357,21 @@
     }
 }
 
-/// Delivers an order and its answer, each late, lost or twice.
-template <typename Send, typename Obey>
-auto World::send(const std::shared_ptr<FakeLeader> &leader, Order order, const Send &message, Obey obey) -> void
+/// Delivers an order and its answer with random delay, loss and duplication.
+template <typename Send, typename Execute>
+auto World::send(const std::shared_ptr<FakeLeader> &leader, Order order, const Send &message, Execute execute) -> void
 {
-    const auto copies = this->chance(this->delays.doubled) ? 2 : 1;
+    const auto copies = this->chance(this->delays.duplicated) ? 2 : 1;
     for (auto copy = 0; copy < copies; ++copy) {
         if (this->chance(this->delays.lost)) {
             continue;
         }
-        this->after(this->draw(this->delays.network), [this, leader, order, message, obey] {
+        this->after(this->draw(this->delays.network), [this, leader, order, message, execute] {
             auto &member = this->find(message.member);
             if (!member.running || !member.controlReaches || !leader->connected) {
                 return;
             }
-            const auto answer = OrderAnswered{order, group, Term(message.request.term), message.member, obey(member)};
+            const auto answer = OrderAnswered{order, group, Term(message.request.term), message.member, execute(member)};
             if (this->chance(this->delays.lost)) {
                 return;
             }
@@ -409,7 +409,7 @@
     }
 }
 
-/// Called whenever a member becomes primary: it holds every acknowledged write, and no other member had the term.
+/// Checks at each promotion that the new primary has every acknowledged write of earlier terms and that its term had no other primary.
 auto World::checkPrimary(const FakeMember &member) -> void
 {
     if (member.role != platform::Role::Primary) {
@@ -427,7 +427,7 @@
     for (const auto &entry : member.log) {
         held.insert(entry.write);
     }
-    // An order that was under way for long may promote a member for a term that has ended; of later terms it knows nothing.
+    // A delayed order may promote a member for a term that has ended; it need not have the writes of later terms.
     for (const auto &[write, writeTerm] : this->acknowledged) {
         if (writeTerm < member.term && !held.contains(write)) {
             throw std::logic_error("a new primary lacks an acknowledged write");
@@ -435,7 +435,7 @@
     }
 }
 
-/// Called for each acknowledgement: the primaries of later terms hold the write already.
+/// Checks at each acknowledgement that the primaries of later terms have the write.
 auto World::checkAcknowledged(const PendingWrite &write) -> void
 {
     for (const auto &member : this->members) {
