--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -2,6 +2,7 @@
 //
 //     standin render TEMPLATE NAME=VALUE...     fills a template of the deploy folder; a list is written A,B,C
 //     standin drain-behind-deaf DIRECTORY       the case review/1; see claim.txt there
+//     standin commit-at-stop DIRECTORY          the case review/2
 //
 // Everything runs on one thread. The databases follow PROTOCOL.md: a commit gets the next number, replicas receive it over the network and
 // apply it later, with `syncReplicas` 1 it is acknowledged once one replica has received it, and only POST /failover replaces a primary.
@@ -14,6 +15,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <csignal>
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
@@ -44,7 +46,6 @@
 constexpr auto networkDelay = milliseconds(2);
 constexpr auto applyLag = milliseconds(60);
 constexpr auto promotionLength = milliseconds(300);
-constexpr auto workLength = milliseconds(5);
 constexpr auto answerLimit = milliseconds(1'000);
 
 auto split(const std::string &text, char separator) -> std::vector<std::string>
@@ -141,11 +142,18 @@
 class Service
 {
 public:
-    Service(asio::io_context &context, Record &record, std::string name, std::size_t syncReplicas, std::vector<std::string> controls, std::uint16_t port)
+    Service(asio::io_context &context,
+            Record &record,
+            std::string name,
+            std::size_t syncReplicas,
+            milliseconds workLength,
+            std::vector<std::string> controls,
+            std::uint16_t port)
         : name(std::move(name))
         , context(context)
         , record(record)
         , syncReplicas(syncReplicas)
+        , workLength(workLength)
         , controls(std::move(controls))
         , port(port)
     {
@@ -246,6 +254,12 @@
         return this->lost;
     }
 
+    /// \return whether a database has got the commit \p id of a client
+    [[nodiscard]] auto hasGot(const std::string &id) const -> bool
+    {
+        return this->passedOn.contains(id);
+    }
+
     [[nodiscard]] auto promotions() const -> std::size_t
     {
         return this->promotionCount;
@@ -447,7 +461,7 @@
 
     auto answerAccess(Database &database, Session &session, std::string id, bool isWrite) -> asio::awaitable<Answer>
     {
-        co_await pause(workLength);
+        co_await pause(this->workLength);
         const auto needsPrimary = session.state == 'T' ? !session.readOnly : isWrite;
         if ((needsPrimary && !database.primary) || (isWrite && session.state == 'T' && session.readOnly)) {
             co_return this->error(database, session, "READONLY");
@@ -464,7 +478,9 @@
 
     auto answerCommit(Database &database, Session &session, std::string id) -> asio::awaitable<Answer>
     {
-        co_await pause(workLength);
+        this->passedOn.insert(id);
+        this->record.line("database " + database.id + " gets commit " + id);
+        co_await pause(this->workLength);
         if (session.state != 'T') {
             session.state = 'I';
             session.writes.clear();
@@ -574,9 +590,11 @@
     asio::io_context &context;
     Record &record;
     std::size_t syncReplicas;
+    milliseconds workLength;
     std::vector<std::string> controls;
     std::uint16_t port;
     std::vector<std::unique_ptr<Database>> databases;
+    std::set<std::string> passedOn;
     std::uint64_t term = 1;
     std::vector<std::string> acks;
     std::size_t lost = 0;
@@ -730,6 +748,33 @@
     std::uint64_t newest = 0;
 };
 
+auto readLine(tcp::socket &socket, std::string &buffer) -> asio::awaitable<std::optional<std::string>>
+{
+    const auto [error, size] = co_await asio::async_read_until(socket, asio::dynamic_buffer(buffer), "\r\n", awaitTuple);
+    if (error) {
+        co_return std::nullopt;
+    }
+    auto line = buffer.substr(0, size - 2);
+    buffer.erase(0, size);
+    co_return line;
+}
+
+/// \return the first line of the answer; nothing if the connection ends
+auto ask(tcp::socket &socket, std::string &buffer, std::string request) -> asio::awaitable<std::optional<std::string>>
+{
+    const auto [error, sent] = co_await asio::async_write(socket, asio::buffer(request), awaitTuple);
+    if (error) {
+        co_return std::nullopt;
+    }
+    co_return co_await readLine(socket, buffer);
+}
+
+auto endpointOf(const std::string &address) -> tcp::endpoint
+{
+    const auto parts = split(address, ':');
+    return {asio::ip::make_address(parts[0]), static_cast<std::uint16_t>(std::stoul(parts[1]))};
+}
+
 /// A session that writes one item after the other. It never repeats a write.
 class Client
 {
@@ -758,18 +803,16 @@
     auto runSession(std::string proxy) -> asio::awaitable<void>
     {
         auto socket = tcp::socket(co_await asio::this_coro::executor);
-        const auto parts = split(proxy, ':');
-        const auto endpoint = tcp::endpoint(asio::ip::make_address(parts[0]), static_cast<std::uint16_t>(std::stoul(parts[1])));
-        const auto [connectError] = co_await socket.async_connect(endpoint, awaitTuple);
+        const auto [connectError] = co_await socket.async_connect(endpointOf(proxy), awaitTuple);
         if (connectError) {
             co_return;
         }
         socket.set_option(tcp::no_delay(true));
         auto buffer = std::string();
-        auto greeting = co_await this->ask(socket, buffer, "STARTUP " + this->database + " u" + std::to_string(this->number) + "\r\n");
+        auto greeting = co_await ask(socket, buffer, "STARTUP " + this->database + " u" + std::to_string(this->number) + "\r\n");
         while (greeting && greeting->starts_with("READY I")) {
             const auto id = "c" + std::to_string(this->number) + "n" + std::to_string(++this->writes);
-            const auto answer = co_await this->ask(socket, buffer, "QUERY " + id + " STORE i" + std::to_string(this->writes % 50) + " data\r\n");
+            const auto answer = co_await ask(socket, buffer, "QUERY " + id + " STORE i" + std::to_string(this->writes % 50) + " data\r\n");
             if (!answer) {
                 this->record.line("client: write " + id + " at " + proxy + " got no answer");
                 co_return;
@@ -781,7 +824,7 @@
             } else {
                 this->record.line("client: write " + id + " at " + proxy + " got " + *answer);
             }
-            const auto state = co_await this->readLine(socket, buffer);
+            const auto state = co_await readLine(socket, buffer);
             if (!state || !state->starts_with("READY I")) {
                 co_return;
             }
@@ -789,26 +832,6 @@
         }
     }
 
-    auto ask(tcp::socket &socket, std::string &buffer, std::string request) -> asio::awaitable<std::optional<std::string>>
-    {
-        const auto [error, sent] = co_await asio::async_write(socket, asio::buffer(request), awaitTuple);
-        if (error) {
-            co_return std::nullopt;
-        }
-        co_return co_await this->readLine(socket, buffer);
-    }
-
-    auto readLine(tcp::socket &socket, std::string &buffer) -> asio::awaitable<std::optional<std::string>>
-    {
-        const auto [error, size] = co_await asio::async_read_until(socket, asio::dynamic_buffer(buffer), "\r\n", awaitTuple);
-        if (error) {
-            co_return std::nullopt;
-        }
-        auto line = buffer.substr(0, size - 2);
-        buffer.erase(0, size);
-        co_return line;
-    }
-
     Record &record;
     Service &service;
     std::vector<std::string> proxies;
@@ -817,6 +840,73 @@
     std::size_t writes = 0;
 };
 
+/// One transaction of a client that pauses inside it, as long as `txnIdleMs` allows, and how its commit ended.
+struct SlowTransaction
+{
+    enum class End {
+        None,
+        Answered,
+        /// The connection ended without an answer, and no database had got the commit.
+        Closed,
+        /// The connection ended without an answer after a database had got the commit.
+        Cut,
+    };
+
+    std::string id;
+    bool readOnly = false;
+    milliseconds accessAt{};
+    milliseconds commitAt{};
+    End end = End::None;
+};
+
+/// \return the statements before the commit, and when they are sent
+auto slowStatements(const SlowTransaction &transaction) -> std::vector<std::pair<milliseconds, std::string>>
+{
+    auto statements = std::vector<std::pair<milliseconds, std::string>>();
+    statements.emplace_back(milliseconds(500), "QUERY " + transaction.id + "b BEGIN" + (transaction.readOnly ? " FETCH" : ""));
+    statements.emplace_back(transaction.accessAt, "QUERY " + transaction.id + (transaction.readOnly ? "a FETCH i1" : "a STORE i1 data"));
+    return statements;
+}
+
+/// Begins, reads or writes once, pauses and commits, at the times of \p transaction counted from \p origin.
+auto runSlowTransaction(Record &record, Service &service, std::string proxy, Clock::time_point origin, SlowTransaction &transaction) -> asio::awaitable<void>
+{
+    const auto executor = co_await asio::this_coro::executor;
+    auto socket = tcp::socket(executor);
+    const auto [connectError] = co_await socket.async_connect(endpointOf(proxy), awaitTuple);
+    if (connectError) {
+        co_return;
+    }
+    socket.set_option(tcp::no_delay(true));
+    auto buffer = std::string();
+    auto timer = asio::steady_timer(executor);
+    const auto startup = "STARTUP intake " + transaction.id + "\r\n";
+    auto line = co_await ask(socket, buffer, startup);
+    const auto statements = slowStatements(transaction);
+    for (const auto &[at, text] : statements) {
+        timer.expires_at(origin + at);
+        co_await timer.async_wait(awaitTuple);
+        const auto request = text + "\r\n";
+        line = co_await ask(socket, buffer, request);
+        while (line && (line->starts_with("DATAROW") || line->starts_with("COMPLETE"))) {
+            line = co_await readLine(socket, buffer);
+        }
+        if (!line || !line->starts_with("READY T")) {
+            record.line("client " + transaction.id + " could not " + text);
+            co_return;
+        }
+    }
+    timer.expires_at(origin + transaction.commitAt);
+    co_await timer.async_wait(awaitTuple);
+    const auto commit = transaction.id + "c";
+    record.line("client " + transaction.id + " sends commit " + commit + " " + std::to_string(transaction.commitAt.count()) + " ms after the origin");
+    const auto request = "QUERY " + commit + " COMMIT\r\n";
+    line = co_await ask(socket, buffer, request);
+    transaction.end = line ? SlowTransaction::End::Answered : service.hasGot(commit) ? SlowTransaction::End::Cut : SlowTransaction::End::Closed;
+    record.line("client " + transaction.id + (line ? " is answered: " + *line : std::string(": the connection ends without an answer"))
+                + (line || !service.hasGot(commit) ? "" : "; LOST: a database had got the commit"));
+}
+
 auto environment(const char *name) -> std::string
 {
     const auto *const value = std::getenv(name);
@@ -860,7 +950,8 @@
 auto configurationText(std::size_t syncReplicas) -> std::string
 {
     return R"({"version":7,"routes":[{"name":"r-1","host":"bookings","pathPrefix":"/","type":"primary","timeoutMs":1000,"sloMs":200,"priority":1,)"
-           R"("service":"orders","attempts":2}],"services":[{"name":"orders","healthPath":"/healthz","maxConns":34,"protocol":"h1","tls":false,)"
+           R"("service":"orders","attempts":2},{"name":"r-2","host":"intake","pathPrefix":"/","type":"read_your_writes","timeoutMs":1000,"sloMs":400,)"
+           R"("priority":2,"service":"orders","attempts":2,"maxStalenessMs":2500}],"services":[{"name":"orders","healthPath":"/healthz","maxConns":34,"protocol":"h1","tls":false,)"
            R"("syncReplicas":)"
         + std::to_string(syncReplicas)
         + R"(}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000,"txnIdleMs":3000}})";
@@ -869,7 +960,7 @@
 /// A replica is replaced (planned); it and its successor receive nothing for a while, and the primary and the other replica crash meanwhile.
 auto drainBehindDeaf(asio::io_context &context, const Deployment &deployment, Record &record, int &exitCode) -> asio::awaitable<void>
 {
-    auto service = Service(context, record, "orders", 1, deployment.controls, databasePort);
+    auto service = Service(context, record, "orders", 1, milliseconds(5), deployment.controls, databasePort);
     auto platform = Platform(context, record, service, deployment.network + ".9.1", platformPort);
     auto &primary = service.start("i-p", deployment.network + ".8.1", "hobart", true);
     auto &staying = service.start("i-a", deployment.network + ".8.2", "launceston", false);
@@ -923,6 +1014,48 @@
     context.stop();
 }
 
+/// A VM is stopped (planned) while clients rest inside transactions and commit in the second half of the grace.
+auto commitAtStop(asio::io_context &context, const Deployment &deployment, Record &record, int &exitCode) -> asio::awaitable<void>
+{
+    // A proxy has five connections to each of the three databases here, and each open transaction holds one.
+    constexpr auto count = std::size_t{15};
+    auto service = Service(context, record, "orders", 0, milliseconds(33), deployment.controls, databasePort);
+    auto platform = Platform(context, record, service, deployment.network + ".9.1", platformPort);
+    service.start("i-p", deployment.network + ".8.1", "hobart", true);
+    service.start("i-a", deployment.network + ".8.2", "launceston", false);
+    service.start("i-b", deployment.network + ".8.3", "devonport", false);
+    const auto ready = co_await configure(deployment, record, configurationText(0));
+    co_await pause(milliseconds(2'500));
+    const auto &proxy = deployment.proxies[1];
+    auto transactions = std::vector<SlowTransaction>(count);
+    const auto origin = Clock::now() + milliseconds(500);
+    for (std::size_t number = 0; ready && number < count; ++number) {
+        transactions[number].id = "t" + std::to_string(number);
+        transactions[number].readOnly = number % 3 != 0;
+        transactions[number].accessAt = milliseconds(2'400 + 30 * number);
+        transactions[number].commitAt = milliseconds(4'960 + 8 * number);
+        asio::co_spawn(context, runSlowTransaction(record, service, proxy, origin, transactions[number]), asio::detached);
+    }
+    co_await pause(milliseconds(500));
+    if (deployment.trouble) {
+        record.line("planned: SIGTERM to the processes of the VM that serves " + proxy);
+        for (const auto &process : split(environment("STOPPED"), ',')) {
+            ::kill(static_cast<pid_t>(std::stol(process)), SIGTERM);
+        }
+    }
+    co_await pause(milliseconds(7'000));
+    auto ends = std::map<SlowTransaction::End, std::size_t>();
+    for (const auto &transaction : transactions) {
+        ++ends[transaction.end];
+    }
+    record.line("commits answered: " + std::to_string(ends[SlowTransaction::End::Answered])
+                + ", passed on and cut: " + std::to_string(ends[SlowTransaction::End::Cut])
+                + ", closed before: " + std::to_string(ends[SlowTransaction::End::Closed]) + ", not sent: " + std::to_string(ends[SlowTransaction::End::None]));
+    const auto ran = ends[SlowTransaction::End::Answered] + ends[SlowTransaction::End::Cut] > 0;
+    exitCode = !ran ? 2 : ends[SlowTransaction::End::Cut] > 0 ? 1 : 0;
+    context.stop();
+}
+
 /// Fills the sections and names of \p text, as DEPLOY.md tells them, as far as the templates of the deploy folder use them.
 auto render(const std::string &text, const std::map<std::string, std::string> &values, const std::string &item) -> std::string
 {
@@ -998,6 +1131,9 @@
     if (arguments[1] == "drain-behind-deaf") {
         asio::co_spawn(context, drainBehindDeaf(context, deployment, record, exitCode), asio::detached);
     }
+    if (arguments[1] == "commit-at-stop") {
+        asio::co_spawn(context, commitAtStop(context, deployment, record, exitCode), asio::detached);
+    }
     context.run();
     std::_Exit(exitCode);
 }
