--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -3,6 +3,7 @@
 //     standin render TEMPLATE NAME=VALUE...     fills a template of the deploy folder; a list is written A,B,C
 //     standin drain-behind-deaf DIRECTORY       the case review/1; see claim.txt there
 //     standin commit-at-stop DIRECTORY          the case review/2
+//     standin revoked-key DIRECTORY             the case review/3
 //
 // Everything runs on one thread. The databases follow PROTOCOL.md: a commit gets the next number, replicas receive it over the network and
 // apply it later, with `syncReplicas` 1 it is acknowledged once one replica has received it, and only POST /failover replaces a primary.
@@ -266,6 +267,9 @@
     }
 
     std::string name;
+    /// For whom each request of a client was run.
+    std::map<std::string, std::string> ranFor;
+    bool recordsTenants = false;
 
 private:
     /// A session at a database.
@@ -275,6 +279,8 @@
         bool readOnly = false;
         std::vector<std::string> writes;
         std::map<std::string, std::string> prepared;
+        /// Who connects, as the proxy has told it: the tenant.
+        std::string who;
     };
 
     struct Answer
@@ -356,6 +362,7 @@
                 started = fields.size() >= 2 && fields[1] == this->name && (fields.size() < 4 || fields[3] == database.id);
                 answer.lines = started ? "READY I " + written(database.appliedPosition()) + "\r\n" : "ERROR WRONGNODE " + database.id + "\r\n";
                 answer.drop = !started;
+                session.who = fields.size() > 2 ? fields[2] : std::string();
             } else if (line.starts_with("QUERY ") && started) {
                 answer = co_await this->answer(database, session, line.substr(6));
             } else {
@@ -466,6 +473,7 @@
         if ((needsPrimary && !database.primary) || (isWrite && session.state == 'T' && session.readOnly)) {
             co_return this->error(database, session, "READONLY");
         }
+        this->note(database, session, id);
         if (isWrite && session.state == 'I') {
             session.writes = {id};
             co_return co_await this->commitWrites(database, session, id);
@@ -487,6 +495,7 @@
             co_return this->error(database, session, "ABORTED");
         }
         session.state = 'I';
+        this->note(database, session, id);
         if (session.writes.empty()) {
             co_return this->complete(database, session, {}, "sig." + id);
         }
@@ -497,6 +506,14 @@
         co_return co_await this->commitWrites(database, session, id);
     }
 
+    auto note(const Database &database, const Session &session, const std::string &id) -> void
+    {
+        this->ranFor[id] = session.who;
+        if (this->recordsTenants) {
+            this->record.line("database " + database.id + " runs " + id + " for " + session.who);
+        }
+    }
+
     auto commitWrites(Database &database, Session &session, std::string id) -> asio::awaitable<Answer>
     {
         session.writes.clear();
@@ -1056,6 +1073,101 @@
     context.stop();
 }
 
+auto configurationWithTenants(std::uint64_t version, const std::string &keyOfNorth) -> std::string
+{
+    return R"({"version":)" + std::to_string(version)
+        + R"(,"routes":[{"name":"r-1","host":"bookings","pathPrefix":"/","type":"primary","timeoutMs":1000,"sloMs":200,"priority":1,)"
+          R"("service":"orders","attempts":2}],"services":[{"name":"orders","healthPath":"/healthz","maxConns":46,"protocol":"h1","tls":false,)"
+          R"("syncReplicas":0}],"tenants":[{"name":"north","apiKeys":[")"
+        + keyOfNorth
+        + R"("]},{"name":"south","apiKeys":["key-of-south"]}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,)"
+          R"("idleTimeoutMs":15000,"txnIdleMs":3000}})";
+}
+
+/// A client connection that sends one request at a time.
+class Caller
+{
+public:
+    Caller(asio::io_context &context, Record &record)
+        : socket(context)
+        , record(record)
+    {
+    }
+
+    auto connect(std::string proxy, std::string startup) -> asio::awaitable<std::string>
+    {
+        const auto [error] = co_await this->socket.async_connect(endpointOf(proxy), awaitTuple);
+        if (error) {
+            co_return "no connection";
+        }
+        co_return co_await this->send(startup);
+    }
+
+    /// \return the line that tells the outcome
+    auto send(std::string request) -> asio::awaitable<std::string>
+    {
+        const auto lines = request + "\r\n";
+        auto line = co_await ask(this->socket, this->buffer, lines);
+        while (line && line->starts_with("DATAROW")) {
+            line = co_await readLine(this->socket, this->buffer);
+        }
+        const auto outcome = line.value_or("the connection ends");
+        if (line && !line->starts_with("READY") && request.starts_with("QUERY")) {
+            line = co_await readLine(this->socket, this->buffer);
+        }
+        this->record.line("client: " + request + " -> " + outcome);
+        co_return outcome;
+    }
+
+private:
+    tcp::socket socket;
+    Record &record;
+    std::string buffer;
+};
+
+/// A key is taken away from a connected client that has begun a transaction and rests; long after that it goes on.
+auto revokedKey(asio::io_context &context, const Deployment &deployment, Record &record, int &exitCode) -> asio::awaitable<void>
+{
+    auto service = Service(context, record, "orders", 0, milliseconds(6), deployment.controls, databasePort);
+    service.recordsTenants = true;
+    auto platform = Platform(context, record, service, deployment.network + ".9.1", platformPort);
+    service.start("i-p", deployment.network + ".8.1", "hobart", true);
+    service.start("i-a", deployment.network + ".8.2", "launceston", false);
+    service.start("i-b", deployment.network + ".8.3", "devonport", false);
+    const auto ready = co_await configure(deployment, record, configurationWithTenants(7, "key-of-north"));
+    co_await pause(milliseconds(2'500));
+    const auto &proxy = deployment.proxies[0];
+    auto resting = Caller(context, record);
+    auto outcome = co_await resting.connect(proxy, "STARTUP bookings key-of-north");
+    outcome = co_await resting.send("QUERY a1 STORE i1 data");
+    const auto works = ready && outcome.starts_with("COMPLETE");
+    outcome = co_await resting.send("QUERY a2 BEGIN");
+    auto accepted = !deployment.trouble;
+    for (std::size_t attempt = 0; deployment.trouble && !accepted && attempt < 20; ++attempt) {
+        accepted
+            = co_await call(
+                  deployment.controls[attempt % deployment.controls.size()], "POST", "/v1/config/replace", configurationWithTenants(9, "other-key-of-north"))
+            == 200;
+    }
+    record.line(!deployment.trouble ? "no change"
+                    : accepted      ? "operator: version 9, which takes the key away, is acknowledged"
+                                    : "operator: no acknowledgement");
+    co_await pause(milliseconds(10'000));
+    auto other = Caller(context, record);
+    const auto greeting = co_await other.connect(proxy, "STARTUP bookings key-of-north");
+    outcome = co_await resting.send("QUERY a3 FETCH i1");
+    outcome = co_await resting.send("QUERY a4 STORE i2 data");
+    outcome = co_await resting.send("QUERY a5 COMMIT");
+    auto ran = std::size_t{0};
+    for (const auto *const id : {"a3", "a4", "a5"}) {
+        ran += service.ranFor.contains(id) ? 1 : 0;
+    }
+    record.line("requests that ran 10 s after the " + std::string(deployment.trouble ? "acknowledged change" : "pause began") + ": " + std::to_string(ran)
+                + ", a new session with the key: " + greeting);
+    exitCode = !works || !accepted ? 2 : deployment.trouble && ran > 0 ? 1 : 0;
+    context.stop();
+}
+
 /// Fills the sections and names of \p text, as DEPLOY.md tells them, as far as the templates of the deploy folder use them.
 auto render(const std::string &text, const std::map<std::string, std::string> &values, const std::string &item) -> std::string
 {
@@ -1134,6 +1246,9 @@
     if (arguments[1] == "commit-at-stop") {
         asio::co_spawn(context, commitAtStop(context, deployment, record, exitCode), asio::detached);
     }
+    if (arguments[1] == "revoked-key") {
+        asio::co_spawn(context, revokedKey(context, deployment, record, exitCode), asio::detached);
+    }
     context.run();
     std::_Exit(exitCode);
 }
