--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -4,6 +4,7 @@
 //     standin drain-behind-deaf DIRECTORY       the case review/1; see claim.txt there
 //     standin commit-at-stop DIRECTORY          the case review/2
 //     standin revoked-key DIRECTORY             the case review/3
+//     standin left-while-choosing DIRECTORY     the case review/4
 //
 // Everything runs on one thread. The databases follow PROTOCOL.md: a commit gets the next number, replicas receive it over the network and
 // apply it later, with `syncReplicas` 1 it is acknowledged once one replica has received it, and only POST /failover replaces a primary.
@@ -223,12 +224,13 @@
         this->record.line("database " + database.id + " is back as " + (database.primary ? "primary" : "replica"));
     }
 
-    auto drain(Database &database) -> void
+    /// \param beyond how much longer than drainMs the database serves
+    auto drain(Database &database, milliseconds beyond) -> void
     {
         database.draining = true;
         this->record.line("database " + database.id + " says that it is draining");
         asio::co_spawn(this->context, this->beatOnce(database), asio::detached);
-        asio::co_spawn(this->context, this->leaveLater(database), asio::detached);
+        asio::co_spawn(this->context, this->leaveLater(database, beyond), asio::detached);
     }
 
     /// \return whether the call is carried out
@@ -602,7 +604,7 @@
     }
 
     auto beatOnce(Database &database) -> asio::awaitable<void>;
-    auto leaveLater(Database &database) -> asio::awaitable<void>;
+    auto leaveLater(Database &database, milliseconds beyond) -> asio::awaitable<void>;
 
     asio::io_context &context;
     Record &record;
@@ -667,9 +669,9 @@
     }
 }
 
-auto Service::leaveLater(Database &database) -> asio::awaitable<void>
+auto Service::leaveLater(Database &database, milliseconds beyond) -> asio::awaitable<void>
 {
-    co_await pause(drainLength + milliseconds(2'500));
+    co_await pause(drainLength + beyond);
     if (!database.up) {
         co_return;
     }
@@ -749,6 +751,7 @@
                 status = "200 OK";
             }
             this->newest = std::max(this->newest, fence);
+            this->lastHolder = header(head, "Duty-Holder");
             this->record.line("platform: failover to " + id + " by " + header(head, "Duty-Holder") + " with fence " + std::to_string(fence) + ": " + status);
             const auto response = "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}";
             const auto [error, sent] = co_await asio::async_write(socket, asio::buffer(response), awaitTuple);
@@ -763,6 +766,10 @@
     Service &service;
     tcp::acceptor acceptor;
     std::uint64_t newest = 0;
+
+public:
+    /// The VM that gave the last order, from its Duty-Holder.
+    std::string lastHolder;
 };
 
 auto readLine(tcp::socket &socket, std::string &buffer) -> asio::awaitable<std::optional<std::string>>
@@ -806,6 +813,7 @@
         asio::co_spawn(context, this->run(), asio::detached);
     }
 
+    std::size_t sent = 0;
     std::size_t served = 0;
 
 private:
@@ -828,6 +836,7 @@
         auto buffer = std::string();
         auto greeting = co_await ask(socket, buffer, "STARTUP " + this->database + " u" + std::to_string(this->number) + "\r\n");
         while (greeting && greeting->starts_with("READY I")) {
+            ++this->sent;
             const auto id = "c" + std::to_string(this->number) + "n" + std::to_string(++this->writes);
             const auto answer = co_await ask(socket, buffer, "QUERY " + id + " STORE i" + std::to_string(this->writes % 50) + " data\r\n");
             if (!answer) {
@@ -964,12 +973,13 @@
     co_return accepted;
 }
 
-auto configurationText(std::size_t syncReplicas) -> std::string
+auto configurationText(std::uint64_t version, std::size_t syncReplicas) -> std::string
 {
-    return R"({"version":7,"routes":[{"name":"r-1","host":"bookings","pathPrefix":"/","type":"primary","timeoutMs":1000,"sloMs":200,"priority":1,)"
-           R"("service":"orders","attempts":2},{"name":"r-2","host":"intake","pathPrefix":"/","type":"read_your_writes","timeoutMs":1000,"sloMs":400,)"
-           R"("priority":2,"service":"orders","attempts":2,"maxStalenessMs":2500}],"services":[{"name":"orders","healthPath":"/healthz","maxConns":34,"protocol":"h1","tls":false,)"
-           R"("syncReplicas":)"
+    return R"({"version":)" + std::to_string(version)
+        + R"(,"routes":[{"name":"r-1","host":"bookings","pathPrefix":"/","type":"primary","timeoutMs":1000,"sloMs":200,"priority":1,)"
+          R"("service":"orders","attempts":2},{"name":"r-2","host":"intake","pathPrefix":"/","type":"read_your_writes","timeoutMs":1000,"sloMs":400,)"
+          R"("priority":2,"service":"orders","attempts":2,"maxStalenessMs":2500}],"services":[{"name":"orders","healthPath":"/healthz","maxConns":34,"protocol":"h1","tls":false,)"
+          R"("syncReplicas":)"
         + std::to_string(syncReplicas)
         + R"(}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000,"txnIdleMs":3000}})";
 }
@@ -982,7 +992,7 @@
     auto &primary = service.start("i-p", deployment.network + ".8.1", "hobart", true);
     auto &staying = service.start("i-a", deployment.network + ".8.2", "launceston", false);
     auto &leaving = service.start("i-b", deployment.network + ".8.3", "devonport", false);
-    const auto ready = co_await configure(deployment, record, configurationText(1));
+    const auto ready = co_await configure(deployment, record, configurationText(7, 1));
     co_await pause(milliseconds(2'500));
     auto clients = std::vector<std::unique_ptr<Client>>();
     for (std::size_t number = 0; ready && number < 12; ++number) {
@@ -1004,7 +1014,7 @@
     }
     auto &next = service.start("i-c", deployment.network + ".8.4", "devonport", false);
     co_await pause(milliseconds(3'000));
-    service.drain(leaving);
+    service.drain(leaving, milliseconds(2'500));
     co_await pause(milliseconds(1'000));
     if (deployment.trouble) {
         record.line("disruption: replicas i-b and i-c receive nothing for 6.5 s");
@@ -1041,7 +1051,7 @@
     service.start("i-p", deployment.network + ".8.1", "hobart", true);
     service.start("i-a", deployment.network + ".8.2", "launceston", false);
     service.start("i-b", deployment.network + ".8.3", "devonport", false);
-    const auto ready = co_await configure(deployment, record, configurationText(0));
+    const auto ready = co_await configure(deployment, record, configurationText(7, 0));
     co_await pause(milliseconds(2'500));
     const auto &proxy = deployment.proxies[1];
     auto transactions = std::vector<SlowTransaction>(count);
@@ -1168,6 +1178,108 @@
     context.stop();
 }
 
+/// Asks run.sh to kill the processes of a core VM that does not lead, to remove its disk's content, and to start them again.
+auto wipeFollower(const Deployment &deployment, Record &record, const std::string &leader) -> void
+{
+    for (const auto *const place : {"1", "2", "3"}) {
+        if (deployment.network + "." + place + ".1" != leader) {
+            record.line("final fault: the VM " + deployment.network + "." + place + ".1 is killed and loses its disk; " + leader + " leads");
+            std::ofstream(environment("WIPE")) << place << "\n";
+            return;
+        }
+    }
+}
+
+struct Tally
+{
+    std::size_t sent = 0;
+    std::size_t served = 0;
+};
+
+auto tally(const std::vector<std::unique_ptr<Client>> &clients) -> Tally
+{
+    auto sum = Tally();
+    for (const auto &client : clients) {
+        sum.sent += client->sent;
+        sum.served += client->served;
+    }
+    return sum;
+}
+
+/// The primary is replaced (planned). Before the old one has left, two replicas receive nothing for a while and the new primary crashes; the
+/// old one leaves while its successor is chosen. Then comes a final fault: one core VM loses its disk.
+auto leftWhileChoosing(asio::io_context &context, const Deployment &deployment, Record &record, int &exitCode) -> asio::awaitable<void>
+{
+    auto service = Service(context, record, "orders", 0, milliseconds(5), deployment.controls, databasePort);
+    auto platform = Platform(context, record, service, deployment.network + ".9.1", platformPort);
+    auto &leaving = service.start("i-p", deployment.network + ".8.1", "hobart", true);
+    service.start("i-a", deployment.network + ".8.2", "launceston", false);
+    service.start("i-b", deployment.network + ".8.3", "devonport", false);
+    const auto ready = co_await configure(deployment, record, configurationText(7, 0));
+    co_await pause(milliseconds(2'500));
+    auto clients = std::vector<std::unique_ptr<Client>>();
+    for (std::size_t number = 0; ready && number < 12; ++number) {
+        clients.push_back(std::make_unique<Client>(context, record, service, deployment.proxies, "bookings", number));
+    }
+    co_await pause(milliseconds(3'000));
+    service.start("i-c", deployment.network + ".8.4", "hobart", false);
+    co_await pause(milliseconds(3'000));
+    service.drain(leaving, milliseconds(1'500));
+    co_await pause(milliseconds(5'000));
+    auto *const primary = service.findPrimary();
+    if (primary == nullptr || primary == &leaving || tally(clients).served < 50) {
+        record.line("the case cannot run: the planned change of the primary did not happen");
+        exitCode = 2;
+        context.stop();
+        co_return;
+    }
+    auto replicas = std::vector<Database *>();
+    for (const auto *const id : {"i-a", "i-b", "i-c"}) {
+        if (primary->id != id) {
+            replicas.push_back(service.find(id));
+        }
+    }
+    if (deployment.trouble) {
+        record.line("disruption: replicas " + replicas[0]->id + " and " + replicas[1]->id + " receive nothing for 6.5 s");
+        replicas[0]->deaf = true;
+        replicas[1]->deaf = true;
+    }
+    co_await pause(milliseconds(3'000));
+    if (deployment.trouble) {
+        record.line("disruption: the primary " + primary->id + " crashes for 7 s");
+        service.crash(*primary);
+    }
+    co_await pause(milliseconds(1'500));
+    const auto before = tally(clients);
+    const auto status = co_await call(deployment.controls[3], "POST", "/v1/config/replace", configurationText(9, 0));
+    record.line("operator: version 9 is answered " + std::to_string(status));
+    if (deployment.trouble) {
+        wipeFollower(deployment, record, platform.lastHolder);
+    }
+    co_await pause(milliseconds(2'000));
+    if (deployment.trouble) {
+        replicas[0]->deaf = false;
+        replicas[1]->deaf = false;
+        record.line("disruption: the replicas receive again");
+    }
+    co_await pause(milliseconds(3'500));
+    if (deployment.trouble) {
+        service.comeBack(*primary);
+    }
+    // The core VM is back within 2 s of the final fault, and recoveryS is 12.
+    co_await pause(milliseconds(10'500));
+    const auto recovered = tally(clients);
+    co_await pause(milliseconds(10'000));
+    const auto end = tally(clients);
+    const auto sent = end.sent - recovered.sent;
+    const auto served = end.served - recovered.served;
+    record.line("before the final fault " + std::to_string(before.served) + " of " + std::to_string(before.sent)
+                + " requests were served; of those sent later than recoveryS after the VM was back " + std::to_string(served) + " of " + std::to_string(sent));
+    const auto ran = before.served * 4 >= before.sent && sent > 20;
+    exitCode = !ran ? 2 : served * 4 < sent ? 1 : 0;
+    context.stop();
+}
+
 /// Fills the sections and names of \p text, as DEPLOY.md tells them, as far as the templates of the deploy folder use them.
 auto render(const std::string &text, const std::map<std::string, std::string> &values, const std::string &item) -> std::string
 {
@@ -1249,6 +1361,9 @@
     if (arguments[1] == "revoked-key") {
         asio::co_spawn(context, revokedKey(context, deployment, record, exitCode), asio::detached);
     }
+    if (arguments[1] == "left-while-choosing") {
+        asio::co_spawn(context, leftWhileChoosing(context, deployment, record, exitCode), asio::detached);
+    }
     context.run();
     std::_Exit(exitCode);
 }
