--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# A VM is stopped (SIGTERM) while clients rest inside transactions; they commit in the second half of the grace.
-# Exits with 1 if a commit that was passed on to a database ends without an answer, 0 if none does, 2 if the case could not run.
+# The primary is replaced; its successor crashes while two replicas receive nothing; the old primary leaves while the next one is chosen; a
+# core VM that does not lead loses its disk (final fault).
+# Exits with 1 if less than a quarter of the requests is served recoveryS later, 0 if more is, 2 if the case could not run.
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
@@ -12,7 +13,23 @@
     exit 2
 fi
 startDeployment
-STOPPED="${processOf[proxy-$network.1.2]},${processOf[control-$network.1.2]}" timeout 100 "$standin" commit-at-stop "$here"
+export WIPE=$work/wipe
+timeout 110 "$standin" left-while-choosing "$here" &
+standinProcess=$!
+processes+=("$standinProcess")
+while kill -0 "$standinProcess" 2>/dev/null && [ ! -s "$WIPE" ]; do
+    sleep 0.05
+done
+if [ -s "$WIPE" ]; then
+    place=$(cat "$WIPE")
+    ip=$network.$place.1
+    kill -KILL "${processOf[control-$ip]}" "${processOf[proxy-$ip]}"
+    rm -rf "${work:?}/data-$place"
+    sleep 0.8
+    startVm control "$ip" "${zones[$((place - 1))]}" false "$work/data-$place"
+    startVm proxy "$ip" "${zones[$((place - 1))]}" false
+fi
+wait "$standinProcess"
 result=$?
 case $result in
 0 | 1) exit "$result" ;;
