--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,7 +1,12 @@
 #!/usr/bin/env bash
-# A replica is replaced, two other replicas receive nothing for a while, and the primary crashes meanwhile (syncReplicas 1).
+# A replica is replaced; it and its successor receive nothing for a while; the primary and the other replica crash meanwhile (syncReplicas 1).
 # Exits with 1 if an acknowledged write is missing at the database that is promoted, 0 if none is, 2 if the case could not run.
+# TROUBLE=0 plays the same without the disruption; then it must exit with 0.
 set -uo pipefail
+case ${TROUBLE:-1} in
+0) disruption=without-disruption ;;
+*) disruption=with-disruption ;;
+esac
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 standin=$root/review/bin/standin
@@ -12,7 +17,7 @@
     exit 2
 fi
 startDeployment
-timeout 100 "$standin" drain-behind-deaf "$here"
+timeout 100 "$standin" drain-behind-deaf "$here" "$disruption"
 result=$?
 case $result in
 0 | 1) exit "$result" ;;
