--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -2,7 +2,12 @@
 # The primary is replaced; its successor crashes while two replicas receive nothing; the old primary leaves while the next one is chosen; a
 # core VM that does not lead loses its disk (final fault).
 # Exits with 1 if less than a quarter of the requests is served recoveryS later, 0 if more is, 2 if the case could not run.
+# TROUBLE=0 plays the same without the disruption; then it must exit with 0.
 set -uo pipefail
+case ${TROUBLE:-1} in
+0) disruption=without-disruption ;;
+*) disruption=with-disruption ;;
+esac
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 standin=$root/review/bin/standin
@@ -14,7 +19,7 @@
 fi
 startDeployment
 export WIPE=$work/wipe
-timeout 110 "$standin" left-while-choosing "$here" &
+timeout 110 "$standin" left-while-choosing "$here" "$disruption" &
 standinProcess=$!
 processes+=("$standinProcess")
 while kill -0 "$standinProcess" 2>/dev/null && [ ! -s "$WIPE" ]; do
@@ -25,7 +30,7 @@
     ip=$network.$place.1
     kill -KILL "${processOf[control-$ip]}" "${processOf[proxy-$ip]}"
     rm -rf "${work:?}/data-$place"
-    sleep 0.8
+    sleep 0.7
     startVm control "$ip" "${zones[$((place - 1))]}" false "$work/data-$place"
     startVm proxy "$ip" "${zones[$((place - 1))]}" false
 fi
