Ignored proposals and overdue elections are logged with their reason

An operator saw a group without a primary, as in each promotion, and no sign that this one lasted.

- The replicated state gives the reason for which it ignored a command (state::IgnoredReason), also in the encoded result; results of earlier builds read as `unreadable`.
- SP2408 names the command, the group and the reason, at most five lines a second, with the number of ignored proposals of the leadership.
The promotion of the group hears of it and proposes anew at once, not after a second.
- SP2409 is logged once for an election that takes longer than a failover may (7 s).
Proxies count the groups that their views have shown without a primary for as long: sapphirespool_overdue_elections.

No choice of a primary changes with this commit.

--- a/include/sapphirespool/Metrics/metrics.h
+++ b/include/sapphirespool/Metrics/metrics.h
@@ -52,6 +52,8 @@
     auto countRefusal(const ServiceId &service, RefusalReason reason) -> void;
     auto countRetry(const ServiceId &service, RetryReason reason) -> void;
     auto setConnections(ConnectionState state, std::uint64_t count) -> void;
+    /// Sets the number of groups that have been without a primary for longer than a promotion may take.
+    auto setOverdueElections(std::uint64_t count) -> void;
 
     /// \return all of it in Prometheus' text form
     [[nodiscard]] auto prometheusText() const -> std::string;
--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -43,6 +43,7 @@
     auto note(const Announced &event, TimePoint now) -> void;
     auto note(const Suspected &event, TimePoint now) -> void;
     auto note(const OrderAnswered &event, TimePoint now) -> void;
+    auto note(const ProposalIgnored &event, TimePoint now) -> void;
 
     /// Sets whether this VM may order promotions of self-replicating groups. Members of other groups reject orders of an old term themselves.
     auto setDuty(bool held) -> void;
@@ -68,6 +69,9 @@
     auto adopt(const state::GroupRecord &group, TimePoint now) -> Actions;
     /// \return whether a member without a health report so far may be the primary that served the group before this system was started
     auto awaitsFirstPrimary(const state::GroupRecord &group, TimePoint now) -> bool;
+    auto runElection(const state::GroupRecord &group, TimePoint now) -> Actions;
+    /// \return a report of an election that takes too long; one for each election
+    auto reportIfOverdue(const state::GroupRecord &group, TimePoint now) -> std::optional<ReportOverdueElection>;
     auto fenceMembers(const state::GroupRecord &group, TimePoint now) -> Actions;
     auto choose(const state::GroupRecord &group, TimePoint now) -> Actions;
     auto maintainTerm(const state::GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions;
@@ -123,6 +127,9 @@
     /// Members from which an order to be fenced at the term got no answer, or the answer of another process.
     std::set<UpstreamId> unreached;
     std::optional<TimePoint> quorumSince;
+    /// When this leader first saw the group without a primary; absent while it has one.
+    std::optional<TimePoint> electionSince;
+    bool overdueReported = false;
     std::map<UpstreamId, SentOrder> orders;
     std::optional<TimePoint> proposed;
     /// Time of the last credible suspicion of the primary from each zone.
--- a/include/sapphirespool/Promotion/messages.h
+++ b/include/sapphirespool/Promotion/messages.h
@@ -64,7 +64,15 @@
     GroupId group;
 };
 
-using Event = std::variant<Announced, Suspected, OrderAnswered, GroupChanged>;
+/// The replicated state ignored a proposal that ends a term of the group or names its primary.
+struct ProposalIgnored
+{
+    GroupId group;
+    /// Term in which the group was for the proposer.
+    Term term;
+};
+
+using Event = std::variant<Announced, Suspected, OrderAnswered, GroupChanged, ProposalIgnored>;
 
 /// Order a member to refuse terms below that of the request.
 struct SendFence
@@ -107,6 +115,8 @@
     Overtaken,
     /// The primary is shutting down, and another member can take over.
     Leaving,
+    /// The primary has left its group.
+    Gone,
 };
 
 /// \return the name of \p reason in log events
@@ -131,7 +141,19 @@
     GroupId group;
 };
 
-using Action = std::variant<SendFence, SendPromote, SendFollow, ProposeTerm, ProposePrimary, AwaitDuty>;
+/// The group has been without a primary for longer than a promotion may take.
+struct ReportOverdueElection
+{
+    GroupId group;
+    Term term;
+    /// Time since the group lost its primary or, if that was earlier, since this VM became control leader.
+    Duration waited{};
+    /// Members whose report of their log position has arrived, and all members.
+    std::size_t reports = 0;
+    std::size_t members = 0;
+};
+
+using Action = std::variant<SendFence, SendPromote, SendFollow, ProposeTerm, ProposePrimary, AwaitDuty, ReportOverdueElection>;
 using Actions = std::vector<Action>;
 
 } // namespace sapphirespool::promotion
--- a/include/sapphirespool/Promotion/timing.h
+++ b/include/sapphirespool/Promotion/timing.h
@@ -58,6 +58,9 @@
 constexpr auto catchUpGrace = std::chrono::milliseconds(1'000);
 constexpr auto catchUpRetry = std::chrono::milliseconds(40);
 
+/// Time without a primary after which an election is reported as overdue: the longest time that a failover may take.
+constexpr auto electionLimit = std::chrono::milliseconds(7'000);
+
 /// Factor on the time after which a silent primary of a self-replicating group is replaced if no proxy suspects it: the primary may be
 /// partitioned from control only and still serve the proxies.
 constexpr auto unsuspectedTimeoutFactor = 4;
--- a/include/sapphirespool/State/commands.h
+++ b/include/sapphirespool/State/commands.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace sapphirespool::state
@@ -88,6 +89,9 @@
 
 using Command = std::variant<ChangeConfiguration, RegisterUpstream, BeginTerm, ChoosePrimary, RegisterVm, ForgetVm, ForgetUpstream, GrantDuty>;
 
+/// \return the name of the kind of \p command in log events
+[[nodiscard]] auto name(const Command &command) -> std::string_view;
+
 /// The change was accepted. The revision is that of the resulting configuration; a resent change gets the revision of its first result, and
 /// a versioned change that a higher or equal version preceded gets the current revision.
 struct Accepted
@@ -111,9 +115,35 @@
 {
 };
 
-/// The command had no effect: it is stale, names something unknown, exceeds the group size, changes nothing or could not be decoded.
+/// Why a command had no effect.
+enum class IgnoredReason : std::uint8_t {
+    /// It could not be decoded, or the result was recorded by an earlier build, which kept no reason.
+    Unreadable,
+    UnknownGroup,
+    /// The upstream is not a member of the group (any more).
+    UnknownMember,
+    UnknownVm,
+    /// The group has left the term that the proposer saw.
+    OtherTerm,
+    /// The term already has a primary.
+    PrimaryChosen,
+    /// The group already has its configured number of members.
+    GroupFull,
+    /// The command is about an earlier process.
+    FormerProcess,
+    /// Another grant of the promotion duty has followed the one that the proposer saw.
+    OtherGrant,
+    /// The state is as the command demands.
+    Unchanged,
+};
+
+/// \return the name of \p reason in log events
+[[nodiscard]] auto name(IgnoredReason reason) -> std::string_view;
+
+/// The command had no effect.
 struct Ignored
 {
+    IgnoredReason reason = IgnoredReason::Unreadable;
 };
 
 using Result = std::variant<Accepted, Conflict, ChangeIdReused, Applied, Ignored>;
--- a/include/sapphirespool/Support/events.h
+++ b/include/sapphirespool/Support/events.h
@@ -58,6 +58,8 @@
     DutyGranted = 2405,
     DutyAwaited = 2406,
     OrderWithdrawn = 2407,
+    ProposalIgnored = 2408,
+    ElectionOverdue = 2409,
     StandinStarted = 3001,
 };
 
--- a/lib/Controller/leadership.cpp
+++ b/lib/Controller/leadership.cpp
@@ -53,6 +53,25 @@
         && left.connectionLimit == right.connectionLimit && left.leaving == right.leaving;
 }
 
+/// \return why the replicated state ignored the proposal; nothing if it did not, or if that is not known
+auto ignoredReasonIn(const consensus::ProposalOutcome &outcome) -> std::optional<state::IgnoredReason>
+{
+    const auto *const bytes = std::get_if<consensus::Bytes>(&outcome);
+    const auto result = bytes == nullptr ? std::nullopt : state::decodeResult(*bytes);
+    const auto *const ignored = result ? std::get_if<state::Ignored>(&*result) : nullptr;
+    return ignored == nullptr ? std::nullopt : std::optional(ignored->reason);
+}
+
+/// \return the term in which the group of a promotion's \p command was for the proposer; nothing for other commands
+auto proposedInTerm(const state::Command &command) -> std::optional<Term>
+{
+    if (const auto *const term = std::get_if<state::BeginTerm>(&command)) {
+        return term->previous;
+    }
+    const auto *const choice = std::get_if<state::ChoosePrimary>(&command);
+    return choice == nullptr ? std::nullopt : std::optional(choice->term);
+}
+
 } // namespace
 
 Leadership::Leadership(const ControllerParts &parts, PromotionDuty &duty)
@@ -283,14 +302,31 @@
 
 auto Leadership::propose(const state::Command &command, const GroupId &group) -> void
 {
-    this->parts.log.propose(encode(command), [weak = this->weak_from_this(), post = this->parts.post, group](const consensus::ProposalOutcome &) {
-        // The replicated state shows whether the proposal took effect; a lost one is repeated.
-        post([weak, group] {
-            if (const auto self = weak.lock()) {
-                self->handle(promotion::GroupChanged{group});
+    const auto done = [weak = this->weak_from_this(), post = this->parts.post, group, command](const consensus::ProposalOutcome &outcome) {
+        post([weak, group, command, reason = ignoredReasonIn(outcome)] {
+            const auto self = weak.lock();
+            if (!self) {
+                return;
             }
+            if (reason) {
+                self->recordIgnored(command, group, *reason);
+            }
+            // The replicated state shows whether the proposal took effect; a lost one is repeated.
+            const auto term = proposedInTerm(command);
+            self->handle(reason && term ? promotion::Event(promotion::ProposalIgnored{group, *term}) : promotion::GroupChanged{group});
         });
-    });
+    };
+    this->parts.log.propose(encode(command), done);
+}
+
+auto Leadership::recordIgnored(const state::Command &command, const GroupId &group, state::IgnoredReason reason) -> void
+{
+    ++this->ignoredProposals;
+    // Repeated registrations change nothing; that is no reason to look at the log.
+    if (reason != state::IgnoredReason::Unchanged && this->ignoredLines.tryTake(this->parts.clock())) {
+        support::log(support::Event::ProposalIgnored,
+                     {{"command", state::name(command)}, {"group", group.value()}, {"reason", state::name(reason)}, {"ignored", this->ignoredProposals}});
+    }
 }
 
 auto Leadership::tryRegister(const std::string &name) -> bool
--- a/lib/Controller/leadership.h
+++ b/lib/Controller/leadership.h
@@ -10,12 +10,14 @@
 #include "sapphirespool/Controller/vmsettling.h"
 #include "sapphirespool/Controller/vmtable.h"
 #include "sapphirespool/Promotion/promoter.h"
+#include "sapphirespool/Support/logbudget.h"
 
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace sapphirespool::controller
 {
@@ -62,6 +64,8 @@
     auto probePrimary(const membership::Suspicion &suspicion) -> void;
     auto handle(const promotion::Event &event) -> void;
     auto propose(const state::Command &command, const GroupId &group) -> void;
+    /// Logs and counts a proposal that the replicated state ignored.
+    auto recordIgnored(const state::Command &command, const GroupId &group, state::IgnoredReason reason) -> void;
     /// \return whether a registration under \p name may be proposed now, which is at most once every registrationRetry
     auto tryRegister(const std::string &name) -> bool;
 
@@ -73,6 +77,7 @@
     auto carryOut(const promotion::ProposeTerm &action) -> void;
     auto carryOut(const promotion::ProposePrimary &action) -> void;
     auto carryOut(const promotion::AwaitDuty &action) -> void;
+    auto carryOut(const promotion::ReportOverdueElection &action) -> void;
     /// \return whether orders to promote members of \p group require the promotion duty
     [[nodiscard]] auto isUnderDuty(const GroupId &group) const -> bool;
     /// Updates the promoter and the authorities of orders in flight from the promotion duty and the leader lease.
@@ -100,6 +105,10 @@
     TimePoint lastEjectionSearch{};
     TimePoint lastSilenceSearch{};
     std::map<std::string, TimePoint> registrations;
+    /// Proposals of this leadership that the replicated state ignored.
+    std::uint64_t ignoredProposals = 0;
+    /// Log lines per second for ignored proposals.
+    support::LogBudget ignoredLines{5.0};
     /// Authorities that end with the leader lease, and with the promotion duty under it.
     std::shared_ptr<ExpiringAuthority> leadershipAuthority;
     std::shared_ptr<ExpiringAuthority> dutyAuthority;
--- a/lib/Controller/leadershiporders.cpp
+++ b/lib/Controller/leadershiporders.cpp
@@ -114,6 +114,16 @@
     this->requestDuty(action.group);
 }
 
+auto Leadership::carryOut(const promotion::ReportOverdueElection &action) -> void
+{
+    support::log(support::Event::ElectionOverdue,
+                 {{"group", action.group.value()},
+                  {"term", action.term.value()},
+                  {"waited_ms", action.waited},
+                  {"reports", action.reports},
+                  {"members", action.members}});
+}
+
 auto Leadership::isUnderDuty(const GroupId &group) const -> bool
 {
     const auto *const record = this->parts.state.findGroup(group);
--- a/lib/Metrics/metrics.cpp
+++ b/lib/Metrics/metrics.cpp
@@ -177,6 +177,15 @@
     return result;
 }
 
+auto overdueElectionFamily(std::uint64_t count) -> MetricFamily
+{
+    auto result = family("sapphirespool_overdue_elections", "groups without a primary for longer than a promotion may take", MetricType::Gauge);
+    auto metric = ClientMetric();
+    metric.gauge.value = static_cast<double>(count);
+    result.metric.push_back(std::move(metric));
+    return result;
+}
+
 } // namespace
 
 /// One lock for all: a record holds it for a fraction of a microsecond, and the dispatch thread makes nearly all of them.
@@ -209,6 +218,7 @@
     Counters refusals = makeCounters(refusalDescriptions().size());
     Counters retries = makeCounters(retryNames.size());
     std::array<std::uint64_t, connectionNames.size()> connections{};
+    std::uint64_t overdueElections = 0;
 
 private:
     /// Adds \p name to all service axes at once, so that it has the same index on each; looking it up on a category axis would
@@ -263,6 +273,12 @@
     this->state->connections[static_cast<std::size_t>(connectionState)] = count;
 }
 
+auto Metrics::setOverdueElections(std::uint64_t count) -> void
+{
+    const auto guard = std::lock_guard(this->state->mutex);
+    this->state->overdueElections = count;
+}
+
 auto Metrics::prometheusText() const -> std::string
 {
     auto families = std::vector<MetricFamily>();
@@ -278,6 +294,7 @@
                 return retryNames[reason];
             }));
         families.push_back(connectionFamily(this->state->connections));
+        families.push_back(overdueElectionFamily(this->state->overdueElections));
     }
     auto stream = std::ostringstream();
     prometheus::TextSerializer().Serialize(stream, families);
--- a/lib/Node/interactivepart.cpp
+++ b/lib/Node/interactivepart.cpp
@@ -7,8 +7,10 @@
 #include "sapphirespool/Forwarding/forwardingpool.h"
 #include "sapphirespool/Http/router.h"
 #include "sapphirespool/Http/server.h"
+#include "sapphirespool/Membership/primaryabsence.h"
 #include "sapphirespool/Metrics/handler.h"
 #include "sapphirespool/Metrics/metrics.h"
+#include "sapphirespool/Promotion/timing.h"
 #include "sapphirespool/ProxyRole/gracefulshutdown.h"
 #include "sapphirespool/Support/clock.h"
 
@@ -189,6 +191,7 @@
         this->metrics->setConnections(metrics::ConnectionState::CallerRunning, this->sessions->counts().statements);
         this->metrics->setConnections(metrics::ConnectionState::UpstreamIdle, links.idle);
         this->metrics->setConnections(metrics::ConnectionState::UpstreamBusy, links.busy);
+        this->metrics->setOverdueElections(this->primaryAbsence.note(*this->views->current(), support::now()));
         this->countTimer.expires_after(countInterval);
         this->countTimer.async_wait([weak = this->weak_from_this()](const boost::system::error_code &error) {
             const auto self = weak.lock();
@@ -203,6 +206,7 @@
     std::shared_ptr<membership::ViewHolder> views;
     std::shared_ptr<membership::ControlLink> control;
     std::shared_ptr<metrics::Metrics> metrics;
+    membership::PrimaryAbsence primaryAbsence{promotion::electionLimit};
     std::shared_ptr<forwarding::ForwardingPool> pool;
     std::shared_ptr<interactive::SessionService> sessions;
     std::shared_ptr<CallerServer> callers;
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -85,6 +85,14 @@
     }
 }
 
+auto GroupPromotion::note(const ProposalIgnored &event, TimePoint) -> void
+{
+    // The proposal named something that the state no longer holds. The next one is made from the present state and need not be delayed.
+    if (event.term == this->term) {
+        this->proposed.reset();
+    }
+}
+
 auto GroupPromotion::setDuty(bool held) -> void
 {
     this->holdsDuty = held;
@@ -134,6 +142,29 @@
 auto GroupPromotion::elect(const GroupRecord &group, TimePoint now) -> Actions
 {
     this->inTransition = true;
+    auto actions = this->runElection(group, now);
+    if (auto overdue = this->reportIfOverdue(group, now)) {
+        actions.emplace_back(*std::move(overdue));
+    }
+    return actions;
+}
+
+auto GroupPromotion::reportIfOverdue(const GroupRecord &group, TimePoint now) -> std::optional<ReportOverdueElection>
+{
+    if (!this->electionSince) {
+        this->electionSince = now;
+        this->overdueReported = false;
+    }
+    const auto waited = now - *this->electionSince;
+    // A group without members is configured but not started yet.
+    if (waited < electionLimit || group.view.members.empty() || std::exchange(this->overdueReported, true)) {
+        return std::nullopt;
+    }
+    return ReportOverdueElection{group.view.id, group.view.term, waited, this->fenced.size(), group.view.members.size()};
+}
+
+auto GroupPromotion::runElection(const GroupRecord &group, TimePoint now) -> Actions
+{
     if (group.view.term == Term(0) && this->liveCount(group, now) < group.quorum()) {
         // Members that have not registered cannot be fenced, so the first term would end without a primary.
         return {};
@@ -253,6 +284,7 @@
 auto GroupPromotion::maintainTerm(const GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions
 {
     const auto &primary = *group.view.primary;
+    this->electionSince.reset();
     const auto leaving = this->isLeaving(group, primary);
     if (leaving && !this->leavingSince) {
         this->leavingSince = now;
--- a/lib/Promotion/promoter.cpp
+++ b/lib/Promotion/promoter.cpp
@@ -29,6 +29,11 @@
     return event.group;
 }
 
+auto groupOf(const ProposalIgnored &event) -> GroupId
+{
+    return event.group;
+}
+
 template <typename Kind>
 auto noteIn(GroupPromotion &promotion, const Kind &event, TimePoint now) -> void
 {
@@ -56,6 +61,8 @@
         return "overtaken";
     case TermEnd::Leaving:
         return "leaving";
+    case TermEnd::Gone:
+        return "gone";
     }
     return "unknown";
 }
--- a/lib/State/clusterstate.cpp
+++ b/lib/State/clusterstate.cpp
@@ -245,13 +245,13 @@
 {
     auto *const record = this->group(command.group);
     if (record == nullptr) {
-        return Ignored();
+        return Ignored{IgnoredReason::UnknownGroup};
     }
     auto &members = record->view.members;
     const auto position = lowerBoundById(members, command.upstream.id, upstreamIdOf);
     if (position != members.end() && position->id == command.upstream.id) {
         if (sameUpstream(*position, command.upstream)) {
-            return Ignored();
+            return Ignored{IgnoredReason::Unchanged};
         }
         *position = command.upstream;
         return this->advanceRevision();
@@ -259,7 +259,7 @@
     // With more members than the configured size, a quorum might not intersect the set of members that acknowledged a write: a write that
     // is only on the extra member and one other could be lost.
     if (members.size() >= record->size && !record->selfReplicating) {
-        return Ignored();
+        return Ignored{IgnoredReason::GroupFull};
     }
     members.insert(position, command.upstream);
     return this->advanceRevision();
@@ -268,8 +268,11 @@
 auto ClusterState::run(const BeginTerm &command) -> Result
 {
     auto *const record = this->group(command.group);
-    if (record == nullptr || record->view.term != command.previous || command.next <= command.previous) {
-        return Ignored();
+    if (record == nullptr) {
+        return Ignored{IgnoredReason::UnknownGroup};
+    }
+    if (record->view.term != command.previous || command.next <= command.previous) {
+        return Ignored{IgnoredReason::OtherTerm};
     }
     record->view.term = command.next;
     record->view.primary.reset();
@@ -280,10 +283,19 @@
 auto ClusterState::run(const ChoosePrimary &command) -> Result
 {
     auto *const record = this->group(command.group);
+    if (record == nullptr) {
+        return Ignored{IgnoredReason::UnknownGroup};
+    }
+    if (record->view.term != command.term) {
+        return Ignored{IgnoredReason::OtherTerm};
+    }
     // Two successive control leaders may fence different majorities in the same term and choose different primaries. Only the first
     // choice committed for a term takes effect, and only the member that it names is promoted, so a term never has two primaries.
-    if (record == nullptr || record->view.term != command.term || record->view.primary || record->view.findMember(command.primary) == nullptr) {
-        return Ignored();
+    if (record->view.primary) {
+        return Ignored{IgnoredReason::PrimaryChosen};
+    }
+    if (record->view.findMember(command.primary) == nullptr) {
+        return Ignored{IgnoredReason::UnknownMember};
     }
     record->view.primary = command.primary;
     record->primaryIncarnation = command.incarnation;
@@ -300,7 +312,7 @@
     // A proposal of a former leader that is committed late names a grant that has been superseded.
     auto &duty = this->content.duty;
     if (command.previous != duty.number || command.leadership < duty.leadership) {
-        return Ignored();
+        return Ignored{IgnoredReason::OtherGrant};
     }
     duty = {command.holder, command.leadership, command.previous + 1};
     return Applied();
@@ -320,7 +332,7 @@
     // A restarted process takes up the parts of the one before it, which has ended.
     vm.settled = vm.settled || position->settled;
     if (sameVm(*position, vm)) {
-        return Ignored();
+        return Ignored{IgnoredReason::Unchanged};
     }
     *position = std::move(vm);
     return this->advanceRevision();
@@ -330,8 +342,11 @@
 {
     auto &vms = this->content.vms;
     const auto position = lowerBoundById(vms, command.vm, vmIdOf);
-    if (position == vms.end() || position->id != command.vm || position->incarnation != command.incarnation) {
-        return Ignored();
+    if (position == vms.end() || position->id != command.vm) {
+        return Ignored{IgnoredReason::UnknownVm};
+    }
+    if (position->incarnation != command.incarnation) {
+        return Ignored{IgnoredReason::FormerProcess};
     }
     vms.erase(position);
     return this->advanceRevision();
@@ -341,12 +356,15 @@
 {
     auto *const record = this->group(command.group);
     if (record == nullptr) {
-        return Ignored();
+        return Ignored{IgnoredReason::UnknownGroup};
     }
     auto &members = record->view.members;
     const auto position = lowerBoundById(members, command.upstream, upstreamIdOf);
-    if (position == members.end() || position->id != command.upstream || position->incarnation != command.incarnation) {
-        return Ignored();
+    if (position == members.end() || position->id != command.upstream) {
+        return Ignored{IgnoredReason::UnknownMember};
+    }
+    if (position->incarnation != command.incarnation) {
+        return Ignored{IgnoredReason::FormerProcess};
     }
     members.erase(position);
     return this->advanceRevision();
--- a/lib/State/recordcodec.cpp
+++ b/lib/State/recordcodec.cpp
@@ -101,12 +101,19 @@
         this->to.setApplied();
     }
 
-    auto operator()(const Ignored &) -> void
+    auto operator()(const Ignored &ignored) -> void
     {
         this->to.setIgnored();
+        this->to.setIgnoredReason(static_cast<std::uint8_t>(ignored.reason));
     }
 };
 
+/// \return the reason encoded as \p number; Unreadable for the number of a later build
+auto ignoredReasonOf(std::uint8_t number) -> IgnoredReason
+{
+    return number <= static_cast<std::uint8_t>(IgnoredReason::Unchanged) ? static_cast<IgnoredReason>(number) : IgnoredReason::Unreadable;
+}
+
 } // namespace
 
 auto write(schema::Result::Builder to, const Result &from) -> void
@@ -192,7 +199,7 @@
     case schema::Result::APPLIED:
         return Applied();
     case schema::Result::IGNORED:
-        return Ignored();
+        return Ignored{ignoredReasonOf(from.getIgnoredReason())};
     }
     return Ignored();
 }
--- a/lib/Support/events.cpp
+++ b/lib/Support/events.cpp
@@ -52,6 +52,8 @@
     {Event::DutyGranted, Severity::Info, "promotion duty granted"},
     {Event::DutyAwaited, Severity::Warning, "promotion duty awaited"},
     {Event::OrderWithdrawn, Severity::Info, "order withdrawn"},
+    {Event::ProposalIgnored, Severity::Warning, "proposal ignored"},
+    {Event::ElectionOverdue, Severity::Error, "group without a primary for too long"},
     {Event::StandinStarted, Severity::Info, "stand-in started"},
 });
 
--- a/schema/state.capnp
+++ b/schema/state.capnp
@@ -121,6 +121,8 @@
     applied @3 :Void;
     ignored @4 :Void;
   }
+  # state::IgnoredReason, for ignored.
+  ignoredReason @5 :UInt8;
 }
 
 struct Change {
--- a/unittests/Metrics/metricstest.cpp
+++ b/unittests/Metrics/metricstest.cpp
@@ -29,6 +29,7 @@
         CHECK_THAT(text, Contains("reason=\"" + std::string(name(static_cast<RetryReason>(reason))) + "\"} 0\n"));
     }
     CHECK_THAT(text, Contains("sapphirespool_connections{state=\"peer_open\"} 0\n"));
+    CHECK_THAT(text, Contains("sapphirespool_overdue_elections 0\n"));
 }
 
 TEST_CASE("latencies fall into cumulative buckets")
@@ -52,10 +53,12 @@
     metrics.countRefusal(orders, RefusalReason::QueueFull);
     metrics.countRetry(orders, RetryReason::NotSent);
     metrics.setConnections(ConnectionState::UpstreamIdle, 7);
+    metrics.setOverdueElections(2);
     const auto text = metrics.prometheusText();
     CHECK_THAT(text, Contains(R"(sapphirespool_refusals_total{service="orders",reason="queue_full"} 2)"));
     CHECK_THAT(text, Contains(R"(sapphirespool_retries_total{service="orders",reason="not_sent"} 1)"));
     CHECK_THAT(text, Contains(R"(sapphirespool_connections{state="upstream_idle"} 7)"));
+    CHECK_THAT(text, Contains("sapphirespool_overdue_elections 2\n"));
 }
 
 TEST_CASE("made up service names do not make the process grow")
--- /dev/null
+++ b/unittests/Promotion/electiontest.cpp
@@ -0,0 +1,80 @@
+#include "Promotion/selfreplicatinggroup.h"
+
+#include <catch2/catch.hpp>
+
+namespace sapphirespool::promotion
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// \return the member that \p actions propose as primary; empty if they propose none
+auto proposedIn(const Actions &actions) -> UpstreamId
+{
+    const auto *const choice = find<ProposePrimary>(actions);
+    return choice == nullptr ? UpstreamId() : choice->command.primary;
+}
+
+/// A group that lost its primary a to a planned change or a crash, in term 2, of which b and c lack the last writes.
+struct Election : Group
+{
+    explicit Election(std::uint32_t confirmations = 0)
+        : Group(1)
+    {
+        this->record.confirmations = confirmations;
+        this->setPrimary("a");
+        this->advance(start);
+        this->beginNextTerm(start + 10ms);
+    }
+
+    auto report(std::string_view id, std::uint64_t position, TimePoint now) -> void
+    {
+        this->promotion.note(fenced(id, position), now);
+    }
+};
+
+} // namespace
+
+// Failure: an election goes on for ever, and its log lines are those of any other.
+TEST_CASE("an election that takes longer than a failover may is reported once")
+{
+    auto group = Election(1);
+    group.promotion.note(unanswered("a"), start + 20ms);
+    group.report("b", 48, start + 20ms);
+    CHECK(find<ReportOverdueElection>(group.advanceThrough(start + 20ms, start + electionLimit - 10ms)) == nullptr);
+    const auto actions = group.advanceThrough(start + electionLimit, start + 4 * electionLimit);
+    const auto isReport = [](const Action &action) {
+        return std::holds_alternative<ReportOverdueElection>(action);
+    };
+    REQUIRE(std::count_if(actions.begin(), actions.end(), isReport) == 1);
+    const auto &report = *find<ReportOverdueElection>(actions);
+    CHECK(report.term == Term(2));
+    CHECK(report.waited >= electionLimit);
+    CHECK(report.reports == 1);
+    CHECK(report.members == 3);
+    // A group that gets a primary and loses it again begins a new election.
+    group.setPrimary("b");
+    group.advance(start + 5 * electionLimit);
+    group.beginNextTerm(start + 5 * electionLimit + 20ms);
+    CHECK(find<ReportOverdueElection>(group.advance(start + 6 * electionLimit)) == nullptr);
+    CHECK(find<ReportOverdueElection>(group.advance(start + 7 * electionLimit)) != nullptr);
+}
+
+// Failure: the replicated state ignores a choice, and its proposer learns of it only by the retry after a second.
+TEST_CASE("a choice that the replicated state ignored is made again from its present state")
+{
+    auto group = Election();
+    group.promotion.note(unanswered("a"), start + 20ms);
+    group.promotion.note(unanswered("c"), start + 20ms);
+    group.report("b", 48, start + 20ms);
+    REQUIRE(proposedIn(group.advance(start + 20ms)) == UpstreamId("b"));
+    CHECK(proposedIn(group.advance(start + 40ms)) == UpstreamId());
+    group.promotion.note(ProposalIgnored{GroupId("g"), Term(1)}, start + 40ms);
+    CHECK(proposedIn(group.advance(start + 40ms)) == UpstreamId());
+    group.promotion.note(ProposalIgnored{GroupId("g"), Term(2)}, start + 60ms);
+    CHECK(proposedIn(group.advance(start + 60ms)) == UpstreamId("b"));
+}
+
+} // namespace sapphirespool::promotion
--- a/unittests/Promotion/selfreplicatingtest.cpp
+++ b/unittests/Promotion/selfreplicatingtest.cpp
@@ -1,12 +1,9 @@
-#include "sapphirespool/Promotion/grouppromotion.h"
-
-#include "sapphirespool/Promotion/timing.h"
+#include "Promotion/selfreplicatinggroup.h"
 
 #include <catch2/catch.hpp>
 
 #include <cstdint>
 #include <optional>
-#include <string>
 
 namespace sapphirespool::promotion
 {
@@ -16,88 +13,6 @@
 
 using namespace std::chrono_literals;
 
-const auto start = TimePoint(1h);
-const auto released = ProxyStanding{3, Revision(7), Revision(7)};
-
-auto announcementOf(std::string id, platform::Role role, bool leaving = false) -> Announced
-{
-    auto announcement = platform::Announcement();
-    announcement.group = "g";
-    announcement.id = std::move(id);
-    announcement.incarnation = 1;
-    announcement.role = role;
-    announcement.leaving = leaving;
-    return {announcement};
-}
-
-auto fenced(std::string_view id, std::uint64_t position) -> OrderAnswered
-{
-    auto report = platform::PositionReport();
-    report.id = id;
-    report.incarnation = 1;
-    report.term = 2;
-    report.role = platform::Role::Fenced;
-    report.lastTerm = 1;
-    report.position = position;
-    return {Order::Fence, GroupId("g"), Term(2), UpstreamId(std::string(id)), report};
-}
-
-auto unanswered(std::string_view id) -> OrderAnswered
-{
-    return {Order::Fence, GroupId("g"), Term(2), UpstreamId(std::string(id)), std::nullopt};
-}
-
-template <typename Kind>
-auto find(const Actions &actions) -> const Kind *
-{
-    for (const auto &action : actions) {
-        if (const auto *const found = std::get_if<Kind>(&action)) {
-            return found;
-        }
-    }
-    return nullptr;
-}
-
-/// A self-replicating group of a, b and c, of which a reports the role of primary.
-struct Group
-{
-    explicit Group(std::uint64_t term)
-    {
-        this->record.view.id = GroupId("g");
-        this->record.view.term = Term(term);
-        this->record.selfReplicating = true;
-        for (const auto *const id : {"a", "b", "c"}) {
-            auto member = membership::UpstreamView();
-            member.id = UpstreamId(id);
-            member.incarnation = Incarnation(1);
-            this->record.view.members.push_back(member);
-        }
-        this->announce(start);
-    }
-
-    auto announce(TimePoint now, bool primaryLeaves = false) -> void
-    {
-        this->promotion.note(announcementOf("a", platform::Role::Primary, primaryLeaves), now);
-        this->promotion.note(announcementOf("b", platform::Role::Replica), now);
-        this->promotion.note(announcementOf("c", platform::Role::Replica), now);
-    }
-
-    auto setPrimary(std::string_view primary) -> void
-    {
-        this->record.view.primary = UpstreamId(std::string(primary));
-        this->record.primaryIncarnation = Incarnation(1);
-        this->record.view.history.push_back({this->record.view.term, LogPosition(0)});
-    }
-
-    auto advance(TimePoint now) -> Actions
-    {
-        return this->promotion.advance(this->record, released, now);
-    }
-
-    state::GroupRecord record;
-    GroupPromotion promotion{start, contactTimeoutFor(1'200ms)};
-};
-
 } // namespace
 
 // Failure: the first start of the system fences the primary of a group that already serves, and interrupts its callers.
--- a/unittests/State/clusterstatetest.cpp
+++ b/unittests/State/clusterstatetest.cpp
@@ -249,4 +249,27 @@
     CHECK(state.view()->proxies.front().id == VmId("proxy"));
 }
 
+// Failure: a proposal of the control leader has no effect, and no log line can tell why.
+TEST_CASE("a command without effect names its reason, also in its encoded result")
+{
+    auto state = runningGroup();
+    const auto reasonOf = [&state](const Command &command) {
+        const auto result = decodeResult(encode(state->execute(command)));
+        REQUIRE(result);
+        REQUIRE(isIgnored(*result));
+        return std::get<Ignored>(*result).reason;
+    };
+    CHECK(reasonOf(BeginTerm{GroupId("other"), Term(1), Term(2)}) == IgnoredReason::UnknownGroup);
+    CHECK(reasonOf(BeginTerm{orders, Term(0), Term(2)}) == IgnoredReason::OtherTerm);
+    CHECK(reasonOf(ChoosePrimary{orders, Term(1), UpstreamId("b"), Incarnation(1), LogPosition(0)}) == IgnoredReason::PrimaryChosen);
+    CHECK(reasonOf(ChoosePrimary{orders, Term(2), UpstreamId("b"), Incarnation(1), LogPosition(0)}) == IgnoredReason::OtherTerm);
+    state->execute(BeginTerm{orders, Term(1), Term(2)});
+    CHECK(reasonOf(ChoosePrimary{orders, Term(2), UpstreamId("gone"), Incarnation(1), LogPosition(0)}) == IgnoredReason::UnknownMember);
+    CHECK(reasonOf(RegisterUpstream{orders, upstreamOf("a", 1)}) == IgnoredReason::Unchanged);
+    CHECK(reasonOf(RegisterUpstream{orders, upstreamOf("d", 1)}) == IgnoredReason::GroupFull);
+    CHECK(reasonOf(ForgetUpstream{orders, UpstreamId("a"), Incarnation(9)}) == IgnoredReason::FormerProcess);
+    CHECK(reasonOf(GrantDuty{VmId("hobart-1"), 1, 7}) == IgnoredReason::OtherGrant);
+    CHECK(reasonOf(ForgetVm{VmId("nowhere"), Incarnation(1)}) == IgnoredReason::UnknownVm);
+}
+
 } // namespace sapphirespool::state
