A member that has left its group is no longer chosen as primary

Cause: the reports that a choice is made from were kept until the next term, also that of a member that had left since. While it was there it was avoided as a leaving member; once gone it was in no view, so not avoided any more, and with the highest log it was chosen. The replicated state ignored the choice, as it does not know the member, and no term followed.

A report now answers two questions: which writes there are, and who may be primary. Each candidate has a standing by the present view; one that has left is unusable, its report only shows that others are behind. Reports of lagging members are no longer discarded while they are asked again, as the choice then depended on which report happened to be there when the time was over.

Test: "a member that has left since its report is not chosen", in the Promotion library without a network; it failed before (proposed the member that had left). Election code moves to a file of its own, lib/Promotion/election.cpp.

--- a/include/sapphirespool/Promotion/choice.h
+++ b/include/sapphirespool/Promotion/choice.h
@@ -2,33 +2,45 @@
 #pragma once
 
 #include "sapphirespool/Platform/messages.h"
-#include "sapphirespool/Support/types.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
-#include <set>
 #include <span>
 
 namespace sapphirespool::promotion
 {
 
-/// The chosen primary.
-struct Choice
+/// How well a member that reported its log suits as primary, best first.
+enum class Standing : std::uint8_t {
+    Eligible,
+    Leaving,
+    /// Proxies could not use it as primary of the ended term.
+    Suspected,
+    /// It has left the group or sends no health reports any more; its report only tells which writes there are.
+    Unusable,
+};
+
+/// A position report, sent by its member after it was fenced.
+struct Candidate
 {
     platform::PositionReport report;
-    /// Whether the member was chosen although it is in the set to avoid.
-    bool avoided = false;
+    Standing standing = Standing::Eligible;
 };
 
+/// The chosen primary; its standing is never Standing::Unusable.
+using Choice = Candidate;
+
+/// \return whether the log in \p left ends after the one in \p right
+[[nodiscard]] auto isAhead(const platform::PositionReport &left, const platform::PositionReport &right) -> bool;
+
 /// Picks the member with the highest (lastTerm, position) of a fenced majority.
 ///
 /// Two members confirmed each acknowledged write in the old term, and every majority contains one of them. A fenced member confirms no
-/// further write of an older term, so the highest log of the majority contains every write that is or will be acknowledged. Members to
-/// avoid are excluded if the remaining members form a majority.
+/// further write of an older term, so the highest log of the majority contains every write that is or will be acknowledged. Members that
+/// are not eligible are excluded if the remaining members form a majority.
 ///
-/// \param fenced position reports, each sent by its member after it was fenced
-/// \return nothing if \p fenced is not a quorum
-[[nodiscard]] auto choosePrimary(std::span<const platform::PositionReport> fenced, std::size_t quorum, const std::set<UpstreamId> &avoid)
-    -> std::optional<Choice>;
+/// \return nothing if \p fenced is not a quorum, or if only a member that is unusable is certain to have each acknowledged write
+[[nodiscard]] auto chooseFromQuorum(std::span<const Candidate> fenced, std::size_t quorum) -> std::optional<Choice>;
 
 } // namespace sapphirespool::promotion
--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -28,6 +28,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace sapphirespool::promotion
 {
@@ -63,23 +64,31 @@
         TimePoint sent;
     };
 
-    // grouppromotion.cpp
-    auto enterTerm(const state::GroupRecord &group, Revision current, TimePoint now) -> void;
+    // election.cpp
     auto elect(const state::GroupRecord &group, TimePoint now) -> Actions;
+    auto runElection(const state::GroupRecord &group, TimePoint now) -> Actions;
     auto adopt(const state::GroupRecord &group, TimePoint now) -> Actions;
     /// \return whether a member without a health report so far may be the primary that served the group before this system was started
     auto awaitsFirstPrimary(const state::GroupRecord &group, TimePoint now) -> bool;
-    auto runElection(const state::GroupRecord &group, TimePoint now) -> Actions;
-    /// \return a report of an election that takes too long; one for each election
-    auto reportIfOverdue(const state::GroupRecord &group, TimePoint now) -> std::optional<ReportOverdueElection>;
     auto fenceMembers(const state::GroupRecord &group, TimePoint now) -> Actions;
+    /// \return whether an order to be fenced may bring a first report of \p member or, as its log still grows, a higher one
+    [[nodiscard]] auto needsFence(const state::GroupRecord &group, const UpstreamId &member) const -> bool;
     auto choose(const state::GroupRecord &group, TimePoint now) -> Actions;
+    [[nodiscard]] auto candidates(const state::GroupRecord &group) const -> std::vector<Candidate>;
+    [[nodiscard]] auto standingOf(const state::GroupRecord &group, const UpstreamId &member) const -> Standing;
+    [[nodiscard]] auto awaitsReports(const state::GroupRecord &group, const Choice &choice, TimePoint now) const -> bool;
+    /// \return whether an eligible member other than \p choice may still report a log that is as high
+    [[nodiscard]] auto mayOvertake(const state::GroupRecord &group, const Choice &choice) const -> bool;
+    /// \return whether a member reported a higher log than \p report
+    [[nodiscard]] auto isBehind(const platform::PositionReport &report) const -> bool;
+    /// \return a report of an election that takes too long; one for each election
+    auto reportIfOverdue(const state::GroupRecord &group, TimePoint now) -> std::optional<ReportOverdueElection>;
+
+    // grouppromotion.cpp
+    auto enterTerm(const state::GroupRecord &group, Revision current, TimePoint now) -> void;
     auto maintainTerm(const state::GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions;
     auto orderMembers(const state::GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions;
     auto endTerm(const state::GroupRecord &group, TermEnd reason, TimePoint now) -> Actions;
-    [[nodiscard]] auto awaitsReports(const state::GroupRecord &group, const Choice &choice, TimePoint now) const -> bool;
-    /// Discards the reports of members that are behind another one, so that these members are sent their fence again.
-    auto discardLaggingReports(const state::GroupRecord &group) -> void;
     /// Records \p order as sent unless it is a repetition within \p retry.
     /// \return whether the caller may send it
     auto tryOrder(const UpstreamId &member, Order order, Term term, TimePoint now, Duration retry = orderRetry) -> bool;
@@ -88,8 +97,6 @@
     // groupconditions.cpp
     [[nodiscard]] auto reasonToEnd(const state::GroupRecord &group, std::size_t proxyZones, TimePoint now) const -> std::optional<TermEnd>;
     [[nodiscard]] auto isSilent(const state::GroupRecord &group, TimePoint now) const -> bool;
-    /// \return whether a fenced member reported a higher log than \p choice
-    [[nodiscard]] auto isBehind(const platform::PositionReport &choice) const -> bool;
     [[nodiscard]] auto isLeaving(const state::GroupRecord &group, const UpstreamId &member) const -> bool;
     [[nodiscard]] auto hasSuccessor(const state::GroupRecord &group, TimePoint now) const -> bool;
     [[nodiscard]] auto isSuspected(std::size_t proxyZones, TimePoint now) const -> bool;
@@ -98,12 +105,10 @@
     [[nodiscard]] auto hasCaughtUp(const state::GroupRecord &group, const MemberState &primary, TimePoint now) const -> bool;
     [[nodiscard]] auto liveCount(const state::GroupRecord &group, TimePoint now) const -> std::size_t;
     [[nodiscard]] auto incarnationOf(const state::GroupRecord &group, const UpstreamId &member) const -> Incarnation;
-    [[nodiscard]] auto isFenced(const UpstreamId &member) const -> bool;
     [[nodiscard]] auto isPrimary(const UpstreamId &member, Term term, Incarnation incarnation) const -> bool;
     /// \return whether the primary was chosen before this leader was elected and has sent it no health report yet
     [[nodiscard]] auto awaitsRole(const state::GroupRecord &group, TimePoint now) const -> bool;
     [[nodiscard]] auto isFollowing(const UpstreamId &member, Term term) const -> bool;
-    [[nodiscard]] auto membersToAvoid(const state::GroupRecord &group) const -> std::set<UpstreamId>;
 
     TimePoint since;
     std::chrono::milliseconds contactTimeout;
@@ -122,7 +127,7 @@
     /// When this leader entered the term, and the revision of the replicated state at that time.
     TimePoint termSeen;
     Revision termRevision;
-    /// Position reports of the members that are fenced at the term.
+    /// Position reports of the members that were fenced at the term; some of these may have left the group since.
     std::map<UpstreamId, platform::PositionReport> fenced;
     /// Members from which an order to be fenced at the term got no answer, or the answer of another process.
     std::set<UpstreamId> unreached;
--- a/lib/Promotion/choice.cpp
+++ b/lib/Promotion/choice.cpp
@@ -2,33 +2,51 @@
 
 #include <algorithm>
 #include <tuple>
-#include <vector>
 
 namespace sapphirespool::promotion
 {
 
-auto choosePrimary(std::span<const platform::PositionReport> fenced, std::size_t quorum, const std::set<UpstreamId> &avoid) -> std::optional<Choice>
+namespace
 {
-    const auto isAvoided = [&avoid](const platform::PositionReport &report) {
-        return avoid.contains(UpstreamId(report.id));
-    };
-    auto candidates = std::vector<platform::PositionReport>();
-    std::copy_if(fenced.begin(), fenced.end(), std::back_inserter(candidates), [&isAvoided](const platform::PositionReport &report) {
-        return !isAvoided(report);
-    });
-    if (candidates.size() < quorum) {
-        candidates.assign(fenced.begin(), fenced.end());
-    }
-    if (candidates.size() < quorum) {
-        return std::nullopt;
+
+auto endOfLog(const platform::PositionReport &report) -> std::tuple<std::uint64_t, std::uint64_t>
+{
+    return {report.lastTerm, report.position};
+}
+
+/// \return the candidate of standing \p worst or better with the highest log; of equal logs, the one of the best standing
+auto highestUpTo(Standing worst, std::span<const Candidate> candidates) -> std::optional<Candidate>
+{
+    auto highest = std::optional<Candidate>();
+    for (const auto &candidate : candidates) {
+        const auto isBetter = [&candidate, &highest] {
+            return isAhead(candidate.report, highest->report) || (!isAhead(highest->report, candidate.report) && candidate.standing < highest->standing);
+        };
+        if (candidate.standing <= worst && (!highest || isBetter())) {
+            highest = candidate;
+        }
     }
-    const auto rank = [&isAvoided](const platform::PositionReport &report) {
-        return std::tuple(report.lastTerm, report.position, !isAvoided(report));
-    };
-    const auto highest = std::max_element(candidates.begin(), candidates.end(), [&rank](const auto &left, const auto &right) {
-        return rank(left) < rank(right);
+    return highest;
+}
+
+} // namespace
+
+auto isAhead(const platform::PositionReport &left, const platform::PositionReport &right) -> bool
+{
+    return endOfLog(left) > endOfLog(right);
+}
+
+auto chooseFromQuorum(std::span<const Candidate> fenced, std::size_t quorum) -> std::optional<Choice>
+{
+    const auto eligible = std::count_if(fenced.begin(), fenced.end(), [](const Candidate &candidate) {
+        return candidate.standing == Standing::Eligible;
     });
-    return Choice{*highest, isAvoided(*highest)};
+    if (static_cast<std::size_t>(eligible) >= quorum) {
+        return highestUpTo(Standing::Eligible, fenced);
+    }
+    const auto highest = highestUpTo(Standing::Unusable, fenced);
+    const auto mayBeChosen = fenced.size() >= quorum && highest && highest->standing != Standing::Unusable;
+    return mayBeChosen ? highest : std::nullopt;
 }
 
 } // namespace sapphirespool::promotion
--- /dev/null
+++ b/lib/Promotion/election.cpp
@@ -0,0 +1,193 @@
+// Election of the primary of a term: fences the members, and chooses among those that reported their log.
+#include "sapphirespool/Promotion/grouppromotion.h"
+
+#include "sapphirespool/Promotion/timing.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+
+namespace sapphirespool::promotion
+{
+
+namespace
+{
+
+using state::GroupRecord;
+
+/// The first term in which a group can have a primary.
+constexpr auto firstTermNumber = std::uint64_t{1};
+
+auto fenceOf(const GroupRecord &group, const membership::UpstreamView &member) -> SendFence
+{
+    return {group.view.id, member.id, member.endpoint, {group.view.term.value()}};
+}
+
+} // namespace
+
+auto GroupPromotion::elect(const GroupRecord &group, TimePoint now) -> Actions
+{
+    this->inTransition = true;
+    auto actions = this->runElection(group, now);
+    if (auto overdue = this->reportIfOverdue(group, now)) {
+        actions.emplace_back(*std::move(overdue));
+    }
+    return actions;
+}
+
+auto GroupPromotion::runElection(const GroupRecord &group, TimePoint now) -> Actions
+{
+    if (group.view.term == Term(0) && this->liveCount(group, now) < group.quorum()) {
+        // Members that have not registered cannot be fenced, so the first term would end without a primary.
+        return {};
+    }
+    if (this->awaitsFirstPrimary(group, now)) {
+        return {};
+    }
+    if (group.view.term == Term(0)) {
+        return this->endTerm(group, TermEnd::First, now);
+    }
+    if (this->members.highestTerm() > group.view.term) {
+        return this->endTerm(group, TermEnd::Overtaken, now);
+    }
+    if (group.view.history.empty() && this->members.reportedPrimary(now)) {
+        return this->adopt(group, now);
+    }
+    auto actions = this->fenceMembers(group, now);
+    for (auto &action : this->choose(group, now)) {
+        actions.push_back(std::move(action));
+    }
+    return actions;
+}
+
+auto GroupPromotion::adopt(const GroupRecord &group, TimePoint now) -> Actions
+{
+    // A group that served before this system was started already has a primary. Fencing it would interrupt its callers without need, and its
+    // members do not store a term at which they could be fenced.
+    const auto primary = *this->members.reportedPrimary(now);
+    if (group.view.findMember(primary) == nullptr || !this->tryPropose(now)) {
+        return {};
+    }
+    this->adopted = true;
+    return {ProposePrimary{{group.view.id, group.view.term, primary, this->incarnationOf(group, primary), LogPosition()}}};
+}
+
+auto GroupPromotion::awaitsFirstPrimary(const GroupRecord &group, TimePoint now) -> bool
+{
+    // After the first start of the system the health reports of the members arrive in any order. Two replicas that report before their
+    // primary are a quorum: one of them would be promoted, and the primary would be fenced while it serves.
+    const auto isNew = group.selfReplicating && group.view.history.empty() && group.view.term <= Term(firstTermNumber);
+    if (!isNew || this->members.hasLivePrimary(now) || this->liveCount(group, now) >= group.size) {
+        return false;
+    }
+    if (!this->firstPrimaryAwaitedSince) {
+        this->firstPrimaryAwaitedSince = now;
+    }
+    return now - *this->firstPrimaryAwaitedSince < this->contactTimeout;
+}
+
+auto GroupPromotion::fenceMembers(const GroupRecord &group, TimePoint now) -> Actions
+{
+    const auto retry = group.selfReplicating && !this->fenced.empty() ? catchUpRetry : orderRetry;
+    auto actions = Actions();
+    for (const auto &member : group.view.members) {
+        if (this->needsFence(group, member.id) && this->tryOrder(member.id, Order::Fence, group.view.term, now, retry)) {
+            actions.emplace_back(fenceOf(group, member));
+        }
+    }
+    return actions;
+}
+
+auto GroupPromotion::needsFence(const GroupRecord &group, const UpstreamId &member) const -> bool
+{
+    const auto report = this->fenced.find(member);
+    // A replica of a self-replicating group still receives what the former primary wrote before it stepped down.
+    return report == this->fenced.end() || (group.selfReplicating && this->isBehind(report->second));
+}
+
+auto GroupPromotion::choose(const GroupRecord &group, TimePoint now) -> Actions
+{
+    const auto choice = chooseFromQuorum(this->candidates(group), group.quorum());
+    if (!choice) {
+        return {};
+    }
+    if (!this->quorumSince) {
+        this->quorumSince = now;
+    }
+    if (this->awaitsReports(group, *choice, now) || !this->tryPropose(now)) {
+        return {};
+    }
+    const auto &report = choice->report;
+    return {ProposePrimary{{group.view.id, group.view.term, UpstreamId(report.id), Incarnation(report.incarnation), LogPosition(report.position)}}};
+}
+
+auto GroupPromotion::candidates(const GroupRecord &group) const -> std::vector<Candidate>
+{
+    auto candidates = std::vector<Candidate>();
+    for (const auto &[id, report] : this->fenced) {
+        candidates.push_back({report, this->standingOf(group, id)});
+    }
+    return candidates;
+}
+
+auto GroupPromotion::standingOf(const GroupRecord &group, const UpstreamId &member) const -> Standing
+{
+    if (group.view.findMember(member) == nullptr) {
+        return Standing::Unusable;
+    }
+    if (this->suspectedPrimary == member) {
+        return Standing::Suspected;
+    }
+    return this->isLeaving(group, member) ? Standing::Leaving : Standing::Eligible;
+}
+
+auto GroupPromotion::awaitsReports(const GroupRecord &group, const Choice &choice, TimePoint now) const -> bool
+{
+    const auto waited = now - *this->quorumSince;
+    if (!group.selfReplicating) {
+        return choice.standing != Standing::Eligible && this->fenced.size() < group.view.members.size() && waited < choiceGrace;
+    }
+    if (this->isBehind(choice.report) || (choice.standing != Standing::Eligible && this->mayOvertake(group, choice))) {
+        return waited < catchUpGrace;
+    }
+    // The former primary has stepped down and reported its position, so no further report can be higher.
+    const auto isComplete = std::any_of(this->fenced.begin(), this->fenced.end(), [this, &group](const auto &member) {
+        const auto standing = this->standingOf(group, member.first);
+        return standing == Standing::Suspected || standing == Standing::Leaving;
+    });
+    const auto isOpen = std::any_of(group.view.members.begin(), group.view.members.end(), [this](const membership::UpstreamView &member) {
+        return this->suspectedPrimary != member.id && !this->fenced.contains(member.id) && !this->unreached.contains(member.id);
+    });
+    return !isComplete && isOpen && waited < reportGrace;
+}
+
+auto GroupPromotion::mayOvertake(const GroupRecord &group, const Choice &choice) const -> bool
+{
+    return std::any_of(group.view.members.begin(), group.view.members.end(), [&](const membership::UpstreamView &member) {
+        const auto isOther = member.id.value() != choice.report.id;
+        return isOther && !this->unreached.contains(member.id) && this->standingOf(group, member.id) == Standing::Eligible;
+    });
+}
+
+auto GroupPromotion::isBehind(const platform::PositionReport &report) const -> bool
+{
+    return std::any_of(this->fenced.begin(), this->fenced.end(), [&report](const auto &member) {
+        return isAhead(member.second, report);
+    });
+}
+
+auto GroupPromotion::reportIfOverdue(const GroupRecord &group, TimePoint now) -> std::optional<ReportOverdueElection>
+{
+    if (!this->electionSince) {
+        this->electionSince = now;
+        this->overdueReported = false;
+    }
+    const auto waited = now - *this->electionSince;
+    // A group without members is configured but not started yet.
+    if (waited < electionLimit || group.view.members.empty() || std::exchange(this->overdueReported, true)) {
+        return std::nullopt;
+    }
+    return ReportOverdueElection{group.view.id, group.view.term, waited, this->fenced.size(), group.view.members.size()};
+}
+
+} // namespace sapphirespool::promotion
--- a/lib/Promotion/groupconditions.cpp
+++ b/lib/Promotion/groupconditions.cpp
@@ -3,21 +3,12 @@
 #include "sapphirespool/Promotion/timing.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace sapphirespool::promotion
 {
 
 using state::GroupRecord;
 
-auto GroupPromotion::isBehind(const platform::PositionReport &choice) const -> bool
-{
-    return std::any_of(this->fenced.begin(), this->fenced.end(), [&choice](const auto &member) {
-        const auto &report = member.second;
-        return std::tuple(report.lastTerm, report.position) > std::tuple(choice.lastTerm, choice.position);
-    });
-}
-
 auto GroupPromotion::isLeaving(const GroupRecord &group, const UpstreamId &member) const -> bool
 {
     const auto *const state = this->members.find(member);
@@ -132,11 +123,6 @@
     return known == nullptr ? Incarnation() : known->incarnation;
 }
 
-auto GroupPromotion::isFenced(const UpstreamId &member) const -> bool
-{
-    return this->fenced.contains(member);
-}
-
 auto GroupPromotion::isPrimary(const UpstreamId &member, Term inTerm, Incarnation incarnation) const -> bool
 {
     const auto *const state = this->members.find(member);
@@ -162,19 +148,4 @@
     return state != nullptr && state->term == inTerm && state->role == platform::Role::Replica;
 }
 
-auto GroupPromotion::membersToAvoid(const GroupRecord &group) const -> std::set<UpstreamId>
-{
-    auto avoid = std::set<UpstreamId>();
-    if (this->suspectedPrimary) {
-        avoid.insert(*this->suspectedPrimary);
-    }
-    for (const auto &member : group.view.members) {
-        const auto *const state = this->members.find(member.id);
-        if (member.leaving || (state != nullptr && state->leaving)) {
-            avoid.insert(member.id);
-        }
-    }
-    return avoid;
-}
-
 } // namespace sapphirespool::promotion
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -1,12 +1,9 @@
 #include "sapphirespool/Promotion/grouppromotion.h"
 
-#include "sapphirespool/Promotion/choice.h"
 #include "sapphirespool/Promotion/timing.h"
 
 #include <algorithm>
-#include <cstdint>
 #include <utility>
-#include <vector>
 
 namespace sapphirespool::promotion
 {
@@ -16,14 +13,6 @@
 
 using state::GroupRecord;
 
-/// The first term in which a group can have a primary.
-constexpr auto firstTermNumber = std::uint64_t{1};
-
-auto fenceOf(const GroupRecord &group, const membership::UpstreamView &member) -> SendFence
-{
-    return {group.view.id, member.id, member.endpoint, {group.view.term.value()}};
-}
-
 auto promoteOf(const GroupRecord &group, const membership::UpstreamView &member) -> SendPromote
 {
     return {group.view.id, member.id, member.endpoint, {group.view.term.value()}};
@@ -77,6 +66,7 @@
         return;
     }
     this->members.note(*event.report, now);
+    this->unreached.erase(event.member);
     // Only the report of a member that is fenced at this term gives the end of its log. After a late report of an earlier term the member
     // may have written more, and the choice could miss the log that holds the acknowledged writes.
     const auto fencedHere = event.report->role == platform::Role::Fenced && Term(event.report->term) == this->term;
@@ -139,148 +129,6 @@
     this->unreached.clear();
 }
 
-auto GroupPromotion::elect(const GroupRecord &group, TimePoint now) -> Actions
-{
-    this->inTransition = true;
-    auto actions = this->runElection(group, now);
-    if (auto overdue = this->reportIfOverdue(group, now)) {
-        actions.emplace_back(*std::move(overdue));
-    }
-    return actions;
-}
-
-auto GroupPromotion::reportIfOverdue(const GroupRecord &group, TimePoint now) -> std::optional<ReportOverdueElection>
-{
-    if (!this->electionSince) {
-        this->electionSince = now;
-        this->overdueReported = false;
-    }
-    const auto waited = now - *this->electionSince;
-    // A group without members is configured but not started yet.
-    if (waited < electionLimit || group.view.members.empty() || std::exchange(this->overdueReported, true)) {
-        return std::nullopt;
-    }
-    return ReportOverdueElection{group.view.id, group.view.term, waited, this->fenced.size(), group.view.members.size()};
-}
-
-auto GroupPromotion::runElection(const GroupRecord &group, TimePoint now) -> Actions
-{
-    if (group.view.term == Term(0) && this->liveCount(group, now) < group.quorum()) {
-        // Members that have not registered cannot be fenced, so the first term would end without a primary.
-        return {};
-    }
-    if (this->awaitsFirstPrimary(group, now)) {
-        return {};
-    }
-    if (group.view.term == Term(0)) {
-        return this->endTerm(group, TermEnd::First, now);
-    }
-    if (this->members.highestTerm() > group.view.term) {
-        return this->endTerm(group, TermEnd::Overtaken, now);
-    }
-    if (group.view.history.empty() && this->members.reportedPrimary(now)) {
-        return this->adopt(group, now);
-    }
-    auto actions = this->fenceMembers(group, now);
-    for (auto &action : this->choose(group, now)) {
-        actions.push_back(std::move(action));
-    }
-    return actions;
-}
-
-auto GroupPromotion::adopt(const GroupRecord &group, TimePoint now) -> Actions
-{
-    // A group that served before this system was started already has a primary. Fencing it would interrupt its callers without need, and its
-    // members do not store a term at which they could be fenced.
-    const auto primary = *this->members.reportedPrimary(now);
-    if (group.view.findMember(primary) == nullptr || !this->tryPropose(now)) {
-        return {};
-    }
-    this->adopted = true;
-    return {ProposePrimary{{group.view.id, group.view.term, primary, this->incarnationOf(group, primary), LogPosition()}}};
-}
-
-auto GroupPromotion::awaitsFirstPrimary(const GroupRecord &group, TimePoint now) -> bool
-{
-    // After the first start of the system the health reports of the members arrive in any order. Two replicas that report before their
-    // primary are a quorum: one of them would be promoted, and the primary would be fenced while it serves.
-    const auto isNew = group.selfReplicating && group.view.history.empty() && group.view.term <= Term(firstTermNumber);
-    if (!isNew || this->members.hasLivePrimary(now) || this->liveCount(group, now) >= group.size) {
-        return false;
-    }
-    if (!this->firstPrimaryAwaitedSince) {
-        this->firstPrimaryAwaitedSince = now;
-    }
-    return now - *this->firstPrimaryAwaitedSince < this->contactTimeout;
-}
-
-auto GroupPromotion::fenceMembers(const GroupRecord &group, TimePoint now) -> Actions
-{
-    const auto retry = group.selfReplicating && !this->fenced.empty() ? catchUpRetry : orderRetry;
-    auto actions = Actions();
-    for (const auto &member : group.view.members) {
-        if (!this->isFenced(member.id) && this->tryOrder(member.id, Order::Fence, group.view.term, now, retry)) {
-            actions.emplace_back(fenceOf(group, member));
-        }
-    }
-    return actions;
-}
-
-auto GroupPromotion::choose(const GroupRecord &group, TimePoint now) -> Actions
-{
-    auto reports = std::vector<platform::PositionReport>();
-    for (const auto &[id, report] : this->fenced) {
-        reports.push_back(report);
-    }
-    const auto choice = choosePrimary(reports, group.quorum(), this->membersToAvoid(group));
-    if (!choice) {
-        return {};
-    }
-    if (!this->quorumSince) {
-        this->quorumSince = now;
-    }
-    if (this->awaitsReports(group, *choice, now)) {
-        this->discardLaggingReports(group);
-        return {};
-    }
-    if (!this->tryPropose(now)) {
-        return {};
-    }
-    const auto &report = choice->report;
-    return {ProposePrimary{{group.view.id, group.view.term, UpstreamId(report.id), Incarnation(report.incarnation), LogPosition(report.position)}}};
-}
-
-auto GroupPromotion::awaitsReports(const GroupRecord &group, const Choice &choice, TimePoint now) const -> bool
-{
-    const auto waited = now - *this->quorumSince;
-    if (!group.selfReplicating) {
-        return choice.avoided && this->fenced.size() < group.view.members.size() && waited < choiceGrace;
-    }
-    const auto open = std::any_of(group.view.members.begin(), group.view.members.end(), [this](const membership::UpstreamView &member) {
-        return this->suspectedPrimary != member.id && !this->fenced.contains(member.id) && !this->unreached.contains(member.id);
-    });
-    // While another member may still catch up, a member that is leaving or suspected is not chosen.
-    if (this->isBehind(choice.report) || (choice.avoided && open)) {
-        return waited < catchUpGrace;
-    }
-    // The former primary has stepped down and reported its position, so no further report can be higher.
-    const auto avoid = this->membersToAvoid(group);
-    const auto complete = std::any_of(this->fenced.begin(), this->fenced.end(), [&avoid](const auto &member) {
-        return avoid.contains(member.first);
-    });
-    return !complete && open && waited < reportGrace;
-}
-
-auto GroupPromotion::discardLaggingReports(const GroupRecord &group) -> void
-{
-    if (!group.selfReplicating) {
-        return;
-    }
-    std::erase_if(this->fenced, [this](const auto &member) {
-        return this->isBehind(member.second);
-    });
-}
-
 auto GroupPromotion::maintainTerm(const GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions
 {
     const auto &primary = *group.view.primary;
--- a/unittests/Promotion/choicetest.cpp
+++ b/unittests/Promotion/choicetest.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
+#include <string>
 #include <vector>
 
 namespace sapphirespool::promotion
@@ -25,9 +27,15 @@
     return report;
 }
 
-auto chosen(const std::vector<platform::PositionReport> &fenced, const std::set<UpstreamId> &avoid = {}) -> std::string
+/// \param standings of the members that are not eligible
+auto chosen(const std::vector<platform::PositionReport> &fenced, const std::map<std::string, Standing> &standings = {}) -> std::string
 {
-    const auto choice = choosePrimary(fenced, 2, avoid);
+    auto candidates = std::vector<Candidate>();
+    for (const auto &report : fenced) {
+        const auto standing = standings.find(report.id);
+        candidates.push_back({report, standing == standings.end() ? Standing::Eligible : standing->second});
+    }
+    const auto choice = chooseFromQuorum(candidates, 2);
     return choice ? choice->report.id : "nobody";
 }
 
@@ -47,14 +55,25 @@
     CHECK(chosen({reportOf("a", 1, 90)}) == "nobody");
 }
 
-// Failure: a member that should be avoided is excluded although only its log is known to hold each acknowledged write.
+// Failure: a member that is leaving or suspected is excluded although only its log is known to hold each acknowledged write.
 TEST_CASE("members to avoid are excluded only if the remaining members are a quorum")
 {
-    const auto avoid = std::set<UpstreamId>{UpstreamId("a")};
-    CHECK(chosen({reportOf("a", 1, 90), reportOf("b", 1, 70), reportOf("c", 1, 80)}, avoid) == "c");
-    // Of this majority only the log of a is certain to hold each acknowledged write.
-    CHECK(chosen({reportOf("a", 1, 90), reportOf("b", 1, 70)}, avoid) == "a");
-    CHECK(chosen({reportOf("a", 1, 90), reportOf("b", 1, 90)}, avoid) == "b");
+    for (const auto standing : {Standing::Leaving, Standing::Suspected}) {
+        const auto avoid = std::map<std::string, Standing>{{"a", standing}};
+        CHECK(chosen({reportOf("a", 1, 90), reportOf("b", 1, 70), reportOf("c", 1, 80)}, avoid) == "c");
+        // Of this majority only the log of a is certain to hold each acknowledged write.
+        CHECK(chosen({reportOf("a", 1, 90), reportOf("b", 1, 70)}, avoid) == "a");
+        CHECK(chosen({reportOf("a", 1, 90), reportOf("b", 1, 90)}, avoid) == "b");
+    }
+}
+
+// Failure: a member that has left is chosen, or one that lacks the acknowledged writes of the member that has left.
+TEST_CASE("an unusable member is never chosen, and neither is one that lacks its writes")
+{
+    const auto gone = std::map<std::string, Standing>{{"a", Standing::Unusable}};
+    CHECK(chosen({reportOf("a", 1, 90), reportOf("b", 1, 70)}, gone) == "nobody");
+    CHECK(chosen({reportOf("a", 1, 90), reportOf("b", 1, 90)}, gone) == "b");
+    CHECK(chosen({reportOf("a", 1, 90), reportOf("b", 1, 70), reportOf("c", 1, 80)}, gone) == "c");
 }
 
 // Failure: promotions on a flapping network path stop the writes of the group permanently, or the backoff is never reset.
--- a/unittests/Promotion/electiontest.cpp
+++ b/unittests/Promotion/electiontest.cpp
@@ -77,4 +77,18 @@
     CHECK(proposedIn(group.advance(start + 60ms)) == UpstreamId("b"));
 }
 
+// Failure: a member that has left is proposed as primary again and again, the state ignores it, and the group never has a primary.
+TEST_CASE("a member that has left since its report is not chosen")
+{
+    auto group = Election();
+    group.promotion.note(announcementOf("b", platform::Role::Replica, true), start + 15ms);
+    group.promotion.note(unanswered("a"), start + 20ms);
+    group.report("b", 50, start + 20ms);
+    group.report("c", 49, start + 20ms);
+    CHECK(proposedIn(group.advance(start + 20ms)) == UpstreamId());
+    group.forget("b");
+    const auto actions = group.advanceThrough(start + 40ms, start + 20ms + catchUpGrace + catchUpRetry);
+    CHECK(proposedIn(actions) == UpstreamId("c"));
+}
+
 } // namespace sapphirespool::promotion
