The report of a process that has ended is not used in an election

A member that reported its log and restarted before the choice kept its report. On a platform that keeps no fence over a restart the member may confirm further writes meanwhile, so the report no longer tells the end of its log, and the choice named the incarnation of a process that had ended: the term then ended as `restarted`, and the group waited for another election.

Reports are now dropped once the member runs as another process, and the member is asked again.

Test: "a member that has restarted since its report is asked again and chosen by its new report only"; it failed before (proposed at once by the former report).

--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -71,6 +71,8 @@
     /// \return whether a member without a health report so far may be the primary that served the group before this system was started
     auto awaitsFirstPrimary(const state::GroupRecord &group, TimePoint now) -> bool;
     auto fenceMembers(const state::GroupRecord &group, TimePoint now) -> Actions;
+    /// Discards the reports of processes that have ended, so that their successors are fenced.
+    auto discardFormerReports(const state::GroupRecord &group) -> void;
     /// \return whether an order to be fenced may bring a first report of \p member or, as its log still grows, a higher one
     [[nodiscard]] auto needsFence(const state::GroupRecord &group, const UpstreamId &member) const -> bool;
     auto choose(const state::GroupRecord &group, TimePoint now) -> Actions;
--- a/lib/Promotion/election.cpp
+++ b/lib/Promotion/election.cpp
@@ -53,6 +53,7 @@
     if (group.view.history.empty() && this->members.reportedPrimary(now)) {
         return this->adopt(group, now);
     }
+    this->discardFormerReports(group);
     auto actions = this->fenceMembers(group, now);
     for (auto &action : this->choose(group, now)) {
         actions.push_back(std::move(action));
@@ -98,6 +99,15 @@
     return actions;
 }
 
+auto GroupPromotion::discardFormerReports(const GroupRecord &group) -> void
+{
+    // A restart ends the fence of a member whose platform keeps none: it may have confirmed further writes since.
+    std::erase_if(this->fenced, [this, &group](const auto &member) {
+        const auto isMember = group.view.findMember(member.first) != nullptr;
+        return isMember && this->incarnationOf(group, member.first) != Incarnation(member.second.incarnation);
+    });
+}
+
 auto GroupPromotion::needsFence(const GroupRecord &group, const UpstreamId &member) const -> bool
 {
     const auto report = this->fenced.find(member);
--- a/unittests/Promotion/electiontest.cpp
+++ b/unittests/Promotion/electiontest.cpp
@@ -91,4 +91,22 @@
     CHECK(proposedIn(actions) == UpstreamId("c"));
 }
 
+// Failure: the report of a process that has ended is used, although the member may have confirmed more writes since its restart.
+TEST_CASE("a member that has restarted since its report is asked again and chosen by its new report only")
+{
+    auto group = Election();
+    group.promotion.note(unanswered("a"), start + 20ms);
+    group.report("b", 50, start + 20ms);
+    CHECK(proposedIn(group.advance(start + 20ms)) == UpstreamId());
+    group.member("b").incarnation = Incarnation(2);
+    group.promotion.note(announcementOf("b", platform::Role::Replica, false, 2), start + 30ms);
+    const auto asked = group.advanceThrough(start + 30ms, start + 20ms + catchUpGrace);
+    CHECK(proposedIn(asked) == UpstreamId());
+    CHECK(find<SendFence>(asked) != nullptr);
+    group.promotion.note(fenced("b", 52, 2), start + 2s);
+    const auto chosen = group.advanceThrough(start + 2s, start + 2s + catchUpGrace);
+    REQUIRE(proposedIn(chosen) == UpstreamId("b"));
+    CHECK(find<ProposePrimary>(chosen)->command.incarnation == Incarnation(2));
+}
+
 } // namespace sapphirespool::promotion
