A member that has fallen silent since its report is not chosen

A member that reported its log and crashed before the choice was chosen all the same: the order to promote it failed, and the group waited until the member counted as lost as a primary, up to 12 s where no proxy suspects it, before the next election.

The same cause on a related path: a report says nothing of its sender's present state. A member from which neither a health report nor a report of its position has arrived within the contact timeout is unusable; its report still shows that others are behind. Reports are renewed every 500 ms while no primary can be chosen, so that a member whose health reports do not arrive stays usable.

--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -56,6 +56,13 @@
     [[nodiscard]] auto wakeAt() const -> TimePoint;
 
 private:
+    /// The report of a member that was fenced at the term.
+    struct FencedReport
+    {
+        platform::PositionReport report;
+        TimePoint arrived;
+    };
+
     /// The last order that was sent to a member.
     struct SentOrder
     {
@@ -74,13 +81,15 @@
     /// Discards the reports of processes that have ended, so that their successors are fenced.
     auto discardFormerReports(const state::GroupRecord &group) -> void;
     /// \return whether an order to be fenced may bring a first report of \p member or, as its log still grows, a higher one
-    [[nodiscard]] auto needsFence(const state::GroupRecord &group, const UpstreamId &member) const -> bool;
+    [[nodiscard]] auto needsFence(const state::GroupRecord &group, const UpstreamId &member, TimePoint now) const -> bool;
     auto choose(const state::GroupRecord &group, TimePoint now) -> Actions;
-    [[nodiscard]] auto candidates(const state::GroupRecord &group) const -> std::vector<Candidate>;
-    [[nodiscard]] auto standingOf(const state::GroupRecord &group, const UpstreamId &member) const -> Standing;
+    [[nodiscard]] auto candidates(const state::GroupRecord &group, TimePoint now) const -> std::vector<Candidate>;
+    [[nodiscard]] auto standingOf(const state::GroupRecord &group, const UpstreamId &member, TimePoint now) const -> Standing;
+    /// \return whether neither a health report nor a report of the position of \p member has arrived for a while
+    [[nodiscard]] auto isOutOfContact(const UpstreamId &member, TimePoint now) const -> bool;
     [[nodiscard]] auto awaitsReports(const state::GroupRecord &group, const Choice &choice, TimePoint now) const -> bool;
     /// \return whether an eligible member other than \p choice may still report a log that is as high
-    [[nodiscard]] auto mayOvertake(const state::GroupRecord &group, const Choice &choice) const -> bool;
+    [[nodiscard]] auto mayOvertake(const state::GroupRecord &group, const Choice &choice, TimePoint now) const -> bool;
     /// \return whether a member reported a higher log than \p report
     [[nodiscard]] auto isBehind(const platform::PositionReport &report) const -> bool;
     /// \return a report of an election that takes too long; one for each election
@@ -130,7 +139,7 @@
     TimePoint termSeen;
     Revision termRevision;
     /// Position reports of the members that were fenced at the term; some of these may have left the group since.
-    std::map<UpstreamId, platform::PositionReport> fenced;
+    std::map<UpstreamId, FencedReport> fenced;
     /// Members from which an order to be fenced at the term got no answer, or the answer of another process.
     std::set<UpstreamId> unreached;
     std::optional<TimePoint> quorumSince;
--- a/include/sapphirespool/Promotion/timing.h
+++ b/include/sapphirespool/Promotion/timing.h
@@ -58,6 +58,10 @@
 constexpr auto catchUpGrace = std::chrono::milliseconds(1'000);
 constexpr auto catchUpRetry = std::chrono::milliseconds(40);
 
+/// Age at which the report of a member is renewed while no primary can be chosen. It is well below minimumContactTimeout, so that the
+/// report of a member without health reports shows in time that the member still responds.
+constexpr auto reportRenewal = std::chrono::milliseconds(500);
+
 /// Time without a primary after which an election is reported as overdue: the longest time that a failover may take.
 constexpr auto electionLimit = std::chrono::milliseconds(7'000);
 
--- a/lib/Promotion/election.cpp
+++ b/lib/Promotion/election.cpp
@@ -92,7 +92,7 @@
     const auto retry = group.selfReplicating && !this->fenced.empty() ? catchUpRetry : orderRetry;
     auto actions = Actions();
     for (const auto &member : group.view.members) {
-        if (this->needsFence(group, member.id) && this->tryOrder(member.id, Order::Fence, group.view.term, now, retry)) {
+        if (this->needsFence(group, member.id, now) && this->tryOrder(member.id, Order::Fence, group.view.term, now, retry)) {
             actions.emplace_back(fenceOf(group, member));
         }
     }
@@ -104,20 +104,24 @@
     // A restart ends the fence of a member whose platform keeps none: it may have confirmed further writes since.
     std::erase_if(this->fenced, [this, &group](const auto &member) {
         const auto isMember = group.view.findMember(member.first) != nullptr;
-        return isMember && this->incarnationOf(group, member.first) != Incarnation(member.second.incarnation);
+        return isMember && this->incarnationOf(group, member.first) != Incarnation(member.second.report.incarnation);
     });
 }
 
-auto GroupPromotion::needsFence(const GroupRecord &group, const UpstreamId &member) const -> bool
+auto GroupPromotion::needsFence(const GroupRecord &group, const UpstreamId &member, TimePoint now) const -> bool
 {
-    const auto report = this->fenced.find(member);
+    const auto found = this->fenced.find(member);
+    // In an election that takes long, a member shows by a new report that it can still be chosen.
+    if (found == this->fenced.end() || now - found->second.arrived >= reportRenewal) {
+        return true;
+    }
     // A replica of a self-replicating group still receives what the former primary wrote before it stepped down.
-    return report == this->fenced.end() || (group.selfReplicating && this->isBehind(report->second));
+    return group.selfReplicating && this->isBehind(found->second.report);
 }
 
 auto GroupPromotion::choose(const GroupRecord &group, TimePoint now) -> Actions
 {
-    const auto choice = chooseFromQuorum(this->candidates(group), group.quorum());
+    const auto choice = chooseFromQuorum(this->candidates(group, now), group.quorum());
     if (!choice) {
         return {};
     }
@@ -131,18 +135,18 @@
     return {ProposePrimary{{group.view.id, group.view.term, UpstreamId(report.id), Incarnation(report.incarnation), LogPosition(report.position)}}};
 }
 
-auto GroupPromotion::candidates(const GroupRecord &group) const -> std::vector<Candidate>
+auto GroupPromotion::candidates(const GroupRecord &group, TimePoint now) const -> std::vector<Candidate>
 {
     auto candidates = std::vector<Candidate>();
-    for (const auto &[id, report] : this->fenced) {
-        candidates.push_back({report, this->standingOf(group, id)});
+    for (const auto &[id, fenced] : this->fenced) {
+        candidates.push_back({fenced.report, this->standingOf(group, id, now)});
     }
     return candidates;
 }
 
-auto GroupPromotion::standingOf(const GroupRecord &group, const UpstreamId &member) const -> Standing
+auto GroupPromotion::standingOf(const GroupRecord &group, const UpstreamId &member, TimePoint now) const -> Standing
 {
-    if (group.view.findMember(member) == nullptr) {
+    if (group.view.findMember(member) == nullptr || this->isOutOfContact(member, now)) {
         return Standing::Unusable;
     }
     if (this->suspectedPrimary == member) {
@@ -151,18 +155,30 @@
     return this->isLeaving(group, member) ? Standing::Leaving : Standing::Eligible;
 }
 
+auto GroupPromotion::isOutOfContact(const UpstreamId &member, TimePoint now) const -> bool
+{
+    auto last = this->since;
+    if (const auto *const state = this->members.find(member); state != nullptr && state->lastContact) {
+        last = std::max(last, *state->lastContact);
+    }
+    if (const auto found = this->fenced.find(member); found != this->fenced.end()) {
+        last = std::max(last, found->second.arrived);
+    }
+    return now - last >= this->contactTimeout;
+}
+
 auto GroupPromotion::awaitsReports(const GroupRecord &group, const Choice &choice, TimePoint now) const -> bool
 {
     const auto waited = now - *this->quorumSince;
     if (!group.selfReplicating) {
         return choice.standing != Standing::Eligible && this->fenced.size() < group.view.members.size() && waited < choiceGrace;
     }
-    if (this->isBehind(choice.report) || (choice.standing != Standing::Eligible && this->mayOvertake(group, choice))) {
+    if (this->isBehind(choice.report) || (choice.standing != Standing::Eligible && this->mayOvertake(group, choice, now))) {
         return waited < catchUpGrace;
     }
     // The former primary has stepped down and reported its position, so no further report can be higher.
-    const auto isComplete = std::any_of(this->fenced.begin(), this->fenced.end(), [this, &group](const auto &member) {
-        const auto standing = this->standingOf(group, member.first);
+    const auto isComplete = std::any_of(this->fenced.begin(), this->fenced.end(), [this, &group, now](const auto &member) {
+        const auto standing = this->standingOf(group, member.first, now);
         return standing == Standing::Suspected || standing == Standing::Leaving;
     });
     const auto isOpen = std::any_of(group.view.members.begin(), group.view.members.end(), [this](const membership::UpstreamView &member) {
@@ -171,18 +187,18 @@
     return !isComplete && isOpen && waited < reportGrace;
 }
 
-auto GroupPromotion::mayOvertake(const GroupRecord &group, const Choice &choice) const -> bool
+auto GroupPromotion::mayOvertake(const GroupRecord &group, const Choice &choice, TimePoint now) const -> bool
 {
     return std::any_of(group.view.members.begin(), group.view.members.end(), [&](const membership::UpstreamView &member) {
         const auto isOther = member.id.value() != choice.report.id;
-        return isOther && !this->unreached.contains(member.id) && this->standingOf(group, member.id) == Standing::Eligible;
+        return isOther && !this->unreached.contains(member.id) && this->standingOf(group, member.id, now) == Standing::Eligible;
     });
 }
 
 auto GroupPromotion::isBehind(const platform::PositionReport &report) const -> bool
 {
     return std::any_of(this->fenced.begin(), this->fenced.end(), [&report](const auto &member) {
-        return isAhead(member.second, report);
+        return isAhead(member.second.report, report);
     });
 }
 
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -71,7 +71,7 @@
     // may have written more, and the choice could miss the log that holds the acknowledged writes.
     const auto fencedHere = event.report->role == platform::Role::Fenced && Term(event.report->term) == this->term;
     if (event.order == Order::Fence && event.term == this->term && fencedHere) {
-        this->fenced.insert_or_assign(event.member, *event.report);
+        this->fenced.insert_or_assign(event.member, FencedReport{*event.report, now});
     }
 }
 
--- a/unittests/Promotion/electiontest.cpp
+++ b/unittests/Promotion/electiontest.cpp
@@ -109,4 +109,19 @@
     CHECK(find<ProposePrimary>(chosen)->command.incarnation == Incarnation(2));
 }
 
+// Failure: a member that crashed after its report is chosen, and the group waits until it counts as lost as a primary.
+TEST_CASE("a member that has fallen silent since its report is not chosen")
+{
+    auto group = Election(1);
+    group.report("b", 50, start + 20ms);
+    group.promotion.note(unanswered("a"), start + 20ms);
+    group.promotion.note(unanswered("c"), start + 20ms);
+    const auto silent = contactTimeoutFor(1'200ms);
+    CHECK(proposedIn(group.advanceThrough(start + 20ms, start + 20ms + silent)) == UpstreamId());
+    const auto later = start + 40ms + silent;
+    group.promotion.note(announcementOf("c", platform::Role::Replica), later);
+    group.report("c", 48, later);
+    CHECK(proposedIn(group.advanceThrough(later, later + catchUpGrace + catchUpRetry)) != UpstreamId("b"));
+}
+
 } // namespace sapphirespool::promotion
