A leaving member that had to be chosen serves before the next handover

A group whose last writes only a leaving member had was without a primary until that member was gone: control chose it, ended its term at once because it was leaving, and chose it again, once a second, without promoting it. The same happened in a planned change whose replicas did not catch up within the second for which a choice waits.

Cause: ending the term of a leaving primary has no backoff, on the assumption that another member will be chosen. That does not hold for one that was chosen although it was leaving.

Such a primary is promoted and serves; its replacement is tried again after the backoff of promotions (2 s, then 4 s), in which the replicas catch up. Groups that acknowledge without confirmations choose the highest log of all members that are not suspected, leaving ones too: which of them was chosen depended on the reports that were there when the wait was over.

--- a/include/sapphirespool/Promotion/choice.h
+++ b/include/sapphirespool/Promotion/choice.h
@@ -43,4 +43,12 @@
 /// \return nothing if \p fenced is not a quorum, or if only a member that is unusable is certain to have each acknowledged write
 [[nodiscard]] auto chooseFromQuorum(std::span<const Candidate> fenced, std::size_t quorum) -> std::optional<Choice>;
 
+/// Picks the member with the highest log where a write is acknowledged as soon as its primary has it.
+///
+/// No set of reports but that of the primary itself is certain to show each acknowledged write, so any usable member may be chosen. A
+/// suspected one is chosen only if there is no other, as it could not serve.
+///
+/// \return nothing if no member is usable
+[[nodiscard]] auto chooseHighest(std::span<const Candidate> fenced) -> std::optional<Choice>;
+
 } // namespace sapphirespool::promotion
--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -157,6 +157,8 @@
     /// When this leader began to wait for a health report of the primary that served the group before this system was started.
     std::optional<TimePoint> firstPrimaryAwaitedSince;
     std::optional<TimePoint> leavingSince;
+    /// Whether the primary was leaving when it was chosen, as no other member could be.
+    bool choseLeaving = false;
     bool inTransition = true;
     TimePoint wake;
 };
--- a/lib/Promotion/choice.cpp
+++ b/lib/Promotion/choice.cpp
@@ -49,4 +49,10 @@
     return mayBeChosen ? highest : std::nullopt;
 }
 
+auto chooseHighest(std::span<const Candidate> fenced) -> std::optional<Choice>
+{
+    const auto unsuspected = highestUpTo(Standing::Leaving, fenced);
+    return unsuspected ? unsuspected : highestUpTo(Standing::Suspected, fenced);
+}
+
 } // namespace sapphirespool::promotion
--- a/lib/Promotion/election.cpp
+++ b/lib/Promotion/election.cpp
@@ -121,7 +121,9 @@
 
 auto GroupPromotion::choose(const GroupRecord &group, TimePoint now) -> Actions
 {
-    const auto choice = chooseFromQuorum(this->candidates(group, now), group.quorum());
+    const auto reports = this->candidates(group, now);
+    const auto acknowledgesAlone = group.selfReplicating && group.confirmations == 0;
+    const auto choice = acknowledgesAlone ? chooseHighest(reports) : chooseFromQuorum(reports, group.quorum());
     if (!choice) {
         return {};
     }
--- a/lib/Promotion/groupconditions.cpp
+++ b/lib/Promotion/groupconditions.cpp
@@ -86,7 +86,8 @@
     if (group.selfReplicating) {
         // The health reports of these members contain no position. The old primary reports it when it steps down, and the choice is
         // delayed until a replica has reached it.
-        return this->leavingSince && this->hasSuccessor(group, now);
+        const auto serves = !this->choseLeaving || this->isPrimary(*group.view.primary, this->term, group.primaryIncarnation);
+        return this->leavingSince && serves && this->hasSuccessor(group, now);
     }
     const auto *const primary = this->members.find(*group.view.primary);
     if (!this->leavingSince || primary == nullptr || !this->hasCaughtUp(group, *primary, now)) {
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -125,6 +125,7 @@
     this->suspicions.clear();
     this->lastSuspicion.reset();
     this->leavingSince.reset();
+    this->choseLeaving = this->hasPrimary && !isFirst && this->isLeaving(group, *group.view.primary);
     this->fenced.clear();
     this->unreached.clear();
 }
@@ -141,8 +142,9 @@
     }
     const auto reason = this->reasonToEnd(group, proxies.zones, now);
     this->inTransition = reason || leaving || !this->suspicions.empty() || !this->isPrimary(primary, this->term, group.primaryIncarnation);
-    // No backoff for a leaving member: it ends after a few seconds and does not flap.
-    const auto leavesSoon = group.selfReplicating && reason == TermEnd::Leaving;
+    // No backoff for a leaving member: it ends after a few seconds and does not flap. One that was leaving when it was chosen would be
+    // chosen again: another handover is tried only after a backoff, in which it serves and the replicas catch up.
+    const auto leavesSoon = group.selfReplicating && reason == TermEnd::Leaving && !this->choseLeaving;
     if (reason && (leavesSoon || this->backoff.allows(now))) {
         return this->endTerm(group, *reason, now);
     }
--- a/unittests/Promotion/choicetest.cpp
+++ b/unittests/Promotion/choicetest.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,18 +28,34 @@
     return report;
 }
 
-/// \param standings of the members that are not eligible
-auto chosen(const std::vector<platform::PositionReport> &fenced, const std::map<std::string, Standing> &standings = {}) -> std::string
+/// Standings of the members that are not eligible.
+using Standings = std::map<std::string, Standing>;
+
+auto candidatesOf(const std::vector<platform::PositionReport> &fenced, const Standings &standings) -> std::vector<Candidate>
 {
     auto candidates = std::vector<Candidate>();
     for (const auto &report : fenced) {
         const auto standing = standings.find(report.id);
         candidates.push_back({report, standing == standings.end() ? Standing::Eligible : standing->second});
     }
-    const auto choice = chooseFromQuorum(candidates, 2);
+    return candidates;
+}
+
+auto nameOf(const std::optional<Choice> &choice) -> std::string
+{
     return choice ? choice->report.id : "nobody";
 }
 
+auto chosen(const std::vector<platform::PositionReport> &fenced, const Standings &standings = {}) -> std::string
+{
+    return nameOf(chooseFromQuorum(candidatesOf(fenced, standings), 2));
+}
+
+auto highest(const std::vector<platform::PositionReport> &fenced, const Standings &standings = {}) -> std::string
+{
+    return nameOf(chooseHighest(candidatesOf(fenced, standings)));
+}
+
 } // namespace
 
 // Failure: a long log of an earlier term is preferred, and acknowledged writes of the last term are lost.
@@ -59,7 +76,7 @@
 TEST_CASE("members to avoid are excluded only if the remaining members are a quorum")
 {
     for (const auto standing : {Standing::Leaving, Standing::Suspected}) {
-        const auto avoid = std::map<std::string, Standing>{{"a", standing}};
+        const auto avoid = Standings{{"a", standing}};
         CHECK(chosen({reportOf("a", 1, 90), reportOf("b", 1, 70), reportOf("c", 1, 80)}, avoid) == "c");
         // Of this majority only the log of a is certain to hold each acknowledged write.
         CHECK(chosen({reportOf("a", 1, 90), reportOf("b", 1, 70)}, avoid) == "a");
@@ -70,12 +87,25 @@
 // Failure: a member that has left is chosen, or one that lacks the acknowledged writes of the member that has left.
 TEST_CASE("an unusable member is never chosen, and neither is one that lacks its writes")
 {
-    const auto gone = std::map<std::string, Standing>{{"a", Standing::Unusable}};
+    const auto gone = Standings{{"a", Standing::Unusable}};
     CHECK(chosen({reportOf("a", 1, 90), reportOf("b", 1, 70)}, gone) == "nobody");
     CHECK(chosen({reportOf("a", 1, 90), reportOf("b", 1, 90)}, gone) == "b");
     CHECK(chosen({reportOf("a", 1, 90), reportOf("b", 1, 70), reportOf("c", 1, 80)}, gone) == "c");
 }
 
+// Failure: a replica that lags is chosen before a leaving one that has all writes, or a primary that nobody reaches before either.
+TEST_CASE("without confirmations the highest log is chosen, and a suspected member only if there is no other")
+{
+    CHECK(highest({}) == "nobody");
+    CHECK(highest({reportOf("a", 1, 90), reportOf("b", 1, 70)}) == "a");
+    CHECK(highest({reportOf("a", 1, 90), reportOf("b", 1, 70)}, {{"a", Standing::Leaving}}) == "a");
+    CHECK(highest({reportOf("a", 1, 90), reportOf("b", 1, 90)}, {{"a", Standing::Leaving}}) == "b");
+    CHECK(highest({reportOf("a", 1, 90), reportOf("b", 1, 70)}, {{"a", Standing::Suspected}}) == "b");
+    CHECK(highest({reportOf("a", 1, 90)}, {{"a", Standing::Suspected}}) == "a");
+    CHECK(highest({reportOf("a", 1, 90), reportOf("b", 1, 70)}, {{"a", Standing::Unusable}}) == "b");
+    CHECK(highest({reportOf("a", 1, 90)}, {{"a", Standing::Unusable}}) == "nobody");
+}
+
 // Failure: promotions on a flapping network path stop the writes of the group permanently, or the backoff is never reset.
 TEST_CASE("the backoff doubles with each promotion and is reset after a minute without one")
 {
--- a/unittests/Promotion/electiontest.cpp
+++ b/unittests/Promotion/electiontest.cpp
@@ -124,4 +124,70 @@
     CHECK(proposedIn(group.advanceThrough(later, later + catchUpGrace + catchUpRetry)) != UpstreamId("b"));
 }
 
+// Failure: the only member with the last acknowledged writes is leaving: it is chosen and its term ended once a second, and nobody serves.
+TEST_CASE("a leaving member that had to be chosen serves before its successor is sought")
+{
+    auto group = Election(1);
+    const auto leaving = [&group](TimePoint now, platform::Role role) {
+        group.promotion.note(announcementOf("b", role, true), now);
+        group.promotion.note(announcementOf("c", platform::Role::Replica), now);
+    };
+    leaving(start + 15ms, platform::Role::Replica);
+    group.promotion.note(unanswered("a"), start + 20ms);
+    group.report("b", 50, start + 20ms);
+    group.report("c", 48, start + 20ms);
+    const auto decided = start + 20ms + catchUpGrace + catchUpRetry;
+    REQUIRE(proposedIn(group.advanceThrough(start + 20ms, decided)) == UpstreamId("b"));
+    group.setPrimary("b");
+    leaving(decided, platform::Role::Replica);
+    const auto promoting = group.advanceThrough(decided, decided + 500ms);
+    CHECK(find<SendPromote>(promoting) != nullptr);
+    CHECK(find<ProposeTerm>(promoting) == nullptr);
+    auto promoted = fenced("b", 50);
+    promoted.order = Order::Promote;
+    promoted.report->role = platform::Role::Primary;
+    group.promotion.note(promoted, decided + 500ms);
+    leaving(decided + 500ms, platform::Role::Primary);
+    const auto handover = group.advanceThrough(decided + 500ms, decided + 500ms + initialBackoff);
+    REQUIRE(find<ProposeTerm>(handover) != nullptr);
+    CHECK(find<ProposeTerm>(handover)->reason == TermEnd::Leaving);
+}
+
+// Failure: no replica catches up with a leaving primary: it is chosen again and its term ended again without a pause, and nobody serves.
+TEST_CASE("a handover that found no successor is repeated with a backoff, and the leaving primary serves meanwhile")
+{
+    auto group = Group(1);
+    group.setPrimary("a");
+    auto ends = 0;
+    auto served = Duration();
+    for (auto now = start; now < start + 7s; now += transitionInterval) {
+        group.announce(now, true);
+        for (const auto &action : group.advance(now)) {
+            if (const auto *const fence = std::get_if<SendFence>(&action)) {
+                auto answer = fenced(fence->member.value(), fence->member == UpstreamId("a") ? 50 : 48);
+                answer.term = Term(fence->request.term);
+                answer.report->term = fence->request.term;
+                group.promotion.note(answer, now);
+            } else if (const auto *const promote = std::get_if<SendPromote>(&action)) {
+                auto answer = fenced("a", 50);
+                answer.order = Order::Promote;
+                answer.term = Term(promote->request.term);
+                answer.report->term = promote->request.term;
+                answer.report->role = platform::Role::Primary;
+                group.promotion.note(answer, now);
+            } else if (std::holds_alternative<ProposeTerm>(action)) {
+                ++ends;
+                group.record.view.term = group.record.view.term.next();
+                group.record.view.primary.reset();
+            } else if (const auto *const choice = std::get_if<ProposePrimary>(&action)) {
+                CHECK(choice->command.primary == UpstreamId("a"));
+                group.setPrimary("a");
+            }
+        }
+        served += group.record.view.primary ? Duration(transitionInterval) : Duration(0);
+    }
+    CHECK(ends <= 3);
+    CHECK(served >= 3s);
+}
+
 } // namespace sapphirespool::promotion
