The term of a primary that has left its group ends at once

A primary that left before it was replaced stayed the primary of the replicated state. The proxies found no member of that name in their views and suspected nobody, and control waited until the primary counted as silent: 12 s, as it was not suspected. Callers were told all the while that their group had no primary.

The term now ends with the reason `gone` as soon as the primary is no member of its group any more, without the backoff, which is there for flapping links.

Test: "the term of a primary that has left its group ends at once"; before, no term was proposed.

--- a/lib/Promotion/groupconditions.cpp
+++ b/lib/Promotion/groupconditions.cpp
@@ -30,6 +30,9 @@
     if (this->liveCount(group, now) < group.quorum()) {
         return std::nullopt;
     }
+    if (group.view.primaryMember() == nullptr) {
+        return TermEnd::Gone;
+    }
     if (this->incarnationOf(group, primary) != group.primaryIncarnation) {
         return TermEnd::Restarted;
     }
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -145,7 +145,7 @@
     // No backoff for a leaving member: it ends after a few seconds and does not flap. One that was leaving when it was chosen would be
     // chosen again: another handover is tried only after a backoff, in which it serves and the replicas catch up.
     const auto leavesSoon = group.selfReplicating && reason == TermEnd::Leaving && !this->choseLeaving;
-    if (reason && (leavesSoon || this->backoff.allows(now))) {
+    if (reason && (leavesSoon || reason == TermEnd::Gone || this->backoff.allows(now))) {
         return this->endTerm(group, *reason, now);
     }
     return this->orderMembers(group, proxies, now);
--- a/unittests/Promotion/electiontest.cpp
+++ b/unittests/Promotion/electiontest.cpp
@@ -190,4 +190,16 @@
     CHECK(served >= 3s);
 }
 
+// Failure: the primary leaves before it is replaced; it sends no health reports, nobody suspects it, and its group waits for 12 s.
+TEST_CASE("the term of a primary that has left its group ends at once")
+{
+    auto group = Group(1);
+    group.setPrimary("a");
+    REQUIRE(find<ProposeTerm>(group.advance(start)) == nullptr);
+    group.forget("a");
+    const auto ended = group.advance(start + 20ms);
+    REQUIRE(find<ProposeTerm>(ended) != nullptr);
+    CHECK(find<ProposeTerm>(ended)->reason == TermEnd::Gone);
+}
+
 } // namespace sapphirespool::promotion
