--- a/benchmarks/failovergap.cpp
+++ b/benchmarks/failovergap.cpp
@@ -2,6 +2,7 @@
 //
 // The members, proxies and control leader are the fakes of unittests/Promotion; each seed draws when the primary is lost and how long
 // each message and commit takes.
+#include "Promotion/selfreplicatingworld.h"
 #include "Promotion/world.h"
 
 #include <algorithm>
@@ -86,6 +87,35 @@
     printRow("total", column(&Gap::total));
 }
 
+/// \return the time in milliseconds from the crash of the primary of a self-replicating group to the first write acknowledged after it
+auto measureCrash(std::uint32_t seed, std::uint32_t confirmations, bool withDeafFourth) -> double
+{
+    auto world = SelfReplicatingWorld(seed, confirmations);
+    world.run(3s);
+    if (withDeafFourth) {
+        world.join();
+        world.run(3s);
+        world.members().back()->deaf = true;
+    }
+    world.run(std::chrono::milliseconds(seed * 37 % 200));
+    world.crash(*world.members().front());
+    const auto lost = world.time();
+    if (!world.runUntilServed(30s)) {
+        throw std::runtime_error("the group did not come back");
+    }
+    return between(lost, world.time());
+}
+
+auto printCrashGaps(const char *title, std::uint32_t confirmations, bool withDeafFourth) -> void
+{
+    auto gaps = std::vector<double>();
+    for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+        gaps.push_back(measureCrash(seed, confirmations, withDeafFourth));
+    }
+    std::cout << title << ", " << seeds << " seeds, ms      min   median      max\n";
+    printRow("total", gaps);
+}
+
 } // namespace
 
 } // namespace sapphirespool::promotion
@@ -108,5 +138,8 @@
     promotion::printGaps("primary leaving", [](promotion::FakeMember &primary) {
         primary.leaving = true;
     });
+    promotion::printCrashGaps("self-replicating, primary crashed", 0, false);
+    promotion::printCrashGaps("self-replicating and confirmed by one replica, primary crashed", 1, false);
+    promotion::printCrashGaps("the same, a fourth member receives nothing", 1, true);
     return 0;
 }
--- a/unittests/Promotion/selfreplicatingworld.cpp
+++ b/unittests/Promotion/selfreplicatingworld.cpp
@@ -99,7 +99,7 @@
 auto SelfReplicatingWorld::runUntilServed(Duration limit) -> bool
 {
     const auto firstWrite = this->nextWrite;
-    for (const auto end = this->now + limit; this->now < end; this->run(10ms)) {
+    for (const auto end = this->now + limit; this->now < end; this->run(1ms)) {
         if (this->highestAcknowledged >= firstWrite) {
             return true;
         }
