Replicas of a primary that cannot be told to step down are paused

Found by the random schedules with one confirmation (the schedules land with this commit): a primary that control could not reach went on acknowledging writes with replicas that had reported their log already, and the member that was then chosen lacked them.

Cause: for groups that replicate by rules of their platform, a fence of a replica only asked for its status. Such a report ends nothing.

- A report counts in a group with confirmed writes only if it is final: its member was told to stop receiving (Order::Pause), or the order was given after the primary had stepped down.
Replicas are paused only if the primary cannot be told, so that a planned change still lets the last writes be confirmed.
- The replicas of a new primary are told to receive again; an order that has not left when the term ends is withdrawn.
- The primary's report counts as that of the primary only if this leader has seen it serve: a member that was chosen and never promoted replaced nobody.
- A leaving primary steps down only once it serves and no order to promote it is open, and such an order is repeated only once it has failed: a late repetition made a member acknowledge writes again after it had stepped down.
Groups without confirmations repeat it as before.
- If every member of the group has reported, nobody else is waited for.

The schedules take for given what the protocol does not prevent: a member announces itself before it confirms a write, and what a former primary acknowledges between the choice and the promotion is not covered.

--- a/include/sapphirespool/Platform/groupoperator.h
+++ b/include/sapphirespool/Platform/groupoperator.h
@@ -52,6 +52,8 @@
     virtual ~GroupOperator() = default;
 
     virtual auto fence(const MemberAddress &member, FenceRequest request, Authority authority, ReportCallback done) -> void = 0;
+    /// As fence(), and a replica that replicates by rules of its platform stops receiving writes until it is promoted or follows again.
+    virtual auto pause(const MemberAddress &member, FenceRequest request, Authority authority, ReportCallback done) -> void = 0;
     virtual auto promote(const MemberAddress &member, PromoteRequest request, Authority authority, ReportCallback done) -> void = 0;
     virtual auto follow(const MemberAddress &member, FollowRequest request, Authority authority, ReportCallback done) -> void = 0;
 
--- a/include/sapphirespool/Promotion/choice.h
+++ b/include/sapphirespool/Promotion/choice.h
@@ -50,8 +50,9 @@
 /// No set of reports but that of the primary itself is certain to show each acknowledged write, so any usable member may be chosen. A
 /// suspected one is chosen only if there is no other, as it could not serve.
 ///
+/// \param worst worst standing of a member that is chosen although there is another one
 /// \return nothing if no member is usable
-[[nodiscard]] auto chooseHighest(std::span<const Candidate> fenced) -> std::optional<Choice>;
+[[nodiscard]] auto chooseHighest(std::span<const Candidate> fenced, Standing worst = Standing::Leaving) -> std::optional<Choice>;
 
 /// The members of a self-replicating group that may hold a write whose acknowledgement needed confirmations.
 struct WriteHolders
--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -62,7 +62,11 @@
     struct FencedReport
     {
         platform::PositionReport report;
+        /// When the order was sent that it answers.
+        TimePoint sent;
         TimePoint arrived;
+        /// Whether the member receives no writes any more.
+        bool paused = false;
     };
 
     /// The last order that was sent to a member.
@@ -80,6 +84,11 @@
     /// \return whether a member without a health report so far may be the primary that served the group before this system was started
     auto awaitsFirstPrimary(const state::GroupRecord &group, TimePoint now) -> bool;
     auto fenceMembers(const state::GroupRecord &group, TimePoint now) -> Actions;
+    /// \return the order that makes the report of \p member final, see isFinal()
+    [[nodiscard]] auto fenceOrderFor(const state::GroupRecord &group, const UpstreamId &member) const -> Order;
+    /// \return whether \p report tells all writes that its member confirms in ended terms, as it receives none any more or their primary had
+    /// stepped down before
+    [[nodiscard]] auto isFinal(const FencedReport &report) const -> bool;
     /// Discards the reports of processes that have ended, so that their successors are fenced.
     auto discardFormerReports(const state::GroupRecord &group) -> void;
     /// \return whether an order to be fenced may bring a first report of \p member or, as its log still grows, a higher one
@@ -89,6 +98,8 @@
     [[nodiscard]] auto awaitedMembers(const state::GroupRecord &group, std::span<const Candidate> reports) const -> std::vector<UpstreamId>;
     /// \return whether none of \p members can report any more
     [[nodiscard]] static auto haveLeft(const state::GroupRecord &group, std::span<const UpstreamId> members) -> bool;
+    /// \return whether no member of the group can tell more than \p reports do
+    [[nodiscard]] static auto haveAllReported(const state::GroupRecord &group, std::span<const Candidate> reports) -> bool;
     /// \return a report of the members for which the choice waits, if they are others than in the last report
     auto reportAwaited(const state::GroupRecord &group, std::vector<UpstreamId> members, TimePoint now) -> Actions;
     [[nodiscard]] auto holdersOf(const state::GroupRecord &group) const -> WriteHolders;
@@ -141,6 +152,8 @@
     /// Term of the fields below.
     Term term;
     bool hasPrimary = false;
+    /// Whether the members do not tell their incarnation in answer to an order, so that an answer carries the one that the order was meant for.
+    bool isSelfReplicating = false;
     bool holdsDuty = true;
     /// Whether enterTerm() was called before.
     bool entered = false;
@@ -173,11 +186,16 @@
     std::map<ZoneId, TimePoint> suspicions;
     /// Time of the last suspicion of the primary from any proxy.
     std::optional<TimePoint> lastSuspicion;
+    /// The primary that this leader has seen serve in the last term that had one; empty if it has seen none. A member that was chosen and
+    /// not promoted did not replace the primary before it.
+    UpstreamId servedBy;
     /// Primary whose term this leader ended because it was silent or suspected.
     std::optional<UpstreamId> suspectedPrimary;
     /// When this leader began to wait for a health report of the primary that served the group before this system was started.
     std::optional<TimePoint> firstPrimaryAwaitedSince;
     std::optional<TimePoint> leavingSince;
+    /// Orders to promote a member that are neither answered nor failed. Such an order may still be carried out.
+    std::size_t openPromotions = 0;
     /// Whether the primary was leaving when it was chosen, as no other member could be.
     bool choseLeaving = false;
     bool inTransition = true;
--- a/include/sapphirespool/Promotion/messages.h
+++ b/include/sapphirespool/Promotion/messages.h
@@ -44,6 +44,8 @@
 /// Kind of an order to a member.
 enum class Order {
     Fence,
+    /// As Fence, and a replica of a self-replicating group stops receiving writes.
+    Pause,
     Promote,
     Follow,
 };
@@ -56,6 +58,8 @@
     Term term;
     UpstreamId member;
     std::optional<platform::PositionReport> report;
+    /// When the order was given.
+    TimePoint sent{};
 };
 
 /// The replicated state of a group changed.
@@ -89,6 +93,8 @@
     UpstreamId member;
     Endpoint endpoint;
     platform::FenceRequest request;
+    /// Order::Fence or Order::Pause.
+    Order order = Order::Fence;
 };
 
 /// Order the chosen member to become primary.
--- a/include/sapphirespool/State/records.h
+++ b/include/sapphirespool/State/records.h
@@ -43,6 +43,9 @@
     /// intersects each pair of members, and two members suffice to acknowledge a write.
     [[nodiscard]] auto quorum() const -> std::uint32_t;
 
+    /// \return whether a write is acknowledged as soon as the primary has it
+    [[nodiscard]] auto acknowledgesAlone() const -> bool;
+
     /// Records that the replica \p member has left, if writes of the group are confirmed by replicas.
     auto noteDeparture(const UpstreamId &member) -> void;
 
--- a/lib/Controller/leadershiporders.cpp
+++ b/lib/Controller/leadershiporders.cpp
@@ -58,10 +58,14 @@
 
 auto Leadership::carryOut(const promotion::SendFence &action) -> void
 {
-    this->parts.groupOperator->fence(this->addressOf(action.group, action.member, action.endpoint),
-                                     action.request,
-                                     this->openOrders.add(action.group, promotion::Order::Fence, this->leadershipAuthority),
-                                     this->answerTo(promotion::Order::Fence, action.group, action.request.term, action.member));
+    const auto member = this->addressOf(action.group, action.member, action.endpoint);
+    auto authority = this->openOrders.add(action.group, action.order, this->leadershipAuthority);
+    auto done = this->answerTo(action.order, action.group, action.request.term, action.member);
+    if (action.order == promotion::Order::Pause) {
+        this->parts.groupOperator->pause(member, action.request, std::move(authority), std::move(done));
+    } else {
+        this->parts.groupOperator->fence(member, action.request, std::move(authority), std::move(done));
+    }
 }
 
 auto Leadership::carryOut(const promotion::SendPromote &action) -> void
@@ -78,6 +82,7 @@
                   {"token", request.fencingToken}});
     // A member that receives an order to be fenced after this order may be the new primary.
     this->openOrders.withdraw(action.group, promotion::Order::Fence);
+    this->openOrders.withdraw(action.group, promotion::Order::Pause);
     const auto underDuty = this->isUnderDuty(action.group);
     if (underDuty) {
         this->requestDuty(action.group);
@@ -208,8 +213,9 @@
 
 auto Leadership::answerTo(promotion::Order order, const GroupId &group, std::uint64_t term, const UpstreamId &member) -> platform::ReportCallback
 {
-    return [weak = this->weak_from_this(), post = this->parts.post, order, group, term, member](std::optional<platform::PositionReport> report) {
-        const auto answer = promotion::OrderAnswered{order, group, Term(term), member, std::move(report)};
+    const auto sent = this->parts.clock();
+    return [weak = this->weak_from_this(), post = this->parts.post, order, group, term, member, sent](std::optional<platform::PositionReport> report) {
+        const auto answer = promotion::OrderAnswered{order, group, Term(term), member, std::move(report), sent};
         post([weak, answer] {
             if (const auto self = weak.lock()) {
                 self->handle(answer);
--- a/lib/Platform/httpgroupoperator.cpp
+++ b/lib/Platform/httpgroupoperator.cpp
@@ -71,6 +71,12 @@
         this->call(member.endpoint, "/v1/fence", toJson(request), std::move(authority), std::move(done));
     }
 
+    auto pause(const MemberAddress &member, FenceRequest request, Authority authority, ReportCallback done) -> void override
+    {
+        // A fenced member receives no writes of a lower term.
+        this->fence(member, request, std::move(authority), std::move(done));
+    }
+
     auto promote(const MemberAddress &member, PromoteRequest request, Authority authority, ReportCallback done) -> void override
     {
         this->call(member.endpoint, "/v1/promote", toJson(request), std::move(authority), std::move(done));
--- a/lib/Promotion/choice.cpp
+++ b/lib/Promotion/choice.cpp
@@ -50,9 +50,9 @@
     return mayBeChosen ? highest : std::nullopt;
 }
 
-auto chooseHighest(std::span<const Candidate> fenced) -> std::optional<Choice>
+auto chooseHighest(std::span<const Candidate> fenced, Standing worst) -> std::optional<Choice>
 {
-    const auto unsuspected = highestUpTo(Standing::Leaving, fenced);
+    const auto unsuspected = highestUpTo(worst, fenced);
     return unsuspected ? unsuspected : highestUpTo(Standing::Suspected, fenced);
 }
 
--- a/lib/Promotion/election.cpp
+++ b/lib/Promotion/election.cpp
@@ -18,9 +18,15 @@
 /// The first term in which a group can have a primary.
 constexpr auto firstTermNumber = std::uint64_t{1};
 
-auto fenceOf(const GroupRecord &group, const membership::UpstreamView &member) -> SendFence
+auto fenceOf(const GroupRecord &group, const membership::UpstreamView &member, Order order) -> SendFence
 {
-    return {group.view.id, member.id, member.endpoint, {group.view.term.value()}};
+    return {group.view.id, member.id, member.endpoint, {group.view.term.value()}, order};
+}
+
+/// \return whether replicas confirm the writes of \p group by rules of the platform
+auto isConfirmedByPlatform(const GroupRecord &group) -> bool
+{
+    return group.selfReplicating && !group.acknowledgesAlone();
 }
 
 auto chooseIn(const GroupRecord &group, std::span<const Candidate> reports, const WriteHolders &holders) -> std::optional<Choice>
@@ -28,7 +34,7 @@
     if (!group.selfReplicating) {
         return chooseFromQuorum(reports, group.quorum());
     }
-    return group.confirmations == 0 ? chooseHighest(reports) : chooseConfirmed(reports, holders);
+    return group.acknowledgesAlone() ? chooseHighest(reports) : chooseConfirmed(reports, holders);
 }
 
 } // namespace
@@ -101,8 +107,9 @@
     const auto retry = group.selfReplicating && !this->fenced.empty() ? catchUpRetry : orderRetry;
     auto actions = Actions();
     for (const auto &member : group.view.members) {
-        if (this->needsFence(group, member.id, now) && this->tryOrder(member.id, Order::Fence, group.view.term, now, retry)) {
-            actions.emplace_back(fenceOf(group, member));
+        const auto order = this->fenceOrderFor(group, member.id);
+        if (this->needsFence(group, member.id, now) && this->tryOrder(member.id, order, group.view.term, now, retry)) {
+            actions.emplace_back(fenceOf(group, member, order));
         }
     }
     return actions;
@@ -124,8 +131,29 @@
     if (found == this->fenced.end() || now - found->second.arrived >= reportRenewal) {
         return true;
     }
+    if (isConfirmedByPlatform(group) && !this->isFinal(found->second)) {
+        return true;
+    }
     // A replica of a self-replicating group still receives what the former primary wrote before it stepped down.
-    return group.selfReplicating && this->isBehind(found->second.report);
+    return group.selfReplicating && !found->second.paused && this->isBehind(found->second.report);
+}
+
+auto GroupPromotion::fenceOrderFor(const GroupRecord &group, const UpstreamId &member) const -> Order
+{
+    const auto &primary = this->servedBy;
+    if (!isConfirmedByPlatform(group) || member == primary || this->fenced.contains(primary)) {
+        return Order::Fence;
+    }
+    // A primary that steps down gets the answers to its last writes if the replicas still receive them. One that cannot be told may go on
+    // acknowledging writes as long as replicas receive them.
+    const auto mayStepDown = group.view.findMember(primary) != nullptr && this->suspectedPrimary != primary && !this->unreached.contains(primary);
+    return mayStepDown ? Order::Fence : Order::Pause;
+}
+
+auto GroupPromotion::isFinal(const FencedReport &report) const -> bool
+{
+    const auto primary = this->fenced.find(this->servedBy);
+    return report.paused || (primary != this->fenced.end() && (&report == &primary->second || report.sent >= primary->second.arrived));
 }
 
 auto GroupPromotion::choose(const GroupRecord &group, TimePoint now) -> Actions
@@ -135,6 +163,8 @@
     auto missing = choice ? std::vector<UpstreamId>() : this->awaitedMembers(group, reports);
     if (!missing.empty() && haveLeft(group, missing)) {
         choice = chooseHighest(reports);
+    } else if (!missing.empty() && haveAllReported(group, reports)) {
+        choice = chooseHighest(reports, Standing::Suspected);
     }
     if (!choice) {
         return this->reportAwaited(group, std::move(missing), now);
@@ -156,7 +186,7 @@
 
 auto GroupPromotion::awaitedMembers(const GroupRecord &group, std::span<const Candidate> reports) const -> std::vector<UpstreamId>
 {
-    if (!group.selfReplicating || group.confirmations == 0) {
+    if (!isConfirmedByPlatform(group)) {
         return {};
     }
     const auto holders = this->holdersOf(group);
@@ -164,7 +194,9 @@
         return missingReports(highest->report, reports, holders);
     }
     auto members = holders.replicas;
-    members.push_back(holders.primary);
+    if (holders.primary != UpstreamId()) {
+        members.push_back(holders.primary);
+    }
     return members;
 }
 
@@ -176,6 +208,16 @@
            });
 }
 
+auto GroupPromotion::haveAllReported(const GroupRecord &group, std::span<const Candidate> reports) -> bool
+{
+    const auto &members = group.view.members;
+    return group.lastPrimary != UpstreamId() && std::all_of(members.begin(), members.end(), [reports](const membership::UpstreamView &member) {
+               return std::any_of(reports.begin(), reports.end(), [&member](const Candidate &candidate) {
+                   return candidate.report.id == member.id.value() && candidate.standing != Standing::Unusable;
+               });
+           });
+}
+
 auto GroupPromotion::reportAwaited(const GroupRecord &group, std::vector<UpstreamId> members, TimePoint now) -> Actions
 {
     if (now - this->termSeen < orderRetry || members == this->awaited) {
@@ -187,12 +229,16 @@
 
 auto GroupPromotion::holdersOf(const GroupRecord &group) const -> WriteHolders
 {
-    auto holders = WriteHolders{group.lastPrimary, group.departed, group.confirmations};
+    auto holders = WriteHolders{this->servedBy, group.departed, group.confirmations};
     for (const auto &member : group.view.members) {
-        if (member.id != group.lastPrimary) {
+        if (member.id != this->servedBy) {
             holders.replicas.push_back(member.id);
         }
     }
+    const auto isListed = group.lastPrimary == this->servedBy || group.view.findMember(group.lastPrimary) != nullptr;
+    if (group.lastPrimary != UpstreamId() && !isListed) {
+        holders.replicas.push_back(group.lastPrimary);
+    }
     // Before the first choice, members that have not registered yet may hold writes.
     const auto isFirst = group.lastPrimary == UpstreamId();
     while (isFirst && holders.replicas.size() < group.size) {
@@ -205,7 +251,9 @@
 {
     auto candidates = std::vector<Candidate>();
     for (const auto &[id, fenced] : this->fenced) {
-        candidates.push_back({fenced.report, this->standingOf(group, id, now)});
+        if (!isConfirmedByPlatform(group) || this->isFinal(fenced)) {
+            candidates.push_back({fenced.report, this->standingOf(group, id, now)});
+        }
     }
     const auto coversDepartures = this->departedUpTo && this->coveredDepartures == group.departed;
     for (const auto &id : coversDepartures ? group.departed : std::vector<UpstreamId>()) {
@@ -247,11 +295,12 @@
     if (!group.selfReplicating) {
         return choice.standing != Standing::Eligible && this->fenced.size() < group.view.members.size() && waited < choiceGrace;
     }
-    if (this->isBehind(choice.report) || (choice.standing != Standing::Eligible && this->mayOvertake(group, choice, now))) {
+    const auto isPaused = this->fenced.at(UpstreamId(choice.report.id)).paused;
+    if ((!isPaused && this->isBehind(choice.report)) || (choice.standing != Standing::Eligible && this->mayOvertake(group, choice, now))) {
         return waited < catchUpGrace;
     }
     // The former primary has stepped down and reported its position, so no further report can be higher.
-    const auto isComplete = this->fenced.contains(group.lastPrimary);
+    const auto isComplete = this->fenced.contains(this->servedBy);
     const auto isOpen = std::any_of(group.view.members.begin(), group.view.members.end(), [this](const membership::UpstreamView &member) {
         return this->suspectedPrimary != member.id && !this->fenced.contains(member.id) && !this->unreached.contains(member.id);
     });
@@ -261,8 +310,10 @@
 auto GroupPromotion::mayOvertake(const GroupRecord &group, const Choice &choice, TimePoint now) const -> bool
 {
     return std::any_of(group.view.members.begin(), group.view.members.end(), [&](const membership::UpstreamView &member) {
-        const auto isOther = member.id.value() != choice.report.id;
-        return isOther && !this->unreached.contains(member.id) && this->standingOf(group, member.id, now) == Standing::Eligible;
+        const auto report = this->fenced.find(member.id);
+        const auto isPaused = report != this->fenced.end() && report->second.paused;
+        const auto mayReport = member.id.value() != choice.report.id && !isPaused && !this->unreached.contains(member.id);
+        return mayReport && this->standingOf(group, member.id, now) == Standing::Eligible;
     });
 }
 
--- a/lib/Promotion/groupconditions.cpp
+++ b/lib/Promotion/groupconditions.cpp
@@ -89,8 +89,10 @@
     if (group.selfReplicating) {
         // The health reports of these members contain no position. The old primary reports it when it steps down, and the choice is
         // delayed until a replica has reached it.
-        const auto serves = !this->choseLeaving || this->isPrimary(*group.view.primary, this->term, group.primaryIncarnation);
-        return this->leavingSince && serves && this->hasSuccessor(group, now);
+        // An order to promote that is carried out after the primary has stepped down would make it acknowledge writes again.
+        const auto serves = this->isPrimary(*group.view.primary, this->term, group.primaryIncarnation);
+        const auto isSettled = (!this->choseLeaving || serves) && (group.acknowledgesAlone() || (serves && this->openPromotions == 0));
+        return this->leavingSince && isSettled && this->hasSuccessor(group, now);
     }
     const auto *const primary = this->members.find(*group.view.primary);
     if (!this->leavingSince || primary == nullptr || !this->hasCaughtUp(group, *primary, now)) {
@@ -118,7 +120,7 @@
     }
     // The report of the primary alone tells each acknowledged write.
     const auto &primary = *group.view.primary;
-    if (group.confirmations == 0 || this->members.isLive(primary, now)) {
+    if (group.acknowledgesAlone() || this->members.isLive(primary, now)) {
         return live > 0;
     }
     const auto silent = std::count_if(group.view.members.begin(), group.view.members.end(), [this, &primary, now](const membership::UpstreamView &member) {
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -58,20 +58,29 @@
 
 auto GroupPromotion::note(const OrderAnswered &event, TimePoint now) -> void
 {
+    if (event.order == Order::Promote && this->openPromotions > 0) {
+        --this->openPromotions;
+    }
+    const auto isFence = (event.order == Order::Fence || event.order == Order::Pause) && event.term == this->term;
     // Another process may have taken over the address of the member; its report does not describe the log of the member.
     if (!event.report || event.report->id != event.member.value()) {
-        if (event.order == Order::Fence && event.term == this->term) {
+        if (isFence) {
             this->unreached.insert(event.member);
         }
         return;
     }
+    const auto *const known = this->members.find(event.member);
+    if (this->isSelfReplicating && known != nullptr && known->incarnation != Incarnation(event.report->incarnation)) {
+        // The order was meant for another process than the one that is known now, and either may have answered.
+        return;
+    }
     this->members.note(*event.report, now);
     this->unreached.erase(event.member);
     // Only the report of a member that is fenced at this term gives the end of its log. After a late report of an earlier term the member
     // may have written more, and the choice could miss the log that holds the acknowledged writes.
     const auto fencedHere = event.report->role == platform::Role::Fenced && Term(event.report->term) == this->term;
-    if (event.order == Order::Fence && event.term == this->term && fencedHere) {
-        this->fenced.insert_or_assign(event.member, FencedReport{*event.report, now});
+    if (isFence && fencedHere) {
+        this->fenced.insert_or_assign(event.member, FencedReport{*event.report, event.sent, now, event.order == Order::Pause});
     }
 }
 
@@ -98,6 +107,7 @@
 
 auto GroupPromotion::advance(const GroupRecord &group, const ProxyStanding &proxies, TimePoint now) -> Actions
 {
+    this->isSelfReplicating = group.selfReplicating;
     if (group.view.term != this->term || group.view.primary.has_value() != this->hasPrimary) {
         this->enterTerm(group, proxies.current, now);
     }
@@ -133,6 +143,9 @@
     this->suspicions.clear();
     this->lastSuspicion.reset();
     this->leavingSince.reset();
+    if (this->hasPrimary) {
+        this->servedBy = UpstreamId();
+    }
     this->choseLeaving = this->hasPrimary && !isFirst && this->isLeaving(group, *group.view.primary);
     this->fenced.clear();
     this->unreached.clear();
@@ -143,6 +156,9 @@
 {
     const auto &primary = *group.view.primary;
     this->electionSince.reset();
+    if (this->isPrimary(primary, this->term, group.primaryIncarnation)) {
+        this->servedBy = primary;
+    }
     const auto leaving = this->isLeaving(group, primary);
     if (leaving && !this->leavingSince) {
         this->leavingSince = now;
@@ -173,13 +189,20 @@
         if (group.selfReplicating && !this->holdsDuty) {
             return {AwaitDuty{group.view.id}};
         }
-        return this->tryOrder(primary->id, Order::Promote, this->term, now) ? Actions{promoteOf(group, *primary)} : Actions();
+        // A repetition that is carried out after its member has stepped down makes it acknowledge writes again. Where replicas confirm each
+        // write, a lost order is repeated only once it has failed.
+        const auto mayRepeat = group.acknowledgesAlone() || !group.selfReplicating || this->openPromotions == 0;
+        if (!mayRepeat || !this->tryOrder(primary->id, Order::Promote, this->term, now)) {
+            return {};
+        }
+        ++this->openPromotions;
+        return {promoteOf(group, *primary)};
     }
     auto actions = Actions();
-    if (group.selfReplicating) {
-        if (auto question = this->askPosition(group, now)) {
-            actions.emplace_back(*std::move(question));
-        }
+    if (auto question = this->askPosition(group, now)) {
+        actions.emplace_back(*std::move(question));
+    }
+    if (group.acknowledgesAlone()) {
         return actions;
     }
     for (const auto &member : group.view.members) {
--- a/lib/State/records.cpp
+++ b/lib/State/records.cpp
@@ -30,6 +30,11 @@
     return this->size / 2 + 1;
 }
 
+auto GroupRecord::acknowledgesAlone() const -> bool
+{
+    return this->selfReplicating && this->confirmations == 0;
+}
+
 auto GroupRecord::noteDeparture(const UpstreamId &member) -> void
 {
     if (this->selfReplicating && this->confirmations > 0) {
--- a/unittests/Adapter/databaseorderstest.cpp
+++ b/unittests/Adapter/databaseorderstest.cpp
@@ -97,6 +97,15 @@
     return line.starts_with("QUERY") ? "DATAROW primary 3 3.1209 3 0 0 1\r\nCOMPLETE -\r\nREADY I 3.1209\r\n" : "";
 }
 
+/// A database that says that it is a replica.
+auto replicaAnswer(const std::string &line) -> std::string
+{
+    if (line.starts_with("STARTUP")) {
+        return "READY I -\r\n";
+    }
+    return line.starts_with("QUERY") ? "DATAROW replica 3 3.1209 3 0 0 1\r\nCOMPLETE -\r\nREADY I 3.1209\r\n" : "";
+}
+
 auto okAnswer(const std::string &line) -> std::string
 {
     return line.empty() ? "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" : "";
@@ -175,4 +184,70 @@
     }
 }
 
+// A replica that goes on receiving would confirm writes of a primary that does not know that it is replaced.
+TEST_CASE("a paused replica is told to stop receiving, and a primary to step down")
+{
+    auto io = asio::io_context();
+    auto answer = Answered();
+    SECTION("a replica")
+    {
+        auto database = LineServer(io, replicaAnswer);
+        const auto orders = makeDatabaseOrders(io.get_executor(), {});
+        orders->pause({group, member, database.endpoint()}, {2}, std::make_shared<CountedAuthority>(1), answer.callback());
+        answer.await(io);
+        CHECK(database.hasSeen("PAUSE 4"));
+        REQUIRE(answer.report);
+        CHECK(answer.report->position == 1209);
+    }
+    SECTION("a primary")
+    {
+        auto database = LineServer(io, primaryAnswer);
+        const auto orders = makeDatabaseOrders(io.get_executor(), {});
+        orders->pause({group, member, database.endpoint()}, {2}, std::make_shared<CountedAuthority>(1), answer.callback());
+        answer.await(io);
+        CHECK(database.hasSeen("STEPDOWN 4"));
+        CHECK_FALSE(database.hasSeen("PAUSE"));
+    }
+    SECTION("the authority has ended")
+    {
+        auto database = LineServer(io, replicaAnswer);
+        const auto orders = makeDatabaseOrders(io.get_executor(), {});
+        orders->pause({group, member, database.endpoint()}, {2}, std::make_shared<CountedAuthority>(0), answer.callback());
+        answer.await(io);
+        CHECK_FALSE(database.hasSeen("PAUSE"));
+        CHECK_FALSE(answer.report);
+    }
+}
+
+// A replica that was paused would confirm no write of the new primary; a late order would undo the pause of the next election.
+TEST_CASE("a replica of a new primary is told to receive again while the authority holds")
+{
+    for (const auto holds : {true, false}) {
+        auto io = asio::io_context();
+        auto database = LineServer(io, replicaAnswer);
+        const auto orders = makeDatabaseOrders(io.get_executor(), {});
+        auto answer = Answered();
+        auto request = platform::FollowRequest();
+        request.term = 2;
+        orders->follow({group, member, database.endpoint()}, request, std::make_shared<CountedAuthority>(holds ? 1 : 0), answer.callback());
+        answer.await(io);
+        CHECK(database.hasSeen("RESUME") == holds);
+        CHECK(answer.report.has_value() == holds);
+    }
+}
+
+// A member that is asked for its position goes on as before.
+TEST_CASE("the question for a position gives no order")
+{
+    auto io = asio::io_context();
+    auto database = LineServer(io, primaryAnswer);
+    const auto orders = makeDatabaseOrders(io.get_executor(), {});
+    auto answer = Answered();
+    orders->position({group, member, database.endpoint()}, answer.callback());
+    answer.await(io);
+    REQUIRE(answer.report);
+    CHECK(answer.report->position == 1209);
+    CHECK_FALSE(database.hasSeen("STEPDOWN"));
+}
+
 } // namespace sapphirespool::adapter
--- a/unittests/Controller/controllertest.cpp
+++ b/unittests/Controller/controllertest.cpp
@@ -33,6 +33,10 @@
     {
     }
 
+    auto pause(const platform::MemberAddress &, platform::FenceRequest, platform::Authority, platform::ReportCallback) -> void override
+    {
+    }
+
     auto position(const platform::MemberAddress &, platform::ReportCallback) -> void override
     {
     }
--- a/unittests/Promotion/electiontest.cpp
+++ b/unittests/Promotion/electiontest.cpp
@@ -17,6 +17,11 @@
     return choice == nullptr ? UpstreamId() : choice->command.primary;
 }
 
+auto isPromotion(const Action &action) -> bool
+{
+    return std::holds_alternative<SendPromote>(action);
+}
+
 /// A group that lost its primary a to a planned change or a crash, in term 2, of which b and c lack the last writes.
 struct Election : Group
 {
@@ -138,6 +143,7 @@
     const auto promoting = group.advanceThrough(decided, decided + 500ms);
     CHECK(find<SendPromote>(promoting) != nullptr);
     CHECK(find<ProposeTerm>(promoting) == nullptr);
+    CHECK(std::count_if(promoting.begin(), promoting.end(), isPromotion) == 1);
     auto promoted = fenced("b", 50);
     promoted.order = Order::Promote;
     promoted.report->role = platform::Role::Primary;
@@ -208,20 +214,20 @@
     group.beginNextTerm(start + 10ms);
     group.promotion.note(unanswered("a"), start + 20ms);
     group.promotion.note(unanswered("b"), start + 20ms);
-    group.promotion.note(fenced("c", 48), start + 20ms);
-    group.promotion.note(fenced("d", 48), start + 20ms);
+    group.report("c", 48, start + 20ms);
+    group.report("d", 48, start + 20ms);
     const auto waiting = group.advanceThrough(start + 20ms, start + 2s);
     CHECK(proposedIn(waiting) == UpstreamId());
     REQUIRE(find<ReportAwaitedMembers>(waiting) != nullptr);
     CHECK(find<ReportAwaitedMembers>(waiting)->members == std::vector{UpstreamId("b"), UpstreamId("a")});
     SECTION("the replica that confirmed the writes is back")
     {
-        group.promotion.note(fenced("b", 50), start + 2s);
+        group.report("b", 50, start + 2s);
         CHECK(proposedIn(group.advanceThrough(start + 2s, start + 2s + catchUpGrace + catchUpRetry)) == UpstreamId("b"));
     }
     SECTION("the primary is back")
     {
-        group.promotion.note(fenced("a", 50), start + 2s);
+        group.report("a", 50, start + 2s);
         CHECK(proposedIn(group.advanceThrough(start + 2s, start + 2s + catchUpGrace + catchUpRetry)) == UpstreamId("a"));
     }
 }
@@ -343,4 +349,120 @@
     }
 }
 
+// Failure: a primary that control cannot reach acknowledges writes with replicas that have reported already, and these writes are lost.
+TEST_CASE("replicas of a primary that does not step down are paused, and only reports of paused ones count")
+{
+    auto group = Group(1);
+    group.record.confirmations = 1;
+    group.setPrimary("a");
+    group.advance(start);
+    const auto orderTo = [](const Actions &actions, std::string_view id) {
+        auto order = std::optional<Order>();
+        for (const auto &action : actions) {
+            if (const auto *const fence = std::get_if<SendFence>(&action); fence != nullptr && fence->member.value() == id) {
+                order = fence->order;
+            }
+        }
+        return order;
+    };
+    const auto first = group.beginNextTerm(start + 10ms);
+    CHECK(orderTo(first, "a") == Order::Fence);
+    CHECK(orderTo(first, "b") == Order::Fence);
+    for (const auto *const id : {"b", "c"}) {
+        group.promotion.note(fenced(id, 48), start + 20ms);
+    }
+    SECTION("the primary cannot be told to step down")
+    {
+        group.promotion.note(unanswered("a"), start + 20ms);
+        const auto next = group.advance(start + 20ms);
+        CHECK(orderTo(next, "b") == Order::Pause);
+        CHECK(proposedIn(group.advanceThrough(start + 40ms, start + 2s)) == UpstreamId());
+        group.report("b", 49, start + 2s);
+        group.report("c", 50, start + 2s);
+        CHECK(proposedIn(group.advance(start + 2s)) == UpstreamId("c"));
+    }
+    SECTION("the primary steps down after the replicas have reported")
+    {
+        group.announce(start + 25ms, true);
+        auto steppedDown = fenced("a", 50);
+        steppedDown.sent = start + 10ms;
+        group.promotion.note(steppedDown, start + 30ms);
+        const auto next = group.advance(start + 10ms + catchUpRetry);
+        CHECK(proposedIn(next) == UpstreamId());
+        CHECK(orderTo(next, "b") == Order::Fence);
+        for (const auto *const id : {"b", "c"}) {
+            auto answer = fenced(id, 50);
+            answer.sent = start + 50ms;
+            group.promotion.note(answer, start + 60ms);
+        }
+        CHECK(proposedIn(group.advance(start + 60ms)) == UpstreamId("b"));
+    }
+}
+
+// Failure: a group with paused replicas has a primary again, and no write is confirmed any more.
+TEST_CASE("the replicas of a new primary are told to receive again")
+{
+    auto group = Group(4);
+    group.record.confirmations = 1;
+    group.setPrimary("b");
+    auto promoted = fenced("b", 50);
+    promoted.order = Order::Promote;
+    promoted.term = Term(4);
+    promoted.report->term = 4;
+    promoted.report->role = platform::Role::Primary;
+    group.advance(start);
+    group.promotion.note(promoted, start + 300ms);
+    const auto actions = group.advance(start + 300ms);
+    auto told = std::vector<UpstreamId>();
+    for (const auto &action : actions) {
+        if (const auto *const follow = std::get_if<SendFollow>(&action)) {
+            told.push_back(follow->member);
+        }
+    }
+    CHECK(told == std::vector{UpstreamId("a"), UpstreamId("c")});
+    auto following = promoted;
+    following.order = Order::Follow;
+    following.member = UpstreamId("c");
+    following.report->id = "c";
+    following.report->role = platform::Role::Replica;
+    group.promotion.note(following, start + 310ms);
+    const auto repeated = group.advanceThrough(start + 320ms, start + 320ms + orderRetry);
+    REQUIRE(find<SendFollow>(repeated) != nullptr);
+    CHECK(find<SendFollow>(repeated)->member == UpstreamId("a"));
+}
+
+// Failure: members that have left are awaited for ever, although each member that is there has told its log.
+TEST_CASE("a group of which all members have reported waits for nobody else")
+{
+    auto group = Election(1);
+    group.forget("c");
+    group.record.departed = {UpstreamId("c")};
+    group.report("b", 48, start + 20ms);
+    group.promotion.note(unanswered("a"), start + 20ms);
+    CHECK(proposedIn(group.advanceThrough(start + 20ms, start + 1s)) == UpstreamId());
+    group.report("a", 50, start + 1s);
+    CHECK(proposedIn(group.advanceThrough(start + 1s, start + 1s + catchUpGrace + catchUpRetry)) == UpstreamId("a"));
+}
+
+// Failure: an answer to an order that was meant for a former process makes that process the present one, and the promotion is repeated for ever.
+TEST_CASE("the answer to an order that was meant for a former process does not bring that process back")
+{
+    auto group = Group(1);
+    group.setPrimary("a");
+    group.advance(start);
+    group.promotion.note(announcementOf("b", platform::Role::Replica, false, 3), start + 10ms);
+    group.member("b").incarnation = Incarnation(2);
+    group.beginNextTerm(start + 20ms);
+    group.promotion.note(fenced("b", 50, 2), start + 30ms);
+    group.member("b").incarnation = Incarnation(3);
+    group.promotion.note(unanswered("a"), start + 40ms);
+    group.promotion.note(unanswered("c"), start + 40ms);
+    CHECK(proposedIn(group.advance(start + 40ms)) == UpstreamId());
+    group.promotion.note(announcementOf("b", platform::Role::Replica, false, 3), start + 50ms);
+    group.promotion.note(fenced("b", 50, 3), start + 300ms);
+    const auto chosen = group.advance(start + 300ms);
+    REQUIRE(proposedIn(chosen) == UpstreamId("b"));
+    CHECK(find<ProposePrimary>(chosen)->command.incarnation == Incarnation(3));
+}
+
 } // namespace sapphirespool::promotion
--- a/unittests/Promotion/selfreplicatinggroup.h
+++ b/unittests/Promotion/selfreplicatinggroup.h
@@ -110,10 +110,12 @@
         });
     }
 
-    /// Delivers the report of \p id, which was fenced at the second term.
+    /// Delivers the report of \p id, which was fenced at the second term and, if writes of the group are confirmed, paused.
     auto report(std::string_view id, std::uint64_t position, TimePoint now) -> void
     {
-        this->promotion.note(fenced(id, position), now);
+        auto answer = fenced(id, position);
+        answer.order = this->record.confirmations > 0 ? Order::Pause : Order::Fence;
+        this->promotion.note(answer, now);
     }
 
     auto member(std::string_view id) -> membership::UpstreamView &
--- a/unittests/Promotion/selfreplicatingscheduletest.cpp
+++ b/unittests/Promotion/selfreplicatingscheduletest.cpp
@@ -34,7 +34,7 @@
         return;
     }
     auto &member = *members[(draw >> 8U) % members.size()];
-    switch (draw % 9) {
+    switch (draw % 10) {
     case 0:
     case 1:
         world.crash(member);
@@ -61,6 +61,9 @@
     case 7:
         world.changeLeader();
         break;
+    case 8:
+        member.cut = true;
+        break;
     default:
         world.heal();
         break;
@@ -91,4 +94,10 @@
     CHECK(survives(0));
 }
 
+// Failure: an order of events that no single test covers promotes a member that lacks an acknowledged write.
+TEST_CASE("a self-replicating group whose writes a replica confirms loses none of them to random faults")
+{
+    CHECK(survives(1));
+}
+
 } // namespace sapphirespool::promotion
--- a/unittests/Promotion/selfreplicatingtest.cpp
+++ b/unittests/Promotion/selfreplicatingtest.cpp
@@ -187,11 +187,11 @@
     group.record.confirmations = 1;
     group.record.view.history.push_back({Term(1), LogPosition(0)});
     group.advance(start);
-    group.promotion.note(fenced("b", 48), start + 10ms);
+    group.report("b", 48, start + 10ms);
     group.promotion.note(unanswered("a"), start + 10ms);
     group.promotion.note(unanswered("c"), start + 10ms);
     CHECK(find<ProposePrimary>(group.advance(start + 2s)) == nullptr);
-    group.promotion.note(fenced("c", 49), start + 2s);
+    group.report("c", 49, start + 2s);
     const auto chosen = group.advance(start + 2s);
     REQUIRE(find<ProposePrimary>(chosen) != nullptr);
     CHECK(find<ProposePrimary>(chosen)->command.primary == UpstreamId("c"));
--- a/unittests/Promotion/selfreplicatingworld.h
+++ b/unittests/Promotion/selfreplicatingworld.h
@@ -31,6 +31,12 @@
     bool running = true;
     /// Receives no writes of the primary.
     bool deaf = false;
+    /// Was told to receive no writes, until it is promoted or told to follow.
+    bool paused = false;
+    /// Has announced itself since its start; it is sent no writes before.
+    bool known = false;
+    /// Neither control nor the proxies of two zones reach it; it serves those of the third.
+    bool cut = false;
     bool leaving = false;
     bool gone = false;
     /// Takes writes; the platform's promotion and the order to step down change it.
@@ -100,6 +106,7 @@
     auto propose(const state::Command &command) -> void;
     template <typename Send, typename Execute>
     auto send(Order order, const Send &message, Duration delay, Execute execute) -> void;
+    auto isSuspected(const UpstreamId &primary) -> bool;
     auto reportOf(const FakeReplica &member, std::uint64_t term, platform::Role role, Incarnation incarnation) const -> platform::PositionReport;
     auto tellPosition(const UpstreamId &id) -> void;
     auto promote(FakeReplica &member) -> void;
@@ -117,6 +124,11 @@
     /// Writes of the present and former primaries that are not acknowledged.
     std::set<std::uint64_t> pending;
     std::set<std::uint64_t> acknowledged;
+    /// The writes that were acknowledged when the present primary was chosen. The platform alone can prevent that a former primary acknowledges
+    /// further ones until the promotion.
+    std::set<std::uint64_t> acknowledgedAtChoice;
+    /// Whether the last proposal of a primary came with a report of members that have left with their writes.
+    bool lossReported = false;
     /// Term of each write, so that logs are compared as databases do.
     std::map<std::uint64_t, std::uint64_t> termOf;
     std::uint64_t databaseTerm = 1;
