A key that was taken away ends an open transaction

Cause: a transaction kept the customer of its BEGIN until its end (CallerSession::begin() alone asked authorize()); docs/design/customers.md described that as intended. A statement inside a transaction is a request like any other, and only a change of a service may wait for the next transaction.

The key is looked up at each statement and must still belong to the customer for whom the transaction was begun; again after each wait (quota, connection, full upstream), before anything is sent, for single statements too. A key that is gone is DENIED once, the transaction is rolled back at the upstream and its connection is free. A key that belongs to another customer now is valid, so its transaction is ABORTED and may be repeated. Other keys of the customer, other customers and changes of the service go unnoticed. A session outside of a transaction is denied its SET and PARSE as well.

--- a/lib/Interactive/callersession.cpp
+++ b/lib/Interactive/callersession.cpp
@@ -98,6 +98,13 @@
     if (this->transactionStatus == TransactionStatus::Failed && statement.kind != StatementKind::Rollback && statement.kind != StatementKind::Commit) {
         co_return this->fail(makeFailure(Failure::Malformed, "the transaction failed; end it first"));
     }
+    if (auto why = this->refusalByKey(statement.kind)) {
+        const auto isOpen = this->transactionStatus == TransactionStatus::Open;
+        if (isOpen && statement.kind == StatementKind::Commit) {
+            co_return this->failCommit(*std::move(why));
+        }
+        co_return isOpen ? this->failTransaction(*std::move(why)) : this->fail(*std::move(why));
+    }
     switch (statement.kind) {
     case StatementKind::SetValue:
         co_return this->setValue(statement);
@@ -191,9 +198,7 @@
     auto context = this->makeContext(std::move(statement), this->transaction->service, this->transaction->customer);
     if (!this->transaction->lease) {
         if (auto why = co_await this->openTransaction(context)) {
-            this->transaction.reset();
-            this->transactionStatus = TransactionStatus::None;
-            co_return this->fail(*std::move(why));
+            co_return this->failCommit(*std::move(why));
         }
     }
     co_return co_await this->runCommit(context);
@@ -266,6 +271,11 @@
         co_return retryElsewhere(std::move(*none));
     }
     auto lease = std::get<ConnectionLease>(std::move(leased));
+    // The statement may have waited for the connection.
+    if (auto why = this->accessLost(context)) {
+        lease.release();
+        co_return this->fail(*std::move(why));
+    }
     if (context.access == Access::Write) {
         co_return co_await this->runWrite(std::move(lease), target, context);
     }
@@ -459,6 +469,39 @@
     return found == nullptr ? CustomerId() : found->id;
 }
 
+auto CallerSession::accessLost(const membership::ServiceView &service, const CustomerId &customer) const -> std::optional<FailureReply>
+{
+    const auto *const holder = this->core->findCustomer(this->key);
+    if (holder == nullptr ? customer.value().empty() : holder->id == customer) {
+        return std::nullopt;
+    }
+    if (holder == nullptr && service.requiresKey) {
+        return makeFailure(Failure::Denied, "the API key was taken away; use one of the configuration");
+    }
+    // The caller may go on, but not as the customer for which the upstream has begun the work.
+    return makeFailure(Failure::Aborted, "the API key no longer identifies the same customer; begin again", std::chrono::milliseconds(0));
+}
+
+auto CallerSession::accessLost(const StatementContext &context) const -> std::optional<FailureReply>
+{
+    return this->accessLost(context.service, context.customer);
+}
+
+auto CallerSession::refusalByKey(StatementKind kind) const -> std::optional<FailureReply>
+{
+    if (this->transactionStatus == TransactionStatus::Open) {
+        const auto isChecked = kind != StatementKind::Rollback;
+        return isChecked ? this->accessLost(this->transaction->service, this->transaction->customer) : std::nullopt;
+    }
+    const auto isLocal = kind == StatementKind::SetValue || kind == StatementKind::Prepare || kind == StatementKind::Deallocate;
+    if (!isLocal) {
+        return std::nullopt;
+    }
+    const auto access = this->core->authorize(this->database, this->key);
+    const auto *const why = std::get_if<FailureReply>(&access);
+    return why != nullptr && why->failure == Failure::Denied ? std::optional(*why) : std::nullopt;
+}
+
 auto CallerSession::fail(FailureReply why) -> Reply
 {
     this->core->parts.recorder->refused(ServiceId(this->database), why.failure);
--- a/lib/Interactive/callersession.h
+++ b/lib/Interactive/callersession.h
@@ -97,12 +97,16 @@
     auto runReplicaRead(ConnectionLease lease, const Target &target, const StatementContext &context) -> boost::asio::awaitable<RunResult>;
     auto runPrimaryRead(ConnectionLease lease, const Target &target, const StatementContext &context) -> boost::asio::awaitable<RunResult>;
 
+    /// Begins the transaction at an upstream, after a wait for quota and a connection.
+    /// \return why it was not begun, or why it may not go on although it was
     auto openTransaction(const StatementContext &context) -> boost::asio::awaitable<std::optional<FailureReply>>;
     auto openAt(const Target &target, const StatementContext &context) -> boost::asio::awaitable<std::optional<RetryElsewhere>>;
     auto runInTransaction(const StatementContext &context) -> boost::asio::awaitable<Reply>;
     auto exchangeInTransaction(const StatementContext &context, const Command &command) -> boost::asio::awaitable<ExchangeResult>;
     auto runCommit(const StatementContext &context) -> boost::asio::awaitable<Reply>;
     auto failTransaction(FailureReply why) -> Reply;
+    /// Rolls back the open transaction and answers its commit.
+    auto failCommit(FailureReply why) -> Reply;
     auto discardTransaction() -> void;
     auto watchIdle() -> void;
 
@@ -132,6 +136,11 @@
     auto recordServed(const ServiceId &service, Access access, const Member &member, Duration latency) -> void;
     /// \return the customer that holds the caller's key now; empty if none does
     [[nodiscard]] auto customer() const -> CustomerId;
+    /// \return why the caller may not go on with \p service as \p customer, for which work has begun; nothing while the customer holds its key
+    [[nodiscard]] auto accessLost(const membership::ServiceView &service, const CustomerId &customer) const -> std::optional<FailureReply>;
+    [[nodiscard]] auto accessLost(const StatementContext &context) const -> std::optional<FailureReply>;
+    /// \return why a statement of \p kind is refused by the key alone; nothing if it may go on
+    [[nodiscard]] auto refusalByKey(StatementKind kind) const -> std::optional<FailureReply>;
     auto fail(FailureReply why) -> Reply;
 
     std::shared_ptr<SessionCore> core;
--- a/lib/Interactive/sessiontransaction.cpp
+++ b/lib/Interactive/sessiontransaction.cpp
@@ -46,7 +46,10 @@
         auto notOpened = co_await this->openAt(target, context);
         if (!notOpened) {
             ++this->core->counts.transactions;
-            co_return std::nullopt;
+            co_return this->accessLost(context);
+        }
+        if (auto lost = this->accessLost(context)) {
+            co_return lost;
         }
         why = std::move(notOpened->why);
         this->recordRetry(why);
@@ -104,6 +107,9 @@
         this->core->probe(this->transaction->member);
         co_return this->failTransaction(makeFailure(Failure::Aborted, "the connection broke; the transaction was rolled back"));
     }
+    if (auto lost = this->accessLost(context)) {
+        co_return this->failTransaction(*std::move(lost));
+    }
     const auto command = commandOf(context.statement, this->transaction->lease->connection().state, context.shapePointer());
     this->transaction->wrote = this->transaction->wrote || context.access == Access::Write;
     const auto exchange = co_await this->exchangeInTransaction(context, command);
@@ -148,6 +154,9 @@
         }
         timer.expires_after(fullQueueRetryDelay);
         co_await timer.async_wait(awaitTuple);
+        if (this->accessLost(context)) {
+            co_return exchange;
+        }
     }
 }
 
@@ -190,6 +199,13 @@
     return this->fail(std::move(why));
 }
 
+auto CallerSession::failCommit(FailureReply why) -> Reply
+{
+    this->discardTransaction();
+    this->transactionStatus = TransactionStatus::None;
+    return this->fail(std::move(why));
+}
+
 auto CallerSession::discardTransaction() -> void
 {
     if (this->transaction != nullptr && this->transaction->lease) {
--- a/unittests/Interactive/customertest.cpp
+++ b/unittests/Interactive/customertest.cpp
@@ -82,6 +82,12 @@
         this->publish();
     }
 
+    /// Replaces the key of the sessions that were opened with "key-of-chefs".
+    auto takeKeyOfChefs() -> void
+    {
+        this->setCustomers({customerOf("chefs", {"second-key"}), customerOf("shearers", {"key-of-shearers"})});
+    }
+
     auto openFailure(std::string_view key) -> Failure
     {
         return std::get<FailureReply>(this->service->open("orders", key)).failure;
@@ -133,8 +139,8 @@
     CHECK(proxy.customersOf("STORE a 2") == std::vector{CustomerId("chefs")});
 }
 
-// A key that was taken away must not start another transaction, and an open one must end whole.
-TEST_CASE("a key that is taken away ends the session at the next transaction")
+// Failure: a caller whose key was taken away goes on reading and writing in a transaction that it began before.
+TEST_CASE("a key that is taken away ends an open transaction at its next statement")
 {
     auto proxy = CustomerProxy();
     const auto session = proxy.open("key-of-chefs");
@@ -142,14 +148,141 @@
     CHECK_FALSE(proxy.run(session, store("a", "1")).failure);
     proxy.run(open, statementOf(StatementKind::Begin));
     CHECK_FALSE(proxy.run(open, store("b", "1")).failure);
-    proxy.setCustomers({customerOf("chefs", {"second-key"}), customerOf("shearers", {"key-of-shearers"})});
+    proxy.takeKeyOfChefs();
     CHECK(proxy.run(session, store("a", "2")).failure->failure == Failure::Denied);
     CHECK(proxy.run(session, statementOf(StatementKind::Begin)).failure->failure == Failure::Denied);
-    CHECK_FALSE(proxy.run(open, store("b", "2")).failure);
-    CHECK_FALSE(proxy.run(open, statementOf(StatementKind::Commit)).failure);
+    CHECK(proxy.run(open, store("b", "2")).failure->failure == Failure::Denied);
+    CHECK(open->status() == TransactionStatus::Failed);
+    CHECK(proxy.run(open, statementOf(StatementKind::Commit)).failure->failure == Failure::Aborted);
     CHECK(proxy.run(open, statementOf(StatementKind::Begin)).failure->failure == Failure::Denied);
+    proxy.runFor(10ms);
+    CHECK(proxy.databases.received.back().command.kind == CommandKind::Rollback);
+    CHECK(proxy.service->counts().transactions == 0);
     CHECK(proxy.databases.member("a").items.at("a") == "1");
-    CHECK(proxy.databases.member("a").items.at("b") == "2");
+    CHECK_FALSE(proxy.databases.member("a").items.contains("b"));
+}
+
+// Failure: a transaction that rests before its first statement begins at the upstream for a customer that no longer holds the key.
+TEST_CASE("a key that is taken away ends a transaction that has not begun at the upstream")
+{
+    const auto kind = GENERATE(StatementKind::Begin, StatementKind::BeginReadOnly);
+    const auto next = GENERATE(StatementKind::Read, StatementKind::Commit, StatementKind::SetValue, StatementKind::Prepare);
+    auto proxy = CustomerProxy();
+    const auto session = proxy.open("key-of-chefs");
+    proxy.run(session, statementOf(kind));
+    proxy.takeKeyOfChefs();
+    CHECK(proxy.run(session, statementOf(next, "FETCH a")).failure->failure == Failure::Denied);
+    CHECK(proxy.databases.received.empty());
+    proxy.run(session, statementOf(StatementKind::Rollback));
+    CHECK(session->status() == TransactionStatus::None);
+}
+
+// Failure: the writes of a transaction are committed with a key that nobody holds any more.
+TEST_CASE("a commit with a key that was taken away is denied, and nothing is kept")
+{
+    auto proxy = CustomerProxy();
+    proxy.pool->setLimits(UpstreamId("a"), {1, 1});
+    const auto session = proxy.open("key-of-chefs");
+    proxy.run(session, statementOf(StatementKind::Begin));
+    CHECK_FALSE(proxy.run(session, store("a", "1")).failure);
+    proxy.takeKeyOfChefs();
+    CHECK(proxy.run(session, statementOf(StatementKind::Commit)).failure->failure == Failure::Denied);
+    CHECK(session->status() == TransactionStatus::None);
+    // The only connection is free for others.
+    CHECK_FALSE(proxy.run(proxy.open("key-of-shearers"), store("b", "1")).failure);
+    CHECK_FALSE(proxy.databases.member("a").items.contains("a"));
+}
+
+// Failure: the statements of an open transaction run for a customer that no longer holds the key. The key is still valid, so it is not denied.
+TEST_CASE("a key that moves to another customer aborts an open transaction, which may be repeated")
+{
+    auto proxy = CustomerProxy();
+    const auto session = proxy.open("key-of-chefs");
+    proxy.run(session, statementOf(StatementKind::Begin));
+    CHECK_FALSE(proxy.run(session, store("a", "1")).failure);
+    proxy.setCustomers({customerOf("chefs", {"second-key"}), customerOf("shearers", {"key-of-shearers", "key-of-chefs"})});
+    CHECK(proxy.run(session, store("a", "2")).failure->failure == Failure::Aborted);
+    proxy.run(session, statementOf(StatementKind::Rollback));
+    proxy.run(session, statementOf(StatementKind::Begin));
+    CHECK_FALSE(proxy.run(session, store("a", "3")).failure);
+    CHECK_FALSE(proxy.run(session, statementOf(StatementKind::Commit)).failure);
+    CHECK(proxy.customersOf("STORE a 2").empty());
+    CHECK(proxy.customersOf("STORE a 3") == std::vector{CustomerId("shearers")});
+}
+
+// Failure: callers whose own key did not change lose their transactions when other keys or the route change.
+TEST_CASE("a transaction goes on while its own key stays valid")
+{
+    auto proxy = CustomerProxy();
+    const auto session = proxy.open("key-of-chefs");
+    proxy.run(session, statementOf(StatementKind::Begin));
+    CHECK_FALSE(proxy.run(session, store("a", "1")).failure);
+    proxy.databases.service.requiresKey = false;
+    proxy.databases.service.timeout = 1s;
+    proxy.setCustomers({customerOf("chefs", {"key-of-chefs", "third-key"}), customerOf("smiths", {"key-of-smiths"})});
+    CHECK_FALSE(proxy.run(session, store("b", "1")).failure);
+    CHECK_FALSE(proxy.run(session, statementOf(StatementKind::Commit)).failure);
+    CHECK(proxy.databases.member("a").items.size() == 2);
+}
+
+// Failure: a statement that waits for a connection while its key is taken away runs all the same.
+TEST_CASE("a statement that waits while its key is taken away is not run")
+{
+    const auto inTransaction = GENERATE(false, true);
+    auto proxy = CustomerProxy();
+    proxy.pool->setLimits(UpstreamId("a"), {1, 1});
+    const auto holder = proxy.open("key-of-shearers");
+    proxy.run(holder, statementOf(StatementKind::Begin));
+    CHECK_FALSE(proxy.run(holder, store("s", "1")).failure);
+    const auto waiting = proxy.open("key-of-chefs");
+    if (inTransaction) {
+        proxy.run(waiting, statementOf(StatementKind::Begin));
+    }
+    const auto reply = proxy.start(waiting, store("c", "1"));
+    proxy.runFor(20ms);
+    REQUIRE_FALSE(reply->has_value());
+    proxy.takeKeyOfChefs();
+    CHECK_FALSE(proxy.run(holder, statementOf(StatementKind::Commit)).failure);
+    proxy.runFor(50ms);
+    REQUIRE(reply->has_value());
+    CHECK((*reply)->failure->failure == Failure::Denied);
+    CHECK(proxy.customersOf("STORE c 1").empty());
+    CHECK_FALSE(proxy.run(proxy.open("key-of-shearers"), store("s", "2")).failure);
+}
+
+// Failure: a statement of an open transaction is sent again after its key was taken away.
+TEST_CASE("a statement that a full upstream refused is not repeated after its key was taken away")
+{
+    auto proxy = CustomerProxy();
+    const auto session = proxy.open("key-of-chefs");
+    proxy.run(session, statementOf(StatementKind::Begin));
+    CHECK_FALSE(proxy.run(session, store("a", "1")).failure);
+    proxy.databases.member("a").fault = [](const Command &) {
+        return Fault::Busy;
+    };
+    const auto reply = proxy.start(session, store("a", "2"));
+    proxy.runFor(30ms);
+    REQUIRE_FALSE(reply->has_value());
+    proxy.takeKeyOfChefs();
+    const auto sent = proxy.customersOf("STORE a 2").size();
+    proxy.runFor(100ms);
+    REQUIRE(reply->has_value());
+    CHECK((*reply)->failure);
+    CHECK(proxy.customersOf("STORE a 2").size() == sent);
+    CHECK_FALSE(proxy.databases.member("a").items.contains("a"));
+}
+
+// Failure: a session that stays open goes on with a key that was taken away.
+TEST_CASE("a session outside of a transaction is denied each statement once its key is taken away")
+{
+    auto proxy = CustomerProxy();
+    const auto session = proxy.open("key-of-chefs");
+    CHECK_FALSE(proxy.run(session, setValue("v", "1")).failure);
+    proxy.takeKeyOfChefs();
+    CHECK(proxy.run(session, setValue("v", "2")).failure->failure == Failure::Denied);
+    CHECK(proxy.run(session, prepareShape("s1", false, "q")).failure->failure == Failure::Denied);
+    CHECK(proxy.run(session, fetch("a")).failure->failure == Failure::Denied);
+    CHECK(proxy.databases.received.empty());
 }
 
 TEST_CASE("a key that moves to another customer acts for it from the next transaction on")
