--- a/include/sapphirespool/Promotion/grouppromotion.h
+++ b/include/sapphirespool/Promotion/grouppromotion.h
@@ -12,7 +12,8 @@
 //     term t, primary p           p silent, suspected, ...        propose term t + 1
 //
 // Members of a self-replicating group (see configuration::GroupConfiguration) replicate by rules of their own. They store no term of the
-// replicated state, and their health reports contain neither a term nor a position.
+// replicated state, and their health reports contain neither a term nor a position. For them a quorum is any set of reports that shows one
+// member to have each acknowledged write; see choice.h.
 //
 // spec/promotion.pml models these steps as transitions of the same names.
 #pragma once
