--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -554,6 +554,7 @@
     std::uint64_t begunInTerm = 0;
     std::vector<Entry> writes;
     std::map<std::string, std::pair<bool, std::string>> prepared;
+    Values values;
 };
 
 Service::Service(Deployment &deployment, std::string name, int count, int firstAddress, int syncReplicas)
@@ -837,6 +838,7 @@
         return fail("MALFORMED");
     }
     if (verb == "SET") {
+        session.values[parts[1]] = words(text, 3).back();
         return done("-");
     }
     if (verb == "PARSE") {
@@ -845,6 +847,7 @@
     }
     if (verb == "DISCARD") {
         session.prepared.clear();
+        session.values.clear();
         return done("-");
     }
     if (verb == "ROLLBACK") {
@@ -873,7 +876,7 @@
             return fail(isAborted ? "ABORTED" : "READONLY");
         }
         if (this->onRun) {
-            this->onRun(session.number, id, text);
+            this->onRun(session.number, id, text, session.values);
         }
         if (!writes.empty() && !this->commit(session, id, writes, lock)) {
             return {};
@@ -896,7 +899,7 @@
         return fail("READONLY");
     }
     if (this->onRun) {
-        this->onRun(session.number, id, text);
+        this->onRun(session.number, id, text, session.values);
     }
     if (!isWrite) {
         auto value = std::string("none");
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -194,8 +194,10 @@
     auto hasCommitted(int number, const std::string &statement) -> bool;
     auto lastPosition(int number) -> Position;
 
-    /// Called when a database runs a read, write or commit, or begins a transaction: database, statement id, text.
-    std::function<void(int, const std::string &, const std::string &)> onRun;
+    /// Values that were set on a connection, by name.
+    using Values = std::map<std::string, std::string>;
+    /// Called when a database runs a read, write or commit: database, statement id, text, values of the connection.
+    std::function<void(int, const std::string &, const std::string &, const Values &)> onRun;
     /// Called with the number of the database that leads the next term, before any log is rolled back.
     std::function<void(int)> onPromoted;
 
