--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -651,6 +651,12 @@
     return this->databases[static_cast<std::size_t>(number)]->drainAcknowledgedAt;
 }
 
+auto Service::setCommitTime(double seconds) -> void
+{
+    const auto guard = std::lock_guard(this->mutex);
+    this->commitTime = seconds;
+}
+
 auto Service::setStatusDelay(int number, double seconds) -> void
 {
     const auto guard = std::lock_guard(this->mutex);
@@ -881,6 +887,11 @@
         if (!writes.empty() && !this->commit(session, id, writes, lock)) {
             return {};
         }
+        if (this->commitTime > 0) {
+            lock.unlock();
+            sleepFor(this->commitTime);
+            lock.lock();
+        }
         return done("sig." + id);
     }
     auto isWrite = verb == "STORE";
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -174,6 +174,8 @@
     auto drain(int number) -> void;
     /// \return when a VM first acknowledged a heartbeat with `draining` of it
     auto drainAcknowledgedAt(int number) -> std::optional<double>;
+    /// Lets every commit of a transaction take \p seconds.
+    auto setCommitTime(double seconds) -> void;
     /// Lets it answer `STATUS`, `PAUSE`, `RESUME` and `STEPDOWN` after \p seconds.
     auto setStatusDelay(int number, double seconds) -> void;
 
@@ -222,6 +224,7 @@
     std::mutex mutex;
     std::condition_variable changed;
     std::uint64_t term = 1;
+    double commitTime = 0;
     int primaryNumber = 0;
     std::vector<std::unique_ptr<Database>> databases;
 };
