--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -70,6 +70,8 @@
     for (auto number = 0; number < 3; ++number) {
         service.start(number);
     }
+    // Replicas of the site are 20 ms behind; so the other replica, which is as far or further, is the one that is chosen.
+    service.setReceiveInterval(late, 0.02);
     if (rig::hasTrouble()) {
         service.setLateResume(late, earliestSeconds, latestSeconds);
     }
--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -525,6 +525,7 @@
     std::uint64_t sequence = 0;
     std::vector<Entry> log;
     bool isDeaf = false;
+    bool receivesLate = false;
     bool isPaused = false;
     bool isDraining = false;
     std::optional<double> drainAcknowledgedAt;
@@ -635,6 +636,19 @@
     this->replicate();
 }
 
+auto Service::setReceiveInterval(int number, double seconds) -> void
+{
+    const auto guard = std::lock_guard(this->mutex);
+    this->databases[static_cast<std::size_t>(number)]->receivesLate = true;
+    std::thread([this, seconds] {
+        while (true) {
+            sleepFor(seconds);
+            const auto inner = std::lock_guard(this->mutex);
+            this->replicate(true);
+        }
+    }).detach();
+}
+
 auto Service::drain(int number) -> void
 {
     const auto guard = std::lock_guard(this->mutex);
@@ -771,14 +785,15 @@
 }
 
 /// Lets the replicas receive what the primary has; what is not in its log is rolled back.
-auto Service::replicate() -> void
+auto Service::replicate(bool alsoLate) -> void
 {
     if (this->primaryNumber == nobody || !this->databases[static_cast<std::size_t>(this->primaryNumber)]->isUp) {
         return;
     }
     const auto &lead = *this->databases[static_cast<std::size_t>(this->primaryNumber)];
     for (auto &database : this->databases) {
-        const auto receives = database->isUp && !database->isDeaf && !database->isPaused && database.get() != &lead;
+        const auto isInTime = alsoLate || !database->receivesLate;
+        const auto receives = database->isUp && isInTime && !database->isDeaf && !database->isPaused && database.get() != &lead;
         if (receives) {
             database->log = lead.log;
         }
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -170,6 +170,8 @@
     auto startAgain(int number, bool keepsLog) -> void;
     /// Whether database \p number receives what the primary commits.
     auto setDeaf(int number, bool deaf) -> void;
+    /// Lets database \p number receive only every \p seconds what the primary commits.
+    auto setReceiveInterval(int number, double seconds) -> void;
     /// Lets it say `draining` in its heartbeats from now on.
     auto drain(int number) -> void;
     /// \return when a VM first acknowledged a heartbeat with `draining` of it
@@ -214,7 +216,8 @@
     auto resumeLate(int number) -> void;
     auto isCut(int number, int vm) -> bool;
     auto commit(Session &session, const std::string &id, std::vector<Entry> entries, std::unique_lock<std::mutex> &lock) -> bool;
-    auto replicate() -> void;
+    /// \param alsoLate whether databases with a receive interval receive too
+    auto replicate(bool alsoLate = false) -> void;
     auto beatLoop(int number, int life) -> void;
     auto beat(int number, int life) -> void;
 
