--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -12,7 +12,9 @@
 namespace
 {
 
-constexpr auto transactions = 11;
+/// The machine that is stopped.
+constexpr auto stopped = 5;
+constexpr auto transactions = 8;
 /// The commits are spread over this part of the grace, in seconds after the signal.
 constexpr auto secondWrite = 2.6;
 constexpr auto firstCommit = 4.94;
@@ -81,6 +83,8 @@
         deployment.startControl(vm, true);
         deployment.startProxy(vm, true);
     }
+    // This machine has no part in control, so that its stop is a stop of the proxy alone.
+    deployment.startProxy(stopped, true);
     rig::sleepFor(1);
     const auto text = rig::configurationText(1, {{"orders", "primary", "ordersdb"}}, {"ordersdb"}, 0);
     if (!rig::sendConfiguration(deployment, {1, 2, 3}, text, 15)) {
@@ -89,20 +93,20 @@
     rig::sleepFor(5);
     for (auto number = 0; number < transactions; ++number) {
         const auto at = firstCommit + (lastCommit - firstCommit) * number / transactions;
-        std::thread(commitLate, deployment.address(1), at).detach();
+        std::thread(commitLate, deployment.address(stopped), at).detach();
     }
     while (ready < transactions) {
         rig::sleepFor(0.01);
     }
     if (rig::hasTrouble()) {
-        deployment.signalProxy(1, SIGTERM);
+        deployment.signalProxy(stopped, SIGTERM);
     }
     stoppedAt = rig::elapsed();
     for (auto waited = 0; waited < 1000 && ended < transactions; ++waited) {
         rig::sleepFor(0.01);
     }
     if (rig::hasTrouble()) {
-        deployment.awaitProxyEnd(1, 3);
+        deployment.awaitProxyEnd(stopped, 3);
     }
     rig::note(std::to_string(answered) + " commits were answered, " + std::to_string(unanswered) + " were run and not answered");
     if (ranAt.empty()) {
--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -214,9 +214,9 @@
     recordFile << time << line << std::endl;
 }
 
-auto openRecord(const std::string &folder) -> void
+auto openRecord(const std::string &file) -> void
 {
-    recordFile.open(folder + "/record.txt", std::ios::trunc);
+    recordFile.open(file, std::ios::trunc);
     std::signal(SIGPIPE, SIG_IGN);
     std::thread([] {
         sleepFor(longestCase);
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -27,11 +27,11 @@
 auto elapsed() -> double;
 auto sleepFor(double seconds) -> void;
 
-/// Appends one line with the time to record.txt.
+/// Appends one line with the time to the record.
 auto note(const std::string &line) -> void;
 
-/// Opens record.txt in \p folder.
-auto openRecord(const std::string &folder) -> void;
+/// Begins the record of a case in \p file.
+auto openRecord(const std::string &file) -> void;
 
 struct HttpRequest
 {
