A stopping owner of connections ends its work for other proxies in good order

Callers of a proxy that serves on were left in doubt: their statements ran on a connection of another proxy, which was stopped and closed it under a commit.

Cause: an owner looked at its own callers alone when it stopped. It granted leases and ran commands for others until its connections were closed.

Now an owner can be told from when on it runs nothing more for others. A command that comes later is answered with "nothing was sent", which the proxy tells its caller as rolled back, or runs through another owner; what runs is answered, and counted so that the stop can wait for it.

--- a/include/sapphirespool/Forwarding/forwardingpool.h
+++ b/include/sapphirespool/Forwarding/forwardingpool.h
@@ -8,11 +8,21 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <cstddef>
 #include <memory>
 
 namespace sapphirespool::forwarding
 {
 
+/// What other proxies use of this proxy's connections.
+struct LentWork
+{
+    /// Leases that they hold, each for a statement or a transaction.
+    std::size_t leases = 0;
+    /// Commands that run on them, and answers that are not yet sent.
+    std::size_t exchanges = 0;
+};
+
 /// Leases connections to upstreams. Where this proxy is not an owner of an upstream (see Ownership), it leases a connection from one of
 /// the owners and forwards the statements to it. All calls must come on the executor of the pool.
 class ForwardingPool : public interactive::ConnectionPool
@@ -29,6 +39,11 @@
     /// \return what admits the operations of customers within their quotas
     [[nodiscard]] virtual auto quota() -> std::shared_ptr<interactive::QuotaGate> = 0;
 
+    /// From \p end on runs nothing for other proxies: they are told that nothing was sent to the upstream. What runs goes on.
+    virtual auto endLendingAt(TimePoint end) -> void = 0;
+
+    [[nodiscard]] virtual auto lent() const -> LentWork = 0;
+
     /// Closes the connections to and from other proxies.
     virtual auto close() -> void = 0;
 };
--- a/lib/Forwarding/forwardingpool.cpp
+++ b/lib/Forwarding/forwardingpool.cpp
@@ -100,6 +100,27 @@
         return this->fleetQuota;
     }
 
+    auto endLendingAt(TimePoint end) -> void override
+    {
+        this->lendingEnd = end;
+    }
+
+    [[nodiscard]] auto lent() const -> LentWork override
+    {
+        auto work = LentWork();
+        for (const auto &connection : this->inboundConnections) {
+            const auto lent = connection->lent();
+            work.leases += lent.leases;
+            work.exchanges += lent.exchanges;
+        }
+        return work;
+    }
+
+    [[nodiscard]] auto mayLend() const -> bool override
+    {
+        return support::now() < this->lendingEnd;
+    }
+
     auto close() -> void override
     {
         auto ignored = boost::system::error_code();
@@ -394,6 +415,7 @@
     std::map<VmId, Channel> channels;
     std::map<UpstreamId, RemoteUsage> remoteUsages;
     std::set<std::shared_ptr<OwnerConnection>> inboundConnections;
+    TimePoint lendingEnd = TimePoint::max();
 };
 
 } // namespace
--- a/lib/Forwarding/framedconnection.cpp
+++ b/lib/Forwarding/framedconnection.cpp
@@ -82,6 +82,11 @@
     return this->open;
 }
 
+auto FramedConnection::isWriting() const -> bool
+{
+    return this->open && !(this->writing.empty() && this->outgoing.empty());
+}
+
 auto FramedConnection::executor() -> asio::any_io_executor
 {
     return this->socket.get_executor();
--- a/lib/Forwarding/framedconnection.h
+++ b/lib/Forwarding/framedconnection.h
@@ -36,6 +36,9 @@
     auto close() -> void;
 
     [[nodiscard]] auto isOpen() const -> bool;
+
+    /// \return whether messages wait to be accepted by the peer
+    [[nodiscard]] auto isWriting() const -> bool;
     [[nodiscard]] auto executor() -> boost::asio::any_io_executor;
 
 private:
--- a/lib/Forwarding/ownerserver.cpp
+++ b/lib/Forwarding/ownerserver.cpp
@@ -68,6 +68,12 @@
     this->connection->close();
 }
 
+auto OwnerConnection::lent() const -> LentWork
+{
+    const auto running = this->leases->exchanging.size();
+    return {this->leases->held.size() + running, running + (this->connection->isWriting() ? 1U : 0U)};
+}
+
 auto OwnerConnection::receive(Message message) -> void
 {
     const auto self = this->shared_from_this();
@@ -92,8 +98,9 @@
 auto OwnerConnection::acquire(std::shared_ptr<OwnerConnection> self, std::uint64_t lease, Acquire request) -> asio::awaitable<void>
 {
     auto upstream = co_await self->findOwned(request.group, request.upstream, std::min<Duration>(viewWaitLimit, request.waitLimit));
-    if (!upstream) {
-        auto why = interactive::FailureReply{interactive::Failure::Busy, "the owner does not know upstream " + request.upstream.value(), {}};
+    if (!upstream || !self->mayLend()) {
+        const auto *const detail = upstream ? "the owner is stopping and lends no connection to upstream " : "the owner does not know upstream ";
+        auto why = interactive::FailureReply{interactive::Failure::Busy, detail + request.upstream.value(), {}};
         self->refuse(lease, Refused{std::move(why), true});
         co_return;
     }
@@ -130,6 +137,13 @@
         self->connection->send(answer);
         co_return;
     }
+    if (!self->mayLend()) {
+        // Without the lease the connection closes, and the upstream rolls back what was not committed.
+        self->leases->held.erase(found);
+        result.broken = true;
+        self->connection->send(answer);
+        co_return;
+    }
     // The lease is taken out of the map while the exchange runs: the connection may end meanwhile, which clears the map.
     auto held = std::move(found->second);
     self->leases->held.erase(found);
@@ -182,6 +196,12 @@
     co_return co_await upstreams->awaitOwned(std::move(group), std::move(upstream), waitLimit);
 }
 
+auto OwnerConnection::mayLend() const -> bool
+{
+    const auto upstreams = this->owned.lock();
+    return upstreams != nullptr && upstreams->mayLend();
+}
+
 auto OwnerConnection::refuse(std::uint64_t lease, Refused refused) -> void
 {
     if (this->leases->releasedEarly.erase(lease) == 0) {
--- a/lib/Forwarding/ownerserver.h
+++ b/lib/Forwarding/ownerserver.h
@@ -4,6 +4,7 @@
 #include "framedconnection.h"
 
 #include "sapphirespool/Decisions/quotaallocator.h"
+#include "sapphirespool/Forwarding/forwardingpool.h"
 #include "sapphirespool/Interactive/connectionpool.h"
 #include "sapphirespool/Membership/clusterview.h"
 
@@ -33,6 +34,9 @@
     /// milliseconds before its request could be served.
     /// \return the upstream, or nothing if no such view arrived
     virtual auto awaitOwned(GroupId group, UpstreamId upstream, Duration waitLimit) -> boost::asio::awaitable<std::optional<membership::UpstreamView>> = 0;
+
+    /// \return whether this proxy may still run commands for others; it may not when it is about to stop
+    [[nodiscard]] virtual auto mayLend() const -> bool = 0;
 };
 
 /// The parts of customers' quotas that this proxy allocates.
@@ -65,6 +69,8 @@
 
     auto close() -> void;
 
+    [[nodiscard]] auto lent() const -> LentWork;
+
 private:
     class Leases;
 
@@ -75,6 +81,7 @@
     static auto prove(std::shared_ptr<OwnerConnection> self, std::uint64_t number, Prove request) -> boost::asio::awaitable<void>;
     auto findOwned(GroupId group, UpstreamId upstream, Duration waitLimit) -> boost::asio::awaitable<std::optional<membership::UpstreamView>>;
     auto refuse(std::uint64_t lease, Refused refused) -> void;
+    [[nodiscard]] auto mayLend() const -> bool;
 
     std::shared_ptr<FramedConnection> connection;
     std::shared_ptr<interactive::ConnectionPool> pool;
--- a/unittests/Forwarding/forwardingpooltest.cpp
+++ b/unittests/Forwarding/forwardingpooltest.cpp
@@ -154,16 +154,28 @@
         return **result;
     }
 
-    auto exchange(interactive::ConnectionLease &lease, std::string text) -> interactive::ExchangeResult
+    using PendingExchange = std::shared_ptr<std::optional<interactive::ExchangeResult>>;
+
+    auto beginExchange(interactive::ConnectionLease &lease, std::string text) -> PendingExchange
     {
         auto result = std::make_shared<std::optional<interactive::ExchangeResult>>();
         asio::co_spawn(this->io, runStatement(lease, std::move(text), result), asio::detached);
+        return result;
+    }
+
+    auto await(const PendingExchange &result) -> interactive::ExchangeResult
+    {
         for (auto attempt = 0; attempt < 300 && !result->has_value(); ++attempt) {
             this->run(10ms);
         }
         return result->value();
     }
 
+    auto exchange(interactive::ConnectionLease &lease, std::string text) -> interactive::ExchangeResult
+    {
+        return this->await(this->beginExchange(lease, std::move(text)));
+    }
+
     /// \return a proxy that forwards its statements for the first upstream to owners
     [[nodiscard]] auto proxyWithoutConnections() const -> std::size_t
     {
@@ -558,4 +570,32 @@
     CHECK(result.sent);
 }
 
+TEST_CASE("a stopping owner runs nothing more for other proxies and answers what it runs")
+{
+    // Failure: the owner of a connection stops and cuts the commit of a proxy that serves on, whose caller is left in doubt.
+    auto fleet = Fleet();
+    const auto proxy = fleet.proxyWithoutConnections();
+    REQUIRE(proxy < proxyCount);
+    REQUIRE_FALSE(fleet.acquire(proxy));
+    auto &owner = fleet.poolOf(fleet.firstOwnerFor(proxy));
+    CHECK(owner.lent().leases == 1);
+    fleet.databases.member("a").answerDelay = 100ms;
+    const auto running = fleet.beginExchange(fleet.leases.front(), "STORE a 1");
+    fleet.run(30ms);
+    CHECK(owner.lent().exchanges == 1);
+    owner.endLendingAt(support::now());
+    const auto answered = fleet.await(running);
+    CHECK(answered.results.size() == 1);
+    CHECK(owner.lent().exchanges == 0);
+    const auto refused = fleet.exchange(fleet.leases.front(), "STORE b 2");
+    CHECK(refused.results.empty());
+    CHECK_FALSE(refused.sent);
+    CHECK(owner.lent().leases == 0);
+    CHECK(fleet.databases.member("a").items.size() == 1);
+    // Another owner takes its place before any view says that it leaves.
+    fleet.leases.clear();
+    CHECK_FALSE(fleet.acquire(proxy));
+    CHECK(owner.lent().leases == 0);
+}
+
 } // namespace sapphirespool::forwarding
--- a/unittests/Interactive/fakedatabases.cpp
+++ b/unittests/Interactive/fakedatabases.cpp
@@ -47,6 +47,13 @@
                 break;
             }
         }
+        const auto isFromCaller = std::any_of(commands.begin(), commands.end(), [](const Command &command) {
+            return !command.id.empty();
+        });
+        if (const auto delay = this->member().answerDelay; isFromCaller && delay.count() > 0) {
+            auto timer = asio::steady_timer(co_await asio::this_coro::executor, delay);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
         if (this->answerLost) {
             auto timer = asio::steady_timer(co_await asio::this_coro::executor, limit);
             co_await timer.async_wait(asio::use_awaitable);
--- a/unittests/Interactive/fakedatabases.h
+++ b/unittests/Interactive/fakedatabases.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -57,6 +58,8 @@
     std::size_t connectionLimit = 100;
     /// Selects the fault for each command of a caller; not called for the proxy's own commands.
     std::function<Fault(const Command &)> fault;
+    /// Time from the run of a caller's command to its answer.
+    std::chrono::milliseconds answerDelay{0};
 };
 
 class FakeDatabases
