A planned stop answers whatever an upstream has run

Cause: from half of the grace on a statement of an open transaction was refused, but a COMMIT, and a statement outside of a transaction, were sent to the upstream at any time. The stop closed all connections at five sixths of the grace, whatever they waited for: its last two steps had the same deadline.

Now nothing is sent to an upstream from half of the grace on. Every statement of a caller passes CallerSession::forward(), which compares the time right before the exchange, after all waits; a flag set by a step of the stop would leave the time until the next step. A connection with an unanswered request is closed at the end of the grace only, also when its answer is not yet written in full. SP1007 tells how many requests a stop has cut.

--- a/include/sapphirespool/Interactive/session.h
+++ b/include/sapphirespool/Interactive/session.h
@@ -90,8 +90,9 @@
     /// Refuses new transactions and single statements from now on; open transactions continue.
     virtual auto refuseNewWork() -> void = 0;
 
-    /// From now on rolls an open transaction back at its next read or write. A commit still runs.
-    virtual auto abortTransactions() -> void = 0;
+    /// From \p end on nothing is forwarded to an upstream: new work is refused, and an open transaction is rolled back at its next
+    /// statement, its commit included. Statements that were forwarded before are still answered.
+    virtual auto endForwardingAt(TimePoint end) -> void = 0;
 
     [[nodiscard]] virtual auto counts() const -> SessionCounts = 0;
 };
--- a/include/sapphirespool/Node/edge.h
+++ b/include/sapphirespool/Node/edge.h
@@ -35,10 +35,16 @@
     /// Closes each connection as soon as it has no request and no transaction. Goes on to accept, since the balancer may be late.
     virtual auto drain() -> void = 0;
 
+    /// Closes each connection as soon as it has no request, also within a transaction.
+    virtual auto closeUnasked() -> void = 0;
+
     /// Closes all connections, whatever they do.
     virtual auto close() -> void = 0;
 
     [[nodiscard]] virtual auto connections() const -> std::size_t = 0;
+
+    /// \return the connections with a request that was read and whose answer has not been written in full
+    [[nodiscard]] virtual auto unanswered() const -> std::size_t = 0;
 };
 
 /// One implementation for each world that the product is placed in.
--- a/include/sapphirespool/ProxyRole/gracefulshutdown.h
+++ b/include/sapphirespool/ProxyRole/gracefulshutdown.h
@@ -15,13 +15,36 @@
     Serving,
     /// The balancer is told to send nothing more; everything is still served, since it takes a while to notice.
     Unready,
-    /// New work is refused as not run; running requests and transactions go on.
+    /// New callers are turned away; running requests and transactions go on.
     Finishing,
-    /// No work is left; answers on their way are written, then connections close.
+    /// Nothing more is sent to an upstream. What was sent is still answered; a request of an open transaction is refused, and the
+    /// transaction rolled back.
+    Answering,
+    /// No work is left but answers on their way, which are written; the other connections close.
     Closing,
     Done,
 };
 
+/// When the steps of a stop begin at the latest, counted from the request to stop.
+///
+/// Invariant: nothing is sent to an upstream from `answering` on, and no connection with an unanswered request is closed before `done`. A
+/// request that an upstream has run is therefore cut only if the upstream takes longer than the time between the two.
+struct ShutdownTimes
+{
+    std::chrono::milliseconds finishing{0};
+    std::chrono::milliseconds answering{0};
+    std::chrono::milliseconds closing{0};
+    std::chrono::milliseconds done{0};
+
+    /// \return the times for a process that is killed after \p grace, of which callers are told that open transactions have the first half
+    [[nodiscard]] static auto ofGrace(std::chrono::milliseconds grace) -> ShutdownTimes;
+
+    /// \return the times for a process that nobody kills
+    /// \param balancerDelay time that the balancer needs to see that this proxy is not ready
+    /// \param drainTimeout time after it until work that still runs is cut
+    [[nodiscard]] static auto ofDrain(std::chrono::milliseconds balancerDelay, std::chrono::milliseconds drainTimeout) -> ShutdownTimes;
+};
+
 /// What still runs.
 struct RunningWork
 {
@@ -35,7 +58,7 @@
 class GracefulShutdown
 {
 public:
-    GracefulShutdown(std::chrono::milliseconds balancerDelay, std::chrono::milliseconds drainTimeout);
+    explicit GracefulShutdown(ShutdownTimes times);
 
     auto begin(TimePoint now) -> void;
 
@@ -45,14 +68,15 @@
 
     [[nodiscard]] auto phase() const -> ShutdownPhase;
 
+    /// \return from when on nothing may be sent to an upstream; TimePoint::max() before the stop begins
+    [[nodiscard]] auto forwardingEnd() const -> TimePoint;
+
 private:
     [[nodiscard]] auto isStepDue(RunningWork work, TimePoint now) const -> bool;
 
-    std::chrono::milliseconds balancerDelay;
-    std::chrono::milliseconds drainTimeout;
+    ShutdownTimes times;
     ShutdownPhase current = ShutdownPhase::Serving;
-    TimePoint finishAt{};
-    TimePoint cutAt{};
+    TimePoint beganAt{};
 };
 
 } // namespace sapphirespool::proxy
--- a/include/sapphirespool/ProxyRole/proxyrole.h
+++ b/include/sapphirespool/ProxyRole/proxyrole.h
@@ -5,6 +5,7 @@
 #include "sapphirespool/Http/server.h"
 #include "sapphirespool/Proxy/limits.h"
 #include "sapphirespool/Proxy/recorder.h"
+#include "sapphirespool/ProxyRole/gracefulshutdown.h"
 #include "sapphirespool/Support/types.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -48,10 +49,7 @@
     Endpoint peers;
     http::ServerLimits http;
     ProxyLimits limits;
-    /// Time from "unready" to the end of new requests, in which the platform's balancer notices. Two of its usual 1 s checks.
-    std::chrono::milliseconds balancerDelay{2'000};
-    /// Time for running requests and transactions after that; then they are cut.
-    std::chrono::milliseconds drainTimeout{30'000};
+    ShutdownTimes shutdown = ShutdownTimes::ofDrain(std::chrono::seconds(2), std::chrono::seconds(30));
 };
 
 /// A handler that others add for a path prefix, for example the operators' API.
--- a/include/sapphirespool/Settings/settings.h
+++ b/include/sapphirespool/Settings/settings.h
@@ -32,9 +32,9 @@
 {
     /// Time that the balancer needs to see that the VM is not ready.
     std::chrono::milliseconds balancerDelay{2'000};
-    /// Time after which requests and transactions that still run are cut.
+    /// Time after that until requests and transactions that still run are cut. Nothing is sent to an upstream in its second half.
     std::chrono::milliseconds drainTimeout{30'000};
-    /// Time from the signal to stop until the process is killed; zero if nobody kills it. The two others are parts of it if it is set.
+    /// Time from the signal to stop until the process is killed; zero if nobody kills it. The two others don't apply if it is set.
     std::chrono::milliseconds grace{0};
 };
 
--- a/include/sapphirespool/Support/events.h
+++ b/include/sapphirespool/Support/events.h
@@ -23,6 +23,7 @@
     SettingsRejected = 1004,
     ListenFailed = 1005,
     SettingsReloaded = 1006,
+    RequestsCut = 1007,
     CallerRequestRefused = 1101,
     CallerConnectionRefused = 1102,
     StatementFailed = 1103,
--- a/lib/Interactive/callersession.cpp
+++ b/lib/Interactive/callersession.cpp
@@ -156,8 +156,8 @@
     if (this->transactionStatus != TransactionStatus::None) {
         return this->fail(makeFailure(Failure::Malformed, "a transaction is open"));
     }
-    if (this->core->refusesNewWork) {
-        return this->fail(makeFailure(Failure::Busy, "the proxy is stopping; connect again", std::chrono::milliseconds(0)));
+    if (this->core->refusesNewWork || this->core->hasForwardingEnded()) {
+        return this->fail(this->stoppingFailure());
     }
     auto granted = this->core->authorize(this->database, this->key);
     if (auto *const why = std::get_if<FailureReply>(&granted)) {
@@ -214,8 +214,8 @@
         const auto context = this->makeContext(std::move(statement), this->transaction->service, this->transaction->customer);
         co_return co_await this->runInTransaction(context);
     }
-    if (this->core->refusesNewWork) {
-        co_return this->fail(makeFailure(Failure::Busy, "the proxy is stopping; connect again", std::chrono::milliseconds(0)));
+    if (this->core->refusesNewWork || this->core->hasForwardingEnded()) {
+        co_return this->fail(this->stoppingFailure());
     }
     auto granted = this->core->authorize(this->database, this->key);
     if (auto *const why = std::get_if<FailureReply>(&granted)) {
@@ -229,6 +229,15 @@
     co_return co_await this->runSingle(context);
 }
 
+auto CallerSession::forward(const Member &member, UpstreamConnection &connection, std::span<const Command> commands, const StatementContext &context)
+    -> asio::awaitable<ForwardResult>
+{
+    if (auto why = this->refusalBeforeSend(context)) {
+        co_return *std::move(why);
+    }
+    co_return co_await this->core->exchange(member, connection, commands, context.remaining());
+}
+
 auto CallerSession::runSingle(const StatementContext &context) -> asio::awaitable<Reply>
 {
     const auto began = SteadyClock::now();
@@ -272,7 +281,7 @@
     }
     auto lease = std::get<ConnectionLease>(std::move(leased));
     // The statement may have waited for the connection.
-    if (auto why = this->accessLost(context)) {
+    if (auto why = this->refusalBeforeSend(context)) {
         lease.release();
         co_return this->fail(*std::move(why));
     }
@@ -294,7 +303,12 @@
     auto command = commandOf(context.statement, lease.connection().state, context.shapePointer());
     command.mayCommit = true;
     const auto commands = std::vector<Command>{std::move(command)};
-    const auto exchange = co_await this->core->exchange(target.member, lease.connection(), commands, context.remaining());
+    auto forwarded = co_await this->forward(target.member, lease.connection(), commands, context);
+    if (auto *const why = std::get_if<FailureReply>(&forwarded)) {
+        lease.release();
+        co_return this->fail(std::move(*why));
+    }
+    const auto &exchange = std::get<ExchangeResult>(forwarded);
     if (exchange.results.empty()) {
         this->core->probe(target.member);
         if (!exchange.sent) {
@@ -326,7 +340,12 @@
     auto command = commandOf(context.statement, lease.connection().state, context.shapePointer());
     command.after = target.after;
     const auto commands = std::vector<Command>{std::move(command)};
-    const auto exchange = co_await this->core->exchange(target.member, lease.connection(), commands, context.remaining());
+    auto forwarded = co_await this->forward(target.member, lease.connection(), commands, context);
+    if (auto *const why = std::get_if<FailureReply>(&forwarded)) {
+        lease.release();
+        co_return this->fail(std::move(*why));
+    }
+    const auto &exchange = std::get<ExchangeResult>(forwarded);
     if (exchange.results.empty()) {
         this->core->load.failed(upstream, support::now());
         // A read changes nothing, so it may be retried at another member before the deadline.
@@ -367,7 +386,12 @@
     }
     const auto commands
         = std::vector<Command>{commandOf(context.statement, lease.connection().state, context.shapePointer()), makeCommand(CommandKind::Rollback)};
-    const auto exchange = co_await this->core->exchange(target.member, lease.connection(), commands, context.remaining());
+    auto forwarded = co_await this->forward(target.member, lease.connection(), commands, context);
+    if (auto *const why = std::get_if<FailureReply>(&forwarded)) {
+        // The transaction that was begun for the read ends with the connection.
+        co_return this->fail(std::move(*why));
+    }
+    const auto &exchange = std::get<ExchangeResult>(forwarded);
     if (exchange.results.empty()) {
         this->core->probe(target.member);
         this->core->load.failed(target.member.upstream.id, support::now());
@@ -395,7 +419,8 @@
     if (context.customer.value().empty() || this->core->parts.quota == nullptr) {
         co_return std::nullopt;
     }
-    co_return co_await this->core->parts.quota->take(context.customer, objectiveOf(context.service) / quotaWaitDivisor, context.remaining());
+    const auto maxWait = this->core->whileForwarding(objectiveOf(context.service) / quotaWaitDivisor);
+    co_return co_await this->core->parts.quota->take(context.customer, maxWait, context.remaining());
 }
 
 auto CallerSession::makeContext(Statement statement, membership::ServiceView service, CustomerId customer) const -> StatementContext
@@ -482,11 +507,20 @@
     return makeFailure(Failure::Aborted, "the API key no longer identifies the same customer; begin again", std::chrono::milliseconds(0));
 }
 
-auto CallerSession::accessLost(const StatementContext &context) const -> std::optional<FailureReply>
+auto CallerSession::refusalBeforeSend(const StatementContext &context) const -> std::optional<FailureReply>
 {
+    if (this->core->hasForwardingEnded()) {
+        return this->stoppingFailure();
+    }
     return this->accessLost(context.service, context.customer);
 }
 
+auto CallerSession::stoppingFailure() const -> FailureReply
+{
+    const auto failure = this->transactionStatus == TransactionStatus::Open ? Failure::Aborted : Failure::Busy;
+    return makeFailure(failure, "the proxy is stopping; connect again", std::chrono::milliseconds(0));
+}
+
 auto CallerSession::refusalByKey(StatementKind kind) const -> std::optional<FailureReply>
 {
     if (this->transactionStatus == TransactionStatus::Open) {
--- a/lib/Interactive/callersession.h
+++ b/lib/Interactive/callersession.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <variant>
 
@@ -77,6 +78,8 @@
     };
 
     using TargetResult = std::variant<Target, FailureReply>;
+    /// Outcome of commands that were sent, or why they were not.
+    using ForwardResult = std::variant<ExchangeResult, FailureReply>;
     using RunResult = std::variant<Reply, RetryElsewhere>;
 
     [[nodiscard]] static auto retryElsewhere(FailureReply why, bool notPrimary = false) -> RetryElsewhere;
@@ -91,6 +94,10 @@
     auto commit(Statement statement) -> boost::asio::awaitable<Reply>;
     auto run(Statement statement) -> boost::asio::awaitable<Reply>;
 
+    /// Runs \p commands of the caller at \p member. All of them are sent here, so that nothing is sent for a caller that has lost its
+    /// access, or when the proxy is about to stop and may not be able to deliver the answer.
+    auto forward(const Member &member, UpstreamConnection &connection, std::span<const Command> commands, const StatementContext &context)
+        -> boost::asio::awaitable<ForwardResult>;
     auto runSingle(const StatementContext &context) -> boost::asio::awaitable<Reply>;
     auto runAt(const Target &target, const StatementContext &context) -> boost::asio::awaitable<RunResult>;
     auto runWrite(ConnectionLease lease, const Target &target, const StatementContext &context) -> boost::asio::awaitable<RunResult>;
@@ -102,7 +109,7 @@
     auto openTransaction(const StatementContext &context) -> boost::asio::awaitable<std::optional<FailureReply>>;
     auto openAt(const Target &target, const StatementContext &context) -> boost::asio::awaitable<std::optional<RetryElsewhere>>;
     auto runInTransaction(const StatementContext &context) -> boost::asio::awaitable<Reply>;
-    auto exchangeInTransaction(const StatementContext &context, const Command &command) -> boost::asio::awaitable<ExchangeResult>;
+    auto exchangeInTransaction(const StatementContext &context, const Command &command) -> boost::asio::awaitable<ForwardResult>;
     auto runCommit(const StatementContext &context) -> boost::asio::awaitable<Reply>;
     auto failTransaction(FailureReply why) -> Reply;
     /// Rolls back the open transaction and answers its commit.
@@ -138,7 +145,10 @@
     [[nodiscard]] auto customer() const -> CustomerId;
     /// \return why the caller may not go on with \p service as \p customer, for which work has begun; nothing while the customer holds its key
     [[nodiscard]] auto accessLost(const membership::ServiceView &service, const CustomerId &customer) const -> std::optional<FailureReply>;
-    [[nodiscard]] auto accessLost(const StatementContext &context) const -> std::optional<FailureReply>;
+    /// \return why nothing may be sent for \p context: the caller has lost its access, or the proxy is about to stop
+    [[nodiscard]] auto refusalBeforeSend(const StatementContext &context) const -> std::optional<FailureReply>;
+    /// \return the refusal of work that a stopping proxy no longer forwards
+    [[nodiscard]] auto stoppingFailure() const -> FailureReply;
     /// \return why a statement of \p kind is refused by the key alone; nothing if it may go on
     [[nodiscard]] auto refusalByKey(StatementKind kind) const -> std::optional<FailureReply>;
     auto fail(FailureReply why) -> Reply;
--- a/lib/Interactive/sessioncore.cpp
+++ b/lib/Interactive/sessioncore.cpp
@@ -422,6 +422,16 @@
     return std::nullopt;
 }
 
+auto SessionCore::hasForwardingEnded() const -> bool
+{
+    return support::now() >= this->forwardingEnd;
+}
+
+auto SessionCore::whileForwarding(Duration limit) const -> Duration
+{
+    return std::clamp<Duration>(this->forwardingEnd - support::now(), Duration(0), limit);
+}
+
 auto SessionCore::proofsOf(const GroupId &group) -> PositionProofs &
 {
     return this->proofs[group];
--- a/lib/Interactive/sessioncore.h
+++ b/lib/Interactive/sessioncore.h
@@ -109,6 +109,12 @@
     auto exchange(const Member &member, UpstreamConnection &connection, std::span<const Command> commands, Duration limit)
         -> boost::asio::awaitable<ExchangeResult>;
 
+    /// \return whether statements may no longer be forwarded, because this proxy is about to stop
+    [[nodiscard]] auto hasForwardingEnded() const -> bool;
+
+    /// \return \p limit, or the time until forwarding ends if that is shorter
+    [[nodiscard]] auto whileForwarding(Duration limit) const -> Duration;
+
     auto proofsOf(const GroupId &group) -> PositionProofs &;
 
     /// Requests a position proof from the primary of \p group, for reads whose data may be up to \p readAge old. If the primary gives none,
@@ -126,7 +132,8 @@
     SessionServiceDependencies parts;
     UpstreamLoad load;
     bool refusesNewWork = false;
-    bool abortsTransactions = false;
+    /// From then on no statement is forwarded to an upstream.
+    TimePoint forwardingEnd = TimePoint::max();
     SessionCounts counts;
     /// Log lines per second for failed and retried statements. Failures come in bursts, and the first lines of a burst show its cause; the
     /// rest are dropped.
--- a/lib/Interactive/sessionplacement.cpp
+++ b/lib/Interactive/sessionplacement.cpp
@@ -72,10 +72,10 @@
     -> asio::awaitable<TargetResult>
 {
     if (const auto known = this->core->primaryOf(context.service.group); known && tried.contains(known->upstream.id) && !stalePrimary) {
-        co_await this->core->awaitViewChange(std::min<Duration>(primaryRetryDelay, context.remaining()));
+        co_await this->core->awaitViewChange(this->core->whileForwarding(std::min<Duration>(primaryRetryDelay, context.remaining())));
     }
-    auto primary = co_await this->core->awaitPrimary(
-        context.service.group, stalePrimary, std::min<Duration>(context.remaining(), context.service.timeout / primaryWaitDivisor));
+    const auto waitLimit = this->core->whileForwarding(std::min<Duration>(context.remaining(), context.service.timeout / primaryWaitDivisor));
+    auto primary = co_await this->core->awaitPrimary(context.service.group, stalePrimary, waitLimit);
     if (!primary) {
         co_return makeFailure(Failure::Busy, "group " + context.service.group.value() + " has no primary", promotionRetryAfter);
     }
@@ -137,8 +137,9 @@
     auto request = ConnectionRequest();
     request.customer = context.customer;
     request.values = this->state.values;
-    request.waitLimit = std::min<Duration>(queueWaitLimit(context.service, target.member.isPrimary), context.remaining());
-    request.connectLimit = std::min<Duration>(connectLimit, context.remaining());
+    const auto remaining = this->core->whileForwarding(context.remaining());
+    request.waitLimit = std::min<Duration>(queueWaitLimit(context.service, target.member.isPrimary), remaining);
+    request.connectLimit = std::min<Duration>(connectLimit, remaining);
     request.objective = objectiveOf(context.service);
     request.priority = context.service.priority;
     auto result = co_await this->core->parts.pool->acquire(target.member.group, target.member.upstream, std::move(request));
--- a/lib/Interactive/sessionservice.cpp
+++ b/lib/Interactive/sessionservice.cpp
@@ -46,9 +46,9 @@
         this->core->refusesNewWork = true;
     }
 
-    auto abortTransactions() -> void override
+    auto endForwardingAt(TimePoint end) -> void override
     {
-        this->core->abortsTransactions = true;
+        this->core->forwardingEnd = end;
     }
 
     [[nodiscard]] auto counts() const -> SessionCounts override
--- a/lib/Interactive/sessiontransaction.cpp
+++ b/lib/Interactive/sessiontransaction.cpp
@@ -38,6 +38,9 @@
     auto stalePrimary = std::optional<Member>();
     auto why = makeFailure(Failure::Busy, "no upstream could take the transaction in time", promotionRetryAfter);
     for (auto attempt = 0; attempt < maxAttempts && context.remaining() > Duration(0); ++attempt) {
+        if (auto refused = this->refusalBeforeSend(context)) {
+            co_return refused;
+        }
         auto picked = co_await this->pick(!this->transaction->readOnly, context, excluded, stalePrimary);
         if (auto *const none = std::get_if<FailureReply>(&picked)) {
             co_return std::move(*none);
@@ -46,10 +49,10 @@
         auto notOpened = co_await this->openAt(target, context);
         if (!notOpened) {
             ++this->core->counts.transactions;
-            co_return this->accessLost(context);
+            co_return this->refusalBeforeSend(context);
         }
-        if (auto lost = this->accessLost(context)) {
-            co_return lost;
+        if (auto refused = this->refusalBeforeSend(context)) {
+            co_return refused;
         }
         why = std::move(notOpened->why);
         this->recordRetry(why);
@@ -71,6 +74,10 @@
         co_return retryElsewhere(std::move(*none));
     }
     auto lease = std::get<ConnectionLease>(std::move(leased));
+    if (auto why = this->refusalBeforeSend(context)) {
+        lease.release();
+        co_return retryElsewhere(*std::move(why));
+    }
     // At a primary even a read-only transaction begins as a read-write one, which a stale primary refuses.
     auto begin = makeCommand(target.member.isPrimary ? CommandKind::Begin : CommandKind::BeginReadOnly);
     begin.after = target.after;
@@ -92,8 +99,8 @@
 
 auto CallerSession::runInTransaction(const StatementContext &context) -> asio::awaitable<Reply>
 {
-    if (this->core->abortsTransactions) {
-        co_return this->failTransaction(makeFailure(Failure::Aborted, "the proxy is stopping; connect again", std::chrono::milliseconds(0)));
+    if (auto why = this->refusalBeforeSend(context)) {
+        co_return this->failTransaction(*std::move(why));
     }
     if (context.access == Access::Write && this->transaction->readOnly) {
         co_return this->failTransaction(makeFailure(Failure::ReadOnly, "the transaction was begun for reading only"));
@@ -107,12 +114,13 @@
         this->core->probe(this->transaction->member);
         co_return this->failTransaction(makeFailure(Failure::Aborted, "the connection broke; the transaction was rolled back"));
     }
-    if (auto lost = this->accessLost(context)) {
-        co_return this->failTransaction(*std::move(lost));
-    }
     const auto command = commandOf(context.statement, this->transaction->lease->connection().state, context.shapePointer());
     this->transaction->wrote = this->transaction->wrote || context.access == Access::Write;
-    const auto exchange = co_await this->exchangeInTransaction(context, command);
+    auto forwarded = co_await this->exchangeInTransaction(context, command);
+    if (auto *const why = std::get_if<FailureReply>(&forwarded)) {
+        co_return this->failTransaction(std::move(*why));
+    }
+    const auto &exchange = std::get<ExchangeResult>(forwarded);
     if (exchange.results.empty()) {
         this->core->probe(this->transaction->member);
         // Nothing was committed: the upstream rolls the transaction back when the connection closes.
@@ -138,25 +146,23 @@
     co_return toReply(result, TransactionStatus::Open);
 }
 
-auto CallerSession::exchangeInTransaction(const StatementContext &context, const Command &command) -> asio::awaitable<ExchangeResult>
+auto CallerSession::exchangeInTransaction(const StatementContext &context, const Command &command) -> asio::awaitable<ForwardResult>
 {
     this->currentUpstream = this->transaction->member.upstream.id.value();
     const auto commands = std::vector<Command>{command};
     auto timer = asio::steady_timer(this->core->parts.executor);
     while (true) {
-        auto exchange = co_await this->core->exchange(this->transaction->member, this->transaction->lease->connection(), commands, context.remaining());
+        auto forwarded = co_await this->forward(this->transaction->member, this->transaction->lease->connection(), commands, context);
+        const auto *const exchange = std::get_if<ExchangeResult>(&forwarded);
         // An upstream whose queue is full has not run the statement, and the transaction is still open. Aborting it would lose its
         // earlier statements to avoid a wait of some milliseconds.
-        const auto full = !exchange.results.empty() && exchange.results.front().failure && exchange.results.front().failure->failure == Failure::Busy
-            && exchange.results.front().status == TransactionStatus::Open;
+        const auto *const result = exchange == nullptr || exchange->results.empty() ? nullptr : &exchange->results.front();
+        const auto full = result != nullptr && result->failure && result->failure->failure == Failure::Busy && result->status == TransactionStatus::Open;
         if (!full || context.remaining() <= fullQueueRetryDelay) {
-            co_return exchange;
+            co_return forwarded;
         }
         timer.expires_after(fullQueueRetryDelay);
         co_await timer.async_wait(awaitTuple);
-        if (this->accessLost(context)) {
-            co_return exchange;
-        }
     }
 }
 
@@ -164,7 +170,11 @@
 {
     auto command = makeCommand(CommandKind::Commit, context.statement.id);
     command.mayCommit = this->transaction->wrote;
-    const auto exchange = co_await this->exchangeInTransaction(context, command);
+    auto forwarded = co_await this->exchangeInTransaction(context, command);
+    if (auto *const why = std::get_if<FailureReply>(&forwarded)) {
+        co_return this->failCommit(std::move(*why));
+    }
+    const auto &exchange = std::get<ExchangeResult>(forwarded);
     const auto ended = std::move(this->transaction);
     this->transactionStatus = TransactionStatus::None;
     --this->core->counts.transactions;
--- a/lib/Node/interactivepart.cpp
+++ b/lib/Node/interactivepart.cpp
@@ -1,7 +1,9 @@
 #include "interactivepart.h"
 
+#include "callershutdown.h"
 #include "controlaccess.h"
 #include "sessionmetrics.h"
+#include "shutdowntimes.h"
 
 #include "sapphirespool/Callers/handler.h"
 #include "sapphirespool/Forwarding/forwardingpool.h"
@@ -11,7 +13,6 @@
 #include "sapphirespool/Metrics/handler.h"
 #include "sapphirespool/Metrics/metrics.h"
 #include "sapphirespool/Promotion/timing.h"
-#include "sapphirespool/ProxyRole/gracefulshutdown.h"
 #include "sapphirespool/Support/clock.h"
 
 #include <boost/asio/post.hpp>
@@ -28,8 +29,6 @@
 
 namespace asio = boost::asio;
 
-/// How often a stop is looked at: a small part of the grace of some seconds.
-constexpr auto drainInterval = std::chrono::milliseconds(25);
 /// How often the state of the connections is entered into the metrics.
 constexpr auto countInterval = std::chrono::milliseconds(1'000);
 
@@ -61,8 +60,7 @@
         , sessions(interactive::makeSessionService(this->sessionParts()))
         , callers(edge.callerServer(traffic.dispatch(), this->sessions))
         , readiness(std::make_shared<callers::Readiness>())
-        , shutdown(settings.shutdown.balancerDelay, settings.shutdown.drainTimeout)
-        , drainTimer(traffic.dispatch())
+        , shutdown(std::make_shared<CallerShutdown>(this->shutdownParts(), shutdownTimes(settings.shutdown)))
         , countTimer(traffic.dispatch())
     {
     }
@@ -96,9 +94,9 @@
         auto drained = std::make_shared<std::promise<void>>();
         asio::post(this->traffic.dispatch(), [self = this->shared_from_this(), drained] {
             self->readiness->ready = false;
-            self->began = support::now();
-            self->shutdown.begin(support::now());
-            self->advance(drained);
+            self->shutdown->begin([drained] {
+                drained->set_value();
+            });
         });
         drained->get_future().wait();
     }
@@ -107,7 +105,7 @@
     {
         this->views->onChange({});
         this->traffic.runOnDispatch([this] {
-            this->drainTimer.cancel();
+            this->shutdown->cancel();
             this->countTimer.cancel();
             this->callers->close();
             this->pool->close();
@@ -131,6 +129,19 @@
         return parts;
     }
 
+    auto shutdownParts() -> CallerShutdownParts
+    {
+        auto parts = CallerShutdownParts();
+        parts.sessions = this->sessions;
+        parts.callers = this->callers;
+        parts.pool = this->pool;
+        parts.leave = [control = this->control] {
+            control->leave();
+        };
+        parts.executor = this->traffic.dispatch();
+        return parts;
+    }
+
     auto serveHttp(const Endpoint &endpoint, std::string path, std::shared_ptr<http::Handler> handler) -> void
     {
         if (endpoint.port == 0) {
@@ -156,32 +167,7 @@
         // A proxy that has once had a configuration keeps serving under it: the balancer asks each proxy alike, so that a readiness
         // that followed the link to control would take all of them out at the moment at which control is lost.
         const auto configured = this->views->current()->configuration > Revision(0);
-        this->readiness->ready = configured && this->shutdown.phase() == proxy::ShutdownPhase::Serving;
-    }
-
-    auto advance(const std::shared_ptr<std::promise<void>> &drained) -> void
-    {
-        const auto now = support::now();
-        if (now - this->began >= this->settings.shutdown.grace / 2 && this->settings.shutdown.grace.count() > 0) {
-            this->sessions->abortTransactions();
-        }
-        const auto counts = this->sessions->counts();
-        const auto work = proxy::RunningWork{counts.statements + this->callers->connections(), counts.transactions, counts.statements};
-        if (const auto entered = this->shutdown.advance(work, now); entered == proxy::ShutdownPhase::Finishing) {
-            this->callers->drain();
-            this->control->leave();
-        }
-        if (this->shutdown.phase() == proxy::ShutdownPhase::Done) {
-            drained->set_value();
-            return;
-        }
-        this->drainTimer.expires_after(drainInterval);
-        this->drainTimer.async_wait([weak = this->weak_from_this(), drained](const boost::system::error_code &error) {
-            const auto self = weak.lock();
-            if (!error && self != nullptr) {
-                self->advance(drained);
-            }
-        });
+        this->readiness->ready = configured && this->shutdown->isServing();
     }
 
     auto count() -> void
@@ -212,9 +198,7 @@
     std::shared_ptr<CallerServer> callers;
     std::shared_ptr<callers::Readiness> readiness;
     std::vector<std::shared_ptr<http::Server>> servers;
-    proxy::GracefulShutdown shutdown;
-    TimePoint began{};
-    asio::steady_timer drainTimer;
+    std::shared_ptr<CallerShutdown> shutdown;
     asio::steady_timer countTimer;
 };
 
--- a/lib/Node/proxypart.cpp
+++ b/lib/Node/proxypart.cpp
@@ -1,6 +1,7 @@
 #include "proxypart.h"
 
 #include "controlaccess.h"
+#include "shutdowntimes.h"
 #include "trafficthreads.h"
 
 #include "sapphirespool/Decisions/factory.h"
@@ -40,8 +41,7 @@
     role.peers = settings.peers;
     role.http = settings.limits;
     role.limits.keyWarmup = settings.keyWarmup;
-    role.balancerDelay = settings.shutdown.balancerDelay;
-    role.drainTimeout = settings.shutdown.drainTimeout;
+    role.shutdown = shutdownTimes(settings.shutdown);
     return role;
 }
 
--- a/lib/ProxyRole/proxyrole.cpp
+++ b/lib/ProxyRole/proxyrole.cpp
@@ -63,7 +63,7 @@
         , path(makeTrafficPath(trafficParts(this->settings, this->parts, this->network)))
         , readiness(std::make_shared<callers::Readiness>())
         , server(http::makeServer(this->parts.dispatch, this->parts.sessions, this->settings.http, this->makeRouter()))
-        , shutdown(this->settings.balancerDelay, this->settings.drainTimeout)
+        , shutdown(this->settings.shutdown)
         , watchTimer(this->parts.dispatch)
     {
     }
@@ -91,7 +91,7 @@
         asio::post(this->parts.dispatch, [self = this->shared_from_this(), done = std::move(done)]() mutable {
             support::log(support::Event::ProcessDraining, {{"vm", self->settings.vm.value()}});
             self->drained = std::move(done);
-            self->shutdown.begin(std::chrono::steady_clock::now());
+            self->shutdown.begin(support::now());
             self->readiness->ready = false;
         });
     }
@@ -180,7 +180,7 @@
     {
         const auto traffic = this->path->counts();
         const auto work = RunningWork{traffic.requests, traffic.transactions, this->server->counts().running};
-        const auto entered = this->shutdown.advance(work, std::chrono::steady_clock::now());
+        const auto entered = this->shutdown.advance(work, support::now());
         if (!entered) {
             return;
         }
@@ -197,6 +197,7 @@
             break;
         case ShutdownPhase::Serving:
         case ShutdownPhase::Unready:
+        case ShutdownPhase::Answering:
             break;
         }
     }
--- a/lib/Settings/settings.cpp
+++ b/lib/Settings/settings.cpp
@@ -159,14 +159,6 @@
     return limits;
 }
 
-/// A third of the grace lets the balancer see, by two probes a second apart, that nothing more is to be sent. Half of it is what callers
-/// are told that an open transaction has. The last sixth is left for closing, so that the process has ended before it is killed.
-auto splitGrace(Shutdown &shutdown) -> void
-{
-    shutdown.balancerDelay = shutdown.grace / 3;
-    shutdown.drainTimeout = shutdown.grace / 2;
-}
-
 auto readShutdown(YamlMap &map) -> Shutdown
 {
     auto shutdown = Shutdown();
@@ -177,9 +169,6 @@
     shutdown.balancerDelay = section->duration("balancer_delay", balancerDelayRange, shutdown.balancerDelay);
     shutdown.drainTimeout = section->duration("drain_timeout", timeoutRange, shutdown.drainTimeout);
     shutdown.grace = section->duration("grace", graceRange, shutdown.grace);
-    if (shutdown.grace > 0ms) {
-        splitGrace(shutdown);
-    }
     section->rejectOthers();
     return shutdown;
 }
--- a/lib/Support/events.cpp
+++ b/lib/Support/events.cpp
@@ -17,6 +17,7 @@
     {Event::SettingsRejected, Severity::Error, "settings rejected"},
     {Event::ListenFailed, Severity::Error, "listen failed"},
     {Event::SettingsReloaded, Severity::Info, "settings reloaded"},
+    {Event::RequestsCut, Severity::Warning, "requests cut by the end of a stop"},
     {Event::CallerRequestRefused, Severity::Warning, "caller request refused"},
     {Event::CallerConnectionRefused, Severity::Warning, "caller connection refused"},
     {Event::StatementFailed, Severity::Warning, "statement failed"},
--- a/unittests/Adapter/wiretest.cpp
+++ b/unittests/Adapter/wiretest.cpp
@@ -79,7 +79,7 @@
     {
     }
 
-    auto abortTransactions() -> void override
+    auto endForwardingAt(TimePoint) -> void override
     {
     }
 
@@ -230,6 +230,10 @@
     CHECK(wire.server->connections() == 1);
     wire.say(busy, "QUERY 2 FETCH a\r\n");
     CHECK(wire.hears(busy, "DATAROW FETCH a"));
+    wire.pass();
+    wire.server->closeUnasked();
+    CHECK(wire.hearsEnd(busy));
+    CHECK(wire.server->connections() == 0);
 }
 
 } // namespace sapphirespool::adapter
--- a/unittests/ProxyRole/proxyroletest.cpp
+++ b/unittests/ProxyRole/proxyroletest.cpp
@@ -57,7 +57,7 @@
         settings.incarnation = Incarnation(1);
         settings.callers = {"127.0.0.1", 0};
         settings.peers = {"127.0.0.1", 0};
-        settings.balancerDelay = balancerDelay;
+        settings.shutdown = ShutdownTimes::ofDrain(balancerDelay, std::chrono::seconds(30));
         settings.limits.keyWarmup = milliseconds(0);
         this->role = makeProxyRole(settings, this->parts());
         this->endpoints = this->role->start();
