The HTTP interface sends nothing to an upstream late in a stop

From half of the drain timeout, or of the grace, on an open transaction is rolled back at its next request, which is refused as not executed, also if the request comes through another proxy; a waiting request is refused as not run.

Both tests fail without the checks.

--- a/include/sapphirespool/Proxy/trafficpath.h
+++ b/include/sapphirespool/Proxy/trafficpath.h
@@ -72,6 +72,10 @@
     /// Refuses new requests and transactions from now on; what runs goes on.
     virtual auto refuseNewWork() -> void = 0;
 
+    /// From \p end on sends nothing to an upstream: a waiting request is refused as not run, and a transaction is rolled back at its next
+    /// statement, its commit included. What was sent before goes on.
+    virtual auto endForwardingAt(TimePoint end) -> void = 0;
+
     /// Rolls back what is open and ends the timers.
     virtual auto stop() -> void = 0;
 
--- a/lib/Proxy/trafficpath.cpp
+++ b/lib/Proxy/trafficpath.cpp
@@ -146,6 +146,11 @@
         this->draining = true;
     }
 
+    auto endForwardingAt(TimePoint end) -> void override
+    {
+        this->access->endForwardingAt(end);
+    }
+
     auto stop() -> void override
     {
         this->draining = true;
@@ -394,7 +399,7 @@
     [[nodiscard]] auto refuseEarly(const membership::ServiceView *service, const ServiceId &name) const -> std::optional<NotRun>
     {
         if (this->draining) {
-            return NotRun{RefusalReason::Draining, "this proxy is about to stop", milliseconds(0)};
+            return stopping();
         }
         if (service == nullptr) {
             return withoutService(*this->parts.views->current(), name);
--- a/lib/Proxy/transactions.cpp
+++ b/lib/Proxy/transactions.cpp
@@ -134,6 +134,12 @@
         co_return NotRun{RefusalReason::MalformedRequest, "the transaction still runs its last request; wait for its answer"};
     }
     transaction->idle.cancel();
+    if (step != TransactionStep::Rollback && this->access->hasForwardingEnded()) {
+        this->end(transaction, decisions::WorkOutcome::NotRun);
+        const auto outcome = rolledBack(RefusalReason::TransactionEnded, stopping().detail);
+        this->remember(*transaction, step, outcome);
+        co_return outcome;
+    }
     if (step == TransactionStep::Statement) {
         auto outcome = co_await this->statement(transaction, std::move(request), deadline);
         co_return outcome;
--- a/lib/Proxy/upstreamaccess.cpp
+++ b/lib/Proxy/upstreamaccess.cpp
@@ -40,6 +40,11 @@
     return NotRun{RefusalReason::StaleView, "control has not confirmed this proxy's view of the group for too long", staleViewRetry};
 }
 
+auto stopping() -> NotRun
+{
+    return NotRun{RefusalReason::Draining, "this proxy is about to stop", std::chrono::milliseconds(0)};
+}
+
 UpstreamAccess::UpstreamAccess(std::shared_ptr<membership::ViewHolder> views,
                                std::shared_ptr<membership::ControlLink> control,
                                std::shared_ptr<Admission> admission,
@@ -90,6 +95,9 @@
 
 auto UpstreamAccess::tryObtain(decisions::Work work, GroupId group) -> boost::asio::awaitable<GrantOutcome>
 {
+    if (this->hasForwardingEnded()) {
+        co_return stopping();
+    }
     if (!this->leaseCovers(acceptedAge(work))) {
         co_return staleView();
     }
@@ -125,6 +133,9 @@
         auto refusal = NotRun{RefusalReason::ConnectFailed, "no connection to " + grant.upstream.value(), promotionRetry};
         co_return TryAgain{metrics::RetryReason::ConnectFailed, std::move(refusal), false, false, false, grant.isPrimary};
     }
+    if (this->hasForwardingEnded()) {
+        co_return stopping();
+    }
     // The lease may have run out in the queue or while connecting. A write sent now could reach a primary that was replaced
     // meanwhile; and while it runs nobody would learn of it.
     if (!this->leaseCovers(acceptedAge(work))) {
@@ -140,6 +151,16 @@
     return this->views->leaseLive(support::now() - age);
 }
 
+auto UpstreamAccess::endForwardingAt(TimePoint end) -> void
+{
+    this->forwardingEnd = end;
+}
+
+auto UpstreamAccess::hasForwardingEnded() const -> bool
+{
+    return support::now() >= this->forwardingEnd;
+}
+
 auto UpstreamAccess::suspect(const Grant &grant) -> void
 {
     if (grant.isPrimary && this->control != nullptr) {
--- a/lib/Proxy/upstreamaccess.h
+++ b/lib/Proxy/upstreamaccess.h
@@ -67,6 +67,11 @@
     /// \return whether what was asked under \p grant may still count as current, \p age ago at the worst
     [[nodiscard]] auto leaseCovers(std::chrono::milliseconds age) const -> bool;
 
+    /// From \p end on nothing is obtained.
+    auto endForwardingAt(TimePoint end) -> void;
+
+    [[nodiscard]] auto hasForwardingEnded() const -> bool;
+
     /// Tells control that a primary did not answer.
     auto suspect(const Grant &grant) -> void;
 
@@ -85,8 +90,12 @@
     std::shared_ptr<Recorder> recorder;
     std::mt19937_64 random;
     std::size_t pausing = 0;
+    TimePoint forwardingEnd = TimePoint::max();
 };
 
+/// \return the refusal of work at a proxy that is about to stop
+[[nodiscard]] auto stopping() -> NotRun;
+
 /// \return the refusal of work under a view that control has not confirmed for too long
 [[nodiscard]] auto staleView() -> NotRun;
 
--- a/lib/ProxyRole/proxyrole.cpp
+++ b/lib/ProxyRole/proxyrole.cpp
@@ -92,6 +92,7 @@
             support::log(support::Event::ProcessDraining, {{"vm", self->settings.vm.value()}});
             self->drained = std::move(done);
             self->shutdown.begin(support::now());
+            self->path->endForwardingAt(self->shutdown.forwardingEnd());
             self->readiness->ready = false;
         });
     }
--- a/unittests/Proxy/transactiontest.cpp
+++ b/unittests/Proxy/transactiontest.cpp
@@ -1,5 +1,7 @@
 #include "Proxy/trafficsystem.h"
 
+#include "sapphirespool/Support/clock.h"
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
@@ -171,6 +173,24 @@
     CHECK(system.group->count("enrol A") == 1);
 }
 
+TEST_CASE("late in a stop a transaction is rolled back at its next request")
+{
+    // Failure: a commit is sent to the upstream, and the proxy ends before its answer.
+    auto system = TrafficSystem();
+    const auto id = idOf(system.begin(0));
+    system.step(0, id, statement, "enrol A");
+    system.proxies[0].path->endForwardingAt(support::now());
+    const auto step = GENERATE(commit, statement);
+    // The second request goes through another proxy, which is not stopping.
+    const auto reply = system.step(GENERATE(std::size_t{0}, std::size_t{1}), id, step, "enrol B");
+    CHECK(reasonOf(reply) == RefusalReason::TransactionEnded);
+    CHECK(executedOf(reply) == Executed::No);
+    CHECK(reasonOf(system.step(0, id, step)) == RefusalReason::TransactionEnded);
+    CHECK(system.group->log.empty());
+    CHECK(system.group->connectionsClosed == 1);
+    CHECK(system.proxies[0].path->counts().transactions == 0);
+}
+
 TEST_CASE("an unknown transaction is refused as not run")
 {
     auto system = TrafficSystem();
--- a/unittests/Proxy/writetest.cpp
+++ b/unittests/Proxy/writetest.cpp
@@ -1,5 +1,7 @@
 #include "Proxy/trafficsystem.h"
 
+#include "sapphirespool/Support/clock.h"
+
 #include <catch2/catch.hpp>
 
 #include <memory>
@@ -240,4 +242,15 @@
     CHECK(system.group->log.empty());
 }
 
+TEST_CASE("a write that was admitted before forwarding ends is refused after it as not run")
+{
+    // Failure: a write waits for a connection in a stop and is sent when the proxy can no longer wait for its answer.
+    auto system = TrafficSystem();
+    system.proxies[0].path->endForwardingAt(support::now());
+    const auto reply = system.write(0, "book 7");
+    CHECK(reasonOf(reply) == RefusalReason::Draining);
+    CHECK(executedOf(reply) == Executed::No);
+    CHECK(system.group->log.empty());
+}
+
 } // namespace sapphirespool::proxy
