A lost control leader counts as lost since its last message

The four seconds after which a lost voter is replaced began anew with the election of its successor, so a group without its leader bore the next loss up to an election later than it would have without any other voter.

A new leader now takes the time of its own last contact with the former one.

--- a/include/sapphirespool/Consensus/core.h
+++ b/include/sapphirespool/Consensus/core.h
@@ -194,6 +194,8 @@
     CoreRole currentRole = CoreRole::Follower;
     std::optional<ReplicaId> knownLeader;
     TimePoint leaderContactTime;
+    /// The leader of the last contact.
+    std::optional<ReplicaId> lastLeader;
     TimePoint electionDeadline;
     TimePoint nextVoteRequestTime;
     std::map<ReplicaId, bool> votes;
--- a/lib/Consensus/election.cpp
+++ b/lib/Consensus/election.cpp
@@ -188,6 +188,10 @@
     this->roundSent.clear();
     this->round = Round();
     this->reloadProgress();
+    if (const auto former = this->lastLeader ? this->progress.find(*this->lastLeader) : this->progress.end(); former != this->progress.end()) {
+        // If it is lost, it is so since its last message, not since this election.
+        former->second.lastReplyTime = std::min(this->now, this->leaderContactTime);
+    }
     // Entries of earlier terms cannot be committed by counting replicas, as a later leader could still overwrite them. The first
     // entry of the leader's own term commits them along with itself.
     this->noteLeader(this->self);
@@ -233,6 +237,7 @@
         this->becomeFollower(term, from);
     }
     this->noteLeader(from);
+    this->lastLeader = from;
     this->leaderContactTime = this->now;
     this->resetElectionDeadline();
     return true;
--- a/unittests/Consensus/resignationtest.cpp
+++ b/unittests/Consensus/resignationtest.cpp
@@ -163,4 +163,17 @@
     CHECK(std::get<Resigned>(message).term == ElectionTerm(7));
 }
 
+// Guards against a lost leader that is replaced only some time after its successor's election, instead of after its own loss.
+TEST_CASE("a VM that was lost with the leadership counts as lost since its last message")
+{
+    auto group = makeGroup(3, 1);
+    const auto former = *group.leaderIndex();
+    const auto replica = group.vm(former).replica;
+    group.crash(former, 0);
+    const auto passed = timeToOtherLeader(group, former);
+    REQUIRE(group.leaderIndex().has_value());
+    const auto silence = group.vm(*group.leaderIndex()).core->timeSinceContact(replica);
+    CHECK(silence > passed - milliseconds(120));
+}
+
 } // namespace sapphirespool::consensus
