Announcements that no member could have sent are rejected where they are read

Other operators reported machines that ended again and again after another writer had left one odd entry among those of the databases. Here no process ended, but 20 of 29 such heartbeats were acknowledged and taken as databases: 2^32 slots and more (cut to 32 bits), addresses that are none, names with line ends or of 100 kB, a sequence number of 2^64 - 1, a start in the far future. Under the id of the serving primary the last had it promoted anew.

Cause: fields were checked for their types alone. Now platform::problemOf() checks each value once, at both interfaces, against what the log, the views, the protocols and the shares can hold; SP2301 says what was wrong, a few lines a second at most with a count of the others. A connection to an address that is none, as an older log may name, fails with an error in place of an exception.

--- a/include/sapphirespool/Support/events.h
+++ b/include/sapphirespool/Support/events.h
@@ -54,6 +54,7 @@
     DiskFull = 2102,
     DiskWritesAgain = 2103,
     ConfigurationAccepted = 2201,
+    AnnouncementRejected = 2301,
     TermEnded = 2401,
     PrimaryChosen = 2402,
     OrderNotDelivered = 2403,
--- a/lib/Http/client.cpp
+++ b/lib/Http/client.cpp
@@ -38,7 +38,11 @@
     auto connect(Endpoint endpoint, TimePoint deadline) -> asio::awaitable<boost::system::error_code> override
     {
         const auto self = this->shared_from_this();
-        const auto address = tcp::endpoint(asio::ip::make_address(endpoint.address), endpoint.port);
+        auto unreadable = boost::system::error_code();
+        const auto address = tcp::endpoint(asio::ip::make_address(endpoint.address, unreadable), endpoint.port);
+        if (unreadable) {
+            co_return unreadable;
+        }
         this->stream.expires_at(deadline);
         const auto [error] = co_await this->stream.async_connect(address, awaitTuple);
         if (error) {
--- a/lib/Platform/announcements.cpp
+++ b/lib/Platform/announcements.cpp
@@ -1,5 +1,6 @@
 #include "sapphirespool/Platform/announcements.h"
 
+#include "sapphirespool/Platform/announcementcheck.h"
 #include "sapphirespool/Platform/codec.h"
 
 #include <utility>
@@ -26,8 +27,10 @@
             co_return this->reject(http::Status::method_not_allowed, "announcements are sent with POST");
         }
         auto announcement = fromJson<Announcement>(request.body());
-        if (!announcement || announcement->group.empty() || announcement->id.empty() || announcement->slots == 0) {
-            co_return this->reject(http::Status::bad_request, "the body is no announcement as docs/PLATFORM.md gives it");
+        const auto problem = announcement ? problemOf(*announcement) : AnnouncementProblem::Unreadable;
+        if (problem) {
+            this->rejected.record(announcement ? std::string_view(announcement->id) : std::string_view(), *problem);
+            co_return this->reject(http::Status::bad_request, describe(*problem));
         }
         this->announce(std::move(*announcement));
         co_return http::Response(http::Status::no_content, request.version());
@@ -40,6 +43,7 @@
 
 private:
     std::function<void(Announcement)> announce;
+    RejectedAnnouncements rejected;
 };
 
 } // namespace
--- a/lib/Support/events.cpp
+++ b/lib/Support/events.cpp
@@ -48,6 +48,7 @@
     {Event::DiskFull, Severity::Warning, "disk full"},
     {Event::DiskWritesAgain, Severity::Info, "disk writes again"},
     {Event::ConfigurationAccepted, Severity::Info, "configuration accepted"},
+    {Event::AnnouncementRejected, Severity::Warning, "announcement rejected"},
     {Event::TermEnded, Severity::Warning, "term ended"},
     {Event::PrimaryChosen, Severity::Info, "primary chosen"},
     {Event::OrderNotDelivered, Severity::Warning, "order not delivered"},
--- a/unittests/Adapter/operatorsapitest.cpp
+++ b/unittests/Adapter/operatorsapitest.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
+#include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -88,6 +90,13 @@
 constexpr auto heartbeat = std::string_view(
     R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"kingston","version":"v1","slots":2,"state":"ready","coldLeftMs":0,"dbRole":"replica","seq":4,"born":1700000000000})");
 
+/// \return a start in two days, in Unix milliseconds
+auto tomorrowAndLater() -> std::int64_t
+{
+    const auto later = std::chrono::system_clock::now() + std::chrono::hours(48);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(later.time_since_epoch()).count();
+}
+
 } // namespace
 
 TEST_CASE("a heartbeat becomes an announcement")
@@ -127,11 +136,46 @@
                              with("\"ready\"", "\"resting\""),
                              with("\"replica\"", "\"witness\""),
                              with("\"seq\":4", "\"seq\":-4"),
-                             with("\"zone\":\"kingston\",", "")}) {
-        INFO(body);
+                             with("\"zone\":\"kingston\",", ""),
+                             // Nested as deeply as a body may be long, and numbers that no type holds.
+                             std::string(200'000, '['),
+                             with("\"seq\":4", "\"x\":" + std::string(200'000, '[') + std::string(200'000, ']') + ",\"seq\":4"),
+                             with("\"seq\":4", "\"seq\":18446744073709551616"),
+                             with("\"seq\":4", "\"seq\":18446744073709551615"),
+                             with("\"seq\":4", "\"seq\":1e400"),
+                             with("\"slots\":2", "\"slots\":4294967296"),
+                             with("\"slots\":2", "\"slots\":4294967295"),
+                             with("\"slots\":2", "\"slots\":2.5"),
+                             with(":1700000000000", ":18446744073709551615"),
+                             with(":1700000000000", ":-1"),
+                             with(":1700000000000", ":\"1700000000000\""),
+                             with(":1700000000000", ":" + std::to_string(tomorrowAndLater())),
+                             with("\"coldLeftMs\":0", "\"coldLeftMs\":\"0\""),
+                             with("\"v1\"", "1"),
+                             with("10.128.0.9:8080", "database.example:8080"),
+                             with("10.128.0.9:8080", "999.1.1.1:8080"),
+                             with("10.128.0.9:8080", "0.0.0.0:8080"),
+                             with("10.128.0.9:8080", "10.128.0.9:0"),
+                             with("10.128.0.9:8080", "10.128.0.9:-1"),
+                             with("10.128.0.9:8080", "10.128.0.9:70000"),
+                             with("10.128.0.9:8080", " :8080"),
+                             with("10.128.0.9:8080", "10.128.0.9\\u0000:8080"),
+                             with("10.128.0.9:8080", "10.128.0.9\\r\\n:8080"),
+                             with("10.128.0.9", std::string(100'000, 'a')),
+                             with("huvo11a", "huvo11a x"),
+                             with("huvo11a", "huvo11a\\n"),
+                             with("kingston", std::string(100'000, 'k')),
+                             with("kingston", "king\\u0000ston"),
+                             with("kingston", "\xff\xfe")}) {
+        INFO(body.substr(0, 300));
         CHECK(api.call(http::Verb::post, "/v1/instances/i-7f3a91c2/heartbeat", body).result() == http::Status::bad_request);
     }
+    CHECK(api.call(http::Verb::post, "/v1/instances/i 7/heartbeat", text).result() == http::Status::bad_request);
+    CHECK(api.call(http::Verb::post, "/v1/instances/" + std::string(300, 'i') + "/heartbeat", text).result() == http::Status::bad_request);
     CHECK(api.control->announcements.empty());
+    // The others hold.
+    CHECK(api.call(http::Verb::post, "/v1/instances/i-7f3a91c2/heartbeat", text).result() == http::Status::ok);
+    CHECK(api.control->announcements.size() == 1);
 }
 
 TEST_CASE("a database that leaves is said to be gone from its group")
--- a/unittests/Platform/platformtest.cpp
+++ b/unittests/Platform/platformtest.cpp
@@ -1,4 +1,5 @@
 #include "sapphirespool/Http/client.h"
+#include "sapphirespool/Platform/announcementcheck.h"
 #include "sapphirespool/Platform/announcements.h"
 #include "sapphirespool/Platform/codec.h"
 #include "sapphirespool/Platform/httpgroupoperator.h"
@@ -6,6 +7,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/json/serialize.hpp>
 #include <catch2/catch.hpp>
 
 #include <functional>
@@ -166,20 +168,80 @@
     });
 }
 
+// Failure: an entry of another writer reaches the replicated log, which each control VM reads again at its start, and the views of all proxies.
 TEST_CASE("what is no announcement is refused")
 {
     auto io = asio::io_context();
-    const auto handler = makeAnnouncementHandler([](const Announcement &) {
-        FAIL("nothing valid was sent");
-    });
-    auto request = http::Request(http::Verb::post, "/v1/announcements", 11);
-    request.body() = R"({"group":"g"})";
-    auto status = http::Status::unknown;
-    asio::co_spawn(io, handler->handle(request), [&status](const std::exception_ptr &, const http::Response &response) {
-        status = response.result();
+    auto accepted = 0;
+    const auto handler = makeAnnouncementHandler([&accepted](const Announcement &) {
+        ++accepted;
     });
+    const auto send = [&io, &handler](const std::string &body) {
+        auto request = http::Request(http::Verb::post, "/v1/announcements", 11);
+        request.body() = body;
+        auto status = http::Status::unknown;
+        asio::co_spawn(io, handler->handle(request), [&status](const std::exception_ptr &, const http::Response &response) {
+            status = response.result();
+        });
+        io.restart();
+        io.run();
+        return status;
+    };
+    auto valid = Announcement();
+    valid.group = "g";
+    valid.id = "m1";
+    valid.address = "127.0.0.1";
+    valid.port = 9000;
+    valid.zone = "hobart";
+    CHECK(send(boost::json::serialize(toJson(valid))) == http::Status::no_content);
+    CHECK(accepted == 1);
+    CHECK(send(R"({"group":"g"})") == http::Status::bad_request);
+    CHECK(send(std::string(200'000, '[')) == http::Status::bad_request);
+    const auto isRefused = [&send, &valid](auto change) {
+        auto announcement = valid;
+        change(announcement);
+        CHECK(problemOf(announcement));
+        return send(boost::json::serialize(toJson(announcement))) == http::Status::bad_request;
+    };
+    for (const auto *const address : {"", "db.example", "999.1.1.1", "0.0.0.0", "224.0.0.1", "127.0.0.1\n"}) {
+        CHECK(isRefused([address](Announcement &announcement) {
+            announcement.address = address;
+        }));
+    }
+    for (const auto slots : {0U, mostSlots + 1, 0xffffffffU}) {
+        CHECK(isRefused([slots](Announcement &announcement) {
+            announcement.slots = slots;
+        }));
+    }
+    CHECK(isRefused([](Announcement &announcement) {
+        announcement.port = 0;
+    }));
+    CHECK(isRefused([](Announcement &announcement) {
+        announcement.id = std::string(longestName + 1, 'm');
+    }));
+    CHECK(isRefused([](Announcement &announcement) {
+        announcement.group = "g 1";
+    }));
+    CHECK(isRefused([](Announcement &announcement) {
+        announcement.zone = "hobart\r\n";
+    }));
+    CHECK(accepted == 1);
+}
+
+// Failure: a log that an earlier build wrote names a member at an address that is none, and whoever connects to it fails with an exception.
+TEST_CASE("a connection to an address that is none fails like any other")
+{
+    auto io = asio::io_context();
+    const auto connection = http::makeClientConnection(io.get_executor());
+    auto error = boost::system::error_code();
+    asio::co_spawn(io,
+                   connection->connect({"db.example", 9000}, std::chrono::steady_clock::now() + std::chrono::seconds(1)),
+                   [&error](const std::exception_ptr &thrown, const boost::system::error_code &result) {
+                       CHECK(thrown == nullptr);
+                       error = result;
+                   });
     io.run();
-    CHECK(status == http::Status::bad_request);
+    CHECK(error);
 }
 
 } // namespace sapphirespool::platform
