--- a/lib/Promotion/resume.h
+++ b/lib/Promotion/followorder.h
@@ -1,4 +1,4 @@
-// resume.h: orders to members to follow a primary.
+// followorder.h: orders to members to follow a primary.
 #pragma once
 
 #include "sapphirespool/Promotion/messages.h"
--- a/lib/Promotion/grouppromotion.cpp
+++ b/lib/Promotion/grouppromotion.cpp
@@ -1,6 +1,6 @@
 #include "sapphirespool/Promotion/grouppromotion.h"
 
-#include "resume.h"
+#include "followorder.h"
 
 #include "sapphirespool/Promotion/timing.h"
 
--- a/lib/Promotion/resume.cpp
+++ b/lib/Promotion/resume.cpp
@@ -3,7 +3,7 @@
 // The order to receive writes has no term, and one that got no answer may be carried out seconds later, when the next election has paused the
 // member again. The replicated state therefore names the members that may be paused, and among them those to which such an order
 // may have been sent: any leader knows on whose pause it cannot rely. A member that was never paused is sent no order.
-#include "resume.h"
+#include "followorder.h"
 
 #include "sapphirespool/Promotion/grouppromotion.h"
 #include "sapphirespool/Promotion/timing.h"
--- a/unittests/Adapter/callershutdowntest.cpp
+++ b/unittests/Adapter/callershutdowntest.cpp
@@ -199,7 +199,7 @@
         proxy.play(12);
         REQUIRE(proxy.hasEnded);
         CHECK(proxy.working == 0);
-        CHECK(proxy.lost() == std::set<std::string>());
+        CHECK(proxy.lost().empty());
         refused += proxy.refused;
     }
     CHECK(refused > 0);
