Results of calls between proxies reach the event loop in an order that the thread sanitizer sees

Cause: PeerServer used KJ's fulfiller across threads. Its order is a lock inside KJ's library, which is not built with the sanitizer. It usually goes unnoticed because the loop is woken through a descriptor; if the loop finds the answer before it sleeps, the sanitizer has seen no order. LoopSignal exists for this reason; PeerServer was the last user of the fulfiller.

rpc::Completions keeps the promises on the loop and is completed through LoopThread::post, so results are ordered by a lock of this project. A call whose service has ended is still failed, by the same path.

--- a/lib/Peers/peernetwork.cpp
+++ b/lib/Peers/peernetwork.cpp
@@ -72,7 +72,7 @@
         : self(self)
         , dispatch(std::move(dispatch))
         , state(std::make_shared<std::unique_ptr<PeerLoop>>())
-        , loop(std::make_unique<rpc::LoopThread>())
+        , loop(std::make_shared<rpc::LoopThread>())
     {
         this->loop->post([state = this->state](rpc::LoopContext &context) {
             *state = std::make_unique<PeerLoop>(context);
@@ -90,7 +90,7 @@
         auto port = bound.get_future();
         this->loop->post([this, endpoint, &bound, service = std::move(service)](rpc::LoopContext &) {
             try {
-                bound.set_value((*this->state)->listen(endpoint, kj::heap<PeerServer>(this->self, this->dispatch, service)));
+                bound.set_value((*this->state)->listen(endpoint, kj::heap<PeerServer>(this->self, this->loop, this->dispatch, service)));
             } catch (const kj::Exception &error) {
                 bound.set_exception(std::make_exception_ptr(std::runtime_error(error.getDescription().cStr())));
             }
@@ -235,7 +235,8 @@
     Incarnation self;
     asio::any_io_executor dispatch;
     std::shared_ptr<std::unique_ptr<PeerLoop>> state;
-    std::unique_ptr<rpc::LoopThread> loop;
+    /// Others hold it weakly, to post the results of calls.
+    std::shared_ptr<rpc::LoopThread> loop;
 };
 
 } // namespace
--- a/lib/Peers/peerserver.cpp
+++ b/lib/Peers/peerserver.cpp
@@ -8,7 +8,10 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <kj/async.h>
+#include <kj/debug.h>
 
+#include <optional>
+#include <string>
 #include <utility>
 
 namespace sapphirespool::peers
@@ -19,13 +22,30 @@
 
 namespace asio = boost::asio;
 
-using ReplyFulfiller = kj::CrossThreadPromiseFulfiller<std::string>;
+/// A result of the dispatch executor, which writes it before the promise of its completion resolves on the event loop.
+template <typename Result>
+using SharedResult = std::shared_ptr<std::optional<Result>>;
 
-auto forwardToService(std::shared_ptr<proxy::PeerService> service, proxy::TransactionRequest request, std::shared_ptr<kj::Own<ReplyFulfiller>> fulfiller)
-    -> asio::awaitable<void>
+/// \return the result once \p completed resolves; fails the call if the service no longer existed
+template <typename Result>
+auto resultAfter(kj::Promise<void> completed, SharedResult<Result> result) -> kj::Promise<Result>
+{
+    return completed.then([result = std::move(result)]() -> kj::Promise<Result> {
+        if (!*result) {
+            return KJ_EXCEPTION(FAILED, "the called proxy has ended");
+        }
+        return std::move(**result);
+    });
+}
+
+/// \param completion destroyed with the frame of the coroutine, after the result is written
+auto forwardToService(std::shared_ptr<proxy::PeerService> service,
+                      proxy::TransactionRequest request,
+                      SharedResult<std::string> result,
+                      [[maybe_unused]] rpc::Completion completion) -> asio::awaitable<void>
 {
     const auto reply = co_await service->runForwarded(std::move(request));
-    (*fulfiller)->fulfill(proxy::encodeReply(reply));
+    result->emplace(proxy::encodeReply(reply));
 }
 
 auto malformedForward() -> std::string
@@ -36,8 +56,9 @@
 
 } // namespace
 
-PeerServer::PeerServer(Incarnation self, boost::asio::any_io_executor dispatch, std::weak_ptr<proxy::PeerService> service)
+PeerServer::PeerServer(Incarnation self, std::weak_ptr<rpc::LoopThread> loop, boost::asio::any_io_executor dispatch, std::weak_ptr<proxy::PeerService> service)
     : self(self)
+    , completions(std::make_shared<rpc::Completions>(std::move(loop)))
     , dispatch(std::move(dispatch))
     , service(std::move(service))
 {
@@ -46,14 +67,14 @@
 template <typename Result, typename Work>
 auto PeerServer::onDispatch(Work work) -> kj::Promise<Result>
 {
-    auto signal = kj::newPromiseAndCrossThreadFulfiller<Result>();
-    // If the service no longer exists, the destruction of the fulfiller rejects the promise, and the call fails at the caller.
-    asio::post(this->dispatch, [fulfiller = kj::mv(signal.fulfiller), service = this->service, work = std::move(work)]() mutable {
+    auto pending = this->completions->add();
+    const auto result = std::make_shared<std::optional<Result>>();
+    asio::post(this->dispatch, [completion = std::move(pending.completion), result, service = this->service, work = std::move(work)]() mutable {
         if (const auto alive = service.lock()) {
-            fulfiller->fulfill(work(*alive));
+            result->emplace(work(*alive));
         }
     });
-    return kj::mv(signal.promise);
+    return resultAfter(kj::mv(pending.promise), result);
 }
 
 auto PeerServer::startKey(StartKeyContext context) -> kj::Promise<void>
@@ -157,14 +178,15 @@
         context.getResults().setReply(view(refusal));
         return kj::READY_NOW;
     }
-    auto signal = kj::newPromiseAndCrossThreadFulfiller<std::string>();
-    auto fulfiller = std::make_shared<kj::Own<ReplyFulfiller>>(kj::mv(signal.fulfiller));
-    asio::post(this->dispatch, [dispatch = this->dispatch, weak = this->service, request = std::move(*request), fulfiller]() mutable {
-        if (auto alive = weak.lock()) {
-            asio::co_spawn(dispatch, forwardToService(std::move(alive), std::move(request), std::move(fulfiller)), asio::detached);
-        }
-    });
-    return signal.promise.then([context](std::string reply) mutable {
+    auto pending = this->completions->add();
+    const auto result = std::make_shared<std::optional<std::string>>();
+    asio::post(this->dispatch,
+               [dispatch = this->dispatch, weak = this->service, request = std::move(*request), result, completion = std::move(pending.completion)]() mutable {
+                   if (auto alive = weak.lock()) {
+                       asio::co_spawn(dispatch, forwardToService(std::move(alive), std::move(request), result, std::move(completion)), asio::detached);
+                   }
+               });
+    return resultAfter(kj::mv(pending.promise), result).then([context](std::string reply) mutable {
         context.getResults().setReply(view(reply));
     });
 }
--- a/lib/Peers/peerserver.h
+++ b/lib/Peers/peerserver.h
@@ -4,6 +4,7 @@
 #include "peers.capnp.h"
 
 #include "sapphirespool/Proxy/peerlink.h"
+#include "sapphirespool/Rpc/completions.h"
 #include "sapphirespool/Support/types.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -17,7 +18,7 @@
 class PeerServer final : public schema::Peer::Server
 {
 public:
-    PeerServer(Incarnation self, boost::asio::any_io_executor dispatch, std::weak_ptr<proxy::PeerService> service);
+    PeerServer(Incarnation self, std::weak_ptr<rpc::LoopThread> loop, boost::asio::any_io_executor dispatch, std::weak_ptr<proxy::PeerService> service);
 
 protected:
     auto startKey(StartKeyContext context) -> kj::Promise<void> override;
@@ -32,6 +33,7 @@
     auto onDispatch(Work work) -> kj::Promise<Result>;
 
     Incarnation self;
+    std::shared_ptr<rpc::Completions> completions;
     boost::asio::any_io_executor dispatch;
     std::weak_ptr<proxy::PeerService> service;
 };
--- a/unittests/Peers/peernetworktest.cpp
+++ b/unittests/Peers/peernetworktest.cpp
@@ -187,6 +187,28 @@
     CHECK(request.timeout == callTimeout);
 }
 
+// Failure: the event loop reads the result of a call without an order after its write; the thread sanitizer reported this in one run of 200.
+TEST_CASE("results of many calls in a row are handed from the dispatch executor to the event loop")
+{
+    constexpr auto calls = 1000;
+    auto pair = TwoProxies();
+    for (auto call = 0; call < calls; ++call) {
+        REQUIRE(pair.await(pair.caller->updateHome(pair.peer, {SessionId("s"), GroupId("g"), {}}, callTimeout)));
+    }
+    CHECK(pair.service->updates.size() == calls);
+}
+
+// Failure: a call whose service has ended waits for its timeout.
+TEST_CASE("a call to a proxy whose service has ended fails at once")
+{
+    auto pair = TwoProxies();
+    pair.service.reset();
+    const auto before = std::chrono::steady_clock::now();
+    CHECK_FALSE(pair.await(pair.caller->startKey(pair.peer, sampleStart(), callTimeout)).has_value());
+    CHECK(std::get<proxy::PeerFailure>(pair.forward(callTimeout)).sent);
+    CHECK(std::chrono::steady_clock::now() - before < callTimeout);
+}
+
 // Failure: a restarted process without the records of its predecessor reports a request that ran as never received.
 TEST_CASE("a restarted process refuses calls to its predecessor")
 {
