--- a/unittests/Rpc/completionstest.cpp
+++ b/unittests/Rpc/completionstest.cpp
@@ -59,7 +59,7 @@
     }
 
 private:
-    struct Tasks : kj::TaskSet::ErrorHandler
+    struct Tasks final : kj::TaskSet::ErrorHandler
     {
         kj::TaskSet set{*this};
 
